--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -426,6 +426,7 @@
         with self.view.lock:
             self.view.book.answered(attempt.endpoint.id, failed, self.clock())
         if failed and self._may_try_again(job):
+            job.avoid.add(attempt.endpoint.id)
             return attempts.End.LOST
         job.answer = answer
         job.exchange.answer(answer.status, answer.headers, b''.join(pieces))
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -46,6 +46,7 @@
         self.turn = ordering.make_turn(router_id, random.Random().random())
         self.leases = leases
         self.orders = ordering.make_ledger()
+        self.arrivals = ordering.Arrivals()
 
     def handlers(self):
         return {Look: self.on_look}
@@ -62,6 +63,8 @@
     def _look_at(self, service, snapshot):
         now = time.monotonic()
         staying = self._staying(service, snapshot, now)
+        if not self.arrivals.are_settled(staying, now):
+            return
         self.orders.settle(staying, now)
         engines = [
             layers.Engine(
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -16,8 +16,8 @@
 # Between events, a stage is suspected after this many usual gaps, within
 # these bounds in seconds; callers count a stream as late after 0.2.
 GAP_FACTOR = 3.0
-LEAST_GAP = 0.06
-MOST_GAP = 0.11
+LEAST_GAP = 0.1
+MOST_GAP = 0.14
 # Seconds a stream holds its memory, for a refusal's Retry-After.
 MEAN_STREAM = 3.5
 LEAST_RETRY = 0.1
--- a/packages/policy/ibisring_policy/ordering.py
+++ b/packages/policy/ibisring_policy/ordering.py
@@ -1,6 +1,6 @@
 """Whose turn it is to order engines, and what was ordered."""
 
-__all__ = ['Turn', 'Ledger', 'LeaseRow', 'make_turn', 'make_ledger']
+__all__ = ['Turn', 'Arrivals', 'Ledger', 'LeaseRow', 'make_turn', 'make_ledger']
 
 from ibisring_records import routing
 import msgspec
@@ -12,6 +12,12 @@
 # Routers act after a random part of this, in seconds, so that one of them
 # usually finds that another has begun.
 SPREAD = 0.3
+# Seconds between two reads of a lease that another router holds.
+READ_AGAIN = 1.0
+# A site where no engine holds anything is planned once no engine has come
+# for this many seconds: a plan for the first few that register would be
+# undone when the others come.
+SETTLED = 1.0
 # Seconds in which an order that was accepted shows in the engine's entry,
 # beside the time of the load itself.
 SHOWS_AFTER = 4.0
@@ -52,6 +58,7 @@
         'term',
         'seen_version',
         'seen_at',
+        'read_at',
     )
 
     def __init__(self, router_id, draw):
@@ -62,6 +69,7 @@
         self.term = 0
         self.seen_version = None
         self.seen_at = 0.0
+        self.read_at = -READ_AGAIN
 
     def may_act(self, wanted, now):
         """Say whether a wish to order has stood for this router's delay."""
@@ -72,6 +80,8 @@
             return True
         if self.wanted_since is None:
             self.wanted_since = now
+        if now - self.read_at < READ_AGAIN:
+            return False
         return now - self.wanted_since >= self.delay
 
     def holds(self, now):
@@ -86,6 +96,7 @@
         row : LeaseRow or None
         now : float
         """
+        self.read_at = now
         if row is None:
             self.term = 1
             return LeaseRow(self.router_id, 1)
@@ -108,6 +119,32 @@
         return False
 
 
+class Arrivals:
+    """Tells when the engines of a site that starts have registered."""
+
+    __slots__ = ('names', 'changed_at')
+
+    def __init__(self):
+        self.names = frozenset()
+        self.changed_at = 0.0
+
+    def are_settled(self, endpoints, now):
+        """Say whether to plan for these engines.
+
+        Parameters
+        ----------
+        endpoints : list of routing.Endpoint
+        now : float
+        """
+        names = frozenset(e.id for e in endpoints)
+        if names != self.names:
+            self.names = names
+            self.changed_at = now
+        if any(e.holding is not None for e in endpoints):
+            return True
+        return bool(names) and now - self.changed_at >= SETTLED
+
+
 class _Order(msgspec.Struct):
     holding: routing.Holding
     started: int
