--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -15,18 +15,22 @@
 import msgspec
 
 LOG = logging.getLogger(__name__)
+STORE = 'store'
 
 
 class Read(msgspec.Struct):
     """Something was read; `whole` if it was all there is.
 
-    `origin` tells the store from a peer.
+    `origin` tells the store from a peer; `position` is the store's version
+    that the items are of, `age` the seconds since the store was read.
     """
 
     items: list
     whole: bool
-    origin: str = 'store'
+    origin: str = STORE
     is_table: bool = False
+    position: int = 0
+    age: float = 0.0
 
 
 class Failed(msgspec.Struct):
@@ -67,22 +71,25 @@
     def on_read(self, message):
         """Apply what was read."""
         now = time.monotonic()
-        if message.origin == 'store' and self.presence.succeeded(now):
+        if message.origin == STORE and self.presence.succeeded(now):
             logs.event(LOG, 'store_regained')
         if message.is_table:
+            self._replace(table_at=now - message.age)
             for table in message.items:
-                self._apply_table(table, message.origin, now)
+                self._apply_table(table, message.origin)
             return
         self._apply_endpoints(message, now)
 
-    def _apply_table(self, table, origin, now):
+    def _apply_table(self, table, origin):
+        """Put a table in force unless it is older than the present one.
+
+        A store that answers with an old state, or a peer that is behind,
+        would otherwise bring back a key or a route that was taken away.
+        """
         before = self.view.snapshot
-        if table.version < before.version or (
-            table.version == before.version and before.index is not None
-        ):
-            self._replace(table_at=now)
+        if before.index is not None and table.version <= before.version:
             return
-        self._replace(index=routetable.make_index(table), table_at=now)
+        self._replace(index=routetable.make_index(table))
         logs.event(
             LOG,
             'table_in_force',
@@ -95,7 +102,12 @@
         self.metrics.count('tables_applied')
 
     def _apply_endpoints(self, message, now):
-        if message.whole:
+        if message.origin != STORE:
+            if message.position <= self.view.snapshot.position:
+                return
+            # The peer reads the store, so what is missing there has left.
+            changed = self.presence.replace(message.items, now, sure=True)
+        elif message.whole:
             changed = self.presence.replace(message.items, now)
         else:
             changed = False
@@ -106,7 +118,9 @@
                     changed |= self.presence.put(item, now)
         changed |= self.presence.expire(now)
         if not changed and self.view.snapshot.endpoints_known:
-            self._replace(endpoints_at=now)
+            self._replace(
+                endpoints_at=now - message.age, position=message.position
+            )
             return
         self._publish(now, message)
 
@@ -119,7 +133,8 @@
         self._replace(
             endpoints=usable,
             by_service=by_service,
-            endpoints_at=now,
+            endpoints_at=now - message.age,
+            position=message.position,
             endpoints_known=True,
         )
         self.connections.forget(usable)
--- a/packages/gateway/ibisring_gateway/doctor.py
+++ b/packages/gateway/ibisring_gateway/doctor.py
@@ -9,11 +9,14 @@
 from ibisring_gateway import ports
 from ibisring_policy import attempts
 from ibisring_records import exceptions
+from ibisring_records import routing
 
 LOG = logging.getLogger(__name__)
 # Seconds that an endpoint has to tell its status: it needs no slot for it,
 # and callers count a stream as late after a pause of 0.2.
-STATUS_TIMEOUT = 0.06
+STATUS_TIMEOUT = 0.05
+# A stage vouched for by another request's event within so many seconds.
+VOUCHES = 0.05
 # A status this fresh is not asked for again, in seconds: when a stage dies
 # all requests through it fall silent together.
 FRESH = 0.05
@@ -27,6 +30,8 @@
 # stage answers its status while its own links are gone.
 MOST_LOOKS = 4
 WORKERS = 24
+# Times that a request is moved off engines that leave.
+MOST_MOVES = 3
 
 
 class Doctor:
@@ -37,11 +42,13 @@
     view : view.View
     engines : ports.EngineControl
     selector : selecting.Selector
+    watcher : watching.Watcher
     metrics : metrics.Metrics
     """
 
-    def __init__(self, view, engines, selector, metrics):
+    def __init__(self, view, engines, selector, watcher, metrics):
         self.view = view
+        self.watcher = watcher
         self.engines = engines
         self.selector = selector
         self.metrics = metrics
@@ -98,8 +105,11 @@
         """Give the ids of stages that do not answer."""
         by_id = self.view.snapshot.endpoints
         names = [stage.endpoint for stage in attempt.stages]
-        gone = {name for name in names if name not in by_id}
-        asked = [by_id[name] for name in names if name in by_id]
+        with self.view.lock:
+            gone = {n for n in names if n not in by_id}
+            gone |= {n for n in names if self.view.book.is_dead(n)}
+        vouched = self._vouched(attempt)
+        asked = [by_id[n] for n in names if n not in gone | vouched]
         answers = [self.pool_ask(endpoint) for endpoint in asked]
         lost = {e.id for e, f in zip(asked, answers) if not self._is_ok(f)}
         if len(lost) > max(1, MOST_LOST_SHARE * len(asked)):
@@ -116,6 +126,19 @@
                     self.view.book.reached(endpoint.id, now)
         return lost | gone
 
+    def _vouched(self, attempt):
+        """Give the stages through which other requests' events just came.
+
+        Asking a stage costs its engine and this router time; one that
+        delivers for others lives.
+        """
+        since = max(attempt.last_at, self.clock() - VOUCHES)
+        found = set()
+        for other in self.watcher.all():
+            if other is not attempt and other.events and other.last_at > since:
+                found.update(stage.endpoint for stage in other.stages)
+        return found
+
     def pool_ask(self, endpoint):
         """Ask an endpoint for its status, or share a question just asked."""
         now = self.clock()
@@ -144,6 +167,45 @@
             LOG.debug('status questions wait for a thread')
             return False
 
+    def look_round(self):
+        """Move requests off stages that are leaving; ask the dead again.
+
+        Called now and then.  An engine that leaves, or gives layers up,
+        waits for the requests that pass through it, and cuts them in the
+        end; moving them early costs a prompt read once more.
+        """
+        snapshot = self.view.snapshot
+        for attempt in self.watcher.all():
+            if attempt.stages and attempt.events and not attempt.looking:
+                leaving = _leaving(attempt, snapshot.endpoints)
+                if leaving and attempt.endpoint.id not in leaving:
+                    attempt.looking = True
+                    self.pool.submit(self._evacuate, attempt, leaving)
+        with self.view.lock:
+            names = self.view.book.to_revive(snapshot.endpoints, self.clock())
+        for name in names:
+            self.pool.submit(self._revive, snapshot.endpoints[name])
+
+    def _evacuate(self, attempt, leaving):
+        try:
+            if attempt.moves < MOST_MOVES:
+                attempt.moves += 1
+                self._go_round(attempt, leaving)
+        except Exception:
+            LOG.exception('evacuation_failed %s', attempt.request_id)
+        finally:
+            attempt.looking = False
+
+    def _revive(self, endpoint):
+        alive = self._ask(endpoint) is not None
+        now = self.clock()
+        with self.view.lock:
+            if alive:
+                self.view.book.reached(endpoint.id, now)
+            else:
+                self.view.book.unreachable(endpoint.id, now)
+        logs.event(LOG, 'asked_again', endpoint=endpoint.id, alive=alive)
+
     def _go_round(self, attempt, lost):
         """Move the request to other stages behind the same first one."""
         stages = self.selector.repair(attempt, lost, self.clock())
@@ -170,6 +232,20 @@
         return True
 
 
-def make_doctor(view, engines, selector, metrics):
+def _leaving(attempt, endpoints):
+    """Give the stages whose engines leave or give their layers up."""
+    found = set()
+    for stage in attempt.stages:
+        endpoint = endpoints.get(stage.endpoint)
+        if endpoint is None or endpoint.state is routing.State.DRAINING:
+            found.add(stage.endpoint)
+            continue
+        held = endpoint.holding
+        if held is None or held.first > stage.first or held.end < stage.end:
+            found.add(stage.endpoint)
+    return found
+
+
+def make_doctor(view, engines, selector, watcher, metrics):
     """Make a `Doctor`."""
-    return Doctor(view, engines, selector, metrics)
+    return Doctor(view, engines, selector, watcher, metrics)
--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -87,7 +87,12 @@
             page = self.source.changes(self.position, self.wait)
         self.position = page.position
         self.tell(
-            directory_module.Read(page.items, whole, is_table=self.is_table)
+            directory_module.Read(
+                page.items,
+                whole,
+                is_table=self.is_table,
+                position=page.position,
+            )
         )
 
 
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -390,8 +390,7 @@
         culprit = self.selector.culprit(attempt, answer)
         job.avoid.add(culprit)
         with self.view.lock:
-            if answer.wrong_endpoint and culprit == attempt.endpoint.id:
-                self.view.book.unreachable(culprit, self.clock())
+            self.selector.blame(attempt, culprit, answer, self.clock())
         logs.event(
             LOG,
             'endpoint_refused',
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -0,0 +1,111 @@
+"""Datagrams in which routers tell their own load and engines just lost."""
+
+__all__ = ['Told', 'Gossip', 'make_gossip']
+
+import logging
+import random
+import socket
+import threading
+
+import msgspec
+
+LOG = logging.getLogger(__name__)
+# Seconds between tellings, and to how many others.  Six routers all tell
+# each other; of many, each hears from any other every few seconds, and the
+# work of one does not grow with their number.
+EVERY = 0.25
+FANOUT = 6
+MOST_BYTES = 60000
+
+
+class Told(msgspec.Struct, array_like=True):
+    """One router's tokens times layers by engine, and engines just lost."""
+
+    router: str
+    tokens: dict[str, int]
+    dead: list[str]
+
+
+class Gossip:
+    """Sends and receives `Told`.
+
+    A lost datagram is replaced by the next; nothing is agreed on this way.
+
+    Parameters
+    ----------
+    settings : settings.Settings
+    view : view.View
+    peers : peers.Peers
+    """
+
+    def __init__(self, settings, view, peers):
+        self.settings = settings
+        self.view = view
+        self.peers = peers
+        self.rng = random.Random()
+        self.stopped = threading.Event()
+        self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
+        self.socket.bind((settings.host, settings.peer_port))
+        self.threads = [
+            threading.Thread(target=each, daemon=True)
+            for each in (self._send_loop, self._receive_loop)
+        ]
+
+    def start(self):
+        """Start both threads."""
+        for thread in self.threads:
+            thread.start()
+        return self
+
+    def stop(self):
+        """Let the threads end."""
+        self.stopped.set()
+        self.socket.close()
+
+    def _send_loop(self):
+        while not self.stopped.wait(EVERY * self.rng.uniform(0.8, 1.2)):
+            try:
+                self._send()
+            except OSError as error:
+                LOG.debug('gossip not sent: %s', error)
+
+    def _send(self):
+        now = self.view.clock()
+        with self.view.lock:
+            own = self.view.book.own()
+            dead = self.view.book.lately_dead(now)
+        told = Told(
+            self.settings.router_id,
+            {name: int(tokens) for name, tokens in own.items()},
+            dead,
+        )
+        data = msgspec.json.encode(told)
+        if len(data) > MOST_BYTES:
+            LOG.warning('gossip_too_large %s', len(data))
+            return
+        others = self.peers.others()
+        for row in self.rng.sample(others, min(FANOUT, len(others))):
+            host, _, port = row.address.rpartition(':')
+            self.socket.sendto(data, (host, int(port)))
+
+    def _receive_loop(self):
+        while not self.stopped.is_set():
+            try:
+                data = self.socket.recv(MOST_BYTES + 1)
+                told = msgspec.json.decode(data, type=Told)
+            except OSError as error:
+                LOG.debug('gossip not received: %s', error)
+                self.stopped.wait(EVERY)
+                continue
+            except msgspec.MsgspecError as error:
+                LOG.warning('gossip_unreadable %s', error)
+                continue
+            with self.view.lock:
+                self.view.book.take_told(
+                    told.router, told.tokens, told.dead, self.view.clock()
+                )
+
+
+def make_gossip(settings, view, peers):
+    """Make a `Gossip`; start it with ``start()``."""
+    return Gossip(settings, view, peers)
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -37,6 +37,7 @@
     version: int
     table_age: float
     endpoints_age: float
+    position: int
     table: routing.RoutingTable | None = None
     endpoints: list[routing.Endpoint] = []
 
@@ -90,6 +91,7 @@
             version=snapshot.version,
             table_age=now - snapshot.table_at,
             endpoints_age=now - snapshot.endpoints_at,
+            position=snapshot.position,
             table=table,
             endpoints=list(snapshot.endpoints.values()),
         )
@@ -140,12 +142,13 @@
             time.time(),
         )
 
+    def others(self):
+        """Give the rows of the other routers."""
+        own = self.settings.router_id
+        return [row for name, row in self.known.items() if name != own]
+
     def _ask_one(self):
-        others = [
-            row
-            for name, row in self.known.items()
-            if name != self.settings.router_id
-        ]
+        others = self.others()
         if not others:
             return
         row = self.rng.choice(others)
@@ -163,18 +166,27 @@
         self._take(row.name, state)
 
     def _take(self, name, state):
-        now = self.view.clock()
-        snapshot = self.view.snapshot
+        origin = f'router {name}'
         if state.table is not None:
-            self._tell([state.table], True, name)
-        if state.endpoints_age < now - snapshot.endpoints_at:
-            self._tell(state.endpoints, False, name)
-
-    def _tell(self, items, is_table, name):
-        message = directory_module.Read(
-            items, True, origin=f'router {name}', is_table=is_table
-        )
-        self.tell(message)
+            self.tell(
+                directory_module.Read(
+                    [state.table],
+                    True,
+                    origin=origin,
+                    is_table=True,
+                    age=state.table_age,
+                )
+            )
+        if state.position > self.view.snapshot.position:
+            self.tell(
+                directory_module.Read(
+                    state.endpoints,
+                    True,
+                    origin=origin,
+                    position=state.position,
+                    age=state.endpoints_age,
+                )
+            )
 
 
 def make_peers(settings, view, rows, tell):
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -89,15 +89,17 @@
         for each in snapshot.by_service.get(service.name, ()):
             if service.model.card(each.card) is None:
                 continue
-            belief = self.view.book.beliefs.get(each.id)
-            if belief is not None and belief.dead_at > belief.alive_at:
-                if now - belief.dead_at < LOST_AFTER:
-                    pass
-                elif belief.ejected_until > now:
-                    continue
+            if self._is_lost(each.id, now):
+                continue
             found.append(each)
         return found
 
+    def _is_lost(self, name, now):
+        belief = self.view.book.beliefs.get(name)
+        if belief is None or not belief.dead:
+            return False
+        return now - belief.dead_at >= LOST_AFTER
+
     def _hold_lease(self, now):
         """Take or keep the right to order, by the store's conditional write.
 
@@ -131,6 +133,8 @@
             expected = self._read_count(endpoint)
             if expected is None:
                 return
+        if self.orders.is_blocked(endpoint, time.monotonic()):
+            return
         result = self.engines.place(endpoint, holding, expected)
         self.metrics.count(f'orders.{result.value}')
         self.orders.ordered(endpoint, holding, expected, result.value)
@@ -155,6 +159,11 @@
             logs.event(
                 LOG, 'no_status', endpoint=endpoint.id, why=error.detail
             )
+            with self.view.lock:
+                self.view.book.unreachable(endpoint.id, time.monotonic())
+            return None
+        if status.busy:
+            self.orders.busy(endpoint, time.monotonic())
             return None
         return status.orders
 
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -15,6 +15,7 @@
 from ibisring_gateway import exchange
 from ibisring_gateway import following
 from ibisring_gateway import forwarding
+from ibisring_gateway import gossip
 from ibisring_gateway import logs
 from ibisring_gateway import peers
 from ibisring_gateway import placing
@@ -74,6 +75,7 @@
             self.view,
             installation.engines,
             self.forwarder.selector,
+            self.watcher,
             self.metrics,
         )
         self.signals = []
@@ -114,7 +116,9 @@
             settings, self.view, self.installation.leases, tell
         ).start()
         self.parts.append(self.peers)
-        self.looking = periodic.start(LOOK_SECONDS, self._look)
+        self.gossip = gossip.make_gossip(settings, self.view, self.peers)
+        self.parts.append(self.gossip.start())
+        self.looking = periodic.start(LOOK_SECONDS, self._look_round)
         logs.event(LOG, 'started', router=settings.router_id)
 
     def _listen(self):
@@ -136,6 +140,10 @@
     def _look(self):
         self.placer.tell(placing.Look())
 
+    def _look_round(self):
+        self._look()
+        self.doctor.look_round()
+
     def serve_ready(self, call):
         """Say whether new connections may come here."""
         ready = self.view.is_ready and not self.is_ending
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -16,8 +16,13 @@
 # Between events, a stage is suspected after this many usual gaps, within
 # these bounds in seconds; callers count a stream as late after 0.2.
 GAP_FACTOR = 3.0
-LEAST_GAP = 0.1
-MOST_GAP = 0.14
+LEAST_GAP = 0.07
+MOST_GAP = 0.12
+# Share of the memory reserved for requests that they are taken to use when
+# no chain has room otherwise.
+SQUEEZE = 0.75
+# A refusal this late, in seconds, ends a stall and is not one of admission.
+STALLED = 1.0
 # Seconds a stream holds its memory, for a refusal's Retry-After.
 MEAN_STREAM = 3.5
 LEAST_RETRY = 0.1
@@ -102,15 +107,13 @@
         return Choice(endpoint, tuple(stages), tokens)
 
     def _squeeze(self, holders, demand, model, head):
-        """Choose by what this router alone holds.
+        """Choose although engines seem full.
 
-        What other routers use is estimated; an engine that is full after
-        all says so at once, or lets the request wait.
+        Requests rarely grow to the size that is reserved for them; an
+        engine that is full after all says so at once.
         """
-        routers = max(1, self.view.book.routers)
         for holder in holders:
-            holder.used /= routers
-            holder.heads /= routers
+            holder.used *= SQUEEZE
         return chains.choose(holders, demand, model.layers, self._noise, head)
 
     def repair(self, attempt, lost, now):
@@ -204,6 +207,20 @@
                 return stage.endpoint
         return attempt.endpoint.id
 
+    def blame(self, attempt, culprit, answer, now):
+        """Note a refusal; the caller holds the view's lock.
+
+        A refusal that comes after the stall of a lost stage is about that
+        stage; one that comes at once is about memory, slots, or layers that
+        are being given up.
+        """
+        if answer.wrong_endpoint and not attempt.stages:
+            self.view.book.unreachable(culprit, now)
+        elif attempt.stages and now - attempt.last_at > STALLED:
+            self.view.book.unreachable(culprit, now)
+        else:
+            self.view.book.full(culprit, now)
+
     def retry_after(self, service):
         """Give the seconds after which some request will have ended.
 
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -17,7 +17,8 @@
     """Endpoints and routing table as of some moment.
 
     `index` is a `routetable.Index` or None before a table was read;
-    `leaving` are ids that must get no new requests; times are monotonic.
+    `position` is the store's version that the endpoints are of; times are
+    monotonic.
     """
 
     index: object = None
@@ -26,6 +27,7 @@
     table_at: float = 0.0
     endpoints_at: float = 0.0
     endpoints_known: bool = False
+    position: int = 0
 
     @property
     def version(self):
--- a/packages/gateway/ibisring_gateway/watching.py
+++ b/packages/gateway/ibisring_gateway/watching.py
@@ -45,6 +45,7 @@
         'events',
         'after_event',
         'tokens',
+        'moves',
     )
 
     def __init__(self, request_id, endpoint, stages, deadline):
@@ -62,6 +63,7 @@
         self.events = 0
         self.after_event = None
         self.tokens = 0.0
+        self.moves = 0
 
     def break_off(self, end):
         """End the attempt; the thread that reads it wakes up.
--- a/packages/policy/ibisring_policy/loadbook.py
+++ b/packages/policy/ibisring_policy/loadbook.py
@@ -15,6 +15,14 @@
 FAILING_LEAST = 2
 # Each answer counts 0.2 of the failing share: about the last five matter.
 SMOOTHING = 0.2
+# Seconds for which an engine that refused for want of memory is left out.
+FULL_SECONDS = 0.3
+# What another router told counts for so many seconds.
+TOLD_AGE = 4.0
+# News of an engine that was lost is told for this long, in seconds, and not
+# believed by a router that has heard from the engine since.
+DEAD_NEWS = 1.0
+TRUST_OWN = 0.1
 # A report of load older than this says nothing, in seconds.
 REPORT_AGE = 1.0
 
@@ -33,7 +41,9 @@
     ejected_until: float = 0.0
     eject_for: float = EJECT_FIRST
     alive_at: float = -1e9
+    dead: bool = False
     dead_at: float = -1e9
+    full_until: float = 0.0
     started: int = 0
 
 
@@ -48,6 +58,7 @@
 
     def __init__(self):
         self.beliefs = {}
+        self.told = {}
         self.routers = 1
 
     def of(self, name):
@@ -83,19 +94,40 @@
         """Note that an endpoint answered."""
         belief = self.of(name)
         belief.alive_at = now
-        belief.eject_for = EJECT_FIRST
-        if belief.dead_at > -1e9 and belief.ejected_until > now:
+        if belief.dead:
+            belief.dead = False
             belief.ejected_until = now
-        belief.dead_at = -1e9
+            belief.eject_for = EJECT_FIRST
 
     def unreachable(self, name, now):
-        """Note that an endpoint could not be reached, or went silent."""
+        """Note that an endpoint could not be reached, or went silent.
+
+        An engine stays out until it has answered again: one that is gone
+        for good may keep its entry for seconds, and each request tried on
+        it would wait for its stall to end.
+        """
         belief = self.of(name)
-        belief.dead_at = now
+        if not belief.dead:
+            belief.dead = True
+            belief.dead_at = now
         if belief.ejected_until <= now:
             belief.ejected_until = now + belief.eject_for
             belief.eject_for = min(EJECT_MOST, belief.eject_for * 2)
 
+    def full(self, name, now):
+        """Note that an engine had no memory or slot for a request."""
+        self.of(name).full_until = now + FULL_SECONDS
+
+    def to_revive(self, names, now):
+        """Give the endpoints believed dead that should be asked again."""
+        found = []
+        for name in names:
+            belief = self.beliefs.get(name)
+            if belief is not None and belief.dead:
+                if belief.ejected_until <= now:
+                    found.append(name)
+        return found
+
     def answered(self, name, failed, now):
         """Count an answer; an endpoint that fails many is left out."""
         belief = self.of(name)
@@ -121,12 +153,61 @@
         belief = self.beliefs.get(name)
         return belief is not None and belief.ejected_until > now
 
-    def is_dead(self, name, now):
-        """Say whether an endpoint is believed unreachable now."""
+    def is_dead(self, name):
+        """Say whether an endpoint is believed unreachable."""
         belief = self.beliefs.get(name)
-        if belief is None:
-            return False
-        return belief.dead_at > belief.alive_at and belief.ejected_until > now
+        return belief is not None and belief.dead
+
+    def take_told(self, router, told, dead, now):
+        """Take what another router tells of its load and of lost engines.
+
+        Parameters
+        ----------
+        router : str
+        told : dict of str to float
+            Tokens times layers of its requests, by engine.
+        dead : list of str
+            Engines that it could not reach a moment ago.
+        now : float
+        """
+        self.told[router] = now, told
+        for name in dead:
+            belief = self.beliefs.get(name)
+            if belief is not None and not belief.dead:
+                if now - belief.alive_at > TRUST_OWN:
+                    self.unreachable(name, now)
+
+    def others(self, now):
+        """Give other routers' tokens times layers, by engine.
+
+        Only some of many routers have been heard lately; what these use is
+        scaled to all.
+        """
+        heard = [t for at, t in self.told.values() if now - at < TOLD_AGE]
+        totals = {}
+        for told in heard:
+            for name, tokens in told.items():
+                totals[name] = totals.get(name, 0.0) + tokens
+        scale = max(1.0, (self.routers - 1) / len(heard)) if heard else 1.0
+        if scale > 1.0:
+            totals = {name: value * scale for name, value in totals.items()}
+        return totals
+
+    def own(self):
+        """Give this router's tokens times layers, by engine."""
+        return {
+            name: belief.tokens
+            for name, belief in self.beliefs.items()
+            if belief.tokens > 0
+        }
+
+    def lately_dead(self, now):
+        """Give the engines found dead within the last second."""
+        return [
+            name
+            for name, belief in self.beliefs.items()
+            if belief.dead and now - belief.dead_at < DEAD_NEWS
+        ]
 
     def queue(self, name, now):
         """Estimate the requests at a plain endpoint.
@@ -165,10 +246,9 @@
     def holders(self, endpoints, model, now, avoid=()):
         """Give the engines of a model as chains see them.
 
-        Memory in use by other routers is not known exactly; each router is
-        taken to use as much as this one, so a router's own share is scaled
-        by how many there are.
+        Memory in use is what this router has sent, and what others tell.
         """
+        others = self.others(now)
         found = []
         for each in endpoints:
             held = each.holding
@@ -178,6 +258,8 @@
             if each.id in avoid or self.is_ejected(each.id, now):
                 continue
             belief = self.of(each.id)
+            if belief.dead or belief.full_until > now:
+                continue
             free_mb = card.memory_mb - held.count * model.layer_mb
             room = max(0.0, free_mb) / (model.token_mb / model.layers)
             found.append(
@@ -188,9 +270,9 @@
                     held.first,
                     held.end,
                     room,
-                    used=belief.tokens * self.routers,
+                    used=belief.tokens + others.get(each.id, 0.0),
                     pace=card.step_factor,
-                    heads=belief.heads * self.routers / max(1, model.slots),
+                    heads=belief.heads / max(1, model.slots),
                 )
             )
         return found
--- a/packages/policy/ibisring_policy/ordering.py
+++ b/packages/policy/ibisring_policy/ordering.py
@@ -1,6 +1,13 @@
 """Whose turn it is to order engines, and what was ordered."""
 
-__all__ = ['Turn', 'Arrivals', 'Ledger', 'LeaseRow', 'make_turn', 'make_ledger']
+__all__ = [
+    'Turn',
+    'Arrivals',
+    'Ledger',
+    'LeaseRow',
+    'make_turn',
+    'make_ledger',
+]
 
 from ibisring_records import routing
 import msgspec
@@ -22,6 +29,8 @@
 # beside the time of the load itself.
 SHOWS_AFTER = 4.0
 UNKNOWN_FOR = 1.5
+# Seconds before an engine that refused an order is asked again.
+BUSY_SECONDS = 0.5
 
 
 class LeaseRow(msgspec.Struct):
@@ -82,7 +91,10 @@
             self.wanted_since = now
         if now - self.read_at < READ_AGAIN:
             return False
-        return now - self.wanted_since >= self.delay
+        if now - self.wanted_since < self.delay:
+            return False
+        self.read_at = now
+        return True
 
     def holds(self, now):
         """Say whether this router may send an order now."""
@@ -96,7 +108,6 @@
         row : LeaseRow or None
         now : float
         """
-        self.read_at = now
         if row is None:
             self.term = 1
             return LeaseRow(self.router_id, 1)
@@ -156,12 +167,13 @@
 class Ledger:
     """Orders sent and not yet seen in the engines' entries."""
 
-    __slots__ = ('pending', 'counts', 'clock_now')
+    __slots__ = ('pending', 'counts', 'clock_now', 'blocked')
 
     def __init__(self):
         self.pending = {}
         self.counts = {}
         self.clock_now = 0.0
+        self.blocked = {}
 
     def settle(self, endpoints, now):
         """Forget orders that show, that never will, or of engines gone."""
@@ -193,6 +205,18 @@
             return known[1]
         return 0 if endpoint.holding is None else None
 
+    def busy(self, endpoint, now):
+        """Note that an engine still carries an order out.
+
+        It gives layers up only when the requests that pass through them
+        have ended, and refuses other orders until then.
+        """
+        self.blocked[endpoint.id] = now + BUSY_SECONDS
+
+    def is_blocked(self, endpoint, now):
+        """Say whether an engine is known to refuse orders now."""
+        return self.blocked.get(endpoint.id, -1.0) > now
+
     def ordered(self, endpoint, holding, expected, result):
         """Note an order and what became of it."""
         shows = SHOWS_AFTER
@@ -203,6 +227,7 @@
             shows = UNKNOWN_FOR
         elif result in ('conflict', 'wrong'):
             self.counts[endpoint.id] = endpoint.started, None
+            self.busy(endpoint, self.clock_now)
             return
         self.pending[endpoint.id] = _Order(
             holding,
--- a/packages/policy/ibisring_policy/presence.py
+++ b/packages/policy/ibisring_policy/presence.py
@@ -67,26 +67,29 @@
         self._note(f'{endpoint.id} {endpoint.state.value}')
         return True
 
-    def remove(self, name, now):
-        """Take an entry out."""
+    def remove(self, name, now, sure=False):
+        """Take an entry out; `sure` if it is known to have left."""
         endpoint = self.entries.pop(name, None)
         if endpoint is None:
             return False
-        if self._in_doubt(now):
+        if self._in_doubt(now) and not sure:
             self.doubtful[name] = endpoint
             self._note(f'{name} missing')
         else:
             self._note(f'{name} gone')
         return True
 
-    def replace(self, endpoints, now):
+    def replace(self, endpoints, now, sure=False):
         """Take all entries there are."""
         changed = False
         names = {endpoint.id for endpoint in endpoints}
         for name in [n for n in self.entries if n not in names]:
-            changed |= self.remove(name, now)
+            changed |= self.remove(name, now, sure)
         for endpoint in endpoints:
             changed |= self.put(endpoint, now)
+        if sure and self.doubtful:
+            self.doubtful.clear()
+            changed = True
         return changed
 
     def expire(self, now):
