Chains stay in one failure domain; moved engines are emptied at once

Ruled out: memory for prompts (0 preempted), slow engines. Examination and questions no longer share a pool.

--- a/packages/gateway/ibisring_gateway/doctor.py
+++ b/packages/gateway/ibisring_gateway/doctor.py
@@ -54,11 +54,16 @@
         self.metrics = metrics
         self.clock = view.clock
         self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
+        # Those who examine wait for those who ask; in one pool, when many
+        # requests fall silent together, all threads would wait for a free
+        # one and every stage would seem lost.
+        self.askers = concurrent.futures.ThreadPoolExecutor(WORKERS)
         self.asked = {}
 
     def stop(self):
         """End the threads."""
         self.pool.shutdown(wait=False, cancel_futures=True)
+        self.askers.shutdown(wait=False, cancel_futures=True)
 
     def silent(self, attempt):
         """Take an attempt on; returns at once."""
@@ -146,7 +151,7 @@
             known = self.asked.get(endpoint.id)
             if known is not None and now - known[0] < FRESH:
                 return known[1]
-            future = self.pool.submit(self._ask, endpoint)
+            future = self.askers.submit(self._ask, endpoint)
             self.asked[endpoint.id] = now, future
             return future
 
@@ -178,7 +183,8 @@
         for attempt in self.watcher.all():
             if attempt.stages and attempt.events and not attempt.looking:
                 leaving = _leaving(attempt, snapshot.endpoints)
-                if leaving and attempt.endpoint.id not in leaving:
+                leaving.discard(attempt.endpoint.id)
+                if leaving and attempt.moves < MOST_MOVES:
                     attempt.looking = True
                     self.pool.submit(self._evacuate, attempt, leaving)
         with self.view.lock:
@@ -188,9 +194,8 @@
 
     def _evacuate(self, attempt, leaving):
         try:
-            if attempt.moves < MOST_MOVES:
-                attempt.moves += 1
-                self._go_round(attempt, leaving)
+            attempt.moves += 1
+            self._go_round(attempt, leaving, partly=True)
         except Exception:
             LOG.exception('evacuation_failed %s', attempt.request_id)
         finally:
@@ -206,10 +211,13 @@
                 self.view.book.unreachable(endpoint.id, now)
         logs.event(LOG, 'asked_again', endpoint=endpoint.id, alive=alive)
 
-    def _go_round(self, attempt, lost):
+    def _go_round(self, attempt, lost, partly=False):
         """Move the request to other stages behind the same first one."""
-        stages = self.selector.repair(attempt, lost, self.clock())
-        if stages is None:
+        stages = self.selector.repair(attempt, lost, self.clock(), partly)
+        if stages is None or stages == attempt.stages:
+            logs.event(
+                LOG, 'no_way_round', id=attempt.request_id, lost=sorted(lost)
+            )
             return False
         result = self.engines.repath(
             attempt.endpoint, attempt.request_id, stages
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -48,6 +48,7 @@
         self.head = None
         self.sent_to = []
         self.answer = None
+        self.chain = ''
         self.progress = attempts.Progress(
             repeatable=match.route.repeatable,
             stream=match.route.kind is routing.Kind.STREAM,
@@ -206,6 +207,7 @@
                 LOG,
                 'attempt_ended',
                 id=job.request.id,
+                chain=job.chain,
                 end=end.value,
                 next=step.value,
                 tries=progress.tries,
@@ -260,6 +262,7 @@
         )
         attempt.tokens = choice.tokens
         attempt.after_event = job.splitter.last
+        job.chain = _chain_text(choice.stages)
         self.selector.reserve(attempt)
         self.watcher.add(job.exchange.socket, attempt)
         try:
@@ -471,6 +474,10 @@
         return None
 
 
+def _chain_text(stages):
+    return ' '.join(f'{s.endpoint}={s.first}-{s.end}' for s in stages)
+
+
 def _streamed(headers):
     return [h for h in headers if h[0].lower() != 'content-length']
 
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -47,6 +47,7 @@
         self.leases = leases
         self.orders = ordering.make_ledger()
         self.arrivals = ordering.Arrivals()
+        self.missing = {}
 
     def handlers(self):
         return {Look: self.on_look}
@@ -72,9 +73,11 @@
                 e.failure_domain,
                 service.model.card(e.card).memory_mb,
                 self.orders.expected(e, now),
+                e.holding is not None,
             )
             for e in staying
         ]
+        self._tell_missing(service, staying)
         changes = layers.plan(engines, service.model)
         if not self.turn.may_act(bool(changes), now):
             return
@@ -84,6 +87,23 @@
         for change in changes:
             self._order(by_id[change.id], change.holding)
 
+    def _tell_missing(self, service, staying):
+        """Log when the layers that some failure domain lacks change."""
+        engines = [
+            layers.Engine(e.id, e.failure_domain, 0.0, e.holding)
+            for e in staying
+        ]
+        found = layers.missing(engines, service.model.layers)
+        texts = {
+            domain: [_text(gap) for gap in gaps]
+            for domain, gaps in found.items()
+        }
+        if texts != self.missing:
+            self.missing = texts
+            logs.event(
+                LOG, 'layers_missing', domains=texts, engines=len(staying)
+            )
+
     def _staying(self, service, snapshot, now):
         found = []
         for each in snapshot.by_service.get(service.name, ()):
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -116,11 +116,19 @@
             holder.used *= SQUEEZE
         return chains.choose(holders, demand, model.layers, self._noise, head)
 
-    def repair(self, attempt, lost, now):
+    def repair(self, attempt, lost, now, partly=False):
         """Give stages for an attempt without those that are lost.
 
         The first stage stays; the others keep what they run.
 
+        Parameters
+        ----------
+        attempt : watching.Attempt
+        lost : set of str
+        now : float
+        partly : bool
+            Keep lost stages for which there is no other engine.
+
         Returns
         -------
         tuple of chains.Stage or None
@@ -130,28 +138,45 @@
         model = snapshot.index.services[service].model
         endpoints = snapshot.by_service.get(service, ())
         kept = {s.endpoint for s in attempt.stages if s.endpoint not in lost}
+        domains = self._domains(attempt)
         with self.view.lock:
             holders = self.view.book.holders(
                 endpoints, model, now, avoid=kept | set(lost)
             )
+        # Reading a prompt through a stage in another domain would cross the
+        # pipe twice; starting over in that domain costs less.
+        holders = [h for h in holders if h.domain in domains]
         stages = []
         for stage in attempt.stages:
             if stage.endpoint not in lost:
                 stages.append(stage)
                 continue
             demand = chains.Demand(
-                attempt.tokens, self.view_domain, stage.first, stage.end
+                attempt.tokens,
+                attempt.endpoint.failure_domain,
+                stage.first,
+                stage.end,
             )
             found = chains.choose(holders, demand, model.layers, self._noise)
-            if found is None:
-                found = self._squeeze(holders, demand, model, None)
-            if found is None:
+            if found is None and not partly:
                 return None
+            if found is None:
+                stages.append(stage)
+                continue
             stages.extend(found)
             used = {s.endpoint for s in found}
             holders = [h for h in holders if h.id not in used]
         return tuple(stages)
 
+    def _domains(self, attempt):
+        """Give the failure domains that a chain passes through."""
+        by_id = self.view.snapshot.endpoints
+        found = {attempt.endpoint.failure_domain}
+        for stage in attempt.stages:
+            if stage.endpoint in by_id:
+                found.add(by_id[stage.endpoint].failure_domain)
+        return found
+
     @property
     def view_domain(self):
         """Failure domain of this router."""
--- a/packages/policy/ibisring_policy/chains.py
+++ b/packages/policy/ibisring_policy/chains.py
@@ -67,12 +67,16 @@
 
 
 class Demand(msgspec.Struct):
-    """What a chain must carry: tokens of one request, and where it begins."""
+    """What a chain must carry: tokens of one request, and where it begins.
+
+    `may_cross` allows a chain over several failure domains.
+    """
 
     tokens: float
     domain: str
     first: int = 0
     end: int = 0
+    may_cross: bool = True
 
 
 def tokens_needed(prompt, longest_answer, hint=None):
@@ -93,6 +97,11 @@
 def choose(holders, demand, layers, noise, head=None):
     """Give the best chain, or None if no chain has room.
 
+    A chain stays in one failure domain if any domain has one with room.
+    A prompt that crosses takes some 30 ms of a pipe that all share; at the
+    usual load every second prompt would fill it, and then all that cross
+    wait, also for the stages that are not at fault.
+
     Parameters
     ----------
     holders : list of Holder
@@ -121,11 +130,36 @@
         cost = _cost_a_layer(holder, demand, layers)
         if cost is not None:
             costs[holder.id] = cost * noise()
+    found = [
+        _cheapest(group, demand, costs, head)
+        for group in _by_domain(holders).values()
+    ]
+    found = [each for each in found if each is not None]
+    if not found and demand.may_cross:
+        found = [_cheapest(holders, demand, costs, head)]
+        found = [each for each in found if each is not None]
+    if not found:
+        return None
+    stages = min(found, key=lambda each: each[0])[1]
+    if demand.first == 0 and demand.end == layers:
+        plans.check_chain(stages, layers)
+    return stages
+
+
+def _by_domain(holders):
+    groups = {}
+    for holder in holders:
+        groups.setdefault(holder.domain, []).append(holder)
+    return groups
+
+
+def _cheapest(holders, demand, costs, head):
+    """Give cost and stages of the best chain of some engines, or None."""
     points = _boundaries(holders, demand)
     best = {(demand.first, None): (0.0, None, None)}
     for point in points:
         _step(holders, demand, costs, points, point, best, head)
-    return _trace(best, demand, holders, layers)
+    return _trace(best, demand, holders)
 
 
 def _boundaries(holders, demand):
@@ -181,12 +215,13 @@
     return 0.0 if holder.domain == previous else CROSSING_COST
 
 
-def _trace(best, demand, holders, layers):
+def _trace(best, demand, holders):
     ends = [key for key in best if key[0] == demand.end]
     if not ends:
         return None
     by_id = {holder.id: holder for holder in holders}
     key = min(ends, key=lambda each: best[each][0])
+    cost = best[key][0]
     stages = []
     while best[key][1] is not None:
         _, origin, name = best[key]
@@ -196,6 +231,4 @@
     stages.reverse()
     if len({stage.endpoint for stage in stages}) < len(stages):
         return None
-    if demand.first == 0 and demand.end == layers:
-        plans.check_chain(stages, layers)
-    return stages
+    return cost, stages
--- a/packages/policy/ibisring_policy/layers.py
+++ b/packages/policy/ibisring_policy/layers.py
@@ -8,7 +8,7 @@
 others moved, or their ranges lengthened.
 """
 
-__all__ = ['Engine', 'Change', 'plan', 'coverage', 'pools']
+__all__ = ['Engine', 'Change', 'plan', 'coverage', 'missing', 'pools']
 
 import math
 
@@ -31,13 +31,15 @@
 class Engine(msgspec.Struct, frozen=True):
     """An engine as the planner sees it.
 
-    `holding` is what it holds, or was ordered to hold.
+    `holding` is what it holds, or was ordered to hold; `loaded` says that
+    it is in place.
     """
 
     id: str
     domain: str
     memory_mb: float
     holding: routing.Holding | None = None
+    loaded: bool = True
 
     def most_layers(self, layer_mb, share=1.0):
         """Give how many layers fit into a share of the memory."""
@@ -68,6 +70,27 @@
     return counts
 
 
+def missing(engines, layers):
+    """Give, for each failure domain, the layers that no engine there holds.
+
+    Returns
+    -------
+    dict of str to list of Holding
+        Only domains that lack some.
+    """
+    by_domain = {}
+    for engine in engines:
+        by_domain.setdefault(engine.domain, []).append(engine)
+    found = {}
+    for domain, group in by_domain.items():
+        counts = coverage(group, layers)
+        weights = {i: (n, 0.0) for i, n in enumerate(counts)}
+        gaps = _gaps(weights, layers)
+        if gaps:
+            found[domain] = gaps
+    return found
+
+
 def pools(engines, model):
     """Group engines so that each group can hold the whole model.
 
@@ -146,7 +169,7 @@
         size = _window(engine, model, fill)
         if engine.holding is None and size > 0:
             assign(engine, _best_window(weights, size, model.layers))
-    _close_gaps(group, model, current, weights, assign, fill)
+    _close_gaps(group, model, current, weights, assign, fill, changes)
     return [Change(name, holding) for name, holding in changes.items()]
 
 
@@ -196,12 +219,12 @@
     return found
 
 
-def _close_gaps(group, model, current, weights, assign, fill):
+def _close_gaps(group, model, current, weights, assign, fill, changes):
     """Give each layer a holder, moving as few layers as can be."""
     for gap in _gaps(weights, model.layers):
         gap = _lengthen(group, model, current, assign, gap)
         while gap is not None and gap.count > 0:
-            spare = _spare(group, current, weights)
+            spare = _spare(group, current, weights, changes, model.layers)
             if spare is None:
                 return
             size = _window(spare, model, fill)
@@ -245,15 +268,25 @@
         assign(chosen, routing.Holding(held.first - count, held.end))
 
 
-def _spare(group, current, weights):
-    """Give the engine all of whose layers others hold most often."""
+def _spare(group, current, weights, changes, layers):
+    """Give the engine all of whose layers others hold most often.
+
+    Others must have them in place: an engine that is moved while its
+    successor still loads would leave the pool without those layers.
+    """
+    in_place = [
+        engine
+        for engine in group
+        if engine.loaded and engine.id not in changes
+    ]
+    counts = coverage(in_place, layers)
     best = None
-    for engine in group:
-        held = current[engine.id]
+    for engine in in_place:
+        held = engine.holding
         if held is None:
             continue
         span = range(held.first, held.end)
-        if all(weights[layer][0] >= 2 for layer in span):
+        if all(counts[layer] >= 2 for layer in span):
             total = sum(weights[layer][1] for layer in span) / held.count
             if best is None or total > best[0]:
                 best = total, engine
