--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -49,14 +49,17 @@
     connections : upstream.Connections
     on_change : callable
         Called after endpoints have changed.
+    on_table : callable
+        Called with a routing table that is in force from now on.
     """
 
-    def __init__(self, view, metrics, connections, on_change):
+    def __init__(self, view, metrics, connections, on_change, on_table):
         super().__init__()
         self.view = view
         self.metrics = metrics
         self.connections = connections
         self.on_change = on_change
+        self.on_table = on_table
         self.presence = presence.make_presence()
 
     def handlers(self):
@@ -100,6 +103,7 @@
             accounts=len(table.accounts or ()),
         )
         self.metrics.count('tables_applied')
+        self.on_table(table)
 
     def _apply_endpoints(self, message, now):
         if message.origin != STORE:
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -101,10 +101,14 @@
             settings.router_id,
             self.metrics,
         )
+        self._listen()
         self.directory = directory.Directory.start(
-            self.view, self.metrics, self.connections, self._look
+            self.view,
+            self.metrics,
+            self.connections,
+            self._look,
+            self._apply_limits,
         )
-        self._listen()
         tell = self.directory.tell
         wait = settings.feed_wait_s
         self.parts = [
@@ -137,6 +141,10 @@
             server.prepare()
             threading.Thread(target=server.serve, daemon=True).start()
             self.servers.append(server)
+        self.front = self.servers[0]
+
+    def _apply_limits(self, table):
+        exchange.apply_limits(self.front, table.limits)
 
     def _look(self):
         self.placer.tell(placing.Look())
