A stream whose only first engine lost an answer starts there again

Cause: an engine that cut one answer was left out for the rest of the request even where no other holds the first layers; the stream was broken off. Those believed lost or full stay out.

--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -89,15 +89,11 @@
         head = None
         if job.progress.sent_to >= job.progress.most_endpoints:
             head = job.sent_to[-1]
-        with self.view.lock:
-            holders = self.view.book.holders(
-                endpoints, model, now, avoid=job.avoid
-            )
-        stages = chains.choose(
-            holders, demand, model.layers, self._noise, head
-        )
-        if stages is None:
-            stages = self._squeeze(holders, demand, model, head)
+        stages = self._find(endpoints, model, now, demand, head, job.avoid)
+        if stages is None and job.avoid:
+            # One that only lost an answer is better than none; those that
+            # are believed lost or full are left out all the same.
+            stages = self._find(endpoints, model, now, demand, head, ())
         if stages is None:
             return None
         by_id = self.view.snapshot.endpoints
@@ -106,6 +102,14 @@
             return None
         return Choice(endpoint, tuple(stages), tokens)
 
+    def _find(self, endpoints, model, now, demand, head, avoid):
+        with self.view.lock:
+            holders = self.view.book.holders(endpoints, model, now, avoid)
+        found = chains.choose(holders, demand, model.layers, self._noise, head)
+        if found is None:
+            found = self._squeeze(holders, demand, model, head)
+        return found
+
     def _squeeze(self, holders, demand, model, head):
         """Choose although engines seem full.
 
