--- a/packages/gateway/ibisring_gateway/doctor.py
+++ b/packages/gateway/ibisring_gateway/doctor.py
@@ -101,10 +101,12 @@
             attempt.break_off(attempts.End.SILENT)
 
     def _nothing_found(self, attempt, now):
-        if attempt.looks > MOST_LOOKS:
+        if attempt.looks > MOST_LOOKS and self.selector.has_other(
+            attempt, now
+        ):
             attempt.break_off(attempts.End.SILENT)
             return
-        attempt.silent_at = now + AFTER_LOOK * attempt.looks
+        attempt.silent_at = now + AFTER_LOOK * min(MOST_LOOKS, attempt.looks)
 
     def _find_lost(self, attempt):
         """Give the ids of stages that do not answer."""
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -233,7 +233,9 @@
                 detail, self.selector.retry_after(job.service)
             )
         if job.route.repeatable:
-            raise exceptions.Interrupted(detail)
+            raise exceptions.Interrupted(
+                detail, self.selector.retry_after(job.service)
+            )
         raise exceptions.OutcomeUnknown(detail)
 
     def _attempt(self, job):
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -67,6 +67,8 @@
         if not self.arrivals.are_settled(staying, now):
             return
         self.orders.settle(staying, now)
+        # On a site that starts nothing is about to be replaced.
+        is_whole = any(e.holding is not None for e in staying)
         engines = [
             layers.Engine(
                 e.id,
@@ -74,6 +76,7 @@
                 service.model.card(e.card).memory_mb,
                 self.orders.expected(e, now),
                 e.holding is not None,
+                is_whole and self.arrivals.has_just_come(e, now),
             )
             for e in staying
         ]
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -20,13 +20,13 @@
 MOST_GAP = 0.12
 # Share of the memory reserved for requests that they are taken to use when
 # no chain has room otherwise.
-SQUEEZE = 0.75
+SQUEEZE = 0.9
 # A refusal this late, in seconds, ends a stall and is not one of admission.
 STALLED = 1.0
 # Seconds a stream holds its memory, for a refusal's Retry-After.
 MEAN_STREAM = 3.5
+# Seconds after which a plain service is worth another try.
 LEAST_RETRY = 0.1
-MOST_RETRY = 2.0
 
 
 class Choice(msgspec.Struct):
@@ -253,15 +253,30 @@
     def retry_after(self, service):
         """Give the seconds after which some request will have ended.
 
-        Requests end evenly over the mean time of a stream; the more this
-        router has under way, the sooner one of them makes room.
+        Streams end evenly over their mean time, and layers that are missing
+        are loaded within about as long.  Callers come back once or twice
+        only, so a time that is too short loses the request; they are spread,
+        since those refused together would return together.
         """
         if service.model is None:
             return LEAST_RETRY
+        return MEAN_STREAM * (0.4 + 0.4 * self.rng.random())
+
+    def has_other(self, attempt, now):
+        """Say whether another first engine has room for an attempt."""
+        snapshot = self.view.snapshot
+        service = attempt.endpoint.service
+        model = snapshot.index.services[service].model
+        endpoints = snapshot.by_service.get(service, ())
         with self.view.lock:
-            heads = sum(b.heads for b in self.view.book.beliefs.values())
-        wait = MEAN_STREAM / max(1, heads) * 2.0
-        return min(MOST_RETRY, max(LEAST_RETRY, wait))
+            holders = self.view.book.holders(
+                endpoints, model, now, (attempt.endpoint.id,)
+            )
+        demand = chains.Demand(
+            attempt.tokens, self.view.domain, 0, model.layers, False
+        )
+        found = chains.choose(holders, demand, model.layers, self._noise)
+        return found is not None
 
 
 def make_selector(view):
--- a/packages/policy/ibisring_policy/layers.py
+++ b/packages/policy/ibisring_policy/layers.py
@@ -10,8 +10,6 @@
 
 __all__ = ['Engine', 'Change', 'plan', 'coverage', 'missing', 'pools']
 
-import math
-
 from ibisring_records import routing
 import msgspec
 
@@ -24,15 +22,19 @@
 # Share of memory for weights that a small pool may go up to.
 MOST_FILL = 0.88
 # Memory for prompts kept on a card, as a share of it, when its range is
-# lengthened to close a gap.
-RESERVE = 0.06
+# lengthened to close a gap; and when nothing else closes it.  At 0.2 a card
+# of 14 GB holds 44,000 tokens for six layers, at 0.12 20,000 for seven: half
+# of what a failure domain has under way at the usual load.
+RESERVE = 0.2
+LEAST_RESERVE = 0.12
 
 
 class Engine(msgspec.Struct, frozen=True):
     """An engine as the planner sees it.
 
     `holding` is what it holds, or was ordered to hold; `loaded` says that
-    it is in place.
+    it is in place.  `waits` is set for one that has just come: it may take
+    the place of one that is about to leave, see `place_empty`.
     """
 
     id: str
@@ -40,6 +42,7 @@
     memory_mb: float
     holding: routing.Holding | None = None
     loaded: bool = True
+    waits: bool = False
 
     def most_layers(self, layer_mb, share=1.0):
         """Give how many layers fit into a share of the memory."""
@@ -152,25 +155,10 @@
 
 
 def _plan_pool(group, model):
-    fill = _fill(group, model)
-    current = {engine.id: engine.holding for engine in group}
-    weights = {}
-    changes = {}
-
-    def assign(engine, holding):
-        _add(weights, current[engine.id], engine, model, -1)
-        _add(weights, holding, engine, model, 1)
-        current[engine.id] = holding
-        changes[engine.id] = holding
-
-    for engine in group:
-        _add(weights, engine.holding, engine, model, 1)
-    for engine in group:
-        size = _window(engine, model, fill)
-        if engine.holding is None and size > 0:
-            assign(engine, _best_window(weights, size, model.layers))
-    _close_gaps(group, model, current, weights, assign, fill, changes)
-    return [Change(name, holding) for name, holding in changes.items()]
+    pool = _Pool(group, model)
+    pool.place_empty()
+    pool.close_gaps()
+    return [Change(name, held) for name, held in pool.changes.items()]
 
 
 def _add(weights, holding, engine, model, sign):
@@ -219,75 +207,188 @@
     return found
 
 
-def _close_gaps(group, model, current, weights, assign, fill, changes):
-    """Give each layer a holder, moving as few layers as can be."""
-    for gap in _gaps(weights, model.layers):
-        gap = _lengthen(group, model, current, assign, gap)
-        while gap is not None and gap.count > 0:
-            spare = _spare(group, current, weights, changes, model.layers)
+class _Pool:
+    """The engines of a pool while their ranges are being planned."""
+
+    __slots__ = (
+        'group',
+        'model',
+        'fill',
+        'current',
+        'weights',
+        'changes',
+        'reserve',
+    )
+
+    def __init__(self, group, model):
+        self.group = group
+        self.model = model
+        self.fill = _fill(group, model)
+        self.current = {engine.id: engine.holding for engine in group}
+        self.weights = {}
+        self.changes = {}
+        self.reserve = RESERVE
+        for engine in group:
+            _add(self.weights, engine.holding, engine, model, 1)
+
+    def assign(self, engine, holding):
+        """Give an engine another range."""
+        before = self.current[engine.id]
+        _add(self.weights, before, engine, self.model, -1)
+        _add(self.weights, holding, engine, self.model, 1)
+        self.current[engine.id] = holding
+        self.changes[engine.id] = holding
+
+    def place_empty(self):
+        """Give engines that hold nothing the windows that need them most.
+
+        In a release each new engine comes about a second before the one
+        that it replaces leaves.  Given some other window at once, it would
+        have to be emptied and moved while the gap stands open.
+        """
+        for engine in self.group:
+            if engine.waits and not self._has_gap():
+                continue
+            size = _window(engine, self.model, self.fill)
+            if engine.holding is None and size > 0:
+                window = _best_window(self.weights, size, self.model.layers)
+                self.assign(engine, window)
+
+    def _has_gap(self):
+        return bool(_gaps(self.weights, self.model.layers))
+
+    def close_gaps(self):
+        """Give each layer a holder, moving as few layers as can be.
+
+        The neighbours of a gap grow over it, if they can hold all of it:
+        that takes nothing away from anyone.  Otherwise it goes to engines
+        whose layers all have other holders.  Without one, the neighbours
+        take what they can, and those of some engine grow over what it alone
+        holds, so that it can be moved when they are ready.
+        """
+        for gap in _gaps(self.weights, self.model.layers):
+            self.reserve = RESERVE
+            rest = self._grow(gap, only_whole=True)
+            rest = self._move_spares(rest)
+            self.reserve = LEAST_RESERVE
+            if rest is not None:
+                rest = self._grow(rest)
+            if rest is not None:
+                self._free_one(rest)
+
+    def _move_spares(self, gap):
+        """Give a gap to engines that are not needed; give what is left."""
+        while gap is not None:
+            spare = _spare(self)
             if spare is None:
-                return
-            size = _window(spare, model, fill)
-            first = max(0, min(gap.first, model.layers - size))
-            assign(spare, routing.Holding(first, first + size))
-            gap = routing.Holding(min(first + size, gap.end), gap.end)
-
-
-def _lengthen(group, model, current, assign, gap):
-    """Let the neighbours of a gap take its layers, if they have room."""
-    left = [e for e in group if _touches(current[e.id], gap.first, 'end')]
-    right = [e for e in group if _touches(current[e.id], gap.end, 'first')]
-    left_room = max([_room(e, current[e.id], model) for e in left] or [0])
-    right_room = max([_room(e, current[e.id], model) for e in right] or [0])
-    if left_room + right_room < gap.count:
-        return gap
-    take = min(left_room, math.ceil(gap.count / 2))
-    take = max(take, gap.count - right_room)
-    _extend(left, take, current, assign, model, before=True)
-    _extend(right, gap.count - take, current, assign, model, before=False)
-    return None
-
-
-def _touches(holding, layer, side):
-    return holding is not None and getattr(holding, side) == layer
-
-
-def _room(engine, holding, model):
-    most = engine.most_layers(model.layer_mb, 1.0 - RESERVE)
-    return max(0, most - holding.count)
-
-
-def _extend(engines, count, current, assign, model, before):
-    if count <= 0:
-        return
-    chosen = max(engines, key=lambda e: _room(e, current[e.id], model))
-    held = current[chosen.id]
-    if before:
-        assign(chosen, routing.Holding(held.first, held.end + count))
-    else:
-        assign(chosen, routing.Holding(held.first - count, held.end))
-
-
-def _spare(group, current, weights, changes, layers):
+                return gap
+            size = _window(spare, self.model, self.fill)
+            first = max(0, min(gap.first, self.model.layers - size))
+            self.assign(spare, routing.Holding(first, first + size))
+            gap = _rest(first + size, gap.end)
+        return None
+
+    def _room(self, engine):
+        held = self.current[engine.id]
+        most = engine.most_layers(self.model.layer_mb, 1.0 - self.reserve)
+        return max(0, most - held.count)
+
+    def _neighbours(self, span, without=None):
+        """Give the engines that could grow into a span from each side."""
+        left, right = None, None
+        for engine in self.group:
+            held = self.current[engine.id]
+            if held is None or engine is without:
+                continue
+            if engine.holding is not None and not engine.loaded:
+                # It refuses further orders until its load has ended.
+                continue
+            if held.first < span.first <= held.end:
+                reach = held.end + self._room(engine)
+                if left is None or reach > left[0]:
+                    left = reach, engine
+            if held.first <= span.end < held.end:
+                reach = held.first - self._room(engine)
+                if right is None or reach < right[0]:
+                    right = reach, engine
+        return left, right
+
+    def _grow(self, gap, only_whole=False):
+        """Let the neighbours take what they can; give what is left."""
+        left, right = self._neighbours(gap)
+        left_end = min(gap.end, left[0]) if left else gap.first
+        right_first = max(gap.first, right[0]) if right else gap.end
+        if left_end >= right_first:
+            middle = (gap.first + gap.end + 1) // 2
+            cut = min(left_end, max(right_first, middle))
+            left_end = right_first = cut
+        if only_whole and left_end < right_first:
+            return gap
+        self._lengthen(left, left_end, right, right_first)
+        return _rest(left_end, right_first)
+
+    def _lengthen(self, left, left_end, right, right_first):
+        if left and left_end > self.current[left[1].id].end:
+            first = self.current[left[1].id].first
+            self.assign(left[1], routing.Holding(first, left_end))
+        if right and right_first < self.current[right[1].id].first:
+            end = self.current[right[1].id].end
+            self.assign(right[1], routing.Holding(right_first, end))
+
+    def _free_one(self, gap):
+        """Let the neighbours of some engine grow over what it alone holds."""
+        counts = coverage(self.in_place(), self.model.layers)
+        best = None
+        for engine in self.in_place():
+            held = engine.holding
+            alone = [i for i in range(held.first, held.end) if counts[i] < 2]
+            if not alone or held.count * 2 < gap.count:
+                continue
+            span = routing.Holding(alone[0], alone[-1] + 1)
+            left, right = self._neighbours(span, engine)
+            reach = left[0] if left else span.first
+            back = right[0] if right else span.end
+            if reach >= min(back, span.end) or back <= span.first:
+                if best is None or span.count < best[0].count:
+                    best = span, left, right
+        if best is not None:
+            self._grow_over(*best)
+
+    def _grow_over(self, span, left, right):
+        left_end = min(span.end, left[0]) if left else span.first
+        if left_end >= span.end:
+            right = None
+        self._lengthen(left, left_end, right, left_end)
+
+    def in_place(self):
+        """Give the engines whose ranges are loaded and stay."""
+        return [
+            engine
+            for engine in self.group
+            if engine.loaded
+            and engine.holding is not None
+            and engine.id not in self.changes
+        ]
+
+
+def _rest(first, end):
+    return routing.Holding(first, end) if end > first else None
+
+
+def _spare(pool):
     """Give the engine all of whose layers others hold most often.
 
     Others must have them in place: an engine that is moved while its
     successor still loads would leave the pool without those layers.
     """
-    in_place = [
-        engine
-        for engine in group
-        if engine.loaded and engine.id not in changes
-    ]
-    counts = coverage(in_place, layers)
+    in_place = pool.in_place()
+    counts = coverage(in_place, pool.model.layers)
     best = None
     for engine in in_place:
         held = engine.holding
-        if held is None:
-            continue
         span = range(held.first, held.end)
         if all(counts[layer] >= 2 for layer in span):
-            total = sum(weights[layer][1] for layer in span) / held.count
-            if best is None or total > best[0]:
-                best = total, engine
+            total = sum(pool.weights[layer][1] for layer in span)
+            if best is None or total / held.count > best[0]:
+                best = total / held.count, engine
     return best[1] if best else None
--- a/packages/policy/ibisring_policy/loadbook.py
+++ b/packages/policy/ibisring_policy/loadbook.py
@@ -44,6 +44,7 @@
     alive_at: float = -1e9
     dead: bool = False
     dead_at: float = -1e9
+    dead_told: bool = False
     full_until: float = 0.0
     started: int = 0
 
@@ -99,9 +100,11 @@
             belief.ejected_until = now
             belief.eject_for = EJECT_FIRST
 
-    def unreachable(self, name, now):
+    def unreachable(self, name, now, told=False):
         """Note that an endpoint could not be reached, or went silent.
 
+        `told` if another router says so.
+
         An engine stays out until it has answered again: one that is gone
         for good may keep its entry for seconds, and each request tried on
         it would wait for its stall to end.
@@ -110,6 +113,7 @@
         if not belief.dead:
             belief.dead = True
             belief.dead_at = now
+        belief.dead_told = told
         if belief.ejected_until <= now:
             belief.ejected_until = now + belief.eject_for
             belief.eject_for = min(EJECT_MOST, belief.eject_for * 2)
@@ -175,7 +179,7 @@
             belief = self.beliefs.get(name)
             if belief is not None and not belief.dead:
                 if now - belief.alive_at > TRUST_OWN:
-                    self.unreachable(name, now)
+                    self.unreachable(name, now, told=True)
 
     def others(self, now):
         """Give other routers' tokens times layers, by engine."""
@@ -195,11 +199,17 @@
         }
 
     def lately_dead(self, now):
-        """Give the engines found dead within the last second."""
+        """Give the engines that this router found dead within a second.
+
+        What it was only told is not passed on: two routers would tell each
+        other of an engine that has long answered again.
+        """
         return [
             name
             for name, belief in self.beliefs.items()
-            if belief.dead and now - belief.dead_at < DEAD_NEWS
+            if belief.dead
+            and not belief.dead_told
+            and now - belief.dead_at < DEAD_NEWS
         ]
 
     def queue(self, name, now):
--- a/packages/policy/ibisring_policy/ordering.py
+++ b/packages/policy/ibisring_policy/ordering.py
@@ -25,6 +25,9 @@
 # for this many seconds: a plan for the first few that register would be
 # undone when the others come.
 SETTLED = 1.0
+# An engine that comes in a release is there about a second before the one
+# that it replaces leaves; seconds.
+REPLACES_WITHIN = 1.6
 # Seconds in which an order that was accepted shows in the engine's entry,
 # beside the time of the load itself.
 SHOWS_AFTER = 4.0
@@ -133,11 +136,12 @@
 class Arrivals:
     """Tells when the engines of a site that starts have registered."""
 
-    __slots__ = ('names', 'changed_at')
+    __slots__ = ('names', 'changed_at', 'came_at')
 
     def __init__(self):
         self.names = frozenset()
         self.changed_at = 0.0
+        self.came_at = {}
 
     def are_settled(self, endpoints, now):
         """Say whether to plan for these engines.
@@ -151,10 +155,16 @@
         if names != self.names:
             self.names = names
             self.changed_at = now
+            self.came_at = {n: self.came_at.get(n, now) for n in names}
         if any(e.holding is not None for e in endpoints):
             return True
         return bool(names) and now - self.changed_at >= SETTLED
 
+    def has_just_come(self, endpoint, now):
+        """Say whether an engine may be meant to replace another."""
+        came_at = self.came_at.get(endpoint.id, now)
+        return now - came_at < REPLACES_WITHIN
+
 
 class _Order(msgspec.Struct):
     holding: routing.Holding
--- a/packages/policy/ibisring_policy/tests/test_loadbook.py
+++ b/packages/policy/ibisring_policy/tests/test_loadbook.py
@@ -70,6 +70,25 @@
     assert 'unknown' not in book.beliefs
 
 
+def test_news_of_a_lost_engine_does_not_go_round():
+    """Symptom: a healthy engine is left out for seconds, by all routers.
+
+    Sequence: one router finds it dead and tells others; it answers again;
+    the others, who believed the news, tell it back to the first.
+    Cause: news that was only heard was passed on as if it were found.
+    """
+    first, second = loadbook.make_book(), loadbook.make_book()
+    for book in (first, second):
+        book.of('x').alive_at = 0.0
+    first.unreachable('x', 10.0)
+    second.take_told('r1', {}, first.lately_dead(10.1), 10.1)
+    assert second.is_dead('x')
+    assert second.lately_dead(10.2) == []
+    first.reached('x', 10.3)
+    first.take_told('r2', {}, second.lately_dead(10.6), 10.6)
+    assert not first.is_dead('x')
+
+
 def test_what_is_reserved_is_given_back():
     book = loadbook.make_book()
     stages = [
