--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -17,6 +17,8 @@
 # comes back to many routers at once.
 FIRST_PAUSE = 0.1
 MOST_PAUSE = 1.0
+# A router that knows nothing yet serves nobody, so it asks sooner.
+MOST_FIRST_PAUSE = 0.3
 PAUSE_GROWTH = 1.6
 
 
@@ -43,6 +45,7 @@
         self.rng = random.Random()
         self.stopped = threading.Event()
         self.failing_since = None
+        self.has_read = False
         self.thread = threading.Thread(target=self._loop, daemon=True)
 
     def start(self):
@@ -76,7 +79,8 @@
             self.failing_since = time.monotonic()
         self.tell(directory_module.Failed(error.detail))
         self.stopped.wait(self.pause * self.rng.uniform(0.7, 1.3))
-        self.pause = min(MOST_PAUSE, self.pause * PAUSE_GROWTH)
+        most = MOST_PAUSE if self.has_read else MOST_FIRST_PAUSE
+        self.pause = min(most, self.pause * PAUSE_GROWTH)
 
     def step(self):
         """Make one call and tell what it brought."""
@@ -86,6 +90,7 @@
         else:
             page = self.source.changes(self.position, self.wait)
         self.position = page.position
+        self.has_read = True
         self.tell(
             directory_module.Read(
                 page.items,
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -19,6 +19,9 @@
 # Seconds before a caller's own time limit at which it gets the final answer,
 # while it still listens.
 ANSWER_MARGIN = 0.02
+# A router that knows no configuration has just started and finds the store
+# away; outages last seconds, and a caller comes back once or twice only.
+UNREADY_RETRY = 2.0
 # Objectives that a repeatable plain request may wait for one endpoint.
 PATIENCE = 2.0
 # Bytes of a plain answer that are held until it is whole.
@@ -149,7 +152,7 @@
     def _serve(self, exchange, request, started):
         snapshot = self.view.snapshot
         if not self.view.is_ready:
-            raise exceptions.NotReady('no configuration yet', 0.5)
+            raise exceptions.NotReady('no configuration yet', UNREADY_RETRY)
         match = snapshot.index.find(request.host, request.path, request.key)
         if self.refuse_after is not None and started > self.refuse_after:
             raise exceptions.NotReady('this router is ending', 0.0)
