Calls that follow the store are shared by the routers that hear each other

Ruled out: longer waits alone (a connection that falls silent for good would hide a revoked key for as long). Lines of streams tell their longest pause.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -139,6 +139,7 @@
             by_service=by_service,
             endpoints_at=now - message.age,
             position=message.position,
+            changed=message.position,
             endpoints_known=True,
         )
         self.connections.forget(usable)
--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -5,7 +5,6 @@
 import logging
 import random
 import threading
-import time
 
 from ibisring_gateway import directory as directory_module
 from ibisring_gateway import ports
@@ -20,6 +19,9 @@
 # A router that knows nothing yet serves nobody, so it asks sooner.
 MOST_FIRST_PAUSE = 0.3
 PAUSE_GROWTH = 1.6
+# Seconds after a change before the next call: when many endpoints register
+# at once, a call for each would be most of a day's calls.
+COALESCE = 0.1
 
 
 class Follower:
@@ -29,8 +31,8 @@
     ----------
     source : ports.Source
     is_table : bool
-    wait : float
-        Seconds that one call may wait for a change.
+    wait : callable
+        Gives the seconds that one call may wait for a change.
     tell : callable
         Takes `directory.Read` and `directory.Failed` messages.
     """
@@ -44,7 +46,6 @@
         self.pause = FIRST_PAUSE
         self.rng = random.Random()
         self.stopped = threading.Event()
-        self.failing_since = None
         self.has_read = False
         self.thread = threading.Thread(target=self._loop, daemon=True)
 
@@ -60,9 +61,10 @@
     def _loop(self):
         while not self.stopped.is_set():
             try:
-                self.step()
+                changed = self.step()
                 self.pause = FIRST_PAUSE
-                self.failing_since = None
+                if changed:
+                    self.stopped.wait(COALESCE)
             except ports.HistoryGone as error:
                 LOG.info(
                     'history_gone', extra={'facts': {'why': error.detail}}
@@ -75,20 +77,24 @@
                 self.stopped.wait(MOST_PAUSE)
 
     def _failed(self, error):
-        if self.failing_since is None:
-            self.failing_since = time.monotonic()
         self.tell(directory_module.Failed(error.detail))
         self.stopped.wait(self.pause * self.rng.uniform(0.7, 1.3))
         most = MOST_PAUSE if self.has_read else MOST_FIRST_PAUSE
         self.pause = min(most, self.pause * PAUSE_GROWTH)
 
     def step(self):
-        """Make one call and tell what it brought."""
+        """Make one call and tell what it brought.
+
+        Returns
+        -------
+        bool
+            Whether there was anything.
+        """
         whole = self.position is None
         if whole:
             page = self.source.read_all()
         else:
-            page = self.source.changes(self.position, self.wait)
+            page = self.source.changes(self.position, self.wait())
         self.position = page.position
         self.has_read = True
         self.tell(
@@ -99,6 +105,7 @@
                 position=page.position,
             )
         )
+        return bool(page.items)
 
 
 def make_follower(source, is_table, wait, tell):
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -52,6 +52,7 @@
         self.sent_to = []
         self.answer = None
         self.chain = ''
+        self.longest_gap = 0.0
         self.progress = attempts.Progress(
             repeatable=match.route.repeatable,
             stream=match.route.kind is routing.Kind.STREAM,
@@ -181,6 +182,8 @@
             tries=job.progress.tries,
             endpoints=job.sent_to,
             events=job.splitter.count,
+            longest_gap_ms=round(job.longest_gap * 1000.0),
+            chain=job.chain,
             table=self.view.snapshot.version,
             endpoints_age_ms=round(
                 (self.clock() - self.view.snapshot.endpoints_at) * 1000.0
@@ -274,6 +277,7 @@
             return self._send(job, attempt)
         finally:
             self.watcher.remove(job.exchange.socket)
+            job.longest_gap = max(job.longest_gap, attempt.longest_gap)
             self.selector.release(attempt)
 
     def _no_choice(self, job):
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -19,11 +19,18 @@
 
 
 class Told(msgspec.Struct, array_like=True):
-    """One router's tokens times layers by engine, and engines just lost."""
+    """What one router tells others.
+
+    `tokens` are its tokens times layers by engine, `dead` engines that it
+    has just found lost; `changed` is the store's version of the last change
+    of endpoints that it knows, `table` the version in force there.
+    """
 
     router: str
     tokens: dict[str, int]
     dead: list[str]
+    changed: int = 0
+    table: int = 0
 
 
 class Gossip:
@@ -78,6 +85,8 @@
             self.settings.router_id,
             {name: int(tokens) for name, tokens in own.items()},
             dead,
+            self.view.snapshot.changed,
+            self.view.snapshot.version,
         )
         data = msgspec.json.encode(told)
         if len(data) > MOST_BYTES:
@@ -91,7 +100,7 @@
     def _receive_loop(self):
         while not self.stopped.is_set():
             try:
-                data = self.socket.recv(MOST_BYTES + 1)
+                data, source = self.socket.recvfrom(MOST_BYTES + 1)
                 told = msgspec.json.decode(data, type=Told)
             except OSError as error:
                 LOG.debug('gossip not received: %s', error)
@@ -100,10 +109,17 @@
             except msgspec.MsgspecError as error:
                 LOG.warning('gossip_unreadable %s', error)
                 continue
-            with self.view.lock:
-                self.view.book.take_told(
-                    told.router, told.tokens, told.dead, self.view.clock()
-                )
+            self._take(told, source)
+
+    def _take(self, told, source):
+        now = self.view.clock()
+        with self.view.lock:
+            self.view.book.take_told(told.router, told.tokens, told.dead, now)
+        self.peers.heard(told.router, f'{source[0]}:{source[1]}', now)
+        snapshot = self.view.snapshot
+        behind = told.changed > max(snapshot.changed, snapshot.position)
+        if behind or told.table > snapshot.version:
+            self.peers.behind(told.router, now)
 
 
 def make_gossip(settings, view, peers):
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -23,9 +23,21 @@
 # Seconds without the store after which a peer is asked, and between asks.
 ASK_AFTER = 0.5
 ASK_EVERY = 0.4
-# Seconds between reads of the list of routers, which shows who has come.
-LIST_EVERY = 10.0
-TICK = 0.2
+# The list of routers is read at the start, again a little later, and when
+# nobody was heard for so many seconds; routers that come later make
+# themselves known.
+LIST_AGAIN = 3.0
+ALONE_AFTER = 12.0
+# Seconds for which a router counts as running after it was heard.
+HEARD_FOR = 8.0
+# Seconds that another router may be ahead before it is asked: usually the
+# same change is on its way here.
+MOST_BEHIND = 0.25
+# Seconds between calls of the whole fleet that follow one table, and the
+# longest that one may wait: the store keeps some 20 s of history.
+CALL_EVERY = 0.8
+MOST_WAIT = 15.0
+TICK = 0.1
 
 
 class State(msgspec.Struct):
@@ -67,8 +79,11 @@
         self.rng = random.Random()
         self.caller = calls.make_caller(CONNECT_TIMEOUT, READ_TIMEOUT)
         self.stopped = threading.Event()
-        self.listed_at = -LIST_EVERY
+        self.list_at = 0.0
         self.written = False
+        self.heard_at = {}
+        self.behind_since = None
+        self.ahead = None
         self.thread = threading.Thread(target=self._loop, daemon=True)
 
     def start(self):
@@ -96,23 +111,75 @@
             endpoints=list(snapshot.endpoints.values()),
         )
 
+    def heard(self, name, address, now):
+        """Note a datagram of another router."""
+        self.heard_at[name] = now
+        row = self.known.get(name)
+        if row is None or row.address != address:
+            self.known[name] = ports.RouterRow(name, address, '', 0.0)
+
+    def behind(self, name, now):
+        """Note that another router knows something newer."""
+        self.ahead = name
+        if self.behind_since is None:
+            self.behind_since = now
+
+    def running(self, now):
+        """Give how many routers seem to run, this one included."""
+        return 1 + sum(
+            1 for at in list(self.heard_at.values()) if now - at < HEARD_FOR
+        )
+
     def _loop(self):
         asked_at = 0.0
         while not self.stopped.wait(TICK * self.rng.uniform(0.8, 1.2)):
             now = time.monotonic()
             try:
-                if now - self.listed_at >= LIST_EVERY:
-                    self._list(now)
-                if self._is_stale(now) and now - asked_at >= ASK_EVERY:
+                if now >= self.list_at:
+                    self._list_if_alone(now)
+                if now - asked_at >= ASK_EVERY and self._should_ask(now):
                     asked_at = now
                     self._ask_one()
+                self._check_behind(now)
             except Exception:
                 LOG.exception('peers_failed')
 
+    def _should_ask(self, now):
+        if self._is_stale(now):
+            return True
+        since = self.behind_since
+        return since is not None and now - since >= MOST_BEHIND
+
+    def _check_behind(self, now):
+        """Forget who was ahead once this router was told the same."""
+        since = self.behind_since
+        if since is not None and now - since > 2 * MOST_BEHIND:
+            self.behind_since = None
+            self.ahead = None
+
     def _is_stale(self, now):
         snapshot = self.view.snapshot
         age = now - min(snapshot.table_at, snapshot.endpoints_at)
-        return age > self.settings.feed_wait_s + ASK_AFTER
+        return age > self.wait(now) + ASK_AFTER
+
+    def wait(self, now):
+        """Give how long a call that follows the store may wait, in seconds.
+
+        A connection to the store may fall silent for good.  Routers that
+        hear each other notice it together: the next one whose call begins
+        anew learns what the others missed, and they ask it.  With the wait
+        in proportion to their number, some call of the fleet begins every
+        0.8 s on average, and the calls a second do not grow with it.
+        """
+        alone = self.settings.feed_wait_s
+        shared = CALL_EVERY * self.running(now)
+        return min(MOST_WAIT, max(alone, shared))
+
+    def _list_if_alone(self, now):
+        if self.running(now) > 1 and self.written:
+            self.list_at = now + ALONE_AFTER
+            return
+        self._list(now)
 
     def _list(self, now):
         """Write the own row once, and read those of the others."""
@@ -123,9 +190,10 @@
             rows = self.rows.read_routers()
         except exceptions.IbisringError as error:
             LOG.debug('routers not read: %s', error.detail)
-            self.listed_at = now - LIST_EVERY + 1.0
+            self.list_at = now + 1.0
             return
-        self.listed_at = now
+        again = now + ALONE_AFTER if self.known else now + LIST_AGAIN
+        self.list_at = again
         names = {row.name for row in rows}
         if names != set(self.known):
             logs.event(LOG, 'routers', known=sorted(names))
@@ -143,13 +211,14 @@
     def others(self):
         """Give the rows of the other routers."""
         own = self.settings.router_id
-        return [row for name, row in self.known.items() if name != own]
+        known = list(self.known.items())
+        return [row for name, row in known if name != own]
 
     def _ask_one(self):
         others = self.others()
         if not others:
             return
-        row = self.rng.choice(others)
+        row = self.known.get(self.ahead) or self.rng.choice(others)
         version = self.view.snapshot.version
         try:
             state = self.caller.call(
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -110,17 +110,20 @@
             self._apply_limits,
         )
         tell = self.directory.tell
-        wait = settings.feed_wait_s
+        self.peers = peers.make_peers(
+            settings, self.view, self.installation.leases, tell
+        )
+
+        def wait():
+            return self.peers.wait(self.view.clock())
+
         self.parts = [
             following.make_follower(self.installation.table, True, wait, tell),
             following.make_follower(
                 self.installation.endpoints, False, wait, tell
             ),
         ]
-        self.peers = peers.make_peers(
-            settings, self.view, self.installation.leases, tell
-        ).start()
-        self.parts.append(self.peers)
+        self.parts.append(self.peers.start())
         self.gossip = gossip.make_gossip(settings, self.view, self.peers)
         self.parts.append(self.gossip.start())
         self.looking = periodic.start(LOOK_SECONDS, self._look_round)
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -224,6 +224,7 @@
         attempt.looks = 0
         attempt.events += 1
         if attempt.events > 1:
+            attempt.longest_gap = max(attempt.longest_gap, gap)
             weight = 0.3 if attempt.events > 2 else 1.0
             attempt.pace += weight * (gap - attempt.pace)
         wait = max(LEAST_GAP, attempt.pace * GAP_FACTOR)
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -17,8 +17,8 @@
     """Endpoints and routing table as of some moment.
 
     `index` is a `routetable.Index` or None before a table was read;
-    `position` is the store's version that the endpoints are of; times are
-    monotonic.
+    `position` is the store's version that the endpoints are of, `changed` the
+    one at which they last changed; times are monotonic.
     """
 
     index: object = None
@@ -28,6 +28,7 @@
     endpoints_at: float = 0.0
     endpoints_known: bool = False
     position: int = 0
+    changed: int = 0
 
     @property
     def version(self):
--- a/packages/gateway/ibisring_gateway/watching.py
+++ b/packages/gateway/ibisring_gateway/watching.py
@@ -46,6 +46,7 @@
         'after_event',
         'tokens',
         'moves',
+        'longest_gap',
     )
 
     def __init__(self, request_id, endpoint, stages, deadline):
@@ -64,6 +65,7 @@
         self.after_event = None
         self.tokens = 0.0
         self.moves = 0
+        self.longest_gap = 0.0
 
     def break_off(self, end):
         """End the attempt; the thread that reads it wakes up.
