--- a/packages/gateway/ibisring_gateway/doctor.py
+++ b/packages/gateway/ibisring_gateway/doctor.py
@@ -14,7 +14,7 @@
 LOG = logging.getLogger(__name__)
 # Seconds that an endpoint has to tell its status: it needs no slot for it,
 # and callers count a stream as late after a pause of 0.2.
-STATUS_TIMEOUT = 0.05
+STATUS_TIMEOUT = 0.035
 # A stage vouched for by another request's event within so many seconds.
 VOUCHES = 0.05
 # A status this fresh is not asked for again, in seconds: when a stage dies
@@ -186,6 +186,8 @@
             if attempt.stages and attempt.events and not attempt.looking:
                 leaving = _leaving(attempt, snapshot.endpoints)
                 leaving.discard(attempt.endpoint.id)
+                if leaving == attempt.stuck:
+                    continue
                 if leaving and attempt.moves < MOST_MOVES:
                     attempt.looking = True
                     self.pool.submit(self._evacuate, attempt, leaving)
@@ -196,8 +198,13 @@
 
     def _evacuate(self, attempt, leaving):
         try:
-            attempt.moves += 1
-            self._go_round(attempt, leaving, partly=True)
+            if self._go_round(attempt, leaving, partly=True):
+                attempt.moves += 1
+                attempt.stuck = None
+            else:
+                # Asked again once other engines leave, not at every look:
+                # an attempt would have used up its moves when it needs one.
+                attempt.stuck = leaving
         except Exception:
             LOG.exception('evacuation_failed %s', attempt.request_id)
         finally:
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -15,9 +15,9 @@
 PREFILL_FACTOR = 4.0
 # Between events, a stage is suspected after this many usual gaps, within
 # these bounds in seconds; callers count a stream as late after 0.2.
-GAP_FACTOR = 3.0
-LEAST_GAP = 0.07
-MOST_GAP = 0.12
+GAP_FACTOR = 2.0
+LEAST_GAP = 0.06
+MOST_GAP = 0.09
 # Share of the memory reserved for requests that they are taken to use when
 # no chain has room otherwise.
 SQUEEZE = 0.9
--- a/packages/gateway/ibisring_gateway/watching.py
+++ b/packages/gateway/ibisring_gateway/watching.py
@@ -14,7 +14,7 @@
 # A caller's leaving shows at once; the clock is looked at this often, in
 # seconds, while attempts are under way: a tenth of the shortest pause that
 # a stream may make.
-TICK = 0.02
+TICK = 0.01
 IDLE_TICK = 1.0
 _LEFT = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
@@ -46,6 +46,7 @@
         'after_event',
         'tokens',
         'moves',
+        'stuck',
         'longest_gap',
     )
 
@@ -65,6 +66,7 @@
         self.after_event = None
         self.tokens = 0.0
         self.moves = 0
+        self.stuck = None
         self.longest_gap = 0.0
 
     def break_off(self, end):
--- a/packages/policy/ibisring_policy/layers.py
+++ b/packages/policy/ibisring_policy/layers.py
@@ -27,6 +27,8 @@
 # of what a failure domain has under way at the usual load.
 RESERVE = 0.2
 LEAST_RESERVE = 0.12
+# And where the domain would serve nothing otherwise.
+TIGHT_RESERVE = 0.05
 
 
 class Engine(msgspec.Struct, frozen=True):
@@ -273,8 +275,10 @@
             self.reserve = LEAST_RESERVE
             if rest is not None:
                 rest = self._grow(rest)
-            if rest is not None:
-                self._free_one(rest)
+            if rest is not None and not self._free_one(rest):
+                # A narrow chain is worth more than none in this domain.
+                self.reserve = TIGHT_RESERVE
+                self._grow(rest, only_whole=True)
 
     def _move_spares(self, gap):
         """Give a gap to engines that are not needed; give what is left."""
@@ -336,7 +340,13 @@
             self.assign(right[1], routing.Holding(right_first, end))
 
     def _free_one(self, gap):
-        """Let the neighbours of some engine grow over what it alone holds."""
+        """Let the neighbours of some engine grow over what it alone holds.
+
+        Returns
+        -------
+        bool
+            Whether there is such an engine.
+        """
         counts = coverage(self.in_place(), self.model.layers)
         best = None
         for engine in self.in_place():
@@ -353,6 +363,7 @@
                     best = span, left, right
         if best is not None:
             self._grow_over(*best)
+        return best is not None
 
     def _grow_over(self, span, left, right):
         left_end = min(span.end, left[0]) if left else span.first
--- a/packages/policy/ibisring_policy/tests/test_layers.py
+++ b/packages/policy/ibisring_policy/tests/test_layers.py
@@ -152,3 +152,21 @@
         engines = _after([e for e in engines if e.id != old.id])
         assert _fits(engines)
         assert _whole_domains(engines) == ['a', 'b', 'c']
+
+
+def test_a_single_layer_is_not_left_out_for_want_of_room():
+    """Symptom: a domain serves nothing for ten seconds over one layer.
+
+    Sequence: both neighbours of a gap grew as far as the memory kept for
+    prompts allowed; one layer was left; no engine could be freed for it.
+    Cause: the memory kept was the same whether or not anything else helped.
+    """
+    model = build.model(layers=20)
+    engines = [
+        build.engine('x', held=(0, 10)),
+        build.engine('y', card='small', held=(11, 18)),
+        build.engine('z', card='small', held=(18, 20)),
+    ]
+    placed = build.planned(engines, model)
+    assert min(layers.coverage(placed, 20)) >= 1
+    assert _fits(placed)
