--- a/packages/operator/ibisring_operator/main.py
+++ b/packages/operator/ibisring_operator/main.py
@@ -14,6 +14,7 @@
 
 from ibisring_operator import burnreport
 from ibisring_operator import client as client_module
+from ibisring_operator import tracing
 from ibisring_records import exceptions
 from ibisring_records import records
 import msgspec
@@ -199,6 +200,22 @@
         typer.echo(burnreport.text(report))
 
 
+@app.command()
+def trace(request: str, logs: list[pathlib.Path]):
+    """Show a request's lines from the logs of one or more VMs."""
+    lines = []
+    for path in logs:
+        try:
+            content = path.read_text(errors='replace')
+        except OSError as error:
+            fail(exceptions.InvalidRequest(f'{path}: {error.strerror}'))
+        lines.extend(tracing.read(path.stem, content))
+    found = tracing.trace(lines, request)
+    if not found:
+        fail(exceptions.NotFound(f'no line names request {request}'))
+    typer.echo(tracing.text(found))
+
+
 def _watch_row(view, newest):
     state = 'in force'
     if view.problem:
--- /dev/null
+++ b/packages/operator/ibisring_operator/tests/test_tracing.py
@@ -0,0 +1,44 @@
+"""Tests of following a request through logs."""
+
+from typer import testing
+
+from ibisring_operator import main
+from ibisring_operator import tracing
+
+FIRST = '''not structured
+{"time": 9.0, "event": "store_lost", "why": "timed out"}
+{"time": 10.0, "event": "attempt_ended", "id": "r1", "end": "lost"}
+{"time": 10.1, "event": "request", "id": "r2", "outcome": "answered"}
+{"time": 10.2, "event": "request", "id": "r1", "outcome": "x", "ms": 400}
+{broken
+'''
+SECOND = '5.0 vm-2 {"time": 10.1, "event": "store_lost", "why": "other VM"}\n'
+
+
+def test_a_request_and_what_was_believed_around_it():
+    lines = tracing.read('vm-1', FIRST) + tracing.read('b', SECOND)
+    found = tracing.trace(lines, 'r1')
+    assert [line.event for line in found] == [
+        'store_lost',
+        'attempt_ended',
+        'request',
+    ]
+    assert {line.source for line in found} == {'vm-1'}
+
+
+def test_an_unknown_request_has_no_lines():
+    assert tracing.trace(tracing.read('vm-1', FIRST), 'none') == []
+
+
+def test_the_command(tmp_path):
+    path = tmp_path / 'vm-1.log'
+    path.write_text(FIRST)
+    runner = testing.CliRunner()
+    found = runner.invoke(main.app, ['trace', 'r1', str(path)])
+    assert found.exit_code == 0
+    assert 'attempt_ended end="lost"' in found.output
+    missing = runner.invoke(main.app, ['trace', 'none', str(path)])
+    assert missing.exit_code == 4
+    assert 'none' in missing.output
+    nowhere = runner.invoke(main.app, ['trace', 'r1', str(path) + 'x'])
+    assert nowhere.exit_code == 2
