--- a/packages/gateway/ibisring_gateway/doctor.py
+++ b/packages/gateway/ibisring_gateway/doctor.py
@@ -97,8 +97,21 @@
             silent_ms=round((now - attempt.last_at) * 1000.0),
             events=attempt.events,
         )
-        if attempt.endpoint.id in lost or not self._go_round(attempt, lost):
+        if attempt.endpoint.id in lost:
             attempt.break_off(attempts.End.SILENT)
+        elif not self._go_round(attempt, lost):
+            self._start_elsewhere(attempt, now)
+
+    def _start_elsewhere(self, attempt, now):
+        """End an attempt that can't be moved, if another can take its place.
+
+        While no chain has room the stall is waited out: the lost layers may
+        be loaded elsewhere before the caller gives up.
+        """
+        if self.selector.has_other(attempt, now):
+            attempt.break_off(attempts.End.SILENT)
+        else:
+            attempt.silent_at = now + AFTER_LOOK
 
     def _nothing_found(self, attempt, now):
         if attempt.looks > MOST_LOOKS and self.selector.has_other(
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -4,6 +4,7 @@
 
 import logging
 import random
+import time
 
 from ibisring_gateway import events
 from ibisring_gateway import exchange as exchange_module
@@ -14,6 +15,7 @@
 from ibisring_policy import attempts
 from ibisring_records import exceptions
 from ibisring_records import routing
+from ibisring_web import serving
 
 LOG = logging.getLogger(__name__)
 # Seconds before a caller's own time limit at which it gets the final answer,
@@ -24,6 +26,9 @@
 UNREADY_RETRY = 2.0
 # Objectives that a repeatable plain request may wait for one endpoint.
 PATIENCE = 2.0
+# Seconds that a stream under way waits for room, and between looks for it.
+RESUME_WAIT = 1.3
+RESUME_TICK = 0.05
 # Bytes of a plain answer that are held until it is whole.
 HELD_WHOLE = 1 << 20
 
@@ -252,15 +257,13 @@
         attempts.End or None
             None once the caller has its final answer.
         """
-        now = self.clock()
-        choice = self.selector.choose(job, now)
+        choice = self.selector.choose(job, self.clock())
+        if choice is None and job.exchange.begun:
+            choice = self._wait_for_choice(job)
+        if choice is None and job.progress.tries:
+            job.progress.tries = attempts.MOST_TRIES
+            return attempts.End.NOT_SENT
         if choice is None:
-            if job.progress.tries:
-                return (
-                    attempts.End.NOT_SENT
-                    if (job.progress.tries >= attempts.MOST_TRIES)
-                    else self._no_choice(job)
-                )
             raise exceptions.Overloaded(
                 'no endpoint has room',
                 self.selector.retry_after(job.service),
@@ -280,9 +283,22 @@
             job.longest_gap = max(job.longest_gap, attempt.longest_gap)
             self.selector.release(attempt)
 
-    def _no_choice(self, job):
-        job.progress.tries = attempts.MOST_TRIES
-        return attempts.End.NOT_SENT
+    def _wait_for_choice(self, job):
+        """Wait for room for a stream that its caller has a part of.
+
+        Breaking it off would lose the whole; its caller waits two seconds
+        for the next event, and room comes within one, as others end or
+        layers are loaded.
+        """
+        end = min(job.deadline, self.clock() + RESUME_WAIT)
+        while self.clock() < end:
+            time.sleep(RESUME_TICK)
+            if serving.is_gone(job.exchange.socket):
+                raise exchange_module.CallerLeft('while waiting for room')
+            choice = self.selector.choose(job, self.clock())
+            if choice is not None:
+                return choice
+        return None
 
     def _send(self, job, attempt):
         endpoint = attempt.endpoint
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -86,14 +86,15 @@
             request.prompt_tokens, request.answer_tokens, request.answer_hint
         )
         demand = chains.Demand(tokens, self.view_domain, 0, model.layers)
-        head = None
+        heads = None
         if job.progress.sent_to >= job.progress.most_endpoints:
-            head = job.sent_to[-1]
-        stages = self._find(endpoints, model, now, demand, head, job.avoid)
+            # No further endpoint may get the request, but these may again.
+            heads = job.sent_to
+        stages = self._find(endpoints, model, now, demand, heads, job.avoid)
         if stages is None and job.avoid:
             # One that only lost an answer is better than none; those that
             # are believed lost or full are left out all the same.
-            stages = self._find(endpoints, model, now, demand, head, ())
+            stages = self._find(endpoints, model, now, demand, heads, ())
         if stages is None:
             return None
         by_id = self.view.snapshot.endpoints
@@ -102,15 +103,17 @@
             return None
         return Choice(endpoint, tuple(stages), tokens)
 
-    def _find(self, endpoints, model, now, demand, head, avoid):
+    def _find(self, endpoints, model, now, demand, heads, avoid):
         with self.view.lock:
             holders = self.view.book.holders(endpoints, model, now, avoid)
-        found = chains.choose(holders, demand, model.layers, self._noise, head)
+        found = chains.choose(
+            holders, demand, model.layers, self._noise, heads
+        )
         if found is None:
-            found = self._squeeze(holders, demand, model, head)
+            found = self._squeeze(holders, demand, model, heads)
         return found
 
-    def _squeeze(self, holders, demand, model, head):
+    def _squeeze(self, holders, demand, model, heads):
         """Choose although engines seem full.
 
         Requests rarely grow to the size that is reserved for them; an
@@ -118,7 +121,7 @@
         """
         for holder in holders:
             holder.used *= SQUEEZE
-        return chains.choose(holders, demand, model.layers, self._noise, head)
+        return chains.choose(holders, demand, model.layers, self._noise, heads)
 
     def repair(self, attempt, lost, now, partly=False):
         """Give stages for an attempt without those that are lost.
--- a/packages/policy/ibisring_policy/attempts.py
+++ b/packages/policy/ibisring_policy/attempts.py
@@ -107,9 +107,12 @@
 def _may_go_on(end, progress):
     if progress.tries >= MOST_TRIES or progress.time_left < LEAST_TIME:
         return False
+    # A stream may go to an endpoint that has had it before, over a chain
+    # with other stages: that is no further endpoint.
+    is_open = progress.stream or progress.sent_to < progress.most_endpoints
     if end is End.NOT_SENT:
-        return progress.sent_to < progress.most_endpoints
-    return progress.sent_to < progress.most_endpoints and progress.budget
+        return is_open
+    return is_open and progress.budget
 
 
 def _give_up(progress):
--- a/packages/policy/ibisring_policy/chains.py
+++ b/packages/policy/ibisring_policy/chains.py
@@ -94,7 +94,7 @@
     return prompt + expected
 
 
-def choose(holders, demand, layers, noise, head=None):
+def choose(holders, demand, layers, noise, heads=None):
     """Give the best chain, or None if no chain has room.
 
     A chain stays in one failure domain if any domain has one with room.
@@ -112,8 +112,8 @@
     noise : callable
         Gives a factor around 1.0 for each holder, so that routers which
         know the same do not all take the same chain.
-    head : str or None
-        Only this endpoint may be the first stage.
+    heads : collection of str or None
+        Only these endpoints may be the first stage.
 
     Returns
     -------
@@ -131,12 +131,12 @@
         if cost is not None:
             costs[holder.id] = cost * noise()
     found = [
-        _cheapest(group, demand, costs, head)
+        _cheapest(group, demand, costs, heads)
         for group in _by_domain(holders).values()
     ]
     found = [each for each in found if each is not None]
     if not found and demand.may_cross:
-        found = [_cheapest(holders, demand, costs, head)]
+        found = [_cheapest(holders, demand, costs, heads)]
         found = [each for each in found if each is not None]
     if not found:
         return None
@@ -153,12 +153,12 @@
     return groups
 
 
-def _cheapest(holders, demand, costs, head):
+def _cheapest(holders, demand, costs, heads):
     """Give cost and stages of the best chain of some engines, or None."""
     points = _boundaries(holders, demand)
     best = {(demand.first, None): (0.0, None, None)}
     for point in points:
-        _step(holders, demand, costs, points, point, best, head)
+        _step(holders, demand, costs, points, point, best, heads)
     return _trace(best, demand, holders)
 
 
@@ -180,7 +180,7 @@
     return LAYERS_COST / layers * slow * scarce + holder.penalty
 
 
-def _step(holders, demand, costs, points, point, best, head):
+def _step(holders, demand, costs, points, point, best, heads):
     """Extend every chain that ends at a boundary by one stage."""
     states = [(k, v[0]) for k, v in best.items() if k[0] == point]
     if not states:
@@ -188,7 +188,7 @@
     for holder in holders:
         if holder.id not in costs or not holder.first <= point < holder.end:
             continue
-        if head is not None and point == 0 and holder.id != head:
+        if heads is not None and point == 0 and holder.id not in heads:
             continue
         before, origin = min(
             (
--- a/packages/policy/ibisring_policy/tests/test_attempts.py
+++ b/packages/policy/ibisring_policy/tests/test_attempts.py
@@ -60,6 +60,8 @@
     progress = _progress(stream=True, delivering=True)
     assert attempts.decide(End.CUT, progress) is Next.RESUME
     progress.sent_to = 2
+    assert attempts.decide(End.CUT, progress) is Next.RESUME
+    progress.tries = attempts.MOST_TRIES
     assert attempts.decide(End.CUT, progress) is Next.BREAK
 
 
--- a/packages/policy/ibisring_policy/tests/test_chains.py
+++ b/packages/policy/ibisring_policy/tests/test_chains.py
@@ -10,9 +10,9 @@
 
 def _choose(holders, **changes):
     layers = changes.pop('layers', 16)
-    head = changes.pop('head', None)
+    heads = changes.pop('heads', None)
     demand = build.demand(end=layers, **changes)
-    return chains.choose(holders, demand, layers, build.exactly(), head)
+    return chains.choose(holders, demand, layers, build.exactly(), heads)
 
 
 def _names(stages):
@@ -79,7 +79,7 @@
 def test_a_given_first_engine_is_kept():
     holders = [build.holder('x', 0, 16), build.holder('y', 0, 16)]
     for head in 'xy':
-        assert _names(_choose(holders, head=head)) == [head]
+        assert _names(_choose(holders, heads=[head])) == [head]
 
 
 def test_a_part_of_the_layers_can_be_asked_for():
--- a/packages/web/ibisring_web/serving.py
+++ b/packages/web/ibisring_web/serving.py
@@ -1,6 +1,12 @@
 """HTTP listeners on cheroot."""
 
-__all__ = ['Listener', 'make_listener', 'stop_all', 'caller_is_gone']
+__all__ = [
+    'Listener',
+    'make_listener',
+    'stop_all',
+    'caller_is_gone',
+    'is_gone',
+]
 
 import select
 import socket
@@ -105,8 +111,11 @@
     yields no byte is at its end.
     """
     sock = environ.get(SOCKET_KEY)
-    if sock is None:
-        return False
+    return sock is not None and is_gone(sock)
+
+
+def is_gone(sock):
+    """Say whether the other side of a connection has closed it."""
     try:
         readable, _, _ = select.select([sock], [], [], 0)
         if not readable:
