--- /dev/null
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -0,0 +1,100 @@
+"""Tests of what is in force and which endpoints are known."""
+
+from ibisring_gateway import directory
+from ibisring_gateway import ports
+from ibisring_gateway.tests import builders
+from ibisring_gateway import upstream
+from ibisring_gateway import view as view_module
+from ibisring_policy.tests import fleetbuilders as build
+from ibisring_records import routing
+
+
+def _directory():
+    view = view_module.make_view('a')
+    changes = []
+    actor = directory.Directory(
+        view,
+        builders.Metrics(),
+        upstream.make_connections(),
+        lambda: changes.append(view.snapshot),
+        lambda table: None,
+    )
+    return actor, view, changes
+
+
+def _table(actor, version, origin=directory.STORE):
+    table = build.table(version)
+    actor.on_read(directory.Read([table], True, origin, is_table=True))
+
+
+def _endpoints(actor, items, whole=True, position=1, origin='store'):
+    actor.on_read(
+        directory.Read(items, whole, origin=origin, position=position)
+    )
+
+
+def test_an_older_table_never_comes_back():
+    """Symptom: a revoked key works again for a moment.
+
+    Sequence: a router reads version 9; a peer that is behind, or a store
+    that answers with an old state, shows version 8.
+    Cause: whatever was read last was put in force.
+    """
+    actor, view, _ = _directory()
+    _table(actor, 9)
+    _table(actor, 8, 'router r2')
+    _table(actor, 8)
+    assert view.snapshot.version == 9
+    _table(actor, 12)
+    assert view.snapshot.version == 12
+
+
+def test_ready_needs_a_table_and_the_endpoints():
+    actor, view, _ = _directory()
+    assert not view.is_ready
+    _table(actor, 1)
+    assert not view.is_ready
+    _endpoints(actor, [])
+    assert view.is_ready
+
+
+def test_a_draining_endpoint_is_known_but_takes_nothing():
+    actor, view, changes = _directory()
+    leaving = build.endpoint('x', state=routing.State.DRAINING)
+    _endpoints(actor, [build.endpoint('y'), leaving])
+    assert [e.id for e in view.snapshot.by_service['lookup']] == ['y']
+    assert set(view.snapshot.endpoints) == {'x', 'y'}
+    assert len(changes) == 1
+
+
+def test_a_peer_that_is_behind_brings_nothing_back():
+    """Symptom: an engine that left comes into chains again.
+
+    Sequence: it is removed; a peer that has not read this yet is asked.
+    Cause: the peer's list was judged by its age, not by its version.
+    """
+    actor, view, _ = _directory()
+    both = [build.endpoint('x'), build.endpoint('y')]
+    _endpoints(actor, both, position=5)
+    _endpoints(actor, [ports.Gone('x')], whole=False, position=6)
+    _endpoints(actor, both, position=5, origin='router r2')
+    assert set(view.snapshot.endpoints) == {'y'}
+    _endpoints(actor, [], position=7, origin='router r2')
+    assert view.snapshot.endpoints == {}
+
+
+def test_an_engine_that_started_again_is_believed_alive():
+    actor, view, _ = _directory()
+    _endpoints(actor, [build.held_endpoint('x', 0, 8, started=1)])
+    view.book.unreachable('x', 10.0)
+    again = build.held_endpoint('x', 0, 8, started=2)
+    _endpoints(actor, [again], whole=False, position=2)
+    assert not view.book.is_dead('x')
+
+
+def test_an_outage_does_not_empty_the_list():
+    actor, view, _ = _directory()
+    _endpoints(actor, [build.endpoint('x')])
+    actor.on_failed(directory.Failed('no answer'))
+    _endpoints(actor, [], position=9)
+    assert set(view.snapshot.endpoints) == {'x'}
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/tests/test_doctor.py
@@ -0,0 +1,199 @@
+"""Tests of finding lost stages and going round them."""
+
+import time
+
+import pytest
+
+from ibisring_gateway import doctor as doctor_module
+from ibisring_gateway import ports
+from ibisring_gateway import selecting
+from ibisring_gateway.tests import builders
+from ibisring_gateway import watching
+from ibisring_policy import attempts
+from ibisring_policy import chains
+from ibisring_policy.tests import fleetbuilders as build
+from ibisring_records import routing
+
+
+class _Watcher:
+    def __init__(self):
+        self.attempts = []
+
+    def all(self):
+        return self.attempts
+
+
+def _engine(name, first, end, domain='a', **changes):
+    return build.held_endpoint(
+        name, first, end, domain, address=f'{name}:1', **changes
+    )
+
+
+class Scene:
+    """A doctor with an attempt over engines `h`, `m` and `t`."""
+
+    def __init__(self, *spares):
+        self.engines = builders.Engines()
+        self.engines.result = ports.OrderResult.DONE
+        table = build.table()
+        self.chain = [
+            _engine('h', 0, 8),
+            _engine('m', 8, 16, card='small'),
+            _engine('t', 16, 24),
+        ]
+        self.endpoints = [*self.chain, *spares]
+        self.view = builders.view_of(self.endpoints, table)
+        self.watcher = _Watcher()
+        self.selector = selecting.make_selector(self.view)
+        self.doctor = doctor_module.make_doctor(
+            self.view,
+            self.engines,
+            self.selector,
+            self.watcher,
+            builders.Metrics(),
+        )
+        self.attempt = self.new_attempt('r1')
+
+    def new_attempt(self, name):
+        """Give an attempt that has delivered events."""
+        stages = tuple(
+            chains.Stage(e.id, e.address, e.holding.first, e.holding.end)
+            for e in self.chain
+        )
+        attempt = watching.Attempt(name, self.chain[0], stages, 1e12)
+        attempt.events = 5
+        attempt.tokens = 10.0
+        attempt.last_at = time.monotonic() - 0.1
+        self.watcher.attempts.append(attempt)
+        self.selector.reserve(attempt)
+        return attempt
+
+    def replace(self, name, **changes):
+        """Change an endpoint as its entry would."""
+        fields = {
+            f: getattr(self.view.snapshot.endpoints[name], f)
+            for f in routing.Endpoint.__struct_fields__
+        }
+        fields.update(changes)
+        found = dict(self.view.snapshot.endpoints)
+        found[name] = routing.Endpoint(**fields)
+        self.view.snapshot = builders.view_of(list(found.values())).snapshot
+
+    def settle(self):
+        """Wait for the doctor's threads."""
+        self.doctor.pool.shutdown(wait=True)
+
+
+@pytest.fixture
+def scene():
+    scene = Scene(_engine('m2', 8, 16, card='small'))
+    yield scene
+    scene.doctor.stop()
+
+
+def _names(stages):
+    return [stage.endpoint for stage in stages]
+
+
+def test_a_lost_stage_is_gone_round_behind_the_same_head(scene):
+    scene.engines.dead.add('m:1')
+    scene.doctor.silent(scene.attempt)
+    scene.settle()
+    assert scene.attempt.end is None
+    assert _names(scene.attempt.stages) == ['h', 'm2', 't']
+    assert scene.engines.moved[0][:2] == ('h', 'r1')
+    assert scene.view.book.is_dead('m')
+
+
+def test_a_lost_head_ends_the_attempt(scene):
+    scene.engines.dead.add('h:1')
+    scene.doctor.silent(scene.attempt)
+    scene.settle()
+    assert scene.attempt.end is attempts.End.SILENT
+    assert scene.engines.moved == []
+
+
+def test_a_stream_is_not_cut_while_no_other_chain_has_room():
+    """Symptom: callers get half a stream and its connection closed.
+
+    Sequence: a stage is lost; no engine holds its layers; the stream is
+    ended although nobody else could take it.
+    Cause: the end came before the question who would go on.
+    """
+    scene = Scene()
+    scene.engines.dead.add('m:1')
+    scene.doctor.silent(scene.attempt)
+    scene.settle()
+    assert scene.attempt.end is None
+    assert scene.attempt.silent_at > time.monotonic()
+    scene.doctor.stop()
+
+
+def test_stages_that_deliver_for_others_are_not_asked(scene):
+    other = scene.new_attempt('r2')
+    other.last_at = time.monotonic()
+    scene.doctor.silent(scene.attempt)
+    scene.settle()
+    assert scene.engines.asked == []
+
+
+def test_many_silent_requests_ask_each_stage_once(scene):
+    """Symptom: every stage of a site seems lost at once.
+
+    Sequence: an engine dies; thirty requests fall silent together; those
+    who wait for answers take all threads, and nobody asks.
+    Cause: waiting and asking shared one pool of threads.
+    """
+    scene.engines.dead.add('m:1')
+    others = [scene.new_attempt(f'q{n}') for n in range(40)]
+    for attempt in others:
+        scene.doctor.silent(attempt)
+    scene.settle()
+    assert not scene.view.book.is_dead('t')
+    assert scene.engines.asked.count('t:1') <= 4
+    moved = [a for a in others if _names(a.stages) == ['h', 'm2', 't']]
+    assert len(moved) == len(others)
+
+
+def test_when_all_seem_lost_the_router_doubts_itself(scene):
+    scene.engines.dead.update(('h:1', 'm:1', 't:1'))
+    scene.doctor.silent(scene.attempt)
+    scene.settle()
+    assert not scene.view.book.is_dead('m')
+    assert scene.attempt.end is None
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [{'state': routing.State.DRAINING}, {'holding': None}],
+)
+def test_requests_move_off_an_engine_that_leaves(scene, changes):
+    scene.replace('m', **changes)
+    scene.doctor.look_round()
+    scene.settle()
+    assert _names(scene.attempt.stages) == ['h', 'm2', 't']
+
+
+def test_tries_without_another_engine_use_up_no_moves():
+    """Symptom: a spare engine waits seconds for the requests in it.
+
+    Sequence: one stage leaves and has no other holder; each look tries to
+    move the request; then another stage is to be emptied.
+    Cause: three tries that could not succeed had used up its moves.
+    """
+    scene = Scene()
+    scene.replace('m', state=routing.State.DRAINING)
+    for _ in range(6):
+        scene.doctor.look_round()
+        time.sleep(0.02)
+    scene.settle()
+    assert scene.attempt.moves == 0
+    scene.doctor.stop()
+
+
+def test_the_dead_are_asked_again(scene):
+    scene.view.book.unreachable('t', time.monotonic() - 10.0)
+    scene.doctor.look_round()
+    scene.settle()
+    scene.doctor.askers.shutdown(wait=True)
+    assert not scene.view.book.is_dead('t')
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -0,0 +1,66 @@
+"""Tests of how long a router waits for the store, and whom it asks."""
+
+from ibisring_gateway import gossip
+from ibisring_gateway import peers
+from ibisring_gateway import settings as settings_module
+from ibisring_gateway.tests import builders
+
+
+def _peers(view=None):
+    settings = settings_module.Settings(
+        router_id='r0',
+        failure_domain='a',
+        host='127.0.0.1',
+        caller_listen='127.0.0.1:1',
+        ready_listen='127.0.0.1:2',
+        store='127.0.0.1:3',
+        peer_port=0,
+    )
+    view = view or builders.view_of([])
+    return peers.make_peers(settings, view, builders.Leases(), [].append)
+
+
+def test_a_router_alone_notices_a_silent_connection_by_itself():
+    assert _peers().wait(100.0) == 2.0
+
+
+def test_calls_of_the_fleet_do_not_grow_with_it():
+    for count in (6, 30, 83, 300):
+        known = _peers()
+        for number in range(1, count):
+            known.heard(f'r{number}', f'10.0.0.{number}:1', 100.0)
+        wait = known.wait(101.0)
+        assert wait <= peers.MOST_WAIT
+        assert wait >= min(peers.MOST_WAIT, peers.CALL_EVERY * count)
+        assert known.wait(200.0) == 2.0
+
+
+def test_a_router_that_is_ahead_is_asked():
+    """Symptom: a revoked key works for as long as a call may wait.
+
+    Sequence: the connection to the store falls silent for good; others
+    have read the change and tell its version.
+    Cause: only the own call's end would have shown it.
+    """
+    known = _peers()
+    view = known.view
+    telling = gossip.Gossip.__new__(gossip.Gossip)
+    telling.view, telling.peers = view, known
+    news = gossip.Told('r1', {}, [], changed=0, table=view.snapshot.version)
+    telling._take(news, ('10.0.0.1', 7000))
+    assert known.behind_since is None
+    news.table += 1
+    telling._take(news, ('10.0.0.1', 7000))
+    since = known.behind_since
+    assert known.ahead == 'r1'
+    assert known.others()[0].address == '10.0.0.1:7000'
+    assert known._should_ask(since + peers.MOST_BEHIND)
+    known._check_behind(since + 10.0)
+    assert known.ahead is None
+
+
+def test_what_is_told_to_a_peer():
+    known = _peers()
+    version = known.view.snapshot.version
+    assert known.state_for(version).table is None
+    assert known.state_for(version - 1).table.version == version
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -0,0 +1,129 @@
+"""Tests of the actor that orders engines."""
+
+from ibisring_gateway import placing
+from ibisring_gateway import ports
+from ibisring_gateway.tests import builders
+from ibisring_policy import ordering
+from ibisring_policy.tests import fleetbuilders as build
+from ibisring_records import exceptions
+
+# An engine that alone holds its layers in its failure domain.
+LOST = 'b-wide-0'
+
+
+def _endpoints(held=True):
+    found = []
+    for engine in build.planned(build.mixed_engines()):
+        card = engine.id.split('-')[1]
+        found.append(
+            build.endpoint(
+                engine.id,
+                'model',
+                engine.domain,
+                card=card,
+                address=f'{engine.id}:1',
+                holding=engine.holding if held else None,
+            )
+        )
+    return found
+
+
+def _placer(view, leases=None, engines=None):
+    placer = placing.Placer(
+        view,
+        leases or builders.Leases(),
+        engines or builders.Engines(),
+        'r1',
+        builders.Metrics(),
+    )
+    placer.turn = ordering.make_turn('r1', 0.0)
+    placer.arrivals.changed_at = -100.0
+    return placer
+
+
+def _look(placer, times=3):
+    for _ in range(times):
+        placer.turn.read_at = -100.0
+        placer.on_look(placing.Look())
+
+
+def test_a_good_layout_needs_neither_lease_nor_order():
+    leases, engines = builders.Leases(), builders.Engines()
+    placer = _placer(builders.view_of(_endpoints()), leases, engines)
+    _look(placer)
+    assert (leases.reads, engines.placed) == (0, [])
+
+
+def test_lost_layers_are_ordered_by_count_once():
+    engines = builders.Engines()
+    left = [e for e in _endpoints() if e.id != LOST]
+    placer = _placer(builders.view_of(left), engines=engines)
+    _look(placer, times=5)
+    names = [name for name, _, _ in engines.placed]
+    assert names and len(names) == len(set(names))
+    assert all(expected == 1 for _, _, expected in engines.placed)
+
+
+def test_nobody_orders_without_the_lease():
+    """Symptom: two routers order one engine back and forth.
+
+    Sequence: another router has just taken the lease for the same loss.
+    Cause: both see it at the same moment.
+    """
+    leases, engines = builders.Leases(), builders.Engines()
+    leases.row = ordering.LeaseRow('r2', 1, 1)
+    leases.version = 1
+    left = [e for e in _endpoints() if e.id != LOST]
+    placer = _placer(builders.view_of(left), leases, engines)
+    _look(placer)
+    assert engines.placed == []
+
+
+def test_a_store_that_is_away_orders_nothing():
+    leases, engines = builders.Leases(), builders.Engines()
+    left = [e for e in _endpoints() if e.id != LOST]
+    placer = _placer(builders.view_of(left), leases, engines)
+    for error in (
+        exceptions.PlatformUnavailable('503'),
+        exceptions.PlatformAnswerLost('timeout'),
+    ):
+        leases.fails = error
+        _look(placer)
+    assert engines.placed == []
+
+
+def test_a_busy_engine_is_not_ordered():
+    engines = builders.Engines()
+    engines.busy = True
+    left = [e for e in _endpoints() if e.id != LOST]
+    placer = _placer(builders.view_of(left), engines=engines)
+    _look(placer)
+    assert engines.placed == []
+    assert engines.asked
+
+
+def test_an_engine_that_is_believed_lost_is_planned_without():
+    engines = builders.Engines()
+    view = builders.view_of(_endpoints())
+    placer = _placer(view, engines=engines)
+    view.book.of(LOST).dead = True
+    view.book.of(LOST).dead_at = -100.0
+    view.book.of(LOST).ejected_until = 1e12
+    _look(placer)
+    assert engines.placed
+    assert LOST not in [name for name, _, _ in engines.placed]
+
+
+def test_an_unanswered_order_is_not_repeated_at_once():
+    """Symptom: an engine carries out an order that was already replaced.
+
+    Sequence: an order gets no answer and is carried out seconds later.
+    Cause: nobody knows whether it began; a second one at once would race it.
+    """
+    engines = builders.Engines()
+    engines.result = ports.OrderResult.UNKNOWN
+    left = [e for e in _endpoints() if e.id != LOST]
+    placer = _placer(builders.view_of(left), engines=engines)
+    _look(placer, times=5)
+    names = [name for name, _, _ in engines.placed]
+    assert names and len(names) == len(set(names))
