--- a/Makefile
+++ b/Makefile
@@ -1,7 +1,8 @@
-# Targets: run (router on embedded stand-ins), test, lint, format.
+# Targets: run (router on embedded stand-ins), platform-demo (gateway before
+# stand-ins of the users' platform), test, lint, format.
 VENV := .venv
 PY := $(VENV)/bin/python
-PACKAGES := records web policy platform standins router operator gateway
+PACKAGES := records web policy backing standins router operator gateway
 EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt \
@@ -18,6 +19,9 @@
 run: env
 	$(VENV)/bin/ibisring-router --platform=embedded
 
+platform-demo: env
+	$(PY) -m ibisring_adapter.tests.demo
+
 test: env
 	$(PY) -m pytest
 
@@ -28,4 +32,4 @@
 format: env
 	$(VENV)/bin/black --quiet packages platform bench
 
-.PHONY: env run test lint format
+.PHONY: env run platform-demo test lint format
--- a/bench/burn.py
+++ b/bench/burn.py
@@ -6,7 +6,7 @@
 import random
 import time
 
-from ibisring_platform import objects
+from ibisring_backing import objects
 from ibisring_policy import burn
 from ibisring_records import configuration
 from ibisring_router import burnkeeping
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -15,7 +15,7 @@
 import time
 
 from hdrh import histogram
-from ibisring_platform import engines
+from ibisring_backing import engines
 from ibisring_policy import admission
 from ibisring_policy import dispatch
 from ibisring_records import configuration
--- a/bench/virtualengines.py
+++ b/bench/virtualengines.py
@@ -4,7 +4,7 @@
 import collections
 import itertools
 
-from ibisring_platform import engines
+from ibisring_backing import engines
 import msgspec
 import workloads
 
--- a/packages/policy/ibisring_policy/tests/test_orders.py
+++ b/packages/policy/ibisring_policy/tests/test_orders.py
@@ -1,6 +1,6 @@
 """Orders: what is sent to an engine, when, and what never is."""
 
-from ibisring_platform import engines
+from ibisring_backing import engines
 from ibisring_policy import leases
 from ibisring_policy import orders
 from ibisring_records import configuration
--- a/packages/router/ibisring_router/burnkeeping.py
+++ b/packages/router/ibisring_router/burnkeeping.py
@@ -11,7 +11,7 @@
 import time
 import uuid
 
-from ibisring_platform import objects
+from ibisring_backing import objects
 from ibisring_policy import burn
 from ibisring_records import exceptions
 from ibisring_router import burnperiods
--- a/packages/router/ibisring_router/calling.py
+++ b/packages/router/ibisring_router/calling.py
@@ -5,8 +5,8 @@
 import random
 import time
 
-from ibisring_platform import engines
-from ibisring_platform import services
+from ibisring_backing import engines
+from ibisring_backing import services
 from ibisring_policy import admission
 from ibisring_policy import dispatch
 from ibisring_policy import retries
--- a/packages/router/ibisring_router/claiming.py
+++ b/packages/router/ibisring_router/claiming.py
@@ -17,7 +17,7 @@
 import logging
 import time
 
-from ibisring_platform import tables
+from ibisring_backing import tables
 from ibisring_policy import claims as claims_module
 from ibisring_records import exceptions
 from ibisring_router import actors
--- a/packages/router/ibisring_router/dispatching.py
+++ b/packages/router/ibisring_router/dispatching.py
@@ -18,7 +18,7 @@
 import random
 import time
 
-from ibisring_platform import engines
+from ibisring_backing import engines
 from ibisring_policy import admission
 from ibisring_policy import dispatch
 from ibisring_records import configuration as configuration_module
--- a/packages/router/ibisring_router/engineclient.py
+++ b/packages/router/ibisring_router/engineclient.py
@@ -10,7 +10,7 @@
 import abc
 from typing import Union
 
-from ibisring_platform import engines
+from ibisring_backing import engines
 from ibisring_policy import retries
 from ibisring_records import exceptions
 from ibisring_router import endings
--- a/packages/router/ibisring_router/generating.py
+++ b/packages/router/ibisring_router/generating.py
@@ -6,7 +6,7 @@
 import random
 import time
 
-from ibisring_platform import engines
+from ibisring_backing import engines
 from ibisring_policy import admission
 from ibisring_policy import dispatch
 from ibisring_policy import plans
--- a/packages/router/ibisring_router/main.py
+++ b/packages/router/ibisring_router/main.py
@@ -6,7 +6,7 @@
 import sys
 import threading
 
-from ibisring_platform import vms
+from ibisring_backing import vms
 from ibisring_records import exceptions
 from ibisring_records import records
 from ibisring_router import logs
--- a/packages/router/ibisring_router/process.py
+++ b/packages/router/ibisring_router/process.py
@@ -5,8 +5,8 @@
 import logging
 import time
 
-from ibisring_platform import tables
-from ibisring_platform import vms
+from ibisring_backing import tables
+from ibisring_backing import vms
 from ibisring_policy import budgets
 from ibisring_policy import orders
 from ibisring_records import exceptions
--- a/packages/router/ibisring_router/reconciling.py
+++ b/packages/router/ibisring_router/reconciling.py
@@ -6,8 +6,8 @@
 import time
 import uuid
 
-from ibisring_platform import engines
-from ibisring_platform import weights
+from ibisring_backing import engines
+from ibisring_backing import weights
 from ibisring_policy import leases
 from ibisring_policy import orders
 from ibisring_records import exceptions
--- a/packages/router/ibisring_router/statuspolling.py
+++ b/packages/router/ibisring_router/statuspolling.py
@@ -4,7 +4,7 @@
 
 import concurrent.futures
 
-from ibisring_platform import engines
+from ibisring_backing import engines
 from ibisring_policy import subsets
 from ibisring_records import exceptions
 from ibisring_web import calls
--- a/packages/router/ibisring_router/storebudget.py
+++ b/packages/router/ibisring_router/storebudget.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from ibisring_platform import tables
+from ibisring_backing import tables
 from ibisring_policy import budgets
 from ibisring_records import exceptions
 
--- a/packages/router/ibisring_router/tests/builders.py
+++ b/packages/router/ibisring_router/tests/builders.py
@@ -16,7 +16,7 @@
     'post',
 ]
 
-from ibisring_platform import vms
+from ibisring_backing import vms
 from ibisring_policy import admission
 from ibisring_records import configuration
 from ibisring_records import records
--- a/packages/router/ibisring_router/tests/fakes.py
+++ b/packages/router/ibisring_router/tests/fakes.py
@@ -6,7 +6,7 @@
 import enum
 import random
 
-from ibisring_platform import engines
+from ibisring_backing import engines
 from ibisring_policy import dispatch
 from ibisring_policy import retries
 from ibisring_records import exceptions
--- a/packages/router/ibisring_router/tests/processes.py
+++ b/packages/router/ibisring_router/tests/processes.py
@@ -9,7 +9,7 @@
 import sys
 import threading
 
-from ibisring_platform import vms
+from ibisring_backing import vms
 from ibisring_records import records
 from ibisring_router.tests import builders
 
--- a/packages/router/ibisring_router/tests/test_configuration.py
+++ b/packages/router/ibisring_router/tests/test_configuration.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from ibisring_platform import vms
+from ibisring_backing import vms
 from ibisring_policy import membership
 from ibisring_policy import orders
 from ibisring_policy import subsets
--- a/packages/standins/ibisring_standins/engine.py
+++ b/packages/standins/ibisring_standins/engine.py
@@ -23,7 +23,7 @@
 import itertools
 import threading
 
-from ibisring_platform import engines
+from ibisring_backing import engines
 from ibisring_records import exceptions
 from ibisring_records import schemas
 from ibisring_standins import faults
--- a/packages/standins/ibisring_standins/engineserver.py
+++ b/packages/standins/ibisring_standins/engineserver.py
@@ -5,7 +5,7 @@
 import threading
 import time
 
-from ibisring_platform import engines
+from ibisring_backing import engines
 from ibisring_records import exceptions
 from ibisring_standins import engine as engine_module
 from ibisring_standins import faults
--- a/packages/standins/ibisring_standins/head.py
+++ b/packages/standins/ibisring_standins/head.py
@@ -4,7 +4,7 @@
 
 import abc
 
-from ibisring_platform import engines
+from ibisring_backing import engines
 from ibisring_records import exceptions
 from ibisring_standins import engine as engine_module
 
--- a/packages/standins/ibisring_standins/memory.py
+++ b/packages/standins/ibisring_standins/memory.py
@@ -5,10 +5,10 @@
 import threading
 import time
 
-from ibisring_platform import objects
-from ibisring_platform import tables
-from ibisring_platform import vms
-from ibisring_platform import weights
+from ibisring_backing import objects
+from ibisring_backing import tables
+from ibisring_backing import vms
+from ibisring_backing import weights
 from ibisring_records import exceptions
 from ibisring_standins import faults
 import msgspec
--- a/packages/standins/ibisring_standins/platformserver.py
+++ b/packages/standins/ibisring_standins/platformserver.py
@@ -2,9 +2,9 @@
 
 __all__ = ['Platform', 'make_platform', 'make_app']
 
-from ibisring_platform import tables
-from ibisring_platform import vms
-from ibisring_platform import weights
+from ibisring_backing import tables
+from ibisring_backing import vms
+from ibisring_backing import weights
 from ibisring_records import exceptions
 from ibisring_standins import faults
 from ibisring_standins import memory
--- a/packages/standins/ibisring_standins/service.py
+++ b/packages/standins/ibisring_standins/service.py
@@ -5,8 +5,8 @@
 import threading
 import time
 
-from ibisring_platform import engines
-from ibisring_platform import services
+from ibisring_backing import engines
+from ibisring_backing import services
 from ibisring_records import exceptions
 from ibisring_standins import faults
 from ibisring_web import routes
