--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -399,9 +399,10 @@
             conn.close()
             return self._refused(job, attempt, answer)
         job.progress.may_have_run = True
-        if answer.encoded:
+        damage = _damage(answer)
+        if damage:
             conn.close()
-            return self._lost(job, attempt, 'encoded answer')
+            return self._lost(job, attempt, damage)
         attempt.last_at = now
         if job.progress.stream and answer.status == 200:
             end = self._relay_stream(job, attempt, response, answer)
@@ -499,6 +500,19 @@
         return None
 
 
+def _damage(answer):
+    """Say what shows that an answer is not the endpoint's whole word.
+
+    An endpoint that crashes may have written the head of a success, which
+    its callers would take for an empty but complete answer.
+    """
+    if answer.encoded:
+        return 'encoded answer'
+    if answer.status < 300 and not answer.signed:
+        return 'success without a signature'
+    return None
+
+
 def _chain_text(stages):
     return ' '.join(f'{s.endpoint}={s.first}-{s.end}' for s in stages)
 
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -219,7 +219,8 @@
 
     `refused` says that the endpoint did not run the request; `wrong_endpoint`
     that another one has the address; `culprit` names the address of the
-    stage that a refusal is about.
+    stage that a refusal is about.  `signed` says that the endpoint vouches
+    for the answer; `whole` that its end can be told from a lost connection.
     """
 
     status: int
@@ -232,6 +233,7 @@
     load: int | None = None
     length: int | None = None
     encoded: bool = False
+    signed: bool = False
 
 
 class Codec(abc.ABC):
