One formatter and one event function for log lines; unused parts removed

The gateway's writer keeps only what is its own: the bound, and a thread that writes. Removed: rows never dropped, fields never read.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -5,13 +5,13 @@
 import logging
 import time
 
-from ibisring_gateway import logs
 from ibisring_gateway import ports
 from ibisring_gateway import view as view_module
 from ibisring_policy import presence
 from ibisring_policy import routetable
 from ibisring_records import routing
 from ibisring_router import actors
+from ibisring_router import logs
 import msgspec
 
 LOG = logging.getLogger(__name__)
--- a/packages/gateway/ibisring_gateway/doctor.py
+++ b/packages/gateway/ibisring_gateway/doctor.py
@@ -5,12 +5,12 @@
 import concurrent.futures
 import logging
 
-from ibisring_gateway import logs
 from ibisring_gateway import ports
 from ibisring_policy import attempts
 from ibisring_policy import loadbook
 from ibisring_records import exceptions
 from ibisring_records import routing
+from ibisring_router import logs
 
 LOG = logging.getLogger(__name__)
 # Seconds that an endpoint has to tell its status: it needs no slot for it,
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -8,13 +8,13 @@
 
 from ibisring_gateway import events
 from ibisring_gateway import exchange as exchange_module
-from ibisring_gateway import logs
 from ibisring_gateway import selecting
 from ibisring_gateway import upstream
 from ibisring_gateway import watching
 from ibisring_policy import attempts
 from ibisring_records import exceptions
 from ibisring_records import routing
+from ibisring_router import logs
 from ibisring_web import serving
 
 LOG = logging.getLogger(__name__)
@@ -272,7 +272,6 @@
             job.request.id, choice.endpoint, choice.stages, job.deadline
         )
         attempt.tokens = choice.tokens
-        attempt.after_event = job.splitter.last
         job.chain = _chain_text(choice.stages)
         self.selector.reserve(attempt)
         self.watcher.add(job.exchange.socket, attempt)
@@ -489,7 +488,6 @@
                 if not whole:
                     continue
                 self.selector.event_came(attempt, self.clock())
-                attempt.after_event = job.splitter.last
                 if not exchange.begun:
                     exchange.begin(answer.status, _streamed(answer.headers))
                 exchange.write(whole)
--- a/packages/gateway/ibisring_gateway/logs.py
+++ b/packages/gateway/ibisring_gateway/logwriter.py
@@ -1,8 +1,7 @@
 """Structured lines on standard output: bounded, and never waited for."""
 
-__all__ = ['Writer', 'configure', 'event']
+__all__ = ['Writer', 'configure']
 
-import json
 import logging
 import logging.handlers
 import queue
@@ -10,6 +9,8 @@
 import threading
 import time
 
+from ibisring_router import logs
+
 # Lines that may wait to be written, and lines a second over time: about
 # 25 KB/s at 250 bytes a line, five times the usual load of one router.
 MOST_WAITING = 2000
@@ -17,20 +18,6 @@
 BURST = 1000.0
 
 
-class _JsonLines(logging.Formatter):
-    def format(self, record):
-        line = {
-            'time': round(record.created, 3),
-            'level': record.levelname.lower(),
-            'module': record.name.rpartition('.')[2],
-            'event': record.getMessage(),
-        }
-        line.update(getattr(record, 'facts', {}))
-        if record.exc_info:
-            line['trace'] = self.formatException(record.exc_info)
-        return json.dumps(line, default=str)
-
-
 class Writer(logging.handlers.QueueHandler):
     """Hands lines to a thread that writes them; drops what is too much.
 
@@ -50,7 +37,7 @@
         super().__init__(self.waiting)
         target = logging.StreamHandler(stream)
         self.listener = logging.handlers.QueueListener(self.waiting, target)
-        self.setFormatter(_JsonLines())
+        self.setFormatter(logs.JsonLines())
         self.clock = clock
         self.lock_state = threading.Lock()
         self.tokens = BURST
@@ -97,8 +84,3 @@
     logging.getLogger('urllib3').setLevel(logging.ERROR)
     writer.listener.start()
     return writer
-
-
-def event(logger, name, **facts):
-    """Log a decision or a change of belief with the facts behind it."""
-    logger.info(name, extra={'facts': facts})
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -10,10 +10,10 @@
 import msgspec
 
 from ibisring_gateway import directory as directory_module
-from ibisring_gateway import logs
 from ibisring_gateway import ports
 from ibisring_records import exceptions
 from ibisring_records import routing
+from ibisring_router import logs
 from ibisring_web import calls
 
 LOG = logging.getLogger(__name__)
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -6,13 +6,13 @@
 import random
 import time
 
-from ibisring_gateway import logs
 from ibisring_gateway import ports
 from ibisring_policy import layers
 from ibisring_policy import ordering
 from ibisring_records import exceptions
 from ibisring_records import routing
 from ibisring_router import actors
+from ibisring_router import logs
 import msgspec
 
 LOG = logging.getLogger(__name__)
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -121,10 +121,6 @@
     def read_routers(self):
         """Give all `RouterRow` rows."""
 
-    @abc.abstractmethod
-    def drop_router(self, name):
-        """Remove a router's row."""
-
 
 class EngineStatus(msgspec.Struct):
     """What an engine says of itself; sizes in tokens times layers.
@@ -141,7 +137,6 @@
     pace: float = 1.0
     holding: object = None
     started: int = 0
-    stalled: tuple = ()
 
 
 class OrderResult(enum.StrEnum):
@@ -205,7 +200,6 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     answer_hint: int | None = None
-    prompt_parts: tuple = ()
     body: bytes = b''
 
     @property
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -17,7 +17,7 @@
 from ibisring_gateway import following
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossip
-from ibisring_gateway import logs
+from ibisring_gateway import logwriter
 from ibisring_gateway import peers
 from ibisring_gateway import placing
 from ibisring_gateway import settings as settings_module
@@ -28,6 +28,7 @@
 from ibisring_policy import shutdown
 from ibisring_records import exceptions
 from ibisring_records import routing
+from ibisring_router import logs
 from ibisring_router import metrics
 from ibisring_router import periodic
 
@@ -185,7 +186,7 @@
         path : str
             Settings file, read again at SIGHUP.
         """
-        self.log_writer = logs.configure(self.settings.log_level)
+        self.log_writer = logwriter.configure(self.settings.log_level)
         for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(number, self._on_signal)
         self.start()
--- a/packages/gateway/ibisring_gateway/tests/builders.py
+++ b/packages/gateway/ibisring_gateway/tests/builders.py
@@ -63,9 +63,6 @@
         self._check()
         return list(self.routers.values())
 
-    def drop_router(self, name):
-        self.routers.pop(name, None)
-
 
 class Engines(ports.EngineControl):
     """Engines by address.
--- a/packages/gateway/ibisring_gateway/tests/test_logs.py
+++ b/packages/gateway/ibisring_gateway/tests/test_logwriter.py
@@ -4,7 +4,7 @@
 import json
 import logging
 
-from ibisring_gateway import logs
+from ibisring_gateway import logwriter
 from ibisring_gateway.tests import builders
 
 
@@ -28,24 +28,24 @@
     Cause: the thread that serves a request writes the line itself.
     """
     clock = builders.Clock()
-    writer = logs.Writer(_Stuck(), clock)
+    writer = logwriter.Writer(_Stuck(), clock)
     for number in range(10_000):
         clock.now += 0.02
         writer.handle(_record(number))
-    assert writer.waiting.qsize() == logs.MOST_WAITING
-    assert writer.dropped == 10_000 - logs.MOST_WAITING
+    assert writer.waiting.qsize() == logwriter.MOST_WAITING
+    assert writer.dropped == 10_000 - logwriter.MOST_WAITING
 
 
 def test_a_burst_of_lines_is_bounded_and_counted():
     clock = builders.Clock()
-    writer = logs.Writer(io.StringIO(), clock)
+    writer = logwriter.Writer(io.StringIO(), clock)
     for number in range(5_000):
         writer.handle(_record(number))
-    assert writer.waiting.qsize() == logs.BURST
+    assert writer.waiting.qsize() == logwriter.BURST
     clock.now += 1.0
     writer.handle(_record(5_000))
     line = None
     while not writer.waiting.empty():
         line = json.loads(writer.waiting.get().getMessage())
-    assert line['lines_dropped_before'] == 5_000 - logs.BURST
-    assert writer.dropped == 5_000 - logs.BURST
+    assert line['lines_dropped_before'] == 5_000 - logwriter.BURST
+    assert writer.dropped == 5_000 - logwriter.BURST
--- a/packages/gateway/ibisring_gateway/upstream.py
+++ b/packages/gateway/ibisring_gateway/upstream.py
@@ -56,7 +56,6 @@
         self.clock = clock
         self.lock = threading.Lock()
         self.kept = {}
-        self.opened = 0
 
     def take(self, endpoint, fresh):
         """Give a connection to an endpoint.
@@ -85,7 +84,6 @@
         except (urllib3_exceptions.HTTPError, OSError) as error:
             conn.close()
             raise Failed(str(error), False) from error
-        self.opened += 1
         conn.reused = False
         return conn
 
--- a/packages/gateway/ibisring_gateway/watching.py
+++ b/packages/gateway/ibisring_gateway/watching.py
@@ -43,7 +43,6 @@
         'looking',
         'pace',
         'events',
-        'after_event',
         'tokens',
         'moves',
         'stuck',
@@ -63,7 +62,6 @@
         self.looking = False
         self.pace = 0.0
         self.events = 0
-        self.after_event = None
         self.tokens = 0.0
         self.moves = 0
         self.stuck = None
--- a/packages/router/ibisring_router/logs.py
+++ b/packages/router/ibisring_router/logs.py
@@ -1,13 +1,15 @@
 """Structured log lines, written for changes of state only."""
 
-__all__ = ['configure', 'event']
+__all__ = ['JsonLines', 'configure', 'event']
 
 import logging
 
 import msgspec
 
 
-class _JsonLines(logging.Formatter):
+class JsonLines(logging.Formatter):
+    """One JSON object a line, with the facts of the event."""
+
     def format(self, record):
         line = {
             'time': round(record.created, 3),
@@ -24,7 +26,7 @@
 def configure(level='INFO'):
     """Write JSON lines to standard error."""
     handler = logging.StreamHandler()
-    handler.setFormatter(_JsonLines())
+    handler.setFormatter(JsonLines())
     logging.basicConfig(level=level, handlers=[handler], force=True)
     logging.getLogger('urllib3').setLevel(logging.ERROR)
 
