Orders carry their term as fencing token; the pause after a change grows

Where engines check tokens a holder that was paused is refused (412, the lease is given up); on these sites they don't, the field is optional.

--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -19,9 +19,6 @@
 # A router that knows nothing yet serves nobody, so it asks sooner.
 MOST_FIRST_PAUSE = 0.3
 PAUSE_GROWTH = 1.6
-# Seconds after a change before the next call: when many endpoints register
-# at once, a call for each would be most of a day's calls.
-COALESCE = 0.1
 
 
 class Follower:
@@ -31,16 +28,17 @@
     ----------
     source : ports.Source
     is_table : bool
-    wait : callable
-        Gives the seconds that one call may wait for a change.
+    pace : peers.Peers
+        Gives the seconds that one call may wait for a change, and those to
+        pause after one.
     tell : callable
         Takes `directory.Read` and `directory.Failed` messages.
     """
 
-    def __init__(self, source, is_table, wait, tell):
+    def __init__(self, source, is_table, pace, tell):
         self.source = source
         self.is_table = is_table
-        self.wait = wait
+        self.pace = pace
         self.tell = tell
         self.position = None
         self.pause = FIRST_PAUSE
@@ -64,7 +62,7 @@
                 changed = self.step()
                 self.pause = FIRST_PAUSE
                 if changed:
-                    self.stopped.wait(COALESCE)
+                    self.stopped.wait(self.pace.pause())
             except ports.HistoryGone as error:
                 LOG.info(
                     'history_gone', extra={'facts': {'why': error.detail}}
@@ -94,7 +92,7 @@
         if whole:
             page = self.source.read_all()
         else:
-            page = self.source.changes(self.position, self.wait())
+            page = self.source.changes(self.position, self.pace.wait())
         self.position = page.position
         self.has_read = True
         self.tell(
@@ -108,6 +106,6 @@
         return bool(page.items)
 
 
-def make_follower(source, is_table, wait, tell):
+def make_follower(source, is_table, pace, tell):
     """Make and start a `Follower`."""
-    return Follower(source, is_table, wait, tell).start()
+    return Follower(source, is_table, pace, tell).start()
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -37,6 +37,10 @@
 # longest that one may wait: the store keeps some 20 s of history.
 CALL_EVERY = 0.8
 MOST_WAIT = 15.0
+# Seconds to pause after a change: at least, for each router, and at most.
+LEAST_PAUSE = 0.1
+PAUSE_EACH = 0.006
+MOST_PAUSE = 0.6
 TICK = 0.1
 
 
@@ -160,9 +164,9 @@
     def _is_stale(self, now):
         snapshot = self.view.snapshot
         age = now - min(snapshot.table_at, snapshot.endpoints_at)
-        return age > self.wait(now) + ASK_AFTER
+        return age > self.wait() + ASK_AFTER
 
-    def wait(self, now):
+    def wait(self):
         """Give how long a call that follows the store may wait, in seconds.
 
         A connection to the store may fall silent for good.  Routers that
@@ -172,9 +176,20 @@
         0.8 s on average, and the calls a second do not grow with it.
         """
         alone = self.settings.feed_wait_s
-        shared = CALL_EVERY * self.running(now)
+        shared = CALL_EVERY * self.running(self.view.clock())
         return min(MOST_WAIT, max(alone, shared))
 
+    def pause(self):
+        """Give the seconds from a change to the next call that follows.
+
+        When many endpoints register at once, a call for each change by each
+        router would be most of a day's calls.  A change that comes within
+        the pause is known that much later, a fraction of the two seconds in
+        which a leaving endpoint still serves.
+        """
+        running = self.running(self.view.clock())
+        return min(MOST_PAUSE, LEAST_PAUSE + PAUSE_EACH * running)
+
     def _list_if_alone(self, now):
         if self.running(now) > 1 and self.written:
             self.list_at = now + ALONE_AFTER
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -169,7 +169,9 @@
                 return
         if self.orders.is_blocked(endpoint, time.monotonic()):
             return
-        result = self.engines.place(endpoint, holding, expected)
+        result = self.engines.place(
+            endpoint, holding, expected, self.turn.term
+        )
         self.metrics.count(f'orders.{result.value}')
         self.orders.ordered(endpoint, holding, expected, result.value)
         logs.event(
@@ -180,8 +182,11 @@
             end=holding.end,
             held=_text(endpoint.holding),
             expected_orders=expected,
+            term=self.turn.term,
             result=result.value,
         )
+        if result is ports.OrderResult.STALE:
+            self.turn.lost()
         if result is ports.OrderResult.UNKNOWN:
             with self.view.lock:
                 self.view.book.unreachable(endpoint.id, time.monotonic())
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -146,6 +146,7 @@
     DONE = 'done'
     CONFLICT = 'conflict'
     WRONG = 'wrong'
+    STALE = 'stale'
     UNKNOWN = 'unknown'
 
 
@@ -163,9 +164,19 @@
         """
 
     @abc.abstractmethod
-    def place(self, endpoint, holding, expected_orders):
+    def place(self, endpoint, holding, expected_orders, token):
         """Order an engine to hold a range of layers.
 
+        Parameters
+        ----------
+        endpoint : routing.Endpoint
+        holding : routing.Holding
+        expected_orders : int
+            The engine refuses if it has accepted more or fewer.
+        token : int
+            Fencing token: engines that look at it refuse a lower one than
+            they have seen.
+
         Returns
         -------
         OrderResult
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -114,14 +114,12 @@
         self.peers = peers.make_peers(
             settings, self.view, self.installation.leases, tell
         )
-
-        def wait():
-            return self.peers.wait(self.view.clock())
-
         self.parts = [
-            following.make_follower(self.installation.table, True, wait, tell),
             following.make_follower(
-                self.installation.endpoints, False, wait, tell
+                self.installation.table, True, self.peers, tell
+            ),
+            following.make_follower(
+                self.installation.endpoints, False, self.peers, tell
             ),
         ]
         self.parts.append(self.peers.start())
--- a/packages/gateway/ibisring_gateway/tests/builders.py
+++ b/packages/gateway/ibisring_gateway/tests/builders.py
@@ -82,6 +82,7 @@
         self.asked = []
         self.placed = []
         self.moved = []
+        self.tokens = []
         self.result = ports.OrderResult.BEGUN
         self.busy = False
         self.orders = 1
@@ -92,7 +93,8 @@
             raise exceptions.PlatformUnavailable(address)
         return ports.EngineStatus(orders=self.orders, busy=self.busy)
 
-    def place(self, endpoint, holding, expected_orders):
+    def place(self, endpoint, holding, expected_orders, token):
+        self.tokens.append(token)
         self.placed.append((endpoint.id, holding, expected_orders))
         return self.result
 
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -21,18 +21,20 @@
 
 
 def test_a_router_alone_notices_a_silent_connection_by_itself():
-    assert _peers().wait(100.0) == 2.0
+    assert _peers().wait() == 2.0
 
 
 def test_calls_of_the_fleet_do_not_grow_with_it():
     for count in (6, 30, 83, 300):
         known = _peers()
+        clock = builders.Clock()
+        known.view.clock = clock
         for number in range(1, count):
-            known.heard(f'r{number}', f'10.0.0.{number}:1', 100.0)
-        wait = known.wait(101.0)
-        assert wait <= peers.MOST_WAIT
-        assert wait >= min(peers.MOST_WAIT, peers.CALL_EVERY * count)
-        assert known.wait(200.0) == 2.0
+            known.heard(f'r{number}', f'10.0.0.{number}:1', clock())
+        assert known.wait() == min(peers.MOST_WAIT, peers.CALL_EVERY * count)
+        assert peers.LEAST_PAUSE < known.pause() <= peers.MOST_PAUSE
+        clock.now += 100.0
+        assert known.wait() == 2.0
 
 
 def test_a_router_that_is_ahead_is_asked():
--- a/packages/gateway/ibisring_gateway/tests/test_placing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -127,3 +127,19 @@
     _look(placer, times=5)
     names = [name for name, _, _ in engines.placed]
     assert names and len(names) == len(set(names))
+
+
+def test_orders_carry_the_term_and_end_when_a_later_one_is_known():
+    """Symptom: a holder that was paused orders over its successor.
+
+    Sequence: it checks its lease, freezes, and sends when it wakes.
+    Cause: the check was true when it was made; only the engine can tell.
+    """
+    engines = builders.Engines()
+    engines.result = ports.OrderResult.STALE
+    left = [e for e in _endpoints() if e.id != LOST]
+    placer = _placer(builders.view_of(left), engines=engines)
+    placer.turn.read_at = -100.0
+    placer.on_look(placing.Look())
+    assert engines.tokens == [placer.turn.term]
+    assert not placer.turn.holds(0.0)
--- a/packages/policy/ibisring_policy/ordering.py
+++ b/packages/policy/ibisring_policy/ordering.py
@@ -128,6 +128,10 @@
         """Note a write that succeeded, by the time just before it."""
         self.held_until = asked_at + LEASE
 
+    def lost(self):
+        """Give the lease up: an engine has seen a later holder's token."""
+        self.held_until = -1.0
+
     def without_store(self, now):
         """Say whether to order although the store does not answer."""
         return False
@@ -235,7 +239,7 @@
         elif result == 'unknown':
             self.counts[endpoint.id] = endpoint.started, None
             shows = UNKNOWN_FOR
-        elif result in ('conflict', 'wrong'):
+        elif result in ('conflict', 'wrong', 'stale'):
             self.counts[endpoint.id] = endpoint.started, None
             self.busy(endpoint, self.clock_now)
             return
