A fault soak: real gateway processes, faults from outside, promises checked

packages/soak draws faults from a seed and carries them out on real gateway processes before the platform's stand-ins: signals to the processes (end, kill, stop and go on, reload), a loopback proxy on every path (reset, silenced for good, cut one way, slow, refusing), a store that is down, silent, loses answers or forgets its history, engines that go dark, restart under their id, leave and come, services that lose, refuse, fail, hang or cut answers, configurations that revoke keys, grow or come in a row. They overlap. Callers keep their connections until they break.

Checked from what callers and endpoints saw: own, whole, signed answers; streams in order; at most one run; refused means not run; layers once and in order; leaving endpoints and revoked keys followed; shutdowns in time that cut nothing; service back after the last fault; no engine over its card.

Not covered: clocks that step. The gateway decides by the steady clock only; stopping a process for a while is what that clock can do to it.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 VENV := .venv
 PY := $(VENV)/bin/python
 PACKAGES := records web policy backing standins router operator gateway
-EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform
+EDITABLE := $(foreach p,$(PACKAGES),-e packages/$(p)) -e platform -e packages/soak
 
 $(VENV)/.ready: requirements.txt requirements-dev.txt \
 		$(wildcard packages/*/pyproject.toml)
--- /dev/null
+++ b/packages/soak/ibisring_soak/__init__.py
@@ -0,0 +1,1 @@
+"""A randomized soak: real gateway processes, faults from outside them."""
--- /dev/null
+++ b/packages/soak/ibisring_soak/tests/test_promises.py
@@ -0,0 +1,100 @@
+"""Each promise that is broken is found, and nothing else is."""
+
+from ibisring_soak import promises
+from ibisring_soak import records
+from ibisring_soak.tests import builders
+import pytest
+
+call = builders.call
+run = builders.run
+
+
+def _broken(calls=(), runs=(), **changes):
+    history = builders.history(calls, runs, **changes)
+    return [each.promise for each in promises.check(history)]
+
+
+def test_a_good_run_has_none():
+    assert _broken([call()], [run()]) == []
+
+
+@pytest.mark.parametrize(
+    ('changes', 'promise'),
+    [
+        ({'signed': False}, 'a success is signed'),
+        ({'answered_id': 'c2'}, 'an answer is the own one'),
+        ({'body': b'p1 ran c2'}, 'a body is the own one'),
+        (
+            {'kind': 'stream', 'words': ['word-1']},
+            'a stream is whole and in order',
+        ),
+        (
+            {'kind': 'stream', 'words': ['word-1', 'word-1', 'word-2']},
+            'a stream is whole and in order',
+        ),
+        ({'status': 503}, 'refused means not run'),
+        ({'status': 401}, 'denied means not run'),
+    ],
+)
+def test_a_bad_answer_is_found(changes, promise):
+    assert _broken([call(**changes)], [run()]) == [promise]
+
+
+def test_an_answer_that_is_seen_to_be_cut_is_allowed():
+    cut = call(kind='stream', whole=False, words=['word-1'])
+    assert _broken([cut], [run()]) == []
+
+
+def test_two_runs_of_what_may_not_repeat():
+    assert _broken([call()], [run(), run()]) == ['runs at most once']
+    assert _broken([call(kind='safe')], [run(), run()]) == []
+
+
+def test_a_run_that_nobody_asked_for():
+    assert _broken([], [run('c9')]) == ['runs only what was asked']
+
+
+def test_a_run_for_another_account():
+    other = run(account='account-2')
+    assert _broken([call()], [other]) == ['account of the key']
+
+
+@pytest.mark.parametrize(
+    'chain',
+    [((0, 8),), ((0, 8), (9, 16)), ((0, 9), (8, 16)), ((8, 16), (0, 8))],
+)
+def test_chains_that_miss_or_repeat_layers(chain):
+    assert _broken([call()], [run(chain=chain)]) == [
+        'layers once and in order'
+    ]
+
+
+def test_a_leaving_endpoint_that_gets_requests():
+    notices = [records.Notice('draining', 'p1', 97.0)]
+    assert _broken([call()], [run()], notices=notices) == [
+        'draining is followed'
+    ]
+    store = [('store', 98.0, 99.0)]
+    assert not _broken([call()], [run()], notices=notices, disturbed=store)
+
+
+def test_a_revoked_key_that_passes():
+    notices = [records.Notice('revoked', 'key-1', 97.0)]
+    broken = _broken([call()], [run()], notices=notices)
+    # The request that ends the history has the key as well.
+    assert broken == ['revoked is followed'] * 2
+
+
+def test_a_shutdown_that_cuts_or_lasts():
+    cut = call(whole=False)
+    assert _broken([cut], [run()], ended=[('r1', 99.0, 3.0)]) == [
+        'a shutdown cuts nothing'
+    ]
+    assert _broken(ended=[('r1', 99.0, 5.5)]) == ['ends in time']
+    killed = [('router r1', 100.0, 101.0)]
+    assert not _broken(ended=[('r1', 99.0, 5.5)], disturbed=killed)
+
+
+def test_requests_that_are_not_served_again():
+    lost = [call(f'l{n}', sent_at=170.0, status=503) for n in range(5)]
+    assert _broken(lost) == ['serves again']
