The slack for repeats is shared by as many routers as there are

Cause: each router took a tenth of the slack, which was made for six; 83 of them could pass the bound eight times over. Ruled out: repeats of clients (new requests by the rule), repaths (orders).

Routers now share 0.6 of the slack in equal parts by the number that each knows of; a lone router may use all of that. Test first: with the old rule 83 routers pass 516 allowed repeats (test_a_fleet_stays_within_the_bound).

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -38,14 +38,26 @@
     connections : upstream.Connections
     watcher : watching.Watcher
     window : attempts.Window
+    count_routers : callable
+        Gives how many routers share the bound on repeats.
     metrics : metrics.Metrics
     """
 
-    def __init__(self, view, codec, connections, watcher, window, metrics):
+    def __init__(
+        self,
+        view,
+        codec,
+        connections,
+        watcher,
+        window,
+        count_routers,
+        metrics,
+    ):
         self.view = view
         self.codec = codec
         self.watcher = watcher
         self.window = window
+        self.count_routers = count_routers
         self.metrics = metrics
         self.selector = selecting.make_selector(view)
         self.sender = sending.make_sender(
@@ -175,7 +187,9 @@
             goes_on = step in (attempts.Next.ELSEWHERE, attempts.Next.RESUME)
             if goes_on and progress.sent_to:
                 with self.view.lock:
-                    progress.budget = self.window.take(now)
+                    progress.budget = self.window.take(
+                        now, self.count_routers()
+                    )
                 if not progress.budget:
                     step = attempts.decide(end, progress)
                     goes_on = False
@@ -269,6 +283,6 @@
     return ' '.join(f'{s.endpoint}={s.first}-{s.end}' for s in stages)
 
 
-def make_forwarder(view, codec, connections, watcher, window, metrics):
+def make_forwarder(*parts):
     """Make a `Forwarder`."""
-    return Forwarder(view, codec, connections, watcher, window, metrics)
+    return Forwarder(*parts)
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -134,6 +134,14 @@
             1 for at in list(self.heard_at.values()) if now - at < HEARD_FOR
         )
 
+    def fleet(self, now):
+        """Give how many routers there may be, this one included.
+
+        One that has just started has heard nobody yet, but has read the
+        rows of those that ever ran.
+        """
+        return max(self.running(now), len(self.others()) + 1)
+
     def _loop(self):
         asked_at = 0.0
         while not self.stopped.wait(TICK * self.rng.uniform(0.8, 1.2)):
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -62,8 +62,8 @@
         self.watcher = watching.make_watcher(self._on_silence)
         self.window = attempts.make_window(
             settings.repeat_window_s,
-            settings.repeat_ratio * attempts.OWN_SHARE,
-            settings.repeat_slack * attempts.OWN_SLACK,
+            settings.repeat_ratio * attempts.RATIO_SHARE,
+            settings.repeat_slack * attempts.SLACK_SHARE,
         )
         self.forwarder = forwarding.make_forwarder(
             self.view,
@@ -71,6 +71,7 @@
             self.connections,
             self.watcher,
             self.window,
+            self._count_routers,
             self.metrics,
         )
         self.doctor = doctor.make_doctor(
@@ -92,6 +93,9 @@
     def _on_silence(self, attempt):
         self.doctor.silent(attempt)
 
+    def _count_routers(self):
+        return self.peers.fleet(time.monotonic())
+
     def start(self):
         """Start listeners, actors and threads."""
         settings = self.settings
--- a/packages/policy/ibisring_policy/attempts.py
+++ b/packages/policy/ibisring_policy/attempts.py
@@ -62,11 +62,11 @@
     budget: bool = True
 
 
-# Of the bound on repeats, which holds for all routers together and counts
-# those of endpoints' own calls too, a router uses this share of the ratio to
-# its own requests, and this share of the slack.
-OWN_SHARE = 0.8
-OWN_SLACK = 0.1
+# The bound on repeats holds for all routers together and counts those of
+# endpoints' own calls too.  Routers use this share of the ratio, each to its
+# own requests, and this share of the slack, in equal parts.
+RATIO_SHARE = 0.8
+SLACK_SHARE = 0.6
 # Connections tried for one request: each costs up to the connect timeout.
 MOST_TRIES = 4
 # A repeat with less time than this left would only be cut again, in seconds.
@@ -131,7 +131,7 @@
     ----------
     seconds, ratio : float
     slack : float
-        Repeats allowed beside the ratio.
+        Repeats allowed beside the ratio, to all routers together.
     """
 
     __slots__ = ('seconds', 'ratio', 'slack', 'firsts', 'repeats')
@@ -153,15 +153,24 @@
         self.firsts.append(now)
         self._expire(now)
 
-    def take(self, now):
+    def take(self, now, routers):
         """Take one repeat if the bound allows it.
 
+        Parameters
+        ----------
+        now : float
+        routers : int
+            How many share the slack.  A part of it that does not shrink
+            with their number would let a large fleet pass the bound many
+            times over when engines that all of them use fail.
+
         Returns
         -------
         bool
         """
         self._expire(now)
-        allowed = len(self.firsts) * self.ratio + self.slack
+        own_slack = self.slack / max(1, routers)
+        allowed = len(self.firsts) * self.ratio + own_slack
         if len(self.repeats) + 1 > allowed:
             return False
         self.repeats.append(now)
--- a/packages/policy/ibisring_policy/tests/test_attempts.py
+++ b/packages/policy/ibisring_policy/tests/test_attempts.py
@@ -3,6 +3,7 @@
 import itertools
 
 from ibisring_policy import attempts
+import pytest
 
 End = attempts.End
 Next = attempts.Next
@@ -90,8 +91,34 @@
     window = attempts.make_window(10.0, 0.2, 2.0)
     for n in range(100):
         window.first(n * 0.01)
-    taken = sum(window.take(1.0) for _ in range(100))
+    taken = sum(window.take(1.0, 1) for _ in range(100))
     assert taken == 22
-    assert not window.take(5.0)
-    assert window.take(30.0) and window.take(30.0)
-    assert not window.take(30.0)
+    assert not window.take(5.0, 1)
+    assert window.take(30.0, 1) and window.take(30.0, 1)
+    assert not window.take(30.0, 1)
+
+
+@pytest.mark.parametrize('routers', [1, 6, 83, 380])
+def test_a_fleet_stays_within_the_bound(routers):
+    """Symptom: endpoints get more repeats than their owner allows.
+
+    Sequence: engines that all of 83 routers use fail at once; each request
+    is tried as often as it may be.
+    Cause: each router allowed itself a tenth of the slack, made for six.
+    """
+    ratio, slack, requests = 0.2, 350.0, 10.0
+    windows = [
+        attempts.make_window(
+            10.0,
+            ratio * attempts.RATIO_SHARE,
+            slack * attempts.SLACK_SHARE,
+        )
+        for _ in range(routers)
+    ]
+    repeats = 0
+    for window in windows:
+        for number in range(int(requests)):
+            window.first(number * 0.1)
+            tries = (window.take(1.0, routers) for _ in range(40))
+            repeats += sum(tries)
+    assert repeats <= ratio * requests * routers + slack
