A stream that can't go on is broken off, never closed by an error's text

Cause: an engine falls silent in a stream; the next one can't be connected to (0.2 s); the budget for repeats is spent. A connection that failed counted as a first try, for which decide() asked no budget, so its answer was to go on while the forwarder did not; what followed raised an error, and the error's answer was written into the stream, whose last chunk then looked complete. Ruled out: the relay taking a reset for the end (it raises), the endpoint's own framing.

Now a request that an endpoint was sent never goes on without the budget (decide alone says so), and an error after the head of an answer only cuts it. test_nothing_that_was_sent_goes_on_without_the_budget[not_sent] and test_an_error_is_not_written_after_a_part_of_an_answer fail without these.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -23,6 +23,7 @@
 # A router that knows no configuration has just started and finds the store
 # away; outages last seconds, and a caller comes back once or twice only.
 UNREADY_RETRY = 2.0
+GOING_ON = (attempts.Next.ELSEWHERE, attempts.Next.RESUME)
 # Seconds that a stream under way waits for room, and between looks for it.
 RESUME_WAIT = 1.3
 RESUME_TICK = 0.05
@@ -101,6 +102,13 @@
                 exchange.close_after()
 
     def _refuse(self, exchange, request_id, error, started):
+        if exchange.begun:
+            # The caller has a part of an answer.  An error written after it
+            # would end that answer as if it were whole; the caller sees that
+            # it was cut only if nothing more comes.
+            exchange.abort()
+            self._log(request_id, 'broken_off', started, why=str(error))
+            return
         if self.stopping_at is not None:
             exchange.close_after()
         status, headers, body = self.codec.encode_error(request_id, error)
@@ -184,15 +192,12 @@
             progress.delivering = job.exchange.begun
             progress.budget = True
             step = attempts.decide(end, progress)
-            goes_on = step in (attempts.Next.ELSEWHERE, attempts.Next.RESUME)
-            if goes_on and progress.sent_to:
+            if step in GOING_ON and progress.sent_to:
                 with self.view.lock:
                     progress.budget = self.window.take(
                         now, self.count_routers()
                     )
-                if not progress.budget:
-                    step = attempts.decide(end, progress)
-                    goes_on = False
+                step = attempts.decide(end, progress)
             logs.event(
                 LOG,
                 'attempt_ended',
@@ -205,7 +210,7 @@
                 left_ms=round(progress.time_left * 1000.0),
                 after_event=job.splitter.last,
             )
-            if not goes_on:
+            if step not in GOING_ON:
                 self._give_up(job, end, step)
                 return
 
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/tests/test_forwarding.py
@@ -0,0 +1,52 @@
+"""Tests of a request's one final answer."""
+
+from ibisring_gateway import forwarding
+from ibisring_gateway.tests import builders
+from ibisring_records import exceptions
+
+
+class _Exchange:
+    """Notes what is written to the caller."""
+
+    def __init__(self, begun):
+        self.begun = begun
+        self.written = []
+        self.aborted = False
+
+    def answer(self, status, headers, body):
+        self.written.append(status)
+
+    def abort(self):
+        self.aborted = True
+
+
+class _Codec:
+    def encode_error(self, request_id, error):
+        return error.status, [], b'error'
+
+
+def _refuse(begun):
+    view = builders.view_of([])
+    forwarder = forwarding.make_forwarder(
+        view, _Codec(), None, None, None, lambda: 1, builders.Metrics()
+    )
+    exchange = _Exchange(begun)
+    error = exceptions.Interrupted('the last attempt ended', 1.0)
+    forwarder._refuse(exchange, 'a1', error, view.clock())
+    return exchange
+
+
+def test_an_error_is_not_written_after_a_part_of_an_answer():
+    """Symptom: a caller takes half a recipe for a whole one.
+
+    Sequence: a stream is under way; it ends with an error.
+    Cause: the error was written as an answer, whose end closed the stream.
+    """
+    exchange = _refuse(begun=True)
+    assert exchange.aborted and not exchange.written
+
+
+def test_an_error_is_the_answer_before_any_part():
+    exchange = _refuse(begun=False)
+    assert exchange.written == [exceptions.Interrupted.status]
+    assert not exchange.aborted
--- a/packages/policy/ibisring_policy/attempts.py
+++ b/packages/policy/ibisring_policy/attempts.py
@@ -110,9 +110,8 @@
     # A stream may go to an endpoint that has had it before, over a chain
     # with other stages: that is no further endpoint.
     is_open = progress.stream or progress.sent_to < progress.most_endpoints
-    if end is End.NOT_SENT:
-        return is_open
-    return is_open and progress.budget
+    # A request that no endpoint was sent is no repeat yet.
+    return is_open and (progress.budget or not progress.sent_to)
 
 
 def _give_up(progress):
--- a/packages/policy/ibisring_policy/tests/test_attempts.py
+++ b/packages/policy/ibisring_policy/tests/test_attempts.py
@@ -57,6 +57,30 @@
     assert attempts.decide(End.REFUSED, progress) is Next.REFUSE
 
 
+@pytest.mark.parametrize('end', list(End))
+def test_nothing_that_was_sent_goes_on_without_the_budget(end):
+    """Symptom: a stream that was cut is framed as complete.
+
+    Sequence: its engine falls silent in the middle; the next one can't be
+    connected to; the budget for repeats is spent.
+    Cause: a connection that failed was taken for a first try, which needs
+    no budget, so the decision was to go on, and nothing broke it off.
+    """
+    for delivering in (False, True):
+        progress = _progress(
+            stream=True, delivering=delivering, budget=False, sent_to=1
+        )
+        step = attempts.decide(end, progress)
+        assert step not in (Next.ELSEWHERE, Next.RESUME)
+        if delivering and end is not End.CALLER_GONE:
+            assert step is Next.BREAK
+
+
+def test_a_first_try_needs_no_budget():
+    progress = _progress(budget=False, sent_to=0, may_have_run=False)
+    assert attempts.decide(End.NOT_SENT, progress) is Next.ELSEWHERE
+
+
 def test_a_stream_under_way_is_resumed_or_broken_off():
     progress = _progress(stream=True, delivering=True)
     assert attempts.decide(End.CUT, progress) is Next.RESUME
