The watcher sleeps until an attempt is due

It looked at the clock each 10 ms while any attempt was under way, at 83 routers that is 8,000 wake-ups a second for nothing. It now sleeps until the next silence or deadline, 50 ms at most, which is less than the 60 ms after which a stream that has just had an event can be overdue.

--- /dev/null
+++ b/packages/gateway/ibisring_gateway/tests/test_watching.py
@@ -0,0 +1,69 @@
+"""Tests of when attempts are looked at."""
+
+import socket
+
+from ibisring_gateway import selecting
+from ibisring_gateway.tests import builders
+from ibisring_gateway import watching
+from ibisring_policy import attempts
+import pytest
+
+
+class _Watcher(watching.Watcher):
+    """Has no thread; the test looks."""
+
+    def start(self):
+        return self
+
+
+def _watcher():
+    clock = builders.Clock()
+    silent = []
+    return _Watcher(silent.append, clock), clock, silent
+
+
+def _attempt(watcher, clock, **times):
+    ours, theirs = socket.socketpair()
+    attempt = watching.Attempt('a', None, (), clock() + 10.0)
+    for name, value in times.items():
+        setattr(attempt, name, value)
+    watcher.add(ours, attempt)
+    return attempt, ours, theirs
+
+
+def test_it_sleeps_until_something_is_due():
+    """Gain: 100 wake-ups a second become some 15, at one stream a router."""
+    assert watching.MOST_SLEEP < selecting.LEAST_GAP
+    watcher, clock, _ = _watcher()
+    assert watcher.sleep(clock()) == watching.IDLE_SLEEP
+    attempt, ours, _ = _attempt(watcher, clock)
+    assert watcher.sleep(clock()) == pytest.approx(watching.MOST_SLEEP)
+    attempt.silent_at = clock() + 0.02
+    assert watcher.sleep(clock()) == pytest.approx(0.02)
+    attempt.looking = True
+    assert watcher.sleep(clock()) == pytest.approx(watching.MOST_SLEEP)
+    attempt.deadline = clock()
+    assert watcher.sleep(clock()) == watching.LEAST_SLEEP
+    watcher.remove(ours)
+
+
+def test_what_is_due_is_looked_at_once():
+    watcher, clock, silent = _watcher()
+    attempt, ours, _ = _attempt(watcher, clock)
+    attempt.silent_at = clock() + 0.06
+    watcher.look(clock())
+    assert not silent
+    clock.now += 0.06
+    watcher.look(clock())
+    watcher.look(clock())
+    assert silent == [attempt]
+    watcher.remove(ours)
+
+
+def test_an_attempt_out_of_time_is_broken_off():
+    watcher, clock, _ = _watcher()
+    attempt, ours, _ = _attempt(watcher, clock)
+    clock.now += 10.0
+    watcher.look(clock())
+    assert attempt.end is attempts.End.DEADLINE
+    watcher.remove(ours)
--- a/packages/gateway/ibisring_gateway/watching.py
+++ b/packages/gateway/ibisring_gateway/watching.py
@@ -11,11 +11,13 @@
 from ibisring_policy import attempts
 
 LOG = logging.getLogger(__name__)
-# A caller's leaving shows at once; the clock is looked at this often, in
-# seconds, while attempts are under way: a tenth of the shortest pause that
-# a stream may make.
-TICK = 0.01
-IDLE_TICK = 1.0
+# A caller's leaving shows at once.  The thread sleeps until some attempt is
+# next due, within these bounds in seconds: at most a little less than the
+# shortest time after which a stream that has just had an event is looked at,
+# so that an attempt which comes while it sleeps is not late.
+LEAST_SLEEP = 0.005
+MOST_SLEEP = 0.05
+IDLE_SLEEP = 1.0
 _LEFT = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -151,11 +153,21 @@
 
     def _loop(self):
         while not self.stopped:
-            wait = TICK if self.by_fd else IDLE_TICK
-            for fd, _ in self.epoll.poll(wait):
+            for fd, _ in self.epoll.poll(self.sleep(self.clock())):
                 self._on_event(fd)
             self.look(self.clock())
 
+    def sleep(self, now):
+        """Give the seconds until an attempt is next due."""
+        if not self.by_fd:
+            return IDLE_SLEEP
+        dues = [now + MOST_SLEEP]
+        for attempt in self.all():
+            dues.append(attempt.deadline)
+            if attempt.silent_at is not None and not attempt.looking:
+                dues.append(attempt.silent_at)
+        return max(LEAST_SLEEP, min(dues) - now)
+
     def _on_event(self, fd):
         if fd == self.wake_reader.fileno():
             self.wake_reader.recv(4096)
