--- a/packages/soak/ibisring_soak/world.py
+++ b/packages/soak/ibisring_soak/world.py
@@ -108,7 +108,8 @@
     def stop(self):
         """End the process and both proxies."""
         self.stopping = True
-        self.supervisor.join(timeout=5)
+        if self.supervisor.is_alive():
+            self.supervisor.join(timeout=5)
         child = self.process.process
         if child.poll() is None:
             child.send_signal(signal.SIGCONT)
