--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -33,6 +33,7 @@
     changed: int = 0
     table: int = 0
     slow: dict[str, float] = {}
+    domain: str = ''
 
 
 class Gossip:
@@ -91,6 +92,7 @@
             self.view.snapshot.changed,
             self.view.snapshot.version,
             slow,
+            self.settings.failure_domain,
         )
         data = msgspec.json.encode(told)
         if len(data) > MOST_BYTES:
@@ -121,7 +123,8 @@
             self.view.book.take_told(
                 told.router, told.tokens, told.dead, now, told.slow
             )
-        self.peers.heard(told.router, f'{source[0]}:{source[1]}', now)
+        address = f'{source[0]}:{source[1]}'
+        self.peers.heard(told.router, address, told.domain, now)
         snapshot = self.view.snapshot
         behind = told.changed > max(snapshot.changed, snapshot.position)
         if behind or told.table > snapshot.version:
