--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Targets: run (router on embedded stand-ins), platform-demo (gateway before
-# stand-ins of the users' platform), test, lint, format.
+# stand-ins of the users' platform), soak (random faults), test, lint, format.
 VENV := .venv
 PY := $(VENV)/bin/python
 PACKAGES := records web policy backing standins router operator gateway
@@ -22,6 +22,9 @@
 platform-demo: env
 	$(PY) -m ibisring_adapter.tests.demo
 
+soak: env
+	$(PY) -m ibisring_soak --runs 5
+
 test: env
 	$(PY) -m pytest
 
@@ -32,4 +35,4 @@
 format: env
 	$(VENV)/bin/black --quiet packages platform bench
 
-.PHONY: env run platform-demo test lint format
+.PHONY: env run platform-demo soak test lint format
