--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -16,7 +16,6 @@
 
 LOG = logging.getLogger(__name__)
 STORE = 'store'
-NEVER = -1e9
 
 
 class Read(msgspec.Struct):
@@ -24,8 +23,6 @@
 
     `origin` tells the store from a peer; `position` is the store's version
     that the items are of, `age` the seconds since the store was read.
-    `relayed` says that the peer follows the store on this router's behalf;
-    `doubt` is as for `ports.Page`.
     """
 
     items: list
@@ -34,18 +31,6 @@
     is_table: bool = False
     position: int = 0
     age: float = 0.0
-    relayed: bool = False
-    doubt: float = 0.0
-
-    @property
-    def is_direct(self):
-        """Whether this router's own call of the store brought it."""
-        return self.origin == STORE
-
-    @property
-    def follows(self):
-        """Whether it continues what was read before."""
-        return self.is_direct or self.relayed
 
 
 class Failed(msgspec.Struct):
@@ -82,7 +67,6 @@
 
     def on_failed(self, message):
         """Note that the store does not answer."""
-        self.view.board.heard_at = NEVER
         if self.presence.failed(time.monotonic()):
             logs.event(LOG, 'store_lost', why=message.why)
             self.metrics.count('store_lost')
@@ -90,8 +74,8 @@
     def on_read(self, message):
         """Apply what was read."""
         now = time.monotonic()
-        if message.follows and self.presence.succeeded(now):
-            logs.event(LOG, 'store_regained', origin=message.origin)
+        if message.origin == STORE and self.presence.succeeded(now):
+            logs.event(LOG, 'store_regained')
         if message.is_table:
             self._replace(table_at=now - message.age)
             for table in message.items:
@@ -122,16 +106,20 @@
         self.on_table(table)
 
     def _apply_endpoints(self, message, now):
-        if not message.follows:
+        if message.origin != STORE:
             if message.position <= self.view.snapshot.position:
                 return
-            self._publish_board(message, True, now)
             # The peer reads the store, so what is missing there has left.
             changed = self.presence.replace(message.items, now, sure=True)
+        elif message.whole:
+            changed = self.presence.replace(message.items, now)
         else:
-            self.presence.doubt_for(message.doubt, now)
-            self._publish_board(message, message.whole, now)
-            changed = self._take_changes(message, now)
+            changed = False
+            for item in message.items:
+                if isinstance(item, ports.Gone):
+                    changed |= self.presence.remove(item.id, now)
+                else:
+                    changed |= self.presence.put(item, now)
         changed |= self.presence.expire(now)
         if not changed and self.view.snapshot.endpoints_known:
             self._replace(
@@ -140,29 +128,6 @@
             return
         self._publish(now, message)
 
-    def _take_changes(self, message, now):
-        if message.whole:
-            return self.presence.replace(message.items, now)
-        changed = False
-        for item in message.items:
-            if isinstance(item, ports.Gone):
-                changed |= self.presence.remove(item.id, now)
-            else:
-                changed |= self.presence.put(item, now)
-        return changed
-
-    def _publish_board(self, message, whole, now):
-        """Let routers that follow this one have what came.
-
-        Only what this router's own call of the store brought makes it one
-        to follow: two that followed each other would both stand still.
-        """
-        board = self.view.board
-        if message.is_direct:
-            board.heard_at = now
-        board.doubt_until = self.presence.doubt_until
-        board.publish(message.position, message.items, whole)
-
     def _publish(self, now, message):
         usable = self.presence.usable()
         by_service = {}
--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -8,7 +8,6 @@
 
 from ibisring_gateway import directory as directory_module
 from ibisring_gateway import ports
-from ibisring_gateway import relaying
 from ibisring_records import exceptions
 
 LOG = logging.getLogger(__name__)
@@ -34,13 +33,10 @@
         pause after one.
     tell : callable
         Takes `directory.Read` and `directory.Failed` messages.
-    relays : peers.Relays or None
-        Gives the router to follow instead of the store, if there is one.
     """
 
-    def __init__(self, source, is_table, pace, tell, relays=None):
+    def __init__(self, source, is_table, pace, tell):
         self.source = source
-        self.relays = relays
         self.is_table = is_table
         self.pace = pace
         self.tell = tell
@@ -90,17 +86,13 @@
         Returns
         -------
         bool
-            Whether the store was called and there was anything.
+            Whether there was anything.
         """
-        if self._follow_router():
-            return False
         whole = self.position is None
         if whole:
             page = self.source.read_all()
         else:
-            page = self.source.changes(
-                self.position, self.pace.wait(self.is_table)
-            )
+            page = self.source.changes(self.position, self.pace.wait())
         self.position = page.position
         self.has_read = True
         self.tell(
@@ -113,33 +105,7 @@
         )
         return bool(page.items)
 
-    def _follow_router(self):
-        """Ask another router instead of the store; True if that worked."""
-        if self.relays is None or self.position is None:
-            return False
-        row, source = self.relays.current()
-        if source is None:
-            return False
-        try:
-            page = source.changes(self.position, relaying.WAIT)
-        except exceptions.IbisringError as error:
-            self.relays.failed(row, error.detail)
-            return False
-        self.position = page.position
-        self.tell(
-            directory_module.Read(
-                page.items,
-                page.whole,
-                origin=f'router {row.name}',
-                position=page.position,
-                age=page.age,
-                relayed=True,
-                doubt=page.doubt,
-            )
-        )
-        return True
-
 
-def make_follower(source, is_table, pace, tell, relays=None):
+def make_follower(source, is_table, pace, tell):
     """Make and start a `Follower`."""
-    return Follower(source, is_table, pace, tell, relays).start()
+    return Follower(source, is_table, pace, tell).start()
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -33,7 +33,6 @@
     changed: int = 0
     table: int = 0
     slow: dict[str, float] = {}
-    domain: str = ''
 
 
 class Gossip:
@@ -92,7 +91,6 @@
             self.view.snapshot.changed,
             self.view.snapshot.version,
             slow,
-            self.settings.failure_domain,
         )
         data = msgspec.json.encode(told)
         if len(data) > MOST_BYTES:
@@ -123,8 +121,7 @@
             self.view.book.take_told(
                 told.router, told.tokens, told.dead, now, told.slow
             )
-        address = f'{source[0]}:{source[1]}'
-        self.peers.heard(told.router, address, told.domain, now)
+        self.peers.heard(told.router, f'{source[0]}:{source[1]}', now)
         snapshot = self.view.snapshot
         behind = told.changed > max(snapshot.changed, snapshot.position)
         if behind or told.table > snapshot.version:
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -1,6 +1,6 @@
 """What routers tell each other, and whom they know."""
 
-__all__ = ['State', 'Peers', 'Relays', 'make_peers', 'make_relays']
+__all__ = ['State', 'Peers', 'make_peers']
 
 import logging
 import random
@@ -11,8 +11,6 @@
 
 from ibisring_gateway import directory as directory_module
 from ibisring_gateway import ports
-from ibisring_gateway import relaying
-from ibisring_policy import readers
 from ibisring_records import exceptions
 from ibisring_records import routing
 from ibisring_router import logs
@@ -44,10 +42,6 @@
 PAUSE_EACH = 0.006
 MOST_PAUSE = 0.6
 TICK = 0.1
-# Seconds for which a router that failed its followers is not followed, and
-# those by which a call that follows the store may pass its wait.
-AVOID = 5.0
-RELAY_SLACK = 1.2
 
 
 class State(msgspec.Struct):
@@ -121,12 +115,12 @@
             endpoints=list(snapshot.endpoints.values()),
         )
 
-    def heard(self, name, address, domain, now):
+    def heard(self, name, address, now):
         """Note a datagram of another router."""
         self.heard_at[name] = now
         row = self.known.get(name)
-        if row is None or (row.address, row.domain) != (address, domain):
-            self.known[name] = ports.RouterRow(name, address, domain, 0.0)
+        if row is None or row.address != address:
+            self.known[name] = ports.RouterRow(name, address, '', 0.0)
 
     def behind(self, name, now):
         """Note that another router knows something newer."""
@@ -180,28 +174,9 @@
         age = now - min(snapshot.table_at, snapshot.endpoints_at)
         return age > self.wait() + ASK_AFTER
 
-    def mates(self, now):
-        """Give the routers of the own failure domain, this one included."""
-        domain = self.settings.failure_domain
-        names = [self.settings.router_id]
-        for row in self.others():
-            heard_at = self.heard_at.get(row.name, -HEARD_FOR)
-            if row.domain == domain and now - heard_at < HEARD_FOR:
-                names.append(row.name)
-        return names
-
-    def callers(self, now):
-        """Give about how many routers follow the store's endpoints."""
-        domains = {row.domain for row in self.others()}
-        domains.add(self.settings.failure_domain)
-        return min(self.running(now), readers.READERS * len(domains))
-
-    def wait(self, is_table=True):
+    def wait(self):
         """Give how long a call that follows the store may wait, in seconds.
 
-        `is_table` for the table, which each router follows by itself: it
-        is what keys and routes are taken away by.
-
         A connection to the store may fall silent for good.  Routers that
         hear each other notice it together: the next one whose call begins
         anew learns what the others missed, and they ask it.  With the wait
@@ -209,9 +184,7 @@
         0.8 s on average, and the calls a second do not grow with it.
         """
         alone = self.settings.feed_wait_s
-        now = self.view.clock()
-        count = self.running(now) if is_table else self.callers(now)
-        shared = CALL_EVERY * count
+        shared = CALL_EVERY * self.running(self.view.clock())
         return min(MOST_WAIT, max(alone, shared))
 
     def pause(self):
@@ -306,57 +279,6 @@
             )
 
 
-class Relays:
-    """Which router to follow instead of the store.
-
-    Parameters
-    ----------
-    peers : Peers
-    """
-
-    def __init__(self, peers):
-        self.peers = peers
-        self.clock = peers.view.clock
-        self.rng = random.Random()
-        self.row = None
-        self.source = None
-        self.avoided = {}
-
-    def current(self):
-        """Give the row and the source to follow, or None twice."""
-        now = self.clock()
-        own = self.peers.settings.router_id
-        chosen = readers.choose(self.peers.mates(now))
-        if own in chosen:
-            return None, None
-        usable = [n for n in chosen if self.avoided.get(n, 0.0) <= now]
-        if not usable:
-            return None, None
-        if self.row is None or self.row.name not in usable:
-            self._take(self.peers.known.get(self.rng.choice(usable)))
-        return self.row, self.source
-
-    def _take(self, row):
-        self.row = row
-        self.source = None
-        if row is None:
-            return
-        most_age = self.peers.wait(is_table=False) + RELAY_SLACK
-        self.source = relaying.PeerSource(row.address, most_age)
-        logs.event(LOG, 'follows_router', router=row.name)
-
-    def failed(self, row, why):
-        """Follow another one, or the store, for a while."""
-        logs.event(LOG, 'router_not_followed', router=row.name, why=why)
-        self.avoided[row.name] = self.clock() + AVOID
-        self.row = None
-
-
-def make_relays(peers):
-    """Make `Relays`."""
-    return Relays(peers)
-
-
 def make_peers(settings, view, rows, tell):
     """Make `Peers`; start it with ``start()``."""
     return Peers(settings, view, rows, tell)
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -44,16 +44,11 @@
 class Page(msgspec.Struct):
     """Items read from a source, and the position to go on from.
 
-    Items are `routing.Endpoint`, `routing.RoutingTable` or `Gone`; `whole`
-    says that they are all there is.  `age` is in seconds since they were
-    read; for `doubt` more seconds what is missing may still come back.
+    Items are `routing.Endpoint`, `routing.RoutingTable` or `Gone`.
     """
 
     position: int
     items: list
-    whole: bool = False
-    age: float = 0.0
-    doubt: float = 0.0
 
 
 class Source(abc.ABC):
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -7,7 +7,6 @@
 import signal
 import threading
 import time
-import urllib.parse
 
 import msgspec
 import pykka
@@ -21,7 +20,6 @@
 from ibisring_gateway import logwriter
 from ibisring_gateway import peers
 from ibisring_gateway import placing
-from ibisring_gateway import relaying
 from ibisring_gateway import settings as settings_module
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
@@ -39,8 +37,6 @@
 METRICS_PATH = '/metrics'
 CALLER_THREADS = (16, 1200)
 READY_THREADS = (2, 8)
-# Each router that follows this one holds a thread while it waits.
-PEER_THREADS = (2, 64)
 # Seconds between looks at the layers beside those after each change: finds
 # orders that did not take effect and engines that died without a word.
 LOOK_SECONDS = 0.25
@@ -127,11 +123,7 @@
                 self.installation.table, True, self.peers, tell
             ),
             following.make_follower(
-                self.installation.endpoints,
-                False,
-                self.peers,
-                tell,
-                peers.make_relays(self.peers),
+                self.installation.endpoints, False, self.peers, tell
             ),
         ]
         self.parts.append(self.peers.start())
@@ -147,7 +139,7 @@
         plans = (
             (settings.caller_listen, CALLER_THREADS, self.forwarder.serve),
             (settings.ready_listen, READY_THREADS, self.serve_ready),
-            (f'{host}:{settings.peer_port}', PEER_THREADS, self.serve_peer),
+            (f'{host}:{settings.peer_port}', READY_THREADS, self.serve_peer),
             (f'{host}:{settings.metrics_port}', (1, 4), self.serve_metrics),
         )
         for address, threads, handle in plans:
@@ -175,20 +167,11 @@
     def serve_peer(self, call):
         """Tell another router what this one knows."""
         path, _, query = call.target.partition('?')
-        try:
-            given = dict(urllib.parse.parse_qsl(query))
-            if path == peers.STATE_PATH:
-                known = self.peers.state_for(int(given['version']))
-            elif path == relaying.PATH:
-                wait = min(relaying.WAIT, float(given['wait']))
-                known = self.view.board.wait_after(int(given['after']), wait)
-            else:
-                raise KeyError(path)
-        except (KeyError, ValueError) as error:
-            LOG.warning('peer_call_refused %s %s', call.target, error)
+        version = query.partition('=')[2]
+        if path != peers.STATE_PATH or not version.isdigit():
             call.answer(404, [], b'')
             return
-        body = msgspec.json.encode(known)
+        body = msgspec.json.encode(self.peers.state_for(int(version)))
         call.answer(200, [('Content-Type', 'application/json')], body)
 
     def serve_metrics(self, call):
--- a/packages/gateway/ibisring_gateway/tests/builders.py
+++ b/packages/gateway/ibisring_gateway/tests/builders.py
@@ -1,8 +1,6 @@
 """Fakes of the installation, and parts put together for tests."""
 
-from ibisring_gateway import peers
 from ibisring_gateway import ports
-from ibisring_gateway import settings as settings_module
 from ibisring_gateway import view as view_module
 from ibisring_policy import ordering
 from ibisring_policy import routetable
@@ -119,17 +117,3 @@
         endpoints_known=True,
     )
     return view
-
-
-def peers_of(view, name='r0'):
-    """Give `peers.Peers` of a router in failure domain 'a'."""
-    settings = settings_module.Settings(
-        router_id=name,
-        failure_domain='a',
-        host='127.0.0.1',
-        caller_listen='127.0.0.1:1',
-        ready_listen='127.0.0.1:2',
-        store='127.0.0.1:3',
-        peer_port=0,
-    )
-    return peers.make_peers(settings, view, Leases(), [].append)
--- a/packages/gateway/ibisring_gateway/tests/test_following.py
+++ b/packages/gateway/ibisring_gateway/tests/test_following.py
@@ -28,7 +28,7 @@
 
 
 class _Pace:
-    def wait(self, is_table):
+    def wait(self):
         return 0.0
 
     def pause(self):
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -2,11 +2,22 @@
 
 from ibisring_gateway import gossip
 from ibisring_gateway import peers
+from ibisring_gateway import settings as settings_module
 from ibisring_gateway.tests import builders
 
 
 def _peers(view=None):
-    return builders.peers_of(view or builders.view_of([]))
+    settings = settings_module.Settings(
+        router_id='r0',
+        failure_domain='a',
+        host='127.0.0.1',
+        caller_listen='127.0.0.1:1',
+        ready_listen='127.0.0.1:2',
+        store='127.0.0.1:3',
+        peer_port=0,
+    )
+    view = view or builders.view_of([])
+    return peers.make_peers(settings, view, builders.Leases(), [].append)
 
 
 def test_a_router_alone_notices_a_silent_connection_by_itself():
@@ -19,7 +30,7 @@
         clock = builders.Clock()
         known.view.clock = clock
         for number in range(1, count):
-            known.heard(f'r{number}', f'10.0.0.{number}:1', 'a', clock())
+            known.heard(f'r{number}', f'10.0.0.{number}:1', clock())
         assert known.wait() == min(peers.MOST_WAIT, peers.CALL_EVERY * count)
         assert peers.LEAST_PAUSE < known.pause() <= peers.MOST_PAUSE
         clock.now += 100.0
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -9,7 +9,6 @@
 import threading
 import time
 
-from ibisring_gateway import relaying
 from ibisring_policy import loadbook
 import msgspec
 
@@ -44,8 +43,6 @@
     ----------
     lock : threading.Lock
         Guards `book`.
-    board : relaying.Board
-        Endpoints as other routers may follow them here.
     """
 
     def __init__(self, domain='', clock=time.monotonic):
@@ -54,7 +51,6 @@
         self.snapshot = Snapshot()
         self.lock = threading.Lock()
         self.book = loadbook.make_book()
-        self.board = relaying.make_board(clock)
 
     @property
     def is_ready(self):
--- a/packages/policy/ibisring_policy/presence.py
+++ b/packages/policy/ibisring_policy/presence.py
@@ -55,14 +55,6 @@
         self.doubt_until = now + RETURN_GRACE
         return True
 
-    def doubt_for(self, seconds, now):
-        """Note that what is missing may come back for so many seconds.
-
-        A router that follows another did not see the outage itself.
-        """
-        if seconds > 0.0:
-            self.doubt_until = max(self.doubt_until, now + seconds)
-
     def _in_doubt(self, now):
         return self.failing_since is not None or now < self.doubt_until
 
