A failure in place of a stream's rest only cuts it; late engines come back

Cause: any answer but a 200 stream was relayed whole, also into a stream under way; the failure's body and the last chunk followed the events. It can come on the small sites too (engines that fail part of their requests).

An engine believed lost is asked again with 150 ms instead of 35: nobody waits for that answer (test_an_engine_that_answers_late_comes_back).

--- a/packages/gateway/ibisring_gateway/doctor.py
+++ b/packages/gateway/ibisring_gateway/doctor.py
@@ -16,6 +16,9 @@
 # Seconds that an endpoint has to tell its status: it needs no slot for it,
 # and callers count a stream as late after a pause of 0.2.
 STATUS_TIMEOUT = 0.035
+# Seconds that an endpoint believed lost has: nobody waits for that answer,
+# and one that is merely late must not stay out for as long as it is.
+REVIVE_TIMEOUT = 0.15
 # A stage vouched for by another request's event within so many seconds.
 VOUCHES = 0.05
 # A status this fresh is not asked for again, in seconds: when a stage dies
@@ -171,10 +174,10 @@
             self.asked[endpoint.id] = now, future
             return future
 
-    def _ask(self, endpoint):
+    def _ask(self, endpoint, timeout=STATUS_TIMEOUT):
         self.metrics.count('status_asked')
         try:
-            status = self.engines.status(endpoint.address, STATUS_TIMEOUT)
+            status = self.engines.status(endpoint.address, timeout)
             self._note_pace(endpoint, status)
             return status
         except exceptions.IbisringError as error:
@@ -241,7 +244,7 @@
             attempt.looking = False
 
     def _revive(self, endpoint):
-        alive = self._ask(endpoint) is not None
+        alive = self._ask(endpoint, REVIVE_TIMEOUT) is not None
         now = self.clock()
         with self.view.lock:
             if alive:
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -154,6 +154,11 @@
             return self._refused(job, attempt, answer)
         job.progress.may_have_run = True
         damage = _damage(answer)
+        if job.exchange.begun and answer.status != 200:
+            # The caller has a part of a stream.  Another status can't go on
+            # with it, and written after it its end would close the stream
+            # as if it were whole.
+            damage = f'status {answer.status} in place of a stream\'s rest'
         if damage:
             conn.close()
             return self._lost(job, attempt, damage)
--- a/packages/gateway/ibisring_gateway/tests/test_doctor.py
+++ b/packages/gateway/ibisring_gateway/tests/test_doctor.py
@@ -197,3 +197,18 @@
     scene.settle()
     scene.doctor.askers.shutdown(wait=True)
     assert not scene.view.book.is_dead('t')
+
+
+def test_an_engine_that_answers_late_comes_back(scene):
+    """Symptom: a fifth of the requests is refused though all engines live.
+
+    Sequence: an engine answers its status after 50 ms for a while; streams
+    that wait 200 ms are moved off it; it is asked again.
+    Cause: it had to answer that within the same 35 ms.
+    """
+    scene.engines.late['t:1'] = 0.05
+    scene.view.book.unreachable('t', time.monotonic() - 10.0)
+    scene.doctor.look_round()
+    scene.settle()
+    scene.doctor.askers.shutdown(wait=True)
+    assert not scene.view.book.is_dead('t')
