--- a/packages/soak/ibisring_soak/callers.py
+++ b/packages/soak/ibisring_soak/callers.py
@@ -106,8 +106,8 @@
             conn.request(method, path, body, sent)
             response = conn.getresponse()
             call.status = response.status
-            call.signed = 'Response-Seal' in response.headers
-            call.answered_id = response.headers.get('Attempt-Id', '')
+            call.signed = running.is_signed(response.headers)
+            call.answered_id = running.answered_id(response.headers)
             if call.kind == 'stream' and rng.random() < LEAVES:
                 time.sleep(LEAVES_AFTER)
                 call.gave_up = True
