Log lines say what made an answer late and which layers had no room

Cause: a refusal said only 'no endpoint has room', and pauses between two attempts of a stream were not counted, so nobody could tell what to mend. Ruled out: counting at the callers; routers are what operators have.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -125,6 +125,7 @@
             why=error.detail,
             retry_after=error.retry_after,
             table=self.view.snapshot.version,
+            **error.facts,
         )
 
     def _log(self, request_id, outcome, started, **facts):
@@ -153,18 +154,22 @@
         limit = match.route.timeout
         if request.time_limit is not None:
             limit = min(limit, request.time_limit - ANSWER_MARGIN)
-        job = jobs.Job(exchange, request, match, service, started + limit)
+        job = jobs.Job(
+            exchange, request, match, service, started, started + limit
+        )
         with self.view.lock:
             self.window.first(started)
         self._run(job)
-        self._finish(job, started)
+        self._finish(job)
 
-    def _finish(self, job, started):
+    def _finish(self, job):
         answer = job.answer
+        if job.late:
+            self.metrics.count(f'late.{job.late}')
         self._log(
             job.request.id,
             'answered' if answer and answer.status < 400 else 'failed',
-            started,
+            job.started,
             status=answer.status if answer else None,
             route=job.route.name,
             service=job.service.name,
@@ -172,7 +177,9 @@
             tries=job.progress.tries,
             endpoints=job.sent_to,
             events=job.splitter.count,
-            longest_gap_ms=round(job.longest_gap * 1000.0),
+            first_ms=_rounded_ms(job.first_seconds),
+            longest_pause_ms=_rounded_ms(job.longest_pause),
+            late=job.late,
             chain=job.chain,
             table=self.view.snapshot.version,
             endpoints_age_ms=round(
@@ -251,6 +258,7 @@
             raise exceptions.Overloaded(
                 'no endpoint has room',
                 self.selector.retry_after(job.service),
+                layers=self.selector.shortages(job, self.clock()),
             )
         attempt = watching.Attempt(
             job.request.id, choice.endpoint, choice.stages, job.deadline
@@ -263,7 +271,6 @@
             return self.sender.send(job, attempt)
         finally:
             self.watcher.remove(job.exchange.socket)
-            job.longest_gap = max(job.longest_gap, attempt.longest_gap)
             self.selector.release(attempt)
 
     def _wait_for_choice(self, job):
@@ -284,6 +291,10 @@
         return None
 
 
+def _rounded_ms(seconds):
+    return None if seconds is None else round(seconds * 1000.0)
+
+
 def _chain_text(stages):
     return ' '.join(f'{s.endpoint}={s.first}-{s.end}' for s in stages)
 
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -5,6 +5,7 @@
 import random
 
 from ibisring_policy import chains
+from ibisring_policy import shortage
 import msgspec
 
 # Routers that know the same choose differently by up to this factor.
@@ -81,11 +82,7 @@
 
     def _chain(self, job, endpoints, now):
         model = job.service.model
-        request = job.request
-        tokens = chains.tokens_needed(
-            request.prompt_tokens, request.answer_tokens, request.answer_hint
-        )
-        demand = chains.Demand(tokens, self.view_domain, 0, model.layers)
+        demand = self._demand(job)
         heads = None
         if job.progress.sent_to >= job.progress.most_endpoints:
             # No further endpoint may get the request, but these may again.
@@ -101,7 +98,30 @@
         endpoint = by_id.get(stages[0].endpoint)
         if endpoint is None:
             return None
-        return Choice(endpoint, tuple(stages), tokens)
+        return Choice(endpoint, tuple(stages), demand.tokens)
+
+    def _demand(self, job):
+        request = job.request
+        tokens = chains.tokens_needed(
+            request.prompt_tokens, request.answer_tokens, request.answer_hint
+        )
+        layers = job.service.model.layers
+        return chains.Demand(tokens, self.view_domain, 0, layers)
+
+    def shortages(self, job, now):
+        """Say, for a log line, which layers have no engine with room."""
+        service = job.service
+        if service.model is None:
+            return []
+        endpoints = self.view.snapshot.by_service.get(service.name, ())
+        with self.view.lock:
+            book = self.view.book
+            holders = book.holders(endpoints, service.model, now, job.avoid)
+            left_out = book.left_out(endpoints, now, job.avoid)
+        found = shortage.find(
+            holders, left_out, self._demand(job), chains.FULL / SQUEEZE
+        )
+        return shortage.text(found)
 
     def _find(self, endpoints, model, now, demand, heads, avoid):
         with self.view.lock:
@@ -227,7 +247,6 @@
         attempt.looks = 0
         attempt.events += 1
         if attempt.events > 1:
-            attempt.longest_gap = max(attempt.longest_gap, gap)
             weight = 0.3 if attempt.events > 2 else 1.0
             attempt.pace += weight * (gap - attempt.pace)
         wait = max(LEAST_GAP, attempt.pace * GAP_FACTOR)
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -216,6 +216,7 @@
             job.avoid.add(attempt.endpoint.id)
             return attempts.End.LOST
         job.answer = answer
+        job.piece_came(self.clock())
         job.exchange.answer(answer.status, answer.headers, b''.join(pieces))
         return None
 
@@ -241,7 +242,9 @@
                 whole = job.splitter.feed(piece)
                 if not whole:
                     continue
-                self.selector.event_came(attempt, self.clock())
+                now = self.clock()
+                self.selector.event_came(attempt, now)
+                job.piece_came(now)
                 if not exchange.begun:
                     exchange.begin(answer.status, _streamed(answer.headers))
                 exchange.write(whole)
--- a/packages/gateway/ibisring_gateway/watching.py
+++ b/packages/gateway/ibisring_gateway/watching.py
@@ -48,7 +48,6 @@
         'tokens',
         'moves',
         'stuck',
-        'longest_gap',
     )
 
     def __init__(self, request_id, endpoint, stages, deadline):
@@ -67,7 +66,6 @@
         self.tokens = 0.0
         self.moves = 0
         self.stuck = None
-        self.longest_gap = 0.0
 
     def break_off(self, end):
         """End the attempt; the thread that reads it wakes up.
--- a/packages/policy/ibisring_policy/loadbook.py
+++ b/packages/policy/ibisring_policy/loadbook.py
@@ -3,6 +3,7 @@
 __all__ = ['Book', 'Belief', 'make_book']
 
 from ibisring_policy import chains
+from ibisring_policy import shortage
 import msgspec
 
 # Seconds for which an endpoint that could not be reached gets no requests
@@ -298,6 +299,32 @@
 
         return sorted(endpoints, key=rank)
 
+    def _why_out(self, name, now, avoid):
+        """Give why an engine gets no requests now, or None if it may."""
+        belief = self.of(name)
+        if belief.dead:
+            return 'lost'
+        if self.is_ejected(name, now):
+            return 'failing'
+        if belief.full_until > now:
+            return 'said_full'
+        return 'tried' if name in avoid else None
+
+    def left_out(self, endpoints, now, avoid=()):
+        """Give the ranges of engines that get no requests now.
+
+        Returns
+        -------
+        list of shortage.LeftOut
+        """
+        found = []
+        for each in endpoints:
+            why = self._why_out(each.id, now, avoid)
+            if why is not None and each.holding is not None:
+                held = each.holding
+                found.append(shortage.LeftOut(held.first, held.end, why))
+        return found
+
     def holders(self, endpoints, model, now, avoid=()):
         """Give the engines of a model as chains see them.
 
@@ -310,11 +337,9 @@
             card = model.card(each.card)
             if held is None or held.count <= 0 or card is None:
                 continue
-            if each.id in avoid or self.is_ejected(each.id, now):
+            if self._why_out(each.id, now, avoid):
                 continue
             belief = self.of(each.id)
-            if belief.dead or belief.full_until > now:
-                continue
             free_mb = card.memory_mb - held.count * model.layer_mb
             room = max(0.0, free_mb) / (model.token_mb / model.layers)
             found.append(
