A router that has just started plans nothing for 2.2 s

Entries that lapsed are back within two seconds, and only routers that ran before the outage know of them. Besides, a refused lease now shows an outage: calls that wait for changes stayed silent for two seconds and more. Ruled out: memory for prompts (the refusals began with the orders).

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -88,9 +88,8 @@
     def on_read(self, message):
         """Apply what was read."""
         now = time.monotonic()
-        if message.origin == STORE and self.presence.succeeded(now):
-            self._replace(store_lost_at=None)
-            logs.event(LOG, 'store_regained')
+        if message.origin == STORE:
+            self._store_answered(now)
         if message.is_table:
             self._replace(table_at=now - message.age)
             for table in message.items:
@@ -98,9 +97,15 @@
             return
         self._apply_endpoints(message, now)
 
+    def _store_answered(self, now):
+        self.view.lease_lost_at = None
+        if self.presence.succeeded(now):
+            self._replace(store_lost_at=None)
+            logs.event(LOG, 'store_regained')
+
     def on_learnt(self, message):
         """Believe an engine of itself while its entry can't change."""
-        if self.view.snapshot.store_lost_at is None:
+        if self.view.store_lost_at is None:
             return
         if self.presence.amend(message.id, message.started, message.holding):
             before = self.view.snapshot
@@ -165,6 +170,7 @@
         known : Read or view.Snapshot
             Has the store's version.
         """
+        before = self.view.snapshot
         usable = self.presence.usable()
         by_service = {}
         for endpoint in usable.values():
@@ -177,6 +183,7 @@
             position=known.position,
             changed=known.position,
             endpoints_known=True,
+            known_since=before.known_since if before.endpoints_known else now,
         )
         self.connections.forget(usable)
         with self.view.lock:
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -11,6 +11,7 @@
 from ibisring_gateway import ports
 from ibisring_policy import layers
 from ibisring_policy import ordering
+from ibisring_policy import presence
 from ibisring_records import exceptions
 from ibisring_records import routing
 from ibisring_router import actors
@@ -109,8 +110,13 @@
                 )
             )
         self._tell_missing(service, staying)
-        if snapshot.store_lost_at is not None:
+        if self.view.store_lost_at is not None:
             self._learn(staying)
+        if now - snapshot.known_since < presence.RETURN_GRACE:
+            # Entries that lapsed in an outage come back within two seconds.
+            # A router that has just started can't tell them from engines
+            # that are gone, and would move all that it sees.
+            return
         changes = layers.plan(engines, service.model)
         if not self.turn.may_act(bool(changes), now):
             return
@@ -190,8 +196,8 @@
         self.turn.note_term(self.view.term)
         if self.turn.holds(time.monotonic()):
             return True
-        if self._leads_without_store():
-            return True
+        if self.view.snapshot.store_lost_at is not None:
+            return self._leads_without_store()
         try:
             row = self.leases.read_lease()
             wanted = self.turn.claim(row, time.monotonic())
@@ -200,7 +206,10 @@
             written = self.leases.write_lease(wanted)
         except exceptions.IbisringError as error:
             logs.event(LOG, 'lease_unavailable', why=error.detail)
-            return False
+            if self.view.lease_lost_at is None:
+                self.view.lease_lost_at = time.monotonic()
+            return self._leads_without_store()
+        self.view.lease_lost_at = None
         if written is None:
             logs.event(LOG, 'lease_lost_race', term=wanted.term)
             return False
@@ -211,7 +220,7 @@
         return True
 
     def _leads_without_store(self):
-        lost_at = self.view.snapshot.store_lost_at
+        lost_at = self.view.store_lost_at
         if lost_at is None:
             return False
         now = time.monotonic()
--- a/packages/gateway/ibisring_gateway/tests/test_placing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -1,11 +1,14 @@
 """Tests of the actor that orders engines."""
 
+import time
+
 import pytest
 
 from ibisring_gateway import placing
 from ibisring_gateway import ports
 from ibisring_gateway.tests import builders
 from ibisring_policy import ordering
+from ibisring_policy import presence
 from ibisring_policy.tests import fleetbuilders as build
 from ibisring_records import exceptions
 
@@ -140,6 +143,50 @@
     assert engines.placed == []
 
 
+def test_a_router_that_has_just_started_plans_nothing():
+    """Symptom: twenty engines are moved at once; 335 requests are refused.
+
+    Sequence: all routers are killed while the store is away; they start and
+    it returns; of 38 entries that lapsed the first eight are back.
+    Cause: a router that knows nothing of before takes the rest for gone.
+    """
+    engines = builders.Engines()
+    few = _endpoints()[-8:]
+    now = time.monotonic()
+    view = builders.view_of(few, known_since=now)
+    placer = _placer(view, engines=engines)
+    _look(placer)
+    assert engines.placed == []
+    grown = now - presence.RETURN_GRACE
+    placer.view = builders.view_of(few, known_since=grown)
+    _look(placer)
+    assert engines.placed
+
+
+def test_a_lease_that_is_refused_shows_an_outage():
+    """Symptom: nobody orders for the first two seconds of an outage.
+
+    Sequence: the store goes away while each router's call for changes
+    waits there; those calls stay silent, others are refused at once.
+    Cause: only the calls for changes told that the store is lost.
+    """
+    engines, leases = builders.Engines(), builders.Leases()
+    left = [e for e in _endpoints() if e.id != LOST]
+    placer = _placer(builders.view_of(left), leases, engines)
+    leases.fails = exceptions.PlatformUnavailable('503')
+    _look(placer)
+    assert engines.placed == []
+    assert placer.view.store_touch is ordering.StoreTouch.LOST
+    placer.view.lease_lost_at -= ordering.OUTAGE_LEAST
+    _look(placer)
+    assert engines.placed
+    placer.turn.lost()
+    placer.orders.pending.clear()
+    leases.fails = None
+    _look(placer)
+    assert placer.view.store_touch is ordering.StoreTouch.FOLLOWED
+
+
 def test_engines_are_asked_what_they_hold_while_the_store_is_away():
     told = []
     placer, engines = _placer_without_store({}, told)
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -23,7 +23,8 @@
 
     `index` is a `routetable.Index` or None before a table was read;
     `position` is the store's version that the endpoints are of, `changed` the
-    one at which they last changed; `store_lost_at` is None while the store
+    one at which they last changed, `known_since` when endpoints were first
+    read; `store_lost_at` is None while the store
     answers.  Times are monotonic.
     """
 
@@ -33,6 +34,7 @@
     table_at: float = 0.0
     endpoints_at: float = 0.0
     endpoints_known: bool = False
+    known_since: float = 0.0
     position: int = 0
     changed: int = 0
     store_lost_at: float | None = None
@@ -52,6 +54,8 @@
         Guards `book`.
     term : int
         The newest of the right to order that this router knows.
+    lease_lost_at : float or None
+        Since when the store has refused to say who holds the lease.
     learnt : dict of str to (float, int, routing.Holding or None)
         What engines told this router while the store is away: when, their
         start time, what they hold.
@@ -64,6 +68,7 @@
         self.lock = threading.Lock()
         self.book = loadbook.make_book()
         self.term = 0
+        self.lease_lost_at = None
         self.learnt = {}
 
     def told_holdings(self, now):
@@ -75,12 +80,22 @@
                 found[name] = started, first, end
         return found
 
+    @property
+    def store_lost_at(self):
+        """When the store stopped answering this router, None while it does.
+
+        A call that waits for changes may go silent for seconds when the
+        store goes away; one that asks for the lease fails at once.
+        """
+        times = (self.snapshot.store_lost_at, self.lease_lost_at)
+        return min((at for at in times if at is not None), default=None)
+
     @property
     def store_touch(self):
         """What this router knows of the store."""
         if not self.is_ready:
             return ordering.StoreTouch.NOTHING
-        if self.snapshot.store_lost_at is not None:
+        if self.store_lost_at is not None:
             return ordering.StoreTouch.LOST
         return ordering.StoreTouch.FOLLOWED
 
