A path through an engine twice does not end the search for a chain

Cause: when engines are nearly full a shortest path may use one of them for two pieces, each of which fits by itself; such a path is no chain, and the search ended there: refused with every layer having an engine with room. Ruled out: the check of memory itself; it is right for each piece.

--- a/packages/policy/ibisring_policy/chains.py
+++ b/packages/policy/ibisring_policy/chains.py
@@ -25,6 +25,8 @@
 HEADS_COST = 100.0
 # Share of an engine's memory for prompts up to which its use costs nothing.
 HALF_FULL = 0.5
+# Paths looked for before a group of engines counts as full.
+MOST_PATHS = 4
 # An engine counts as full at this share of its memory for prompts: other
 # routers' requests are known with a delay only.
 FULL = 0.95
@@ -158,7 +160,44 @@
 
 
 def _cheapest(holders, demand, costs, heads):
-    """Give cost and stages of the best chain of some engines, or None."""
+    """Give cost and stages of the best chain of some engines, or None.
+
+    When engines are nearly full, a shortest path may pass through one of
+    them twice, since each of the two pieces fits by itself.  That one is
+    then tried with its longer piece only: giving up would refuse requests
+    for which there is room.
+    """
+    for _ in range(MOST_PATHS):
+        found = _shortest_path(holders, demand, costs, heads)
+        if found is None:
+            return None
+        again = _used_twice(found[1])
+        if again is None:
+            return found
+        holders = _narrowed(holders, again)
+    return None
+
+
+def _used_twice(stages):
+    """Give the longest stage of an engine with several, or None."""
+    names = [stage.endpoint for stage in stages]
+    twice = [stage for stage in stages if names.count(stage.endpoint) > 1]
+    return max(twice, key=lambda s: s.end - s.first, default=None)
+
+
+def _narrowed(holders, stage):
+    """Leave one engine a single stage, which it may run or not."""
+    return [
+        (
+            msgspec.structs.replace(each, first=stage.first, end=stage.end)
+            if each.id == stage.endpoint
+            else each
+        )
+        for each in holders
+    ]
+
+
+def _shortest_path(holders, demand, costs, heads):
     points = _boundaries(holders, demand)
     best = {(demand.first, None): (0.0, None, None)}
     for point in points:
@@ -232,6 +271,4 @@
         stages.append(Stage(name, holder.address, origin[0], key[0]))
         key = origin
     stages.reverse()
-    if len({stage.endpoint for stage in stages}) < len(stages):
-        return None
     return cost, stages
--- a/packages/policy/ibisring_policy/tests/test_chains.py
+++ b/packages/policy/ibisring_policy/tests/test_chains.py
@@ -52,6 +52,24 @@
     assert _choose([build.holder('x', 0, 16)], tokens=1e6) is None
 
 
+def test_an_engine_with_room_for_two_pieces_only_does_not_end_the_search():
+    """Symptom: a request is refused although a chain has room.
+
+    Sequence: the fast engine is nearly full: it has room for 8 of its 16
+    layers; the path that uses it for 0 to 4 and 8 to 12 costs least.
+    Cause: that path was no chain, and no other was looked for.
+    """
+    holders = [
+        build.holder('fast', 0, 12, room=10e3, used=1e3, pace=1.0),
+        build.holder('x', 4, 8),
+        build.holder('y', 8, 16),
+        build.holder('z', 0, 4),
+    ]
+    stages = _choose(holders)
+    plans.check_chain(stages, 16)
+    assert len(set(_names(stages))) == len(stages)
+
+
 def test_a_chain_stays_in_one_domain_while_one_is_whole():
     """Symptom: after one loss all streams of a site stall for a second.
 
