Missing layers are loaded first, the rest of a range later; fuller cards

Hypothesis: an engine that comes while its domain lacks three layers is ordered to hold 26 and is of no use for five seconds. Change: it loads what is missing, and is lengthened once nothing else loads. What an engine holds and what it was ordered to hold are told apart, as one that still loads refuses further orders. Cards give 0.68 of their memory to weights in place of 0.62.

--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -104,7 +104,7 @@
                     each.failure_domain,
                     card.memory_mb,
                     self.orders.expected(each, now),
-                    each.holding is not None,
+                    each.holding,
                     is_whole and self.arrivals.has_just_come(each, now),
                     card.step_factor,
                 )
--- a/packages/gateway/ibisring_gateway/tests/test_placing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -191,9 +191,9 @@
     told = []
     placer, engines = _placer_without_store({}, told)
     _look(placer, times=1)
+    ordered = {name for name, _, _ in engines.placed}
     engines.holding = build.holding(0, 9)
     _look(placer, times=1)
-    ordered = {name for name, _, _ in engines.placed}
     assert {message.id for message in told} == ordered
     assert {message.holding for message in told} == {engines.holding}
     assert set(placer.view.told_holdings(placer.view.clock())) == ordered
--- a/packages/policy/ibisring_policy/layers.py
+++ b/packages/policy/ibisring_policy/layers.py
@@ -17,7 +17,7 @@
 # Share of a card's memory for weights.  At 0.65 the pools of mixed cards
 # that the planner was tried on hold 1.2 to 1.5 copies of the model, and two
 # and a half times the prompts of a mean load fit into the rest.
-FILL = 0.62
+FILL = 0.68
 # A pool must hold this many copies, or it is merged with the others.
 LEAST_COPIES = 1.05
 # Share of memory for weights that a small pool may go up to.
@@ -35,8 +35,8 @@
 class Engine(msgspec.Struct, frozen=True):
     """An engine as the planner sees it.
 
-    `holding` is what it holds, or was ordered to hold; `loaded` says that
-    it is in place.  `waits` is set for one that has just come: it may take
+    `holding` is what it holds, or was ordered to hold; `placed` is what of it
+    is in place now.  `waits` is set for one that has just come: it may take
     the place of one that is about to leave, see `place_empty`.  `pace` is
     its time for a layer over that of the fastest kind of card.
     """
@@ -45,10 +45,15 @@
     domain: str
     memory_mb: float
     holding: routing.Holding | None = None
-    loaded: bool = True
+    placed: routing.Holding | None = None
     waits: bool = False
     pace: float = 1.0
 
+    @property
+    def is_loading(self):
+        """Whether an order is under way; it refuses others until its end."""
+        return self.holding != self.placed
+
     def most_layers(self, layer_mb, share=1.0):
         """Give how many layers fit into a share of the memory."""
         return int(self.memory_mb * share / layer_mb)
@@ -161,6 +166,7 @@
     pool = _Pool(group, model)
     pool.place_empty()
     pool.close_gaps()
+    pool.extend_one()
     return [Change(name, held) for name, held in pool.changes.items()]
 
 
@@ -209,7 +215,7 @@
         return 1.0 / (1.0 + total)
 
 
-def _best_window(held, size, engine, model):
+def _best_window(held, size, engine, model, around=None):
     """Give the window that most needs an engine.
 
     Layers with no holder come first.  Then those that it runs faster than
@@ -218,13 +224,25 @@
     26 layers keep a domain out for some five seconds, 5 for one.  Then the
     least memory for prompts; of equal windows the first, so that ranges lie
     side by side.
+
+    Parameters
+    ----------
+    held : list of _Layer
+    size : int
+    engine : Engine
+    model : routing.Model
+    around : routing.Holding or None
+        The window must contain this range.
     """
+    first, last = 0, model.layers - size
+    if around is not None:
+        first, last = max(0, around.end - size), min(last, around.first)
     gains = [layer.gain(engine.pace) for layer in held]
     exposures = [layer.exposure() for layer in held]
     wants = [layer.tightness(model) for layer in held]
     empties = [not layer.holders for layer in held]
     best = None
-    for first in range(0, model.layers - size + 1):
+    for first in range(first, last + 1):
         span = slice(first, first + size)
         # A window that starts inside a gap leaves a splinter before it,
         # which would cost a whole engine later.
@@ -306,7 +324,45 @@
             size = _window(engine, self.model, self.fill)
             if engine.holding is None and size > 0:
                 window = _best_window(self.held, size, engine, self.model)
+                self.assign(engine, self._missing_part(window))
+
+    def _missing_part(self, window):
+        """Give what of a window a pool that serves should load first.
+
+        Loading 26 layers takes some five seconds; the three that nobody
+        holds, with which the domain serves again, take half of one.  The
+        rest follows, see `extend_one`.
+        """
+        if not self.in_place():
+            return window
+        parts = [
+            routing.Holding(
+                max(gap.first, window.first), min(gap.end, window.end)
+            )
+            for gap in self._gaps()
+            if gap.first < window.end and gap.end > window.first
+        ]
+        return max(parts, key=lambda part: part.count, default=window)
+
+    def extend_one(self):
+        """Lengthen a range that was kept short while layers were missing.
+
+        One at a time, and only while nothing else is loaded here: loads
+        share the store of weights.
+        """
+        if self._gaps() or any(e.is_loading for e in self.group):
+            return
+        if self.changes:
+            return
+        for engine in sorted(self.group, key=self._cost):
+            held = self.current[engine.id]
+            size = _window(engine, self.model, self.fill)
+            if held is not None and held.count < size:
+                window = _best_window(
+                    self.held, size, engine, self.model, around=held
+                )
                 self.assign(engine, window)
+                return
 
     def _cost(self, engine):
         """Give what a layer costs on an engine, its stage's part included."""
@@ -362,8 +418,7 @@
             held = self.current[engine.id]
             if held is None or engine is without:
                 continue
-            if engine.holding is not None and not engine.loaded:
-                # It refuses further orders until its load has ended.
+            if engine.holding is not None and engine.is_loading:
                 continue
             if held.first < span.first <= held.end:
                 reach = held.end + self._room(engine)
@@ -434,8 +489,8 @@
         return [
             engine
             for engine in self.group
-            if engine.loaded
-            and engine.holding is not None
+            if engine.holding is not None
+            and not engine.is_loading
             and engine.id not in self.changes
         ]
 
--- a/packages/policy/ibisring_policy/tests/fleetbuilders.py
+++ b/packages/policy/ibisring_policy/tests/fleetbuilders.py
@@ -50,7 +50,12 @@
     kind = next(c for c in CARDS if c.name == card)
     held = routing.Holding(*held) if held else None
     return layers.Engine(
-        name, domain, kind.memory_mb, held, loaded, pace=kind.step_factor
+        name,
+        domain,
+        kind.memory_mb,
+        held,
+        held if loaded else None,
+        pace=kind.step_factor,
     )
 
 
@@ -73,6 +78,7 @@
             e.domain,
             e.memory_mb,
             found.get(e.id, e.holding),
+            found.get(e.id, e.holding),
             pace=e.pace,
         )
         for e in engines
--- a/packages/policy/ibisring_policy/tests/test_layers.py
+++ b/packages/policy/ibisring_policy/tests/test_layers.py
@@ -252,6 +252,39 @@
     assert change.id == 'new' and change.holding.count >= 12
 
 
+def test_an_empty_engine_loads_what_is_missing_before_the_rest():
+    """Symptom: a domain lacks three layers for five seconds.
+
+    Sequence: they are lost; a large engine has just come and is ordered to
+    hold 26 layers, those three among them.
+    Cause: its layers are in place only when all of them are loaded.
+    """
+    model = build.model(layers=40)
+    engines = [
+        build.engine('x', held=(0, 12)),
+        build.engine('y', held=(15, 28)),
+        build.engine('z', held=(28, 40)),
+        build.engine('new', card='big'),
+    ]
+    (change,) = layers.plan(engines, model)
+    assert (change.id, change.holding) == ('new', build.holding(12, 15))
+    engines = build.planned(engines, model)
+    (change,) = layers.plan(engines, model)
+    assert change.id == 'new'
+    assert change.holding.first <= 12 and change.holding.end >= 15
+    assert change.holding.count >= 25
+
+
+def test_ranges_are_not_lengthened_while_something_loads():
+    model = build.model(layers=16)
+    short = build.engine('short', held=(0, 4))
+    loading = build.engine('loading', held=(0, 8), loaded=False)
+    others = [build.engine('x', held=(0, 8)), build.engine('y', held=(8, 16))]
+    assert layers.plan([short, loading, *others], model) == []
+    (change,) = layers.plan([short, *others], model)
+    assert change.id == 'short' and change.holding.count == 8
+
+
 def test_only_what_is_missing_is_loaded():
     """Symptom: five missing layers stay away while eight are loaded.
 
