Stages that were given up are replaced with lost ones; engines are cleared

Change: both are replaced together; a request that can't be moved off an engine that waits goes on elsewhere while its route allows another first endpoint. Moving only some of the leaving stages is gone: such a path is always refused. Left: requests at their last endpoint still hold an engine for up to eight seconds.

--- a/packages/gateway/ibisring_gateway/doctor.py
+++ b/packages/gateway/ibisring_gateway/doctor.py
@@ -103,7 +103,12 @@
         )
         if attempt.endpoint.id in lost:
             attempt.break_off(attempts.End.SILENT)
-        elif not self._go_round(attempt, lost):
+            return
+        # A path with a stage that was given up is refused, so those that are
+        # not at fault have to be replaced as well.
+        lost |= _leaving(attempt, self.view.snapshot.endpoints)
+        is_head = attempt.endpoint.id in lost
+        if is_head or not self._go_round(attempt, lost):
             self._start_elsewhere(attempt, now)
 
     def _start_elsewhere(self, attempt, now):
@@ -213,7 +218,6 @@
         for attempt in self.watcher.all():
             if attempt.stages and attempt.events and not attempt.looking:
                 leaving = _leaving(attempt, snapshot.endpoints)
-                leaving.discard(attempt.endpoint.id)
                 if leaving == attempt.stuck:
                     continue
                 if leaving and attempt.moves < MOST_MOVES:
@@ -231,10 +235,11 @@
 
     def _evacuate(self, attempt, leaving):
         try:
-            if self._go_round(attempt, leaving, partly=True):
+            is_head = attempt.endpoint.id in leaving
+            if not is_head and self._go_round(attempt, leaving):
                 attempt.moves += 1
                 attempt.stuck = None
-            else:
+            elif not self._clear_out(attempt):
                 # Asked again once other engines leave, not at every look:
                 # an attempt would have used up its moves when it needs one.
                 attempt.stuck = leaving
@@ -243,6 +248,28 @@
         finally:
             attempt.looking = False
 
+    def _clear_out(self, attempt):
+        """End an attempt that keeps an engine from its new layers.
+
+        An engine that was ordered to hold other layers loads them only when
+        the requests that pass through it have ended: ten seconds, in which
+        its failure domain lacks them.  The request goes on elsewhere.
+        One whose engine is about to end may finish there instead.
+        """
+        endpoints = self.view.snapshot.endpoints
+        if not attempt.may_leave or not _gave_up(attempt, endpoints):
+            return False
+        if not self.selector.has_other(attempt, self.clock()):
+            return False
+        logs.event(
+            LOG,
+            'cleared_out',
+            id=attempt.request_id,
+            engines=sorted(_gave_up(attempt, endpoints)),
+        )
+        attempt.break_off(attempts.End.SILENT)
+        return True
+
     def _revive(self, endpoint):
         alive = self._ask(endpoint, REVIVE_TIMEOUT) is not None
         now = self.clock()
@@ -253,9 +280,9 @@
                 self.view.book.unreachable(endpoint.id, now)
         logs.event(LOG, 'asked_again', endpoint=endpoint.id, alive=alive)
 
-    def _go_round(self, attempt, lost, partly=False):
+    def _go_round(self, attempt, lost):
         """Move the request to other stages behind the same first one."""
-        stages = self.selector.repair(attempt, lost, self.clock(), partly)
+        stages = self.selector.repair(attempt, lost, self.clock())
         if stages is None or stages == attempt.stages:
             logs.event(
                 LOG, 'no_way_round', id=attempt.request_id, lost=sorted(lost)
@@ -289,6 +316,15 @@
         endpoint = endpoints.get(stage.endpoint)
         if endpoint is None or endpoint.state is routing.State.DRAINING:
             found.add(stage.endpoint)
+    return found | _gave_up(attempt, endpoints)
+
+
+def _gave_up(attempt, endpoints):
+    """Give the engines that live but no longer hold the layers they run."""
+    found = set()
+    for stage in attempt.stages:
+        endpoint = endpoints.get(stage.endpoint)
+        if endpoint is None or endpoint.state is routing.State.DRAINING:
             continue
         held = endpoint.holding
         if held is None or held.first > stage.first or held.end < stage.end:
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -264,6 +264,7 @@
             job.request.id, choice.endpoint, choice.stages, job.deadline
         )
         attempt.tokens = choice.tokens
+        attempt.may_leave = self._may_leave(job, choice.endpoint)
         job.chain = _chain_text(choice.stages)
         self.selector.reserve(attempt)
         self.watcher.add(job.exchange.socket, attempt)
@@ -273,6 +274,11 @@
             self.watcher.remove(job.exchange.socket)
             self.selector.release(attempt)
 
+    def _may_leave(self, job, endpoint):
+        """Whether another endpoint may get the request after this one."""
+        sent_to = {*job.sent_to, endpoint.id}
+        return len(sent_to) < job.progress.most_endpoints
+
     def _wait_for_choice(self, job):
         """Wait for room for a stream that its caller has a part of.
 
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -143,7 +143,7 @@
             holder.used *= SQUEEZE
         return chains.choose(holders, demand, model.layers, self._noise, heads)
 
-    def repair(self, attempt, lost, now, partly=False):
+    def repair(self, attempt, lost, now):
         """Give stages for an attempt without those that are lost.
 
         The first stage stays; the others keep what they run.
@@ -153,12 +153,12 @@
         attempt : watching.Attempt
         lost : set of str
         now : float
-        partly : bool
-            Keep lost stages for which there is no other engine.
 
         Returns
         -------
         tuple of chains.Stage or None
+            None if some lost stage has no other engine: a path with a stage
+            that is not there is refused.
         """
         service = attempt.endpoint.service
         snapshot = self.view.snapshot
@@ -185,11 +185,8 @@
                 stage.end,
             )
             found = chains.choose(holders, demand, model.layers, self._noise)
-            if found is None and not partly:
-                return None
             if found is None:
-                stages.append(stage)
-                continue
+                return None
             stages.extend(found)
             used = {s.endpoint for s in found}
             holders = [h for h in holders if h.id not in used]
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -91,17 +91,12 @@
         attempt.last_at = now
         if job.progress.stream:
             attempt.silent_at = now + self.selector.first_event(job, attempt)
-        elif job.route.repeatable and self._has_further(job, attempt):
+        elif job.route.repeatable and attempt.may_leave:
             # A slow answer is worth little by then, and another endpoint
             # may still give one in time.  The last one that the route allows
             # is waited for: ending it would leave the caller with nothing.
             attempt.silent_at = now + PATIENCE * job.route.objective
 
-    def _has_further(self, job, attempt):
-        """Whether another endpoint may get the request after this one."""
-        sent_to = {*job.sent_to, attempt.endpoint.id}
-        return len(sent_to) < job.progress.most_endpoints
-
     def _not_reached(self, job, attempt, error):
         name = attempt.endpoint.id
         job.avoid.add(name)
--- a/packages/gateway/ibisring_gateway/tests/test_doctor.py
+++ b/packages/gateway/ibisring_gateway/tests/test_doctor.py
@@ -174,6 +174,54 @@
     assert _names(scene.attempt.stages) == ['h', 'm2', 't']
 
 
+def test_a_stage_that_was_given_up_is_replaced_with_the_lost_one():
+    """Symptom: 659 of 788 moves off lost stages are refused.
+
+    Sequence: an engine is ordered to other layers and waits for the
+    requests in it; another engine of their chains is lost.
+    Cause: only the lost stage was replaced; a path with a stage that is not
+    there any more is refused.
+    """
+    scene = Scene(
+        _engine('m2', 8, 16, card='small'), _engine('t2', 16, 24, card='small')
+    )
+    scene.replace('t', holding=None)
+    scene.engines.dead.add('m:1')
+    scene.doctor.silent(scene.attempt)
+    scene.settle()
+    assert _names(scene.attempt.stages) == ['h', 'm2', 't2']
+    scene.doctor.stop()
+
+
+@pytest.mark.parametrize('given_up', ('h', 't'))
+def test_requests_end_at_an_engine_that_waits_for_them(given_up):
+    """Symptom: a failure domain lacks four layers for ten seconds.
+
+    Sequence: a spare engine is ordered to hold them; a request passes
+    through it that can't be moved, for want of another holder of the layers
+    given up; the engine loads nothing until the request has ended.
+    Cause: requests were moved or left, never started again elsewhere.
+    """
+    others = [
+        _engine('h2', 0, 40, card='big'),
+        _engine('t2', 40, 80, card='big'),
+    ]
+    for spares, may_leave, end in (
+        (others, True, attempts.End.SILENT),
+        (others, False, None),
+        (others[1:], True, None),
+    ):
+        scene = Scene(*spares)
+        # Keeps the stage from being replaced behind the same first one.
+        scene.engines.result = ports.OrderResult.CONFLICT
+        scene.replace(given_up, holding=None)
+        scene.attempt.may_leave = may_leave
+        scene.doctor.look_round()
+        scene.settle()
+        assert scene.attempt.end is end
+        scene.doctor.stop()
+
+
 def test_tries_without_another_engine_use_up_no_moves():
     """Symptom: a spare engine waits seconds for the requests in it.
 
--- a/packages/gateway/ibisring_gateway/watching.py
+++ b/packages/gateway/ibisring_gateway/watching.py
@@ -28,6 +28,8 @@
     ----------
     end : attempts.End or None
         Why the watcher broke it off.
+    may_leave : bool
+        Whether the request may still go to another first endpoint.
     deadline, silent_at : float
         Monotonic seconds: when to give up, and when to look at its stages.
     """
@@ -48,6 +50,7 @@
         'tokens',
         'moves',
         'stuck',
+        'may_leave',
     )
 
     def __init__(self, request_id, endpoint, stages, deadline):
@@ -66,6 +69,7 @@
         self.tokens = 0.0
         self.moves = 0
         self.stuck = None
+        self.may_leave = True
 
     def break_off(self, end):
         """End the attempt; the thread that reads it wakes up.
