The idlest spare is moved

Cause: an engine that is ordered to other layers loads them when the requests in it have ended, and which spare was taken went by its pace only. Ruled out: waiting for the requests (the seconds were the wait).

--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -95,6 +95,9 @@
         self.orders.settle(staying, now)
         # On a site that starts nothing is about to be replaced.
         is_whole = any(e.holding is not None for e in staying)
+        with self.view.lock:
+            holders = self.view.book.holders(staying, service.model, now)
+        loads = {h.id: h.used / h.room for h in holders if h.room > 0}
         engines = []
         for each in staying:
             card = service.model.card(each.card)
@@ -107,6 +110,7 @@
                     each.holding,
                     is_whole and self.arrivals.has_just_come(each, now),
                     card.step_factor,
+                    loads.get(each.id, 0.0),
                 )
             )
         self._tell_missing(service, staying)
--- a/packages/policy/ibisring_policy/layers.py
+++ b/packages/policy/ibisring_policy/layers.py
@@ -38,7 +38,8 @@
     `holding` is what it holds, or was ordered to hold; `placed` is what of it
     is in place now.  `waits` is set for one that has just come: it may take
     the place of one that is about to leave, see `place_empty`.  `pace` is
-    its time for a layer over that of the fastest kind of card.
+    its time for a layer over that of the fastest kind of card; `load` the
+    share of its memory for prompts that requests hold.
     """
 
     id: str
@@ -48,6 +49,7 @@
     placed: routing.Holding | None = None
     waits: bool = False
     pace: float = 1.0
+    load: float = 0.0
 
     @property
     def is_loading(self):
@@ -500,11 +502,12 @@
 
 
 def _spare(pool):
-    """Give the slowest engine all of whose layers others hold.
+    """Give the idlest engine all of whose layers others hold.
 
     Others must have them in place: an engine that is moved while its
-    successor still loads would leave the pool without those layers.  The
-    slowest one has the fewest requests, for which it would have to wait.
+    successor still loads would leave the pool without those layers.  It
+    loads its new ones only when the requests in it have ended; of engines
+    equally idle the slowest is the least loss.
     """
     in_place = pool.in_place()
     counts = coverage(in_place, pool.model.layers)
@@ -515,7 +518,8 @@
             continue
         span = pool.held[held.first : held.end]
         want = sum(layer.tightness(pool.model) for layer in span)
-        rank = -engine.pace, want / held.count, engine.id
+        rank = round(engine.load, 1), -engine.pace, want / held.count
+        rank = *rank, engine.id
         if best is None or rank < best[0]:
             best = rank, engine
     return best[1] if best else None
--- a/packages/policy/ibisring_policy/tests/test_layers.py
+++ b/packages/policy/ibisring_policy/tests/test_layers.py
@@ -2,6 +2,7 @@
 
 import random
 
+import msgspec
 import pytest
 
 from ibisring_policy import layers
@@ -285,6 +286,22 @@
     assert change.id == 'short' and change.holding.count == 8
 
 
+def test_an_idle_engine_is_moved_rather_than_a_busy_one():
+    """Symptom: a failure domain lacks six layers for nine seconds.
+
+    Sequence: an engine is lost; a spare through which streams pass is
+    ordered to its layers; it loads them when the last stream has ended.
+    Cause: which spare was taken did not go by the requests in it.
+    """
+    spares = [
+        layers.Engine('busy', 'a', 21600.0, *[build.holding(0, 8)] * 2),
+        layers.Engine('idle', 'a', 21600.0, *[build.holding(0, 8)] * 2),
+    ]
+    spares[0] = msgspec.structs.replace(spares[0], load=0.3, pace=16.0)
+    (change,) = layers.plan(spares, build.model(layers=14))
+    assert change.id == 'idle'
+
+
 def test_only_what_is_missing_is_loaded():
     """Symptom: five missing layers stay away while eight are loaded.
 
