Engines that refuse with memory free rest longer and are planned without

Change: an engine whose memory is taken by under 0.7 can't refuse for want of it; each such refusal doubles its rest up to 2.4 s, other routers are told, and after 0.8 s of nothing but refusals its layers are given to others.

--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -26,12 +26,12 @@
     """What one router tells others.
 
     `tokens` are its tokens times layers by engine, `dead` engines that it
-    has just found lost; `slow` paces of engines that it found
-    slow; `changed` is the store's version of the last change
-    of endpoints that it knows, `table` the version in force there; `touch`
-    what it knows of the store, `term` the newest of the right to order that it
-    knows.  `held` are start time, first layer and end that engines
-    told it while the store is away.
+    has just found lost, `slow` paces of those that it found slow, `full`
+    those that refuse its requests.  `changed` is the store's version of the
+    last change of endpoints that it knows, `table` the version in force
+    there, `touch` what it knows of the store, `term` the newest of the right
+    to order that it knows.  `held` are start time, first layer and end that
+    engines told it while the store is away.
     """
 
     router: str
@@ -43,6 +43,7 @@
     touch: ordering.StoreTouch = ordering.StoreTouch.FOLLOWED
     term: int = 0
     held: dict[str, tuple[int, int, int]] = {}
+    full: list[str] = []
 
 
 class Gossip:
@@ -97,6 +98,7 @@
             own = self.view.book.own()
             dead = self.view.book.lately_dead(now)
             slow = self.view.book.slow(now)
+            full = self.view.book.refusing(now)
         told = Told(
             self.settings.router_id,
             {name: int(tokens) for name, tokens in own.items()},
@@ -107,6 +109,7 @@
             self.view.store_touch,
             self.view.term,
             self.view.told_holdings(now),
+            full,
         )
         data = msgspec.json.encode(told)
         if len(data) > MOST_BYTES:
@@ -137,7 +140,12 @@
         now = self.view.clock()
         with self.view.lock:
             self.view.book.take_told(
-                told.router, told.tokens, told.dead, now, told.slow
+                told.router,
+                told.tokens,
+                told.dead,
+                now,
+                told.slow,
+                told.full,
             )
         self.peers.heard(
             told.router, f'{source[0]}:{source[1]}', told.touch, now
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -174,6 +174,8 @@
                 continue
             if self._is_lost(each.id, now) or self._is_too_slow(each, now):
                 continue
+            if self.view.book.seems_to_leave(each.id, now):
+                continue
             found.append(each)
         return found
 
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -5,6 +5,7 @@
 import random
 
 from ibisring_policy import chains
+from ibisring_policy import loadbook
 from ibisring_policy import shortage
 import msgspec
 
@@ -243,6 +244,11 @@
         attempt.last_at = now
         attempt.looks = 0
         attempt.events += 1
+        if attempt.events == 1 and attempt.stages:
+            with self.view.lock:
+                self.view.book.accepted(
+                    [s.endpoint for s in attempt.stages], attempt.sent_at
+                )
         if attempt.events > 1:
             weight = 0.3 if attempt.events > 2 else 1.0
             attempt.pace += weight * (gap - attempt.pace)
@@ -268,7 +274,21 @@
         elif attempt.stages and now - attempt.last_at > STALLED:
             self.view.book.unreachable(culprit, now)
         else:
-            self.view.book.full(culprit, now)
+            has_memory = self._used(attempt, culprit) < loadbook.HAS_MEMORY
+            self.view.book.full(culprit, now, has_memory=has_memory)
+
+    def _used(self, attempt, name):
+        """Give the share of an engine's memory that is believed taken."""
+        snapshot = self.view.snapshot
+        service = snapshot.index.services[attempt.endpoint.service]
+        endpoint = snapshot.endpoints.get(name)
+        if service.model is None or endpoint is None:
+            return 1.0
+        now = self.view.clock()
+        book = self.view.book
+        for holder in book.holders([endpoint], service.model, now):
+            return holder.used / holder.room if holder.room else 1.0
+        return 1.0
 
     def retry_after(self, service):
         """Give the seconds after which some request will have ended.
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -88,6 +88,7 @@
 
     def _set_patience(self, job, attempt):
         now = self.clock()
+        attempt.sent_at = now
         attempt.last_at = now
         if job.progress.stream:
             attempt.silent_at = now + self.selector.first_event(job, attempt)
--- a/packages/gateway/ibisring_gateway/tests/test_placing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -221,6 +221,24 @@
     assert LOST not in [name for name, _, _ in engines.placed]
 
 
+def test_an_engine_that_seems_to_leave_is_planned_without():
+    """Symptom: a failure domain refuses requests until an outage ends.
+
+    Sequence: the store is away; an engine leaves and refuses everything; its
+    entry can't say so, and it answers its status.
+    Cause: it counted as a holder of its layers.
+    """
+    engines = builders.Engines()
+    view = builders.view_of(_endpoints())
+    placer = _placer(view, engines=engines)
+    now = time.monotonic()
+    for at in (now - 1.4, now - 1.05, now - 0.4):
+        view.book.full(LOST, at, has_memory=True)
+    _look(placer)
+    assert engines.placed
+    assert LOST not in [name for name, _, _ in engines.placed]
+
+
 def test_an_unanswered_order_is_not_repeated_at_once():
     """Symptom: an engine carries out an order that was already replaced.
 
--- a/packages/gateway/ibisring_gateway/watching.py
+++ b/packages/gateway/ibisring_gateway/watching.py
@@ -42,6 +42,7 @@
         'end',
         'deadline',
         'silent_at',
+        'sent_at',
         'last_at',
         'looks',
         'looking',
@@ -61,6 +62,7 @@
         self.end = None
         self.deadline = deadline
         self.silent_at = None
+        self.sent_at = 0.0
         self.last_at = 0.0
         self.looks = 0
         self.looking = False
--- a/packages/policy/ibisring_policy/loadbook.py
+++ b/packages/policy/ibisring_policy/loadbook.py
@@ -16,8 +16,18 @@
 FAILING_LEAST = 2
 # Each answer counts 0.2 of the failing share: about the last five matter.
 SMOOTHING = 0.2
-# Seconds for which an engine that refused for want of memory is left out.
+# Seconds for which an engine that refused is left out: at first, and at most.
+# If it has memory free, each refusal soon after the last rest doubles it: an
+# engine that leaves while the store can't say so refuses everything, and each
+# request sent to it spends one of the fleet's repeats.
 FULL_SECONDS = 0.3
+MOST_FULL_SECONDS = 2.4
+FULL_AGAIN = 0.5
+# An engine that has refused for so many seconds although it has memory is
+# about to leave; its layers are given to others.
+REFUSES_FOR = 0.8
+# Share of an engine's memory up to which a refusal is not for want of it.
+HAS_MEMORY = 0.7
 # What another router told counts for so many seconds: of 83 routers, each of
 # which tells six others four times a second, nine in ten are heard in it.
 TOLD_AGE = 8.0
@@ -54,6 +64,10 @@
     dead_at: float = -1e9
     dead_told: bool = False
     full_until: float = 0.0
+    full_for: float = FULL_SECONDS
+    full_told: bool = False
+    refused_at: float = -1e9
+    refuses_since: float | None = None
     pace: float = 1.0
     pace_at: float = -1e9
     pace_told: bool = False
@@ -129,9 +143,63 @@
             belief.ejected_until = now + belief.eject_for
             belief.eject_for = min(EJECT_MOST, belief.eject_for * 2)
 
-    def full(self, name, now):
-        """Note that an engine had no memory or slot for a request."""
-        self.of(name).full_until = now + FULL_SECONDS
+    def full(self, name, now, told=False, has_memory=False):
+        """Note that an engine refused a request.
+
+        Parameters
+        ----------
+        name : str
+        now : float
+        told : bool
+            By another router.
+        has_memory : bool
+            It can't have been for want of memory.
+        """
+        belief = self.of(name)
+        belief.refused_at = now
+        if belief.full_until > now:
+            return
+        again = now - belief.full_until < FULL_AGAIN
+        if again and has_memory:
+            belief.full_for = min(MOST_FULL_SECONDS, 2.0 * belief.full_for)
+        else:
+            belief.full_for = FULL_SECONDS
+        if not has_memory or not again:
+            belief.refuses_since = None
+        if has_memory and belief.refuses_since is None:
+            belief.refuses_since = now
+        belief.full_told = told
+        belief.full_until = now + belief.full_for
+
+    def accepted(self, names, sent_at):
+        """Note that engines run a request; older refusals are forgotten."""
+        for name in names:
+            belief = self.beliefs.get(name)
+            if belief is not None and belief.refused_at < sent_at:
+                belief.full_until = 0.0
+                belief.refuses_since = None
+
+    def refusing(self, now):
+        """Give the engines that refuse this router's requests.
+
+        Not those that are short of memory: that passes within a moment, and
+        others may have a smaller request for them.
+        """
+        return [
+            name
+            for name, belief in self.beliefs.items()
+            if belief.full_until > now
+            and belief.refuses_since is not None
+            and not belief.full_told
+        ]
+
+    def seems_to_leave(self, name, now):
+        """Say whether an engine refuses everything though it has memory."""
+        belief = self.beliefs.get(name)
+        if belief is None or belief.refuses_since is None:
+            return False
+        resting = now < belief.full_until + FULL_AGAIN
+        return resting and now - belief.refuses_since >= REFUSES_FOR
 
     def note_pace(self, name, pace, now, told=False):
         """Note what an engine says of its pace; 1 is usual, more is slow."""
@@ -209,7 +277,7 @@
         belief = self.beliefs.get(name)
         return belief is not None and belief.dead
 
-    def take_told(self, router, told, dead, now, slow=None):
+    def take_told(self, router, told, dead, now, slow=None, full=()):
         """Take what another router tells of its load and of lost engines.
 
         Parameters
@@ -222,7 +290,13 @@
         now : float
         slow : dict of str to float, optional
             Paces of engines that it found slow.
+        full : list of str
+            Engines that refuse its requests.
         """
+        for name in full:
+            belief = self.beliefs.get(name)
+            if belief is not None and belief.full_until <= now:
+                self.full(name, now, told=True, has_memory=True)
         for name, pace in (slow or {}).items():
             belief = self.beliefs.get(name)
             if belief is not None and now - belief.pace_at > SLOW_AGAIN:
--- a/packages/policy/ibisring_policy/tests/test_loadbook.py
+++ b/packages/policy/ibisring_policy/tests/test_loadbook.py
@@ -170,3 +170,55 @@
     book = loadbook.make_book()
     book.note_pace('x', 1.1, 10.0)
     assert book.pace('x', 10.0) == 1.0
+
+
+def test_an_engine_that_refuses_everything_rests_longer_and_longer():
+    """Symptom: 83 requests end refused after one try, for want of repeats.
+
+    Sequence: two engines leave while the store can't say so; they refuse
+    all they get; each is tried again after 0.3 s by each router.
+    Cause: every refusal was taken for a moment's want of memory.
+    """
+    book = loadbook.make_book()
+    refusals, now = 0, 10.0
+    while now < 20.0:
+        if 'x' in _holders(book, now):
+            book.full('x', now, has_memory=True)
+            refusals += 1
+        now += 0.05
+    assert refusals <= 7
+    book.accepted(['x'], sent_at=now - 5.0)
+    assert 'x' not in _holders(book, now)
+    book.accepted(['x'], sent_at=now)
+    book.full('x', now)
+    assert 'x' in _holders(book, now + loadbook.FULL_SECONDS)
+
+
+def test_a_refusal_is_told_to_others_once():
+    """Load: six routers before an engine that leaves, and one that is full."""
+    first, second = loadbook.make_book(), loadbook.make_book()
+    second.of('x')
+    first.full('x', 10.0, has_memory=True)
+    first.full('y', 10.0)
+    assert first.refusing(10.1) == ['x']
+    second.take_told('r1', {}, [], 10.1, full=first.refusing(10.1))
+    assert 'x' not in _holders(second, 10.2)
+    assert second.refusing(10.2) == []
+    assert first.refusing(10.0 + loadbook.FULL_SECONDS) == []
+
+
+def test_an_engine_that_refuses_with_memory_free_seems_to_leave():
+    """Symptom: a domain refuses requests for the eight seconds of an outage.
+
+    Sequence: an engine that alone holds its layers leaves; its entry can't
+    say so while the store is away; it refuses whatever it gets.
+    Cause: only entries and silence told that an engine is gone.
+    """
+    book = loadbook.make_book()
+    for at in (10.0, 10.35, 11.0):
+        book.full('x', at, has_memory=True)
+        book.full('y', at)
+    assert book.seems_to_leave('x', 11.1)
+    assert not book.seems_to_leave('y', 11.1)
+    book.accepted(['x'], sent_at=11.1)
+    assert not book.seems_to_leave('x', 11.2)
