Routers tell each other seldom while nothing is new

Change: news goes at once and for a second, load often while some engine is 0.7 full, all else once a second; MessagePack in place of JSON.

--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -12,13 +12,10 @@
 from ibisring_gateway import directory
 from ibisring_gateway import peers as peers_module
 from ibisring_policy import ordering
+from ibisring_policy import telling
 from ibisring_records import routing
 
 LOG = logging.getLogger(__name__)
-# Seconds between tellings, and to how many others.  Six routers all tell
-# each other; of many, each hears from any other every few seconds, and the
-# work of one does not grow with their number.
-EVERY = 0.25
 MOST_BYTES = 60000
 
 
@@ -46,6 +43,10 @@
     full: list[str] = []
 
 
+# What others act upon at once; load and names of routers are not.
+_NEWS = ('dead', 'slow', 'full', 'held', 'changed', 'table', 'touch', 'term')
+
+
 class Gossip:
     """Sends and receives `Told`.
 
@@ -66,6 +67,7 @@
         self.peers = peers
         self.tell = tell
         self.rng = random.Random()
+        self.pace = telling.make_pace()
         self.stopped = threading.Event()
         self.socket = socket.socket(socket.AF_INET, socket.SOCK_DGRAM)
         self.socket.bind((settings.host, settings.peer_port))
@@ -86,7 +88,7 @@
         self.socket.close()
 
     def _send_loop(self):
-        while not self.stopped.wait(EVERY * self.rng.uniform(0.8, 1.2)):
+        while not self.stopped.wait(telling.TICK * self.rng.uniform(0.8, 1.2)):
             try:
                 self._send()
             except OSError as error:
@@ -99,6 +101,7 @@
             dead = self.view.book.lately_dead(now)
             slow = self.view.book.slow(now)
             full = self.view.book.refusing(now)
+            fullest = self.view.book.fullest
         told = Told(
             self.settings.router_id,
             {name: int(tokens) for name, tokens in own.items()},
@@ -111,7 +114,10 @@
             self.view.told_holdings(now),
             full,
         )
-        data = msgspec.json.encode(told)
+        news = [getattr(told, name) for name in _NEWS]
+        if not self.pace.is_due(now, news, fullest):
+            return
+        data = msgspec.msgpack.encode(told)
         if len(data) > MOST_BYTES:
             LOG.warning('gossip_too_large %s', len(data))
             return
@@ -126,10 +132,10 @@
         while not self.stopped.is_set():
             try:
                 data, source = self.socket.recvfrom(MOST_BYTES + 1)
-                told = msgspec.json.decode(data, type=Told)
+                told = msgspec.msgpack.decode(data, type=Told)
             except OSError as error:
                 LOG.debug('gossip not received: %s', error)
-                self.stopped.wait(EVERY)
+                self.stopped.wait(telling.TICK)
                 continue
             except msgspec.MsgspecError as error:
                 LOG.warning('gossip_unreadable %s', error)
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -32,7 +32,7 @@
 HEARD_FOR = 8.0
 # Seconds after which a router that tells all others is taken for gone, and
 # how many it tells at once.
-HEARD_LATELY = 1.5
+HEARD_LATELY = 2.5
 TOLD_AT_ONCE = 6
 # Seconds that another router may be ahead before it is asked: usually the
 # same change is on its way here.
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -127,6 +127,7 @@
     def _find(self, endpoints, model, now, demand, heads, avoid):
         with self.view.lock:
             holders = self.view.book.holders(endpoints, model, now, avoid)
+            self.view.book.note_fullest(holders)
         found = chains.choose(
             holders, demand, model.layers, self._noise, heads
         )
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -91,8 +91,9 @@
     telling = gossip.Gossip.__new__(gossip.Gossip)
     telling.view, telling.peers, telling.tell = known.view, known, told.append
     news = gossip.Told('r1', {}, [], held={'x': (5, 0, 8)}, term=4, touch=LOST)
-    data = msgspec.json.encode(news)
-    telling._take(msgspec.json.decode(data, type=gossip.Told), ('10.0.0.1', 7))
+    data = msgspec.msgpack.encode(news)
+    told_us = msgspec.msgpack.decode(data, type=gossip.Told)
+    telling._take(told_us, ('10.0.0.1', 7))
     assert told == [directory.Learnt('x', 5, routing.Holding(0, 8))]
     assert known.view.term == 4
 
--- a/packages/policy/ibisring_policy/loadbook.py
+++ b/packages/policy/ibisring_policy/loadbook.py
@@ -81,11 +81,14 @@
     ----------
     told : dict of str to (float, dict)
         What other routers told of their load, and when.
+    fullest : float
+        Largest share of an engine's memory taken, when last looked at.
     """
 
     def __init__(self):
         self.beliefs = {}
         self.told = {}
+        self.fullest = 0.0
 
     def of(self, name):
         """Give the belief about an endpoint."""
@@ -431,6 +434,11 @@
             )
         return found
 
+    def note_fullest(self, holders):
+        """Note how full the fullest of a model's engines is."""
+        shares = [h.used / h.room for h in holders if h.room > 0]
+        self.fullest = max(shares, default=0.0)
+
 
 def make_book():
     """Make an empty `Book`."""
