The spare that is missed least is moved

The rule that the idlest spare moves is the fault. Ruled out: want of memory (63 refusals follow the missing layers).

--- a/packages/policy/ibisring_policy/layers.py
+++ b/packages/policy/ibisring_policy/layers.py
@@ -202,6 +202,11 @@
             return 0.0
         return max(0.0, min(e.pace for e in self.holders.values()) - pace)
 
+    def loss(self, engine):
+        """Give how much slower this layer runs without one of its holders."""
+        others = [e.pace for e in self.holders.values() if e is not engine]
+        return max(0.0, min(others) - engine.pace) if others else 0.0
+
     def exposure(self):
         """Give the layers to load if the only engine with this one is lost."""
         if len(self.ranges) != 1:
@@ -502,12 +507,13 @@
 
 
 def _spare(pool):
-    """Give the idlest engine all of whose layers others hold.
+    """Give the engine that is missed least, all of whose layers others hold.
 
     Others must have them in place: an engine that is moved while its
-    successor still loads would leave the pool without those layers.  It
-    loads its new ones only when the requests in it have ended; of engines
-    equally idle the slowest is the least loss.
+    successor still loads would leave the pool without those layers.  One
+    whose layers all have a faster holder is missed by nobody.  Of these the
+    idlest is taken: an engine loads its new layers only when the requests in
+    it have ended.
     """
     in_place = pool.in_place()
     counts = coverage(in_place, pool.model.layers)
@@ -518,8 +524,12 @@
             continue
         span = pool.held[held.first : held.end]
         want = sum(layer.tightness(pool.model) for layer in span)
-        rank = round(engine.load, 1), -engine.pace, want / held.count
-        rank = *rank, engine.id
+        rank = (
+            round(sum(layer.loss(engine) for layer in span), 3),
+            round(engine.load, 1),
+            want / held.count,
+            engine.id,
+        )
         if best is None or rank < best[0]:
             best = rank, engine
     return best[1] if best else None
