Engines that wait for their requests are not counted on; shorter leases

Change: an order counts for the time of its load and a half, 1 s besides; an engine that then still holds nothing is planned without for 1 s at a time. Spares that are first stages with requests move last. A lease lasts 0.8 s (others wait 1.2), read again when it may have ended. Ruled out: orders to more than one spare at once (each gives its layers up).

--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -100,6 +100,8 @@
         loads = {h.id: h.used / h.room for h in holders if h.room > 0}
         engines = []
         for each in staying:
+            if self.orders.is_emptying(each, now):
+                continue
             card = service.model.card(each.card)
             engines.append(
                 layers.Engine(
@@ -127,7 +129,8 @@
         if not self._hold_lease(now):
             return
         by_id = {e.id: e for e in staying}
-        self._order_all([(by_id[c.id], c.holding) for c in changes])
+        wanted = [(by_id[c.id], c.holding) for c in changes]
+        self._order_all(wanted, service.model)
 
     def _learn(self, staying):
         """Ask engines under orders what they hold, while the store is away.
@@ -245,12 +248,13 @@
         )
         return True
 
-    def _order_all(self, wanted):
+    def _order_all(self, wanted, model):
         """Send orders, all at the same time.
 
         Parameters
         ----------
         wanted : list of (routing.Endpoint, routing.Holding)
+        model : routing.Model
         """
         unknown = [e for e, _ in wanted if self.orders.count(e) is None]
         for endpoint, status in zip(
@@ -267,7 +271,8 @@
         results = list(self.pool.map(self._order, ready))
         for (endpoint, holding), result in zip(ready, results):
             if result is not None:
-                self._note_order(endpoint, holding, result)
+                seconds = _load_seconds(endpoint, holding, model)
+                self._note_order(endpoint, holding, result, seconds)
 
     def _order(self, wanted):
         """Send one order; None if the right to order has ended."""
@@ -278,10 +283,10 @@
             endpoint, holding, self.orders.count(endpoint), self.turn.term
         )
 
-    def _note_order(self, endpoint, holding, result):
+    def _note_order(self, endpoint, holding, result, seconds):
         expected = self.orders.count(endpoint)
         self.metrics.count(f'orders.{result.value}')
-        self.orders.ordered(endpoint, holding, expected, result.value)
+        self.orders.ordered(endpoint, holding, expected, result.value, seconds)
         logs.event(
             LOG,
             'order',
@@ -321,6 +326,17 @@
             self.view.book.unreachable(endpoint.id, time.monotonic())
 
 
+def _load_seconds(endpoint, holding, model):
+    """Give the time to load what of a range an engine does not hold."""
+    held = endpoint.holding
+    kept = 0
+    if held is not None:
+        kept = max(
+            0, min(held.end, holding.end) - max(held.first, holding.first)
+        )
+    return (holding.count - kept) * model.load_seconds / model.layers
+
+
 def _text(holding):
     if not isinstance(holding, routing.Holding):
         return None
--- a/packages/gateway/ibisring_gateway/tests/test_placing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -50,7 +50,7 @@
 
 def _look(placer, times=3):
     for _ in range(times):
-        placer.turn.read_at = -100.0
+        placer.turn.read_again_at = -100.0
         placer.on_look(placing.Look())
 
 
@@ -264,7 +264,7 @@
     engines.result = ports.OrderResult.STALE
     left = [e for e in _endpoints() if e.id != LOST]
     placer = _placer(builders.view_of(left), engines=engines)
-    placer.turn.read_at = -100.0
+    placer.turn.read_again_at = -100.0
     placer.on_look(placing.Look())
     # Orders of one look go out together; none follows them.
     assert set(engines.tokens) == {placer.turn.term}
--- a/packages/policy/ibisring_policy/layers.py
+++ b/packages/policy/ibisring_policy/layers.py
@@ -513,7 +513,7 @@
     successor still loads would leave the pool without those layers.  One
     whose layers all have a faster holder is missed by nobody.  Of these the
     idlest is taken: an engine loads its new layers only when the requests in
-    it have ended.
+    it have ended, and those that began at it can't be moved off it.
     """
     in_place = pool.in_place()
     counts = coverage(in_place, pool.model.layers)
@@ -526,6 +526,7 @@
         want = sum(layer.tightness(pool.model) for layer in span)
         rank = (
             round(sum(layer.loss(engine) for layer in span), 3),
+            held.first == 0 and engine.load > 0.0,
             round(engine.load, 1),
             want / held.count,
             engine.id,
--- a/packages/policy/ibisring_policy/ordering.py
+++ b/packages/policy/ibisring_policy/ordering.py
@@ -17,9 +17,11 @@
 import msgspec
 
 # Seconds that a lease lasts by its holder's clock, and for everyone else:
-# the difference covers a holder that sends its last order late.
-LEASE = 2.0
-LEASE_FOR_OTHERS = 3.0
+# the difference covers a holder that sends its last order late.  An engine
+# refuses what does not carry its count of orders, so a lease only spares
+# double work; a holder that is killed keeps missing layers away for as long.
+LEASE = 0.8
+LEASE_FOR_OTHERS = 1.2
 # Routers act after a random part of this, in seconds, so that one of them
 # usually finds that another has begun.
 SPREAD = 0.3
@@ -27,7 +29,7 @@
 # the lease, and for which it may then: an answer that was lost is no outage.
 OUTAGE_LEAST = 0.6
 WITHOUT_STORE_FOR = 0.5
-# Seconds between two reads of a lease that another router holds.
+# Seconds between two reads of the lease, where nothing says when it ends.
 READ_AGAIN = 1.0
 # A site where no engine holds anything is planned once no engine has come
 # for this many seconds: a plan for the first few that register would be
@@ -37,11 +39,15 @@
 # that it replaces leaves; seconds.
 REPLACES_WITHIN = 1.6
 # Seconds in which an order that was accepted shows in the engine's entry,
-# beside the time of the load itself.
-SHOWS_AFTER = 4.0
+# beside the time of the load, which is half as long again as by itself where
+# other engines load too.
+SHOWS_AFTER = 1.0
+LOAD_MARGIN = 1.5
 UNKNOWN_FOR = 1.5
-# Seconds before an engine that refused an order is asked again.
+# Seconds before an engine that refused an order is asked again, and before
+# one that gave its layers up but can't load yet is counted on again.
 BUSY_SECONDS = 0.5
+EMPTYING_SECONDS = 1.0
 
 
 class StoreTouch(enum.IntEnum):
@@ -124,7 +130,7 @@
         'term',
         'seen_version',
         'seen_at',
-        'read_at',
+        'read_again_at',
     )
 
     def __init__(self, router_id, draw):
@@ -135,7 +141,7 @@
         self.term = 0
         self.seen_version = None
         self.seen_at = 0.0
-        self.read_at = -READ_AGAIN
+        self.read_again_at = 0.0
 
     def may_act(self, wanted, now):
         """Say whether a wish to order has stood for this router's delay."""
@@ -146,11 +152,11 @@
             return True
         if self.wanted_since is None:
             self.wanted_since = now
-        if now - self.read_at < READ_AGAIN:
+        if now < self.read_again_at:
             return False
         if now - self.wanted_since < self.delay:
             return False
-        self.read_at = now
+        self.read_again_at = now + READ_AGAIN
         return True
 
     def holds(self, now):
@@ -172,8 +178,9 @@
             if row.version != self.seen_version:
                 self.seen_version = row.version
                 self.seen_at = now
-                return None
-            if now - self.seen_at < LEASE_FOR_OTHERS:
+            ends_at = self.seen_at + LEASE_FOR_OTHERS
+            if now < ends_at:
+                self.read_again_at = ends_at
                 return None
         self.term = row.term + 1
         return LeaseRow(self.router_id, row.term + 1, row.version)
@@ -243,13 +250,14 @@
 class Ledger:
     """Orders sent and not yet seen in the engines' entries."""
 
-    __slots__ = ('pending', 'counts', 'clock_now', 'blocked')
+    __slots__ = ('pending', 'counts', 'clock_now', 'blocked', 'emptying')
 
     def __init__(self):
         self.pending = {}
         self.counts = {}
         self.clock_now = 0.0
         self.blocked = {}
+        self.emptying = {}
 
     def settle(self, endpoints, now):
         """Forget orders that show, that never will, or of engines gone."""
@@ -261,9 +269,29 @@
                 endpoint is None
                 or endpoint.started != order.started
                 or endpoint.holding == order.holding
-                or now >= order.until
             ):
                 del self.pending[name]
+            elif now >= order.until:
+                del self.pending[name]
+                if order.before is not None and endpoint.holding is None:
+                    self._note_emptying(endpoint)
+
+    def _note_emptying(self, endpoint):
+        until = self.clock_now + EMPTYING_SECONDS
+        self.emptying[endpoint.id] = endpoint.started, until
+
+    def is_emptying(self, endpoint, now):
+        """Say whether an engine waits for the requests in it.
+
+        It has given its layers up and loads others only when the last of
+        these requests has ended, which may take fifteen seconds.  Counted as
+        the holder of the layers that it was ordered to, it would keep others
+        from being ordered to them.
+        """
+        if endpoint.holding is not None:
+            return False
+        started, until = self.emptying.get(endpoint.id, (None, -1.0))
+        return started == endpoint.started and now < until
 
     def expected(self, endpoint, now):
         """Give what an engine holds or has been ordered to hold."""
@@ -297,9 +325,20 @@
         """Say whether an engine is known to refuse orders now."""
         return self.blocked.get(endpoint.id, -1.0) > now
 
-    def ordered(self, endpoint, holding, expected, result):
-        """Note an order and what became of it."""
-        shows = SHOWS_AFTER
+    def ordered(self, endpoint, holding, expected, result, seconds):
+        """Note an order and what became of it.
+
+        Parameters
+        ----------
+        endpoint : routing.Endpoint
+        holding : routing.Holding
+        expected : int
+            The engine's count of orders before this one.
+        result : str
+        seconds : float
+            Time to load the layers that the engine does not hold yet.
+        """
+        shows = SHOWS_AFTER + LOAD_MARGIN * seconds
         if result == 'begun':
             self.counts[endpoint.id] = endpoint.started, expected + 1
         elif result == 'unknown':
@@ -308,6 +347,8 @@
         elif result in ('conflict', 'wrong', 'stale'):
             self.counts[endpoint.id] = endpoint.started, None
             self.busy(endpoint, self.clock_now)
+            if endpoint.holding is None:
+                self._note_emptying(endpoint)
             return
         self.pending[endpoint.id] = _Order(
             holding,
