ibisring losses: how requests ended and why, from the logs of several VMs

Sums up structured lines one at a time in bounded memory: ends by cause, layers without room, rejections by engine, time an event by stages, streams at a time by first stage; text, JSON, and a plot with marks. Damaged lines are counted and the first named. trace reads through the same module.

--- a/packages/operator/ibisring_operator/main.py
+++ b/packages/operator/ibisring_operator/main.py
@@ -14,6 +14,8 @@
 
 from ibisring_operator import burnreport
 from ibisring_operator import client as client_module
+from ibisring_operator import loglines
+from ibisring_operator import losses as losses_module
 from ibisring_operator import tracing
 from ibisring_records import exceptions
 from ibisring_records import records
@@ -203,19 +205,61 @@
 @app.command()
 def trace(request: str, logs: list[pathlib.Path]):
     """Show a request's lines from the logs of one or more VMs."""
-    lines = []
-    for path in logs:
-        try:
-            content = path.read_text(errors='replace')
-        except OSError as error:
-            fail(exceptions.InvalidRequest(f'{path}: {error.strerror}'))
-        lines.extend(tracing.read(path.stem, content))
+    lines = list(_lines(logs))
     found = tracing.trace(lines, request)
     if not found:
         fail(exceptions.NotFound(f'no line names request {request}'))
     typer.echo(tracing.text(found))
 
 
+def _lines(logs):
+    """Give the lines of all files; say at the end what was damaged."""
+    reader = loglines.make_reader()
+    for path in logs:
+        try:
+            yield from reader.read(path)
+        except exceptions.IbisringError as error:
+            fail(error)
+    if reader.damaged:
+        typer.echo(
+            f'{reader.damaged} damaged lines passed over, the first at '
+            f'{", ".join(reader.named)}',
+            err=True,
+        )
+
+
+def _mark(text):
+    """Read a mark, `SECONDS:NAME`."""
+    seconds, colon, name = text.partition(':')
+    try:
+        return float(seconds), name
+    except ValueError:
+        fail(exceptions.InvalidRequest(f'mark {text!r} is not SECONDS:NAME'))
+
+
+@app.command()
+def losses(
+    logs: list[pathlib.Path],
+    since: float = typer.Option(0.0, help='Seconds from the first line.'),
+    until: float = typer.Option(float('inf'), help='Seconds, not included.'),
+    output: Output = OUTPUT,
+    plot: pathlib.Path = typer.Option(None, help='SVG file to write.'),
+    mark: list[str] = typer.Option([], help='SECONDS:NAME, for the plot.'),
+):
+    """Show how requests ended and why, from the logs of one or more VMs."""
+    marks = [_mark(each) for each in mark]
+    found = losses_module.make_losses(since, until)
+    for line in _lines(logs):
+        found.take(line)
+    figures = losses_module.report(found)
+    if plot is not None:
+        plot.write_text(losses_module.plot(figures, marks))
+    if output is Output.JSON:
+        typer.echo(json.dumps(figures, indent=2))
+    else:
+        typer.echo(losses_module.text(figures))
+
+
 def _watch_row(view, newest):
     state = 'in force'
     if view.problem:
--- a/packages/operator/ibisring_operator/tests/test_tracing.py
+++ b/packages/operator/ibisring_operator/tests/test_tracing.py
@@ -2,6 +2,7 @@
 
 from typer import testing
 
+from ibisring_operator import loglines
 from ibisring_operator import main
 from ibisring_operator import tracing
 
@@ -15,8 +16,13 @@
 SECOND = '5.0 vm-2 {"time": 10.1, "event": "store_lost", "why": "other VM"}\n'
 
 
+def _read(name, content):
+    reader = loglines.make_reader()
+    return list(reader.parse(name, content.splitlines()))
+
+
 def test_a_request_and_what_was_believed_around_it():
-    lines = tracing.read('vm-1', FIRST) + tracing.read('b', SECOND)
+    lines = _read('vm-1', FIRST) + _read('b', SECOND)
     found = tracing.trace(lines, 'r1')
     assert [line.event for line in found] == [
         'store_lost',
@@ -27,7 +33,7 @@
 
 
 def test_an_unknown_request_has_no_lines():
-    assert tracing.trace(tracing.read('vm-1', FIRST), 'none') == []
+    assert tracing.trace(_read('vm-1', FIRST), 'none') == []
 
 
 def test_the_command(tmp_path):
--- a/packages/operator/ibisring_operator/tracing.py
+++ b/packages/operator/ibisring_operator/tracing.py
@@ -1,11 +1,8 @@
 """Following a request through the logs of several VMs."""
 
-__all__ = ['Line', 'read', 'trace', 'text']
+__all__ = ['trace', 'text']
 
 import json
-import re
-
-import msgspec
 
 # Seconds around a request within which changes of belief are shown.
 AROUND = 2.0
@@ -24,59 +21,6 @@
         'table_in_force',
     )
 )
-_HIDDEN = ('time', 'level', 'module', 'event', 'id')
-# What a collector of logs may put before a line, the VM's name last.
-_PREFIX = re.compile(r'^(?P<before>[^{]*)(?P<json>\{.*\})\s*$')
-
-
-class Line(msgspec.Struct):
-    """A log line: seconds of its clock, where it was written, its facts."""
-
-    time: float
-    source: str
-    event: str
-    request: str
-    facts: dict
-
-
-def read(name, content):
-    """Give the lines of one log.
-
-    Parameters
-    ----------
-    name : str
-        Stands for the VM where the lines don't name one.
-    content : str
-        Lines that are not structured are passed over.
-
-    Examples
-    --------
-    >>> read('a.log', '12.1 vm-1 {"time": 1.0, "event": "x"}')[0].source
-    'vm-1'
-    """
-    found = []
-    for raw in content.splitlines():
-        match = _PREFIX.match(raw)
-        if match is None:
-            continue
-        try:
-            value = json.loads(match['json'])
-        except ValueError:
-            continue
-        if not isinstance(value, dict) or 'event' not in value:
-            continue
-        before = match['before'].split()
-        facts = {k: v for k, v in value.items() if k not in _HIDDEN}
-        found.append(
-            Line(
-                float(value.get('time', 0.0)),
-                before[-1] if before else name,
-                str(value['event']),
-                str(value.get('id', '')),
-                facts,
-            )
-        )
-    return found
 
 
 def trace(lines, request):
@@ -84,12 +28,12 @@
 
     Parameters
     ----------
-    lines : list of Line
+    lines : list of loglines.Line
     request : str
 
     Returns
     -------
-    list of Line
+    list of loglines.Line
         By time.  Empty if no line names the request.  Beliefs are those of
         the VMs that served it, from `AROUND` seconds before its first line
         to its last.
