The gateway's decisions get a package of their own; the planner is three modules

Which of policy's modules serve the gateway and which the router of the own deployment could not be told: eleven of thirty were the gateway's. They stand in ibisring_policy.gateway now, with their tests and builders. layers.py (536 lines) is split: windows (who holds what, which window is best), repairs (a pool while it is planned), layers (plans of all pools). No decision changed.

--- a/bench/layers.py
+++ b/bench/layers.py
@@ -8,9 +8,10 @@
 import time
 import tracemalloc
 
-from ibisring_policy import chains
-from ibisring_policy import layers
-from ibisring_policy.tests import fleetbuilders as build
+from ibisring_policy.gateway import chains
+from ibisring_policy.gateway import layers
+from ibisring_policy.gateway.tests import builders as build
+from ibisring_policy.gateway import windows
 
 SIZES = ((1, 39), (3, 98), (31, 1200))
 CHOICES = 20
@@ -33,7 +34,7 @@
 def _release(engines, model, rng):
     """Replace one engine; give the layers loaded and domains left whole."""
     old = rng.choice(engines)
-    new = layers.Engine(f'{old.id}+', old.domain, old.memory_mb)
+    new = windows.Engine(f'{old.id}+', old.domain, old.memory_mb)
     engines = build.planned([*engines, new], model)
     left = [e for e in engines if e.id != old.id]
     return build.planned(left, model)
--- a/deploy/build.sh
+++ b/deploy/build.sh
@@ -14,6 +14,6 @@
     name=$(basename "$source")
     rm -rf "$deps/$name"
     cp -r "$source" "$deps/$name"
-    rm -rf "$deps/$name/tests"
+    find "$deps/$name" -name tests -prune -exec rm -rf {} +
 done
 python3 -m compileall -q "$deps"
--- a/packages/gateway/ibisring_gateway/asking.py
+++ b/packages/gateway/ibisring_gateway/asking.py
@@ -5,8 +5,8 @@
 import concurrent.futures
 import logging
 
-from ibisring_policy import loadbook
-from ibisring_policy import patience
+from ibisring_policy.gateway import loadbook
+from ibisring_policy.gateway import patience
 from ibisring_records import exceptions
 from ibisring_router import logs
 
--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -7,8 +7,8 @@
 
 from ibisring_gateway import ports
 from ibisring_gateway import view as view_module
-from ibisring_policy import presence
-from ibisring_policy import routetable
+from ibisring_policy.gateway import presence
+from ibisring_policy.gateway import routetable
 from ibisring_records import routing
 from ibisring_router import actors
 from ibisring_router import logs
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -11,7 +11,7 @@
 from ibisring_gateway import selecting
 from ibisring_gateway import sending
 from ibisring_gateway import watching
-from ibisring_policy import attempts
+from ibisring_policy.gateway import attempts
 from ibisring_records import exceptions
 from ibisring_router import logs
 from ibisring_web import serving
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -11,8 +11,8 @@
 
 from ibisring_gateway import directory
 from ibisring_gateway import peers as peers_module
-from ibisring_policy import ordering
-from ibisring_policy import telling
+from ibisring_policy.gateway import ordering
+from ibisring_policy.gateway import telling
 from ibisring_records import routing
 
 LOG = logging.getLogger(__name__)
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -5,7 +5,7 @@
 import enum
 
 from ibisring_gateway import events
-from ibisring_policy import attempts
+from ibisring_policy.gateway import attempts
 from ibisring_records import routing
 
 
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -9,9 +9,10 @@
 
 from ibisring_gateway import directory
 from ibisring_gateway import ports
-from ibisring_policy import layers
-from ibisring_policy import ordering
-from ibisring_policy import presence
+from ibisring_policy.gateway import layers
+from ibisring_policy.gateway import ordering
+from ibisring_policy.gateway import presence
+from ibisring_policy.gateway import windows
 from ibisring_records import exceptions
 from ibisring_records import routing
 from ibisring_router import actors
@@ -104,7 +105,7 @@
                 continue
             card = service.model.card(each.card)
             engines.append(
-                layers.Engine(
+                windows.Engine(
                     each.id,
                     each.failure_domain,
                     card.memory_mb,
@@ -156,7 +157,7 @@
     def _tell_missing(self, service, staying):
         """Log when the layers that some failure domain lacks change."""
         engines = [
-            layers.Engine(e.id, e.failure_domain, 0.0, e.holding)
+            windows.Engine(e.id, e.failure_domain, 0.0, e.holding)
             for e in staying
         ]
         found = layers.missing(engines, service.model.layers)
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -24,8 +24,8 @@
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
 from ibisring_gateway import watching
-from ibisring_policy import attempts
-from ibisring_policy import shutdown
+from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import shutdown
 from ibisring_records import exceptions
 from ibisring_records import routing
 from ibisring_router import logs
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -4,9 +4,9 @@
 
 import random
 
-from ibisring_policy import chains
-from ibisring_policy import loadbook
-from ibisring_policy import shortage
+from ibisring_policy.gateway import chains
+from ibisring_policy.gateway import loadbook
+from ibisring_policy.gateway import shortage
 import msgspec
 
 # Routers that know the same choose differently by up to this factor.
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -7,7 +7,7 @@
 from ibisring_gateway import events
 from ibisring_gateway import selecting
 from ibisring_gateway import upstream
-from ibisring_policy import attempts
+from ibisring_policy.gateway import attempts
 from ibisring_records import routing
 from ibisring_router import logs
 
--- a/packages/gateway/ibisring_gateway/tests/builders.py
+++ b/packages/gateway/ibisring_gateway/tests/builders.py
@@ -4,9 +4,9 @@
 
 from ibisring_gateway import ports
 from ibisring_gateway import view as view_module
-from ibisring_policy import ordering
-from ibisring_policy import routetable
-from ibisring_policy.tests import fleetbuilders
+from ibisring_policy.gateway import ordering
+from ibisring_policy.gateway import routetable
+from ibisring_policy.gateway.tests import builders as policybuilders
 from ibisring_records import exceptions
 
 
@@ -116,7 +116,7 @@
 def view_of(endpoints, table=None, **facts):
     """Give a view that knows some endpoints."""
     view = view_module.make_view('a')
-    table = table or fleetbuilders.table()
+    table = table or policybuilders.table()
     by_service = {}
     for endpoint in endpoints:
         by_service.setdefault(endpoint.service, []).append(endpoint)
--- a/packages/gateway/ibisring_gateway/tests/test_directory.py
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -5,7 +5,7 @@
 from ibisring_gateway.tests import builders
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
-from ibisring_policy.tests import fleetbuilders as build
+from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
 
 
--- a/packages/gateway/ibisring_gateway/tests/test_doctor.py
+++ b/packages/gateway/ibisring_gateway/tests/test_doctor.py
@@ -9,9 +9,9 @@
 from ibisring_gateway import selecting
 from ibisring_gateway.tests import builders
 from ibisring_gateway import watching
-from ibisring_policy import attempts
-from ibisring_policy import chains
-from ibisring_policy.tests import fleetbuilders as build
+from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import chains
+from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
 
 
--- a/packages/gateway/ibisring_gateway/tests/test_jobs.py
+++ b/packages/gateway/ibisring_gateway/tests/test_jobs.py
@@ -5,7 +5,7 @@
 import pytest
 
 from ibisring_gateway import jobs
-from ibisring_policy.tests import fleetbuilders as build
+from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
 
 
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -8,7 +8,7 @@
 from ibisring_gateway import peers
 from ibisring_gateway import settings as settings_module
 from ibisring_gateway.tests import builders
-from ibisring_policy import ordering
+from ibisring_policy.gateway import ordering
 from ibisring_records import routing
 
 LOST = ordering.StoreTouch.LOST
--- a/packages/gateway/ibisring_gateway/tests/test_placing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -7,9 +7,9 @@
 from ibisring_gateway import placing
 from ibisring_gateway import ports
 from ibisring_gateway.tests import builders
-from ibisring_policy import ordering
-from ibisring_policy import presence
-from ibisring_policy.tests import fleetbuilders as build
+from ibisring_policy.gateway import ordering
+from ibisring_policy.gateway import presence
+from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import exceptions
 
 # An engine that alone holds its layers in its failure domain.
--- a/packages/gateway/ibisring_gateway/tests/test_watching.py
+++ b/packages/gateway/ibisring_gateway/tests/test_watching.py
@@ -5,7 +5,7 @@
 from ibisring_gateway import selecting
 from ibisring_gateway.tests import builders
 from ibisring_gateway import watching
-from ibisring_policy import attempts
+from ibisring_policy.gateway import attempts
 import pytest
 
 
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -9,8 +9,8 @@
 import threading
 import time
 
-from ibisring_policy import loadbook
-from ibisring_policy import ordering
+from ibisring_policy.gateway import loadbook
+from ibisring_policy.gateway import ordering
 import msgspec
 
 # Seconds for which other routers are told what an engine said: of 83, each
--- a/packages/gateway/ibisring_gateway/watching.py
+++ b/packages/gateway/ibisring_gateway/watching.py
@@ -8,7 +8,7 @@
 import threading
 import time
 
-from ibisring_policy import attempts
+from ibisring_policy.gateway import attempts
 
 LOG = logging.getLogger(__name__)
 # A caller's leaving shows at once.  The thread sleeps until some attempt is
--- a/packages/policy/ibisring_policy/loadbook.py
+++ b/packages/policy/ibisring_policy/gateway/loadbook.py
@@ -2,8 +2,8 @@
 
 __all__ = ['Book', 'Belief', 'make_book']
 
-from ibisring_policy import chains
-from ibisring_policy import shortage
+from ibisring_policy.gateway import chains
+from ibisring_policy.gateway import shortage
 import msgspec
 
 # Seconds for which an endpoint that could not be reached gets no requests
--- a/packages/policy/ibisring_policy/layers.py
+++ b/packages/policy/ibisring_policy/gateway/repairs.py
@@ -1,27 +1,15 @@
-"""Which layers each engine holds.
-
-Engines of one failure domain form a pool, since a prompt's activations are
-too large to cross between domains for every request.  The same fill of every
-card gives each held layer the same memory for prompts, and the planner gives
-an engine without layers the window of its size where the fewest others stand.
-Engines that hold a window keep it; only where a layer has no holder left are
-others moved, or their ranges lengthened.
+"""The engines of a pool while their ranges are being planned.
+
+Empty engines are given the windows that need them most; gaps are closed with
+as few layers moved as can be; ranges that were kept short are lengthened.
 """
 
-__all__ = ['Engine', 'Change', 'plan', 'coverage', 'missing', 'pools']
+__all__ = ['Pool', 'make_pool']
 
-from ibisring_policy import chains
+from ibisring_policy.gateway import chains
+from ibisring_policy.gateway import windows
 from ibisring_records import routing
-import msgspec
-
-# Share of a card's memory for weights.  At 0.65 the pools of mixed cards
-# that the planner was tried on hold 1.2 to 1.5 copies of the model, and two
-# and a half times the prompts of a mean load fit into the rest.
-FILL = 0.68
-# A pool must hold this many copies, or it is merged with the others.
-LEAST_COPIES = 1.05
-# Share of memory for weights that a small pool may go up to.
-MOST_FILL = 0.88
+
 # Memory for prompts kept on a card, as a share of it, when its range is
 # lengthened to close a gap; and when nothing else closes it.  At 0.2 a card
 # of 14 GB holds 44,000 tokens for six layers, at 0.12 20,000 for seven: half
@@ -32,255 +20,14 @@
 TIGHT_RESERVE = 0.05
 
 
-class Engine(msgspec.Struct, frozen=True):
-    """An engine as the planner sees it.
-
-    `holding` is what it holds, or was ordered to hold; `placed` is what of it
-    is in place now.  `waits` is set for one that has just come: it may take
-    the place of one that is about to leave, see `place_empty`.  `pace` is
-    its time for a layer over that of the fastest kind of card; `load` the
-    share of its memory for prompts that requests hold.
-    """
-
-    id: str
-    domain: str
-    memory_mb: float
-    holding: routing.Holding | None = None
-    placed: routing.Holding | None = None
-    waits: bool = False
-    pace: float = 1.0
-    load: float = 0.0
-
-    @property
-    def is_loading(self):
-        """Whether an order is under way; it refuses others until its end."""
-        return self.holding != self.placed
-
-    def most_layers(self, layer_mb, share=1.0):
-        """Give how many layers fit into a share of the memory."""
-        return int(self.memory_mb * share / layer_mb)
-
-
-class Change(msgspec.Struct, frozen=True):
-    """A new range for an engine."""
-
-    id: str
-    holding: routing.Holding
-
-
-def coverage(engines, layers):
-    """Count the holders of each layer.
-
-    Examples
-    --------
-    >>> held = routing.Holding(1, 3)
-    >>> coverage([Engine('a', 'x', 10.0, held)], 4)
-    [0, 1, 1, 0]
-    """
-    counts = [0] * layers
-    for engine in engines:
-        if engine.holding is not None:
-            for layer in range(engine.holding.first, engine.holding.end):
-                counts[layer] += 1
-    return counts
-
-
-def missing(engines, layers):
-    """Give, for each failure domain, the layers that no engine there holds.
-
-    Returns
-    -------
-    dict of str to list of Holding
-        Only domains that lack some.
-    """
-    by_domain = {}
-    for engine in engines:
-        by_domain.setdefault(engine.domain, []).append(engine)
-    found = {}
-    for domain, group in by_domain.items():
-        gaps = _gaps(coverage(group, layers))
-        if gaps:
-            found[domain] = gaps
-    return found
-
-
-def pools(engines, model):
-    """Group engines so that each group can hold the whole model.
-
-    Returns
-    -------
-    list of list of Engine
-        One group for each failure domain, or a single one if some domain
-        is too small to hold the model beside any prompts.
-    """
-    by_domain = {}
-    for engine in engines:
-        by_domain.setdefault(engine.domain, []).append(engine)
-    need = model.layers * LEAST_COPIES
-    for group in by_domain.values():
-        fits = sum(e.most_layers(model.layer_mb, MOST_FILL) for e in group)
-        if fits < need:
-            return [sorted(engines, key=_name)]
-    return [sorted(by_domain[name], key=_name) for name in sorted(by_domain)]
-
-
-def _name(engine):
-    return engine.id
-
-
-def plan(engines, model):
-    """Give the changes that bring all engines to good ranges.
-
-    Parameters
-    ----------
-    engines : list of Engine
-        Those that stay: no draining or lost one.
-    model : routing.Model
-
-    Returns
-    -------
-    list of Change
-        None that holds more than a card's memory.
-    """
-    changes = []
-    for group in pools(engines, model):
-        changes.extend(_plan_pool(group, model))
-    return changes
-
-
-def _fill(group, model):
-    """Give the share of memory for weights in a pool."""
-    memory = sum(engine.memory_mb for engine in group)
-    if not memory:
-        return FILL
-    needed = LEAST_COPIES * model.layers * model.layer_mb / memory
-    return min(MOST_FILL, max(FILL, needed))
-
-
-def _window(engine, model, fill):
+def _size(engine, model, fill):
     """Give how many layers an engine should hold."""
     most = engine.most_layers(model.layer_mb)
     wanted = round(engine.memory_mb * fill / model.layer_mb)
     return min(max(1, wanted), max(1, most - 1), most, model.layers)
 
 
-def _plan_pool(group, model):
-    pool = _Pool(group, model)
-    pool.place_empty()
-    pool.close_gaps()
-    pool.extend_one()
-    return [Change(name, held) for name, held in pool.changes.items()]
-
-
-class _Layer:
-    """Who holds a layer in a pool.
-
-    Attributes
-    ----------
-    holders : dict of str to Engine
-    """
-
-    __slots__ = ('holders', 'ranges')
-
-    def __init__(self):
-        self.holders = {}
-        self.ranges = {}
-
-    def add(self, engine, holding):
-        """Count an engine that holds this layer among others."""
-        self.holders[engine.id] = engine
-        self.ranges[engine.id] = holding.count
-
-    def remove(self, engine):
-        """Take an engine out."""
-        del self.holders[engine.id]
-        del self.ranges[engine.id]
-
-    def gain(self, pace):
-        """Give how much faster this layer runs with an engine of a pace."""
-        if not self.holders:
-            return 0.0
-        return max(0.0, min(e.pace for e in self.holders.values()) - pace)
-
-    def loss(self, engine):
-        """Give how much slower this layer runs without one of its holders."""
-        others = [e.pace for e in self.holders.values() if e is not engine]
-        return max(0.0, min(others) - engine.pace) if others else 0.0
-
-    def exposure(self):
-        """Give the layers to load if the only engine with this one is lost."""
-        if len(self.ranges) != 1:
-            return 0.0
-        return float(next(iter(self.ranges.values())))
-
-    def tightness(self, model):
-        """Give the want of memory for prompts, from 0 up to 1."""
-        total = 0.0
-        for name, engine in self.holders.items():
-            free = engine.memory_mb - self.ranges[name] * model.layer_mb
-            total += max(free, 1.0) / self.ranges[name]
-        return 1.0 / (1.0 + total)
-
-
-def _best_window(held, size, engine, model, around=None):
-    """Give the window that most needs an engine.
-
-    Layers with no holder come first.  Then those that it runs faster than
-    all who hold them: the engines of a fast chain serve, slower ones stand
-    by.  Then those whose only holder has most to load again if it is lost:
-    26 layers keep a domain out for some five seconds, 5 for one.  Then the
-    least memory for prompts; of equal windows the first, so that ranges lie
-    side by side.
-
-    Parameters
-    ----------
-    held : list of _Layer
-    size : int
-    engine : Engine
-    model : routing.Model
-    around : routing.Holding or None
-        The window must contain this range.
-    """
-    first, last = 0, model.layers - size
-    if around is not None:
-        first, last = max(0, around.end - size), min(last, around.first)
-    gains = [layer.gain(engine.pace) for layer in held]
-    exposures = [layer.exposure() for layer in held]
-    wants = [layer.tightness(model) for layer in held]
-    empties = [not layer.holders for layer in held]
-    best = None
-    for first in range(first, last + 1):
-        span = slice(first, first + size)
-        # A window that starts inside a gap leaves a splinter before it,
-        # which would cost a whole engine later.
-        splinter = bool(first and empties[first - 1] and empties[first])
-        rank = (
-            -sum(empties[span]),
-            splinter,
-            -round(sum(gains[span]), 3),
-            -sum(exposures[span]),
-            -round(sum(wants[span]), 6),
-            first,
-        )
-        if best is None or rank < best:
-            best = rank
-    return routing.Holding(best[-1], best[-1] + size)
-
-
-def _gaps(counts):
-    """Give the runs of layers that have no holder."""
-    found = []
-    start = None
-    for layer, count in enumerate([*counts, 1]):
-        if count == 0 and start is None:
-            start = layer
-        if count and start is not None:
-            found.append(routing.Holding(start, layer))
-            start = None
-    return found
-
-
-class _Pool:
+class Pool:
     """The engines of a pool while their ranges are being planned."""
 
     __slots__ = (
@@ -293,12 +40,12 @@
         'reserve',
     )
 
-    def __init__(self, group, model):
+    def __init__(self, group, model, fill):
         self.group = group
         self.model = model
-        self.fill = _fill(group, model)
+        self.fill = fill
         self.current = {engine.id: engine.holding for engine in group}
-        self.held = [_Layer() for _ in range(model.layers)]
+        self.held = [windows.Layer() for _ in range(model.layers)]
         self.changes = {}
         self.reserve = RESERVE
         for engine in group:
@@ -328,9 +75,11 @@
         for engine in sorted(self.group, key=self._cost):
             if engine.waits and not self._gaps():
                 continue
-            size = _window(engine, self.model, self.fill)
+            size = _size(engine, self.model, self.fill)
             if engine.holding is None and size > 0:
-                window = _best_window(self.held, size, engine, self.model)
+                window = windows.best_window(
+                    self.held, size, engine, self.model
+                )
                 self.assign(engine, self._missing_part(window))
 
     def _missing_part(self, window):
@@ -363,9 +112,9 @@
             return
         for engine in sorted(self.group, key=self._cost):
             held = self.current[engine.id]
-            size = _window(engine, self.model, self.fill)
+            size = _size(engine, self.model, self.fill)
             if held is not None and held.count < size:
-                window = _best_window(
+                window = windows.best_window(
                     self.held, size, engine, self.model, around=held
                 )
                 self.assign(engine, window)
@@ -373,11 +122,11 @@
 
     def _cost(self, engine):
         """Give what a layer costs on an engine, its stage's part included."""
-        size = max(1, _window(engine, self.model, self.fill))
+        size = max(1, _size(engine, self.model, self.fill))
         return engine.pace + chains.STAGE_COST / size, engine.id
 
     def _gaps(self):
-        return _gaps([len(layer.holders) for layer in self.held])
+        return windows.gaps([len(layer.holders) for layer in self.held])
 
     def close_gaps(self):
         """Give each layer a holder, moving as few layers as can be.
@@ -407,7 +156,7 @@
             if spare is None:
                 return gap
             # Loading no more than is missing ends the gap soonest.
-            size = min(gap.count, _window(spare, self.model, self.fill))
+            size = min(gap.count, _size(spare, self.model, self.fill))
             first = max(0, min(gap.first, self.model.layers - size))
             self.assign(spare, routing.Holding(first, first + size))
             gap = _rest(first + size, gap.end)
@@ -467,7 +216,7 @@
         bool
             Whether there is such an engine.
         """
-        counts = coverage(self.in_place(), self.model.layers)
+        counts = windows.coverage(self.in_place(), self.model.layers)
         best = None
         for engine in self.in_place():
             held = engine.holding
@@ -516,7 +265,7 @@
     it have ended, and those that began at it can't be moved off it.
     """
     in_place = pool.in_place()
-    counts = coverage(in_place, pool.model.layers)
+    counts = windows.coverage(in_place, pool.model.layers)
     best = None
     for engine in in_place:
         held = engine.holding
@@ -534,3 +283,16 @@
         if best is None or rank < best[0]:
             best = rank, engine
     return best[1] if best else None
+
+
+def make_pool(group, model, fill):
+    """Make a `Pool` of the engines of a failure domain.
+
+    Parameters
+    ----------
+    group : list of windows.Engine
+    model : routing.Model
+    fill : float
+        Share of a card's memory for weights.
+    """
+    return Pool(group, model, fill)
--- a/packages/policy/ibisring_policy/shortage.py
+++ b/packages/policy/ibisring_policy/gateway/shortage.py
@@ -54,7 +54,7 @@
 
     Examples
     --------
-    >>> from ibisring_policy import chains
+    >>> from ibisring_policy.gateway import chains
     >>> held = [chains.Holder('a', 'a:1', 'x', 0, 2, 100.0)]
     >>> text(find(held, [], chains.Demand(10.0, 'x', 0, 4), 0.95))
     ['2-4 missing']
--- a/packages/policy/ibisring_policy/tests/fleetbuilders.py
+++ b/packages/policy/ibisring_policy/gateway/tests/builders.py
@@ -1,7 +1,8 @@
 """Builders of engines, models, routes and tables for tests."""
 
-from ibisring_policy import chains
-from ibisring_policy import layers
+from ibisring_policy.gateway import chains
+from ibisring_policy.gateway import layers
+from ibisring_policy.gateway import windows
 from ibisring_records import routing
 
 LAYERS = 80
@@ -49,7 +50,7 @@
     """Give an engine for the planner; `held` is a pair or None."""
     kind = next(c for c in CARDS if c.name == card)
     held = routing.Holding(*held) if held else None
-    return layers.Engine(
+    return windows.Engine(
         name,
         domain,
         kind.memory_mb,
@@ -73,7 +74,7 @@
     """Give the engines as they are after a plan was carried out."""
     found = {c.id: c.holding for c in layers.plan(engines, of or model())}
     return [
-        layers.Engine(
+        windows.Engine(
             e.id,
             e.domain,
             e.memory_mb,
--- a/packages/policy/ibisring_policy/tests/test_attempts.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_attempts.py
@@ -2,7 +2,7 @@
 
 import itertools
 
-from ibisring_policy import attempts
+from ibisring_policy.gateway import attempts
 import pytest
 
 End = attempts.End
--- a/packages/policy/ibisring_policy/tests/test_chains.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_chains.py
@@ -6,9 +6,9 @@
 from hypothesis import strategies
 import pytest
 
-from ibisring_policy import chains
+from ibisring_policy.gateway import chains
+from ibisring_policy.gateway.tests import builders as build
 from ibisring_policy import plans
-from ibisring_policy.tests import fleetbuilders as build
 
 
 def _choose(holders, **changes):
--- a/packages/policy/ibisring_policy/tests/test_layers.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_layers.py
@@ -5,13 +5,14 @@
 import msgspec
 import pytest
 
-from ibisring_policy import layers
-from ibisring_policy.tests import fleetbuilders as build
+from ibisring_policy.gateway import layers
+from ibisring_policy.gateway.tests import builders as build
+from ibisring_policy.gateway import windows
 
 
 def _counts(engines, domain):
     group = [e for e in engines if e.domain == domain]
-    return layers.coverage(group, build.LAYERS)
+    return windows.coverage(group, build.LAYERS)
 
 
 def _fits(engines):
@@ -123,7 +124,7 @@
 def test_domains_too_small_for_the_model_are_one_pool():
     engines = [build.engine(f'{d}{n}', d) for d in 'ab' for n in range(5)]
     placed = build.planned(engines)
-    assert min(layers.coverage(placed, build.LAYERS)) >= 1
+    assert min(windows.coverage(placed, build.LAYERS)) >= 1
     assert len(layers.pools(engines, build.model())) == 1
 
 
@@ -161,7 +162,7 @@
     engines = build.planned(build.mixed_engines())
     for number in range(30):
         old = rng.choice(engines)
-        new = layers.Engine(f'new-{number}', old.domain, old.memory_mb)
+        new = windows.Engine(f'new-{number}', old.domain, old.memory_mb)
         engines = _after([*engines, new])
         engines = _after([e for e in engines if e.id != old.id])
         assert _fits(engines)
@@ -182,7 +183,7 @@
         build.engine('z', card='small', held=(18, 20)),
     ]
     placed = build.planned(engines, model)
-    assert min(layers.coverage(placed, 20)) >= 1
+    assert min(windows.coverage(placed, 20)) >= 1
     assert _fits(placed)
 
 
@@ -208,7 +209,7 @@
     kinds = {'big': (72000.0, 2.4), 'quick': (14400.0, 5.3)}
     kinds['mid'] = (21600.0, 16.0)
     engines = [
-        layers.Engine(f'{card}{n}', 'a', kinds[card][0], pace=kinds[card][1])
+        windows.Engine(f'{card}{n}', 'a', kinds[card][0], pace=kinds[card][1])
         for card, count in cards.items()
         for n in range(count)
     ]
@@ -246,7 +247,7 @@
     engines = [
         build.engine('s0', held=(0, 8)),
         build.engine('s1', held=(8, 16)),
-        layers.Engine('new', 'a', 36000.0, pace=3.1),
+        windows.Engine('new', 'a', 36000.0, pace=3.1),
     ]
     model = build.model(layers=16)
     (change,) = layers.plan(engines, model)
@@ -294,8 +295,8 @@
     Cause: which spare was taken did not go by the requests in it.
     """
     spares = [
-        layers.Engine('busy', 'a', 21600.0, *[build.holding(0, 8)] * 2),
-        layers.Engine('idle', 'a', 21600.0, *[build.holding(0, 8)] * 2),
+        windows.Engine('busy', 'a', 21600.0, *[build.holding(0, 8)] * 2),
+        windows.Engine('idle', 'a', 21600.0, *[build.holding(0, 8)] * 2),
     ]
     spares[0] = msgspec.structs.replace(spares[0], load=0.3)
     (change,) = layers.plan(spares, build.model(layers=14))
@@ -312,7 +313,7 @@
     """
     slow = [build.engine(f's{n}', held=(n * 8, n * 8 + 8)) for n in range(3)]
     slow = [msgspec.structs.replace(each, load=0.2) for each in slow]
-    fast = layers.Engine('fast', 'a', 72000.0, *[build.holding(0, 24)] * 2)
+    fast = windows.Engine('fast', 'a', 72000.0, *[build.holding(0, 24)] * 2)
     changes = layers.plan([fast, *slow], build.model(layers=48))
     moved = {c.id for c in changes if c.holding.first >= 24}
     assert moved and moved <= {each.id for each in slow}
--- a/packages/policy/ibisring_policy/tests/test_loadbook.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_loadbook.py
@@ -2,9 +2,9 @@
 
 import random
 
-from ibisring_policy import chains
-from ibisring_policy import loadbook
-from ibisring_policy.tests import fleetbuilders as build
+from ibisring_policy.gateway import chains
+from ibisring_policy.gateway import loadbook
+from ibisring_policy.gateway.tests import builders as build
 
 
 def _holders(book, now=10.0):
--- a/packages/policy/ibisring_policy/tests/test_ordering.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_ordering.py
@@ -5,8 +5,8 @@
 import hypothesis
 from hypothesis import strategies
 
-from ibisring_policy import ordering
-from ibisring_policy.tests import fleetbuilders as build
+from ibisring_policy.gateway import ordering
+from ibisring_policy.gateway.tests import builders as build
 
 
 def test_nobody_acts_without_a_wish():
--- a/packages/policy/ibisring_policy/tests/test_patience.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_patience.py
@@ -2,7 +2,7 @@
 
 import random
 
-from ibisring_policy import patience
+from ibisring_policy.gateway import patience
 
 
 def _mistakes(answer, count=200):
--- a/packages/policy/ibisring_policy/tests/test_presence.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_presence.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from ibisring_policy import presence
-from ibisring_policy.tests import fleetbuilders as build
+from ibisring_policy.gateway import presence
+from ibisring_policy.gateway.tests import builders as build
 
 
 def _known(*names):
--- a/packages/policy/ibisring_policy/tests/test_routetable.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_routetable.py
@@ -2,8 +2,8 @@
 
 import pytest
 
-from ibisring_policy import routetable
-from ibisring_policy.tests import fleetbuilders as build
+from ibisring_policy.gateway import routetable
+from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import exceptions
 from ibisring_records import routing
 
--- a/packages/policy/ibisring_policy/tests/test_shortage.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_shortage.py
@@ -1,7 +1,7 @@
 """Tests of naming the layers for which nothing has room."""
 
-from ibisring_policy import shortage
-from ibisring_policy.tests import fleetbuilders as build
+from ibisring_policy.gateway import shortage
+from ibisring_policy.gateway.tests import builders as build
 
 
 def _find(holders, left_out=(), tokens=1000.0):
--- a/packages/policy/ibisring_policy/tests/test_telling.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_telling.py
@@ -1,6 +1,6 @@
 """Tests of when a router tells the others what it knows."""
 
-from ibisring_policy import telling
+from ibisring_policy.gateway import telling
 
 
 def _told(seconds, news=lambda now: None, fullest=0.2):
