--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -115,13 +115,14 @@
             full,
         )
         news = [getattr(told, name) for name in _NEWS]
-        if not self.pace.is_due(now, news, fullest):
+        others = self.peers.others()
+        reach = min(1.0, peers_module.TOLD_AT_ONCE / max(1, len(others)))
+        if not self.pace.is_due(now, news, fullest, reach):
             return
         data = msgspec.msgpack.encode(told)
         if len(data) > MOST_BYTES:
             LOG.warning('gossip_too_large %s', len(data))
             return
-        others = self.peers.others()
         for row in self.rng.sample(
             others, min(peers_module.TOLD_AT_ONCE, len(others))
         ):
--- a/packages/policy/ibisring_policy/gateway/telling.py
+++ b/packages/policy/ibisring_policy/gateway/telling.py
@@ -10,8 +10,11 @@
 
 # Seconds between looks whether there is something to tell.
 TICK = 0.25
-# Seconds between tellings with nothing new: the others take a router that they
-# have not heard for 2.5 s for gone.
+# Seconds between tellings with nothing new, where all others are told at once;
+# they take a router that they have not heard for 2.5 s for gone.  Where only
+# some are told each time, it tells as much more often: with 88 routers and
+# one telling a second, each knew another's load of fifteen seconds ago; engines
+# preempted 152 requests of a calm day, 0.95 of whose worth was left of 0.998.
 QUIET = 1.0
 # Seconds for which news is told at each look: of three datagrams one may be
 # lost, and of many routers only some are told each time.
@@ -28,7 +31,7 @@
     Examples
     --------
     >>> pace = make_pace()
-    >>> [pace.is_due(t * 0.25, 'news', 0.2) for t in range(8)]
+    >>> [pace.is_due(t * 0.25, 'news', 0.2, 1.0) for t in range(8)]
     [True, True, True, True, False, False, False, True]
     """
 
@@ -39,7 +42,7 @@
         self.news_at = 0.0
         self.told_at = -QUIET
 
-    def is_due(self, now, news, fullest):
+    def is_due(self, now, news, fullest, reach):
         """Say whether to tell now.
 
         Parameters
@@ -49,13 +52,15 @@
             What others act upon; compared with the last one.
         fullest : float
             Largest share taken of an engine's memory for prompts.
+        reach : float
+            Share of the other routers that are told each time.
         """
         if news != self.news:
             self.news = news
             self.news_at = now
         is_fresh = now - self.news_at < FRESH
         if not is_fresh and fullest < NEARLY_FULL:
-            if now - self.told_at < QUIET:
+            if now - self.told_at < QUIET * reach:
                 return False
         self.told_at = now
         return True
--- a/packages/policy/ibisring_policy/gateway/tests/test_telling.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_telling.py
@@ -3,11 +3,11 @@
 from ibisring_policy.gateway import telling
 
 
-def _told(seconds, news=lambda now: None, fullest=0.2):
+def _told(seconds, news=lambda now: None, fullest=0.2, reach=1.0):
     """Give the times at which a router tells, looking four times a second."""
     pace = telling.make_pace()
     times = [10.0 + n * telling.TICK for n in range(int(seconds * 4))]
-    return [t for t in times if pace.is_due(t, news(t), fullest)]
+    return [t for t in times if pace.is_due(t, news(t), fullest, reach)]
 
 
 def test_a_calm_router_tells_once_a_second():
@@ -34,6 +34,16 @@
     assert len(_told(10.0, fullest=0.8)) == 40
 
 
+def test_a_router_of_a_large_fleet_tells_as_often_as_it_can():
+    """Symptom: engines preempt requests though the fleet is half idle.
+
+    Sequence: of 88 routers each tells six others once a second; another's
+    load is heard every fifteen seconds, and forgotten after eight.
+    Cause: how often to tell did not go by how many are told.
+    """
+    assert len(_told(10.0, reach=6 / 87)) == 40
+
+
 def test_a_router_is_heard_often_enough_to_count_as_running():
     told = _told(30.0)
     gaps = [after - before for before, after in zip(told, told[1:])]
