Calls that follow the store are fewer in large fleets

Change: the pause after a change grows to 1.2 s; meanwhile a router learns from another of its own failure domain, which it is told to be ahead.

--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -41,6 +41,7 @@
     term: int = 0
     held: dict[str, tuple[int, int, int]] = {}
     full: list[str] = []
+    domain: str = ''
 
 
 # What others act upon at once; load and names of routers are not.
@@ -113,6 +114,7 @@
             self.view.term,
             self.view.told_holdings(now),
             full,
+            self.settings.failure_domain,
         )
         news = [getattr(told, name) for name in _NEWS]
         others = self.peers.others()
@@ -155,7 +157,11 @@
                 told.full,
             )
         self.peers.heard(
-            told.router, f'{source[0]}:{source[1]}', told.touch, now
+            told.router,
+            f'{source[0]}:{source[1]}',
+            told.domain,
+            told.touch,
+            now,
         )
         self.view.term = max(self.view.term, told.term)
         for name, (started, first, end) in told.held.items():
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -41,10 +41,14 @@
 # longest that one may wait: the store keeps some 20 s of history.
 CALL_EVERY = 0.8
 MOST_WAIT = 15.0
-# Seconds to pause after a change: at least, for each router, and at most.
+# Seconds to pause after a change: at least, for each router, and at most.  In
+# a pause a router learns from another of its failure domain what has changed,
+# 0.25 s after it was told that something has; the bound is for the case that
+# none tells, and leaves half of the two seconds in which a leaving endpoint
+# still serves.
 LEAST_PAUSE = 0.1
-PAUSE_EACH = 0.006
-MOST_PAUSE = 0.6
+PAUSE_EACH = 0.016
+MOST_PAUSE = 1.2
 TICK = 0.1
 
 
@@ -120,20 +124,29 @@
             endpoints=list(snapshot.endpoints.values()),
         )
 
-    def heard(self, name, address, touch, now):
+    def heard(self, name, address, domain, touch, now):
         """Note a datagram of another router."""
         self.heard_at[name] = now
         self.touches[name] = touch
         row = self.known.get(name)
         if row is None or row.address != address:
-            self.known[name] = ports.RouterRow(name, address, '', 0.0)
+            self.known[name] = ports.RouterRow(name, address, domain, 0.0)
 
     def behind(self, name, now):
         """Note that another router knows something newer."""
-        self.ahead = name
+        if self.ahead is None or self._is_near(name):
+            self.ahead = name
         if self.behind_since is None:
             self.behind_since = now
 
+    def _is_near(self, name):
+        """Whether a router is in this one's failure domain.
+
+        What it tells then crosses no link between domains, which are dear.
+        """
+        row = self.known.get(name)
+        return row is not None and row.domain == self.settings.failure_domain
+
     def running(self, now):
         """Give how many routers seem to run, this one included."""
         return 1 + sum(
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -38,7 +38,7 @@
         clock = builders.Clock()
         known.view.clock = clock
         for number in range(1, count):
-            known.heard(f'r{number}', f'10.0.0.{number}:1', LOST, clock())
+            known.heard(f'r{number}', f'10.0.0.{number}:1', 'a', LOST, clock())
         assert known.wait() == min(peers.MOST_WAIT, peers.CALL_EVERY * count)
         assert peers.LEAST_PAUSE < known.pause() <= peers.MOST_PAUSE
         clock.now += 100.0
@@ -69,6 +69,18 @@
     assert known.ahead is None
 
 
+def test_a_router_nearby_is_asked_first():
+    """Load: each change of 95 endpoints learnt by 88 routers from others.
+
+    The list takes 14 KB; two thirds of them would cross between domains.
+    """
+    known = _peers()
+    for name, domain in (('far', 'b'), ('near', 'a'), ('away', 'c')):
+        known.heard(name, f'{name}:1', domain, LOST, 10.0)
+        known.behind(name, 10.0)
+    assert known.ahead == 'near'
+
+
 @pytest.mark.parametrize('count', (6, 83))
 def test_what_others_know_of_the_store_is_forgotten(count):
     """Symptom: nobody orders for seconds after a router was killed.
@@ -78,7 +90,7 @@
     """
     known = _peers()
     for number in range(1, count):
-        known.heard(f'r{number}', '10.0.0.1:1', LOST, 10.0)
+        known.heard(f'r{number}', '10.0.0.1:1', 'a', LOST, 10.0)
     assert len(known.store_touches(11.0)) == count - 1
     assert known.store_touches(10.0 + peers.HEARD_FOR) == {}
     if count == 6:
--- a/packages/policy/ibisring_policy/gateway/telling.py
+++ b/packages/policy/ibisring_policy/gateway/telling.py
@@ -13,8 +13,8 @@
 # Seconds between tellings with nothing new, where all others are told at once;
 # they take a router that they have not heard for 2.5 s for gone.  Where only
 # some are told each time, it tells as much more often: with 88 routers and
-# one telling a second, each knew another's load of fifteen seconds ago; engines
-# preempted 152 requests of a calm day, 0.95 of whose worth was left of 0.998.
+# one telling a second, each knew another's load of fifteen seconds ago; the
+# engines preempted 152 requests of a calm day, and 0.95 of its worth was left.
 QUIET = 1.0
 # Seconds for which news is told at each look: of three datagrams one may be
 # lost, and of many routers only some are told each time.
