Second holders stand where memory for prompts is tightest

Found by ablation: standing by for the range with most to load again, believed to shorten the loss of a large engine, is worth less than nothing. Cause: the tightest layers are those of small fast cards; they are full first, and with a second holder their loss, which is the usual one, takes no load at all. Its test, that the largest engine's loss is made good in two seconds, stated the mechanism, not what callers get; it is replaced by one that second holders stand at the small ranges.

--- a/packages/policy/ibisring_policy/gateway/windows.py
+++ b/packages/policy/ibisring_policy/gateway/windows.py
@@ -90,12 +90,6 @@
         others = [e.pace for e in self.holders.values() if e is not engine]
         return max(0.0, min(others) - engine.pace) if others else 0.0
 
-    def exposure(self):
-        """Give the layers to load if the only engine with this one is lost."""
-        if len(self.ranges) != 1:
-            return 0.0
-        return float(next(iter(self.ranges.values())))
-
     def tightness(self, model):
         """Give the want of memory for prompts, from 0 up to 1."""
         total = 0.0
@@ -110,10 +104,10 @@
 
     Layers with no holder come first.  Then those that it runs faster than
     all who hold them: the engines of a fast chain serve, slower ones stand
-    by.  Then those whose only holder has most to load again if it is lost:
-    26 layers keep a domain out for some five seconds, 5 for one.  Then the
-    least memory for prompts; of equal windows the first, so that ranges lie
-    side by side.
+    by.  Then the least memory for prompts: a domain has room for as many
+    requests as its tightest layer, and what has a second holder there takes
+    over without a load when the first is lost.  Of equal windows the first,
+    so that ranges lie side by side.
 
     Parameters
     ----------
@@ -128,7 +122,6 @@
     if around is not None:
         first, last = max(0, around.end - size), min(last, around.first)
     gains = [layer.gain(engine.pace) for layer in held]
-    exposures = [layer.exposure() for layer in held]
     wants = [layer.tightness(model) for layer in held]
     empties = [not layer.holders for layer in held]
     best = None
@@ -141,7 +134,6 @@
             -sum(empties[span]),
             splinter,
             -round(sum(gains[span]), 3),
-            -sum(exposures[span]),
             -round(sum(wants[span]), 6),
             first,
         )
