Log lines say which table of the store was lost, and how old it was

What callers saw: a change that the store had confirmed was unknown for four seconds. The logs could not tell which of the two calls that follow the store had failed or been answered, when it had begun, or how old the configuration was by which a request was refused; all three had to be worked out from other records. store_lost and store_regained now have the source, the call's time and the age of what was known; a refusal has the age of the configuration.

No decision is changed.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -16,13 +16,15 @@
 
 LOG = logging.getLogger(__name__)
 STORE = 'store'
+SECOND_MS = 1000.0
 
 
 class Read(msgspec.Struct):
     """Something was read; `whole` if it was all there is.
 
     `origin` tells the store from a peer; `position` is the store's version
-    that the items are of, `age` the seconds since the store was read.
+    that the items are of, `age` the seconds since the store was read,
+    `waited` those that the call took.
     """
 
     items: list
@@ -31,12 +33,15 @@
     is_table: bool = False
     position: int = 0
     age: float = 0.0
+    waited: float = 0.0
 
 
 class Failed(msgspec.Struct):
-    """The store could not be read."""
+    """The store could not be read; `waited` seconds were spent on it."""
 
     why: str
+    is_table: bool = False
+    waited: float = 0.0
 
 
 class Learnt(msgspec.Struct):
@@ -73,6 +78,7 @@
         self.on_change = on_change
         self.on_table = on_table
         self.presence = presence.make_presence()
+        self.lost = set()
 
     def handlers(self):
         return {
@@ -87,14 +93,17 @@
         now = time.monotonic()
         if self.presence.failed(now):
             self._replace(store_lost_at=now)
-            logs.event(LOG, 'store_lost', why=message.why)
             self.metrics.count('store_lost')
+        source = _source(message)
+        if source not in self.lost:
+            self.lost.add(source)
+            self._log_touch('store_lost', message, now, why=message.why)
 
     def on_read(self, message):
         """Apply what was read."""
         now = time.monotonic()
         if message.origin == STORE:
-            self._store_answered(now)
+            self._store_answered(message, now)
         if message.is_table:
             self._replace(table_at=now - message.age)
             for table in message.items:
@@ -102,11 +111,31 @@
             return
         self._apply_endpoints(message, now)
 
-    def _store_answered(self, now):
+    def _store_answered(self, message, now):
         self.view.lease_lost_at = None
         if self.presence.succeeded(now):
             self._replace(store_lost_at=None)
-            logs.event(LOG, 'store_regained')
+        source = _source(message)
+        if source in self.lost:
+            self.lost.discard(source)
+            self._log_touch('store_regained', message, now)
+
+    def _log_touch(self, name, message, now, **facts):
+        """Log that one of the store's tables is lost or regained.
+
+        The two are followed by calls of their own, so that one may be read
+        long before the other.
+        """
+        before = self.view.snapshot
+        read_at = before.table_at if message.is_table else before.endpoints_at
+        logs.event(
+            LOG,
+            name,
+            source=_source(message),
+            waited_ms=round(message.waited * SECOND_MS),
+            age_ms=round((now - read_at) * SECOND_MS),
+            **facts,
+        )
 
     def on_tick(self, message):
         """Drop endpoints that did not come back after an outage.
@@ -227,3 +256,8 @@
         }
         fields.update(values)
         self.view.snapshot = view_module.Snapshot(**fields)
+
+
+def _source(message):
+    """Name what a message is about, for log lines."""
+    return 'table' if message.is_table else 'endpoints'
--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -5,6 +5,7 @@
 import logging
 import random
 import threading
+import time
 
 from ibisring_gateway import directory as directory_module
 from ibisring_gateway import ports
@@ -33,9 +34,11 @@
         pause after one.
     tell : callable
         Takes `directory.Read` and `directory.Failed` messages.
+    clock : callable
+        Gives monotonic seconds.
     """
 
-    def __init__(self, source, is_table, pace, tell):
+    def __init__(self, source, is_table, pace, tell, clock=time.monotonic):
         self.source = source
         self.is_table = is_table
         self.pace = pace
@@ -43,6 +46,8 @@
         self.position = None
         self.pause = FIRST_PAUSE
         self.rng = random.Random()
+        self.clock = clock
+        self.begun_at = 0.0
         self.stopped = threading.Event()
         self.has_read = False
         self.thread = threading.Thread(target=self._loop, daemon=True)
@@ -75,7 +80,8 @@
                 self.stopped.wait(MOST_PAUSE)
 
     def _failed(self, error):
-        self.tell(directory_module.Failed(error.detail))
+        waited = self.clock() - self.begun_at
+        self.tell(directory_module.Failed(error.detail, self.is_table, waited))
         self.stopped.wait(self.pause * self.rng.uniform(0.7, 1.3))
         most = MOST_PAUSE if self.has_read else MOST_FIRST_PAUSE
         self.pause = min(most, self.pause * PAUSE_GROWTH)
@@ -88,6 +94,7 @@
         bool
             Whether there was anything.
         """
+        self.begun_at = self.clock()
         whole = self.position is None
         if whole:
             page = self.source.read_all()
@@ -101,6 +108,7 @@
                 whole,
                 is_table=self.is_table,
                 position=page.position,
+                waited=self.clock() - self.begun_at,
             )
         )
         return bool(page.items)
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -23,6 +23,7 @@
 # A router that knows no configuration has just started and finds the store
 # away; outages last seconds, and a caller comes back once or twice only.
 UNREADY_RETRY = 2.0
+SECOND_MS = 1000.0
 GOING_ON = (attempts.Next.ELSEWHERE, attempts.Next.RESUME)
 # Seconds that a stream under way waits for room, and between looks for it.
 RESUME_WAIT = 1.3
@@ -117,6 +118,7 @@
         except exchange_module.CallerLeft as left:
             LOG.debug('caller left before a refusal: %s', left)
         self.metrics.count(f'refused.{error.code}')
+        snapshot = self.view.snapshot
         self._log(
             request_id,
             error.code,
@@ -124,7 +126,8 @@
             status=status,
             why=error.detail,
             retry_after=error.retry_after,
-            table=self.view.snapshot.version,
+            table=snapshot.version,
+            table_age_ms=round((self.clock() - snapshot.table_at) * SECOND_MS),
             **error.facts,
         )
 
@@ -137,7 +140,7 @@
             'request',
             id=request_id,
             outcome=outcome,
-            ms=round(seconds * 1000.0, 1),
+            ms=round(seconds * SECOND_MS, 1),
             **facts,
         )
 
@@ -183,7 +186,7 @@
             chain=job.chain,
             table=self.view.snapshot.version,
             endpoints_age_ms=round(
-                (self.clock() - self.view.snapshot.endpoints_at) * 1000.0
+                (self.clock() - self.view.snapshot.endpoints_at) * SECOND_MS
             ),
         )
 
@@ -214,7 +217,7 @@
                 next=step.value,
                 tries=progress.tries,
                 endpoints=job.sent_to,
-                left_ms=round(progress.time_left * 1000.0),
+                left_ms=round(progress.time_left * SECOND_MS),
                 after_event=job.splitter.last,
             )
             if step not in GOING_ON:
@@ -298,7 +301,7 @@
 
 
 def _rounded_ms(seconds):
-    return None if seconds is None else round(seconds * 1000.0)
+    return None if seconds is None else round(seconds * SECOND_MS)
 
 
 def _chain_text(stages):
--- a/packages/gateway/ibisring_gateway/tests/test_directory.py
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -143,3 +143,28 @@
     clock.now += 1.3
     actor.on_tick(directory.Tick())
     assert set(view.snapshot.endpoints) == {'y'}
+
+
+def test_each_table_of_the_store_is_told_lost_and_regained(monkeypatch):
+    """Symptom: the log says that the store is back, and nothing is new.
+
+    Sequence: both calls that follow the store fail; one is answered again
+    a second before the other.
+    Cause: the lines did not say which of the two they were about.
+    """
+    lines = []
+    monkeypatch.setattr(
+        directory.logs, 'event', lambda log, name, **f: lines.append((name, f))
+    )
+    actor, _, _ = _directory()
+    for is_table in (True, False):
+        actor.on_failed(directory.Failed('no answer', is_table, 5.4))
+        actor.on_failed(directory.Failed('no answer', is_table, 0.6))
+    _endpoints(actor, [])
+    told = [(n, f['source']) for n, f in lines if n.startswith('store')]
+    assert told == [
+        ('store_lost', 'table'),
+        ('store_lost', 'endpoints'),
+        ('store_regained', 'endpoints'),
+    ]
+    assert lines[0][1]['waited_ms'] == 5400
