A call waits for changes only on a store that answers

What callers saw: 404 on a route that the store had confirmed more than two seconds before, at routers to which nothing had happened.

Cause: a call that waits for changes and begins while the store is silent is never answered and ends by its own timeout only, 5.4 s for a fleet of six. Each router's two calls were left to themselves, so that one was answered while the other hung, and all routers' calls began together, after a change, so that none was free to notice. The pause between tries was bounded, the try was not.

Change: decisions in policy/gateway/polling. A sign of trouble (a call of the own that failed, the lease's too, or a loss that another router tells) ends the calls that wait, and short ones ask, the tables in turn, until one is answered. First waits go by the router's place in the fleet, so that calls end 0.9 s apart. Routers tell how often they lost the store, not only whether it is lost now: a loss over before the next datagram was never told. The setting feed_wait_s is gone; a lone router waits 0.9 s, not 2.

Why it holds: each try is bounded, whatever it began in.

Ruled out: answers that came and were not applied (no answered calls in the store's counts meanwhile); an old state (none was served).

--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -1,6 +1,6 @@
-"""Threads that follow the store's tables, and peers while it is away."""
+"""Threads that follow the store's tables."""
 
-__all__ = ['Follower', 'make_follower']
+__all__ = ['Follower', 'Followers', 'make_followers']
 
 import logging
 import random
@@ -9,17 +9,12 @@
 
 from ibisring_gateway import directory as directory_module
 from ibisring_gateway import ports
+from ibisring_policy.gateway import polling as polling_module
 from ibisring_records import exceptions
 
 LOG = logging.getLogger(__name__)
-# Seconds between tries while the store fails: the first ones come quickly,
-# since one answer may just have been lost, later ones spare a store that
-# comes back to many routers at once.
-FIRST_PAUSE = 0.1
-MOST_PAUSE = 1.0
-# A router that knows nothing yet serves nobody, so it asks sooner.
-MOST_FIRST_PAUSE = 0.3
-PAUSE_GROWTH = 1.6
+# Seconds to pause after an error that nobody thought of.
+AFTER_ERROR = 1.0
 
 
 class Follower:
@@ -27,65 +22,61 @@
 
     Parameters
     ----------
+    name : str
     source : ports.Source
     is_table : bool
-    pace : peers.Peers
-        Gives the seconds that one call may wait for a change, and those to
-        pause after one.
+    followers : Followers
+        Decides when to call and how long to wait.
     tell : callable
         Takes `directory.Read` and `directory.Failed` messages.
-    clock : callable
-        Gives monotonic seconds.
     """
 
-    def __init__(self, source, is_table, pace, tell, clock=time.monotonic):
+    def __init__(self, name, source, is_table, followers, tell):
+        self.name = name
         self.source = source
         self.is_table = is_table
-        self.pace = pace
+        self.followers = followers
         self.tell = tell
+        self.clock = followers.clock
         self.position = None
-        self.pause = FIRST_PAUSE
-        self.rng = random.Random()
-        self.clock = clock
         self.begun_at = 0.0
-        self.stopped = threading.Event()
-        self.has_read = False
-        self.thread = threading.Thread(target=self.run, daemon=True)
-
-    def start(self):
-        """Start the thread."""
-        self.thread.start()
-        return self
-
-    def stop(self):
-        """Let the thread end after its present call."""
-        self.stopped.set()
+        self.is_stopped = False
+        self.wake = threading.Event()
 
     def run(self):
         """Follow the source until stopped."""
-        while not self.stopped.is_set():
+        while not self.is_stopped:
+            delay = self.followers.delay(self.name)
+            if delay > 0.0:
+                self.pause(delay)
+                continue
             try:
-                changed = self.step()
-                self.pause = FIRST_PAUSE
-                if changed:
-                    self.stopped.wait(self.pace.pause())
-            except ports.HistoryGone as error:
-                LOG.info(
-                    'history_gone', extra={'facts': {'why': error.detail}}
-                )
-                self.position = None
-            except exceptions.IbisringError as error:
-                self._failed(error)
+                self._follow()
             except Exception:
                 LOG.exception('following_failed')
-                self.stopped.wait(MOST_PAUSE)
-
-    def _failed(self, error):
-        waited = self.clock() - self.begun_at
-        self.tell(directory_module.Failed(error.detail, self.is_table, waited))
-        self.stopped.wait(self.pause * self.rng.uniform(0.7, 1.3))
-        most = MOST_PAUSE if self.has_read else MOST_FIRST_PAUSE
-        self.pause = min(most, self.pause * PAUSE_GROWTH)
+                self.pause(AFTER_ERROR)
+
+    def pause(self, seconds):
+        """Wait for some seconds, or until woken."""
+        self.wake.wait(seconds)
+        self.wake.clear()
+
+    def _follow(self):
+        try:
+            if self.step():
+                self.pause(self.followers.change_pause())
+        except ports.CallEnded:
+            LOG.debug('call_ended %s', self.name)
+        except ports.HistoryGone as error:
+            LOG.info('history_gone', extra={'facts': {'why': error.detail}})
+            self.position = None
+            self.followers.answered(self.name, True)
+        except exceptions.IbisringError as error:
+            waited = self.clock() - self.begun_at
+            self.tell(
+                directory_module.Failed(error.detail, self.is_table, waited)
+            )
+            self.followers.failed(self.name)
 
     def step(self):
         """Make one call and tell what it brought.
@@ -96,13 +87,14 @@
             Whether there was anything.
         """
         self.begun_at = self.clock()
+        wait = self.followers.wait(self.name)
         whole = self.position is None
         if whole:
             page = self.source.read_all()
         else:
-            page = self.source.changes(self.position, self.pace.wait())
+            page = self.source.changes(self.position, wait)
         self.position = page.position
-        self.has_read = True
+        self.followers.answered(self.name, bool(page.items))
         self.tell(
             directory_module.Read(
                 page.items,
@@ -115,6 +107,100 @@
         return bool(page.items)
 
 
-def make_follower(source, is_table, pace, tell):
-    """Make and start a `Follower`."""
-    return Follower(source, is_table, pace, tell).start()
+class Followers:
+    """The followers of one router, which share what they see of the store.
+
+    Parameters
+    ----------
+    fleet : callable
+        Gives the `polling.Fleet`.
+    clock : callable
+    """
+
+    def __init__(self, fleet, clock=time.monotonic):
+        self.fleet = fleet
+        self.clock = clock
+        self.members = {}
+        self.polling = polling_module.make_polling((), random.random)
+        self.lock = threading.Lock()
+
+    def add(self, name, source, is_table, tell):
+        """Add a follower of a source."""
+        self.members[name] = Follower(name, source, is_table, self, tell)
+        self.polling = polling_module.make_polling(
+            list(self.members), self.polling.draw
+        )
+
+    def start(self):
+        """Start a thread for each."""
+        for each in self.members.values():
+            threading.Thread(target=each.run, daemon=True).start()
+        return self
+
+    def stop(self):
+        """Let the threads end after their present calls."""
+        for each in self.members.values():
+            each.is_stopped = True
+            each.wake.set()
+
+    @property
+    def losses(self):
+        """How often the store was lost to this router."""
+        return self.polling.losses
+
+    def delay(self, name):
+        """Give the seconds until a follower's next call may begin."""
+        with self.lock:
+            return self.polling.delay(name, self.clock())
+
+    def wait(self, name):
+        """Begin a call and give the seconds that it waits."""
+        with self.lock:
+            return self.polling.wait(name, self.clock(), self.fleet())
+
+    def change_pause(self):
+        """Give the seconds to pause after a change."""
+        return polling_module.change_pause(self.fleet())
+
+    def answered(self, name, changed):
+        """Note an answer, and let the others ask that are in trouble."""
+        with self.lock:
+            woken = self.polling.answered(name, self.clock(), changed)
+        self._wake(woken)
+
+    def failed(self, name):
+        """Note a call without an answer, and end what may hang as well."""
+        with self.lock:
+            ended = self.polling.failed(name, self.clock(), self.fleet())
+        self._end(ended)
+
+    def trouble(self, is_told=False):
+        """Note a sign that the store may not answer, and ask anew.
+
+        Parameters
+        ----------
+        is_told : bool
+            Whether another router tells it.
+        """
+        with self.lock:
+            ended = self.polling.trouble(self.clock(), is_told)
+        self._end(ended)
+
+    def returned(self):
+        """Note that another router is answered again."""
+        with self.lock:
+            woken = self.polling.returned(self.clock())
+        self._wake(woken)
+
+    def _wake(self, names):
+        for name in names:
+            self.members[name].wake.set()
+
+    def _end(self, names):
+        for name in names:
+            self.members[name].source.end_call()
+
+
+def make_followers(fleet, clock=time.monotonic):
+    """Make `Followers` without any; start them with ``start()``."""
+    return Followers(fleet, clock)
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -28,7 +28,8 @@
     last change of endpoints that it knows, `table` the version in force
     there, `touch` what it knows of the store, `term` the newest of the right
     to order that it knows.  `held` are start time, first layer and end that
-    engines told it while the store is away.
+    engines told it while the store is away.  `losses` says how often it has
+    lost the store.
     """
 
     router: str
@@ -42,10 +43,21 @@
     held: dict[str, tuple[int, int, int]] = {}
     full: list[str] = []
     domain: str = ''
+    losses: int = 0
 
 
 # What others act upon at once; load and names of routers are not.
-_NEWS = ('dead', 'slow', 'full', 'held', 'changed', 'table', 'touch', 'term')
+_NEWS = (
+    'dead',
+    'slow',
+    'full',
+    'held',
+    'changed',
+    'table',
+    'touch',
+    'term',
+    'losses',
+)
 
 
 class Gossip:
@@ -117,6 +129,7 @@
             self.view.told_holdings(now),
             full,
             self.settings.failure_domain,
+            self.peers.followers.losses,
         )
         news = [getattr(told, name) for name in _NEWS]
         others = self.peers.others()
@@ -172,6 +185,7 @@
             told.domain,
             told.touch,
             now,
+            told.losses,
         )
         self.view.term = max(self.view.term, told.term)
         for name, (started, first, end) in told.held.items():
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -10,13 +10,18 @@
 import msgspec
 
 from ibisring_gateway import directory as directory_module
+from ibisring_gateway import following
 from ibisring_gateway import ports
+from ibisring_policy.gateway import ordering
+from ibisring_policy.gateway import polling
 from ibisring_records import exceptions
 from ibisring_records import routing
 from ibisring_router import logs
 from ibisring_web import calls
 
 LOG = logging.getLogger(__name__)
+FOLLOWED = ordering.StoreTouch.FOLLOWED
+LOST = ordering.StoreTouch.LOST
 STATE_PATH = '/state'
 CONNECT_TIMEOUT = 0.15
 READ_TIMEOUT = 0.3
@@ -37,18 +42,6 @@
 # Seconds that another router may be ahead before it is asked: usually the
 # same change is on its way here.
 MOST_BEHIND = 0.25
-# Seconds between calls of the whole fleet that follow one table, and the
-# longest that one may wait: the store keeps some 20 s of history.
-CALL_EVERY = 0.8
-MOST_WAIT = 15.0
-# Seconds to pause after a change: at least, for each router, and at most.  In
-# a pause a router learns from another of its failure domain what has changed,
-# 0.25 s after it was told that something has; the bound is for the case that
-# none tells, and leaves half of the two seconds in which a leaving endpoint
-# still serves.
-LEAST_PAUSE = 0.1
-PAUSE_EACH = 0.016
-MOST_PAUSE = 1.2
 TICK = 0.1
 
 
@@ -80,6 +73,11 @@
     rows : ports.LeaseTable
     tell : callable
         Takes `directory.Read` messages.
+
+    Attributes
+    ----------
+    followers : following.Followers
+        Told what other routers say of the store.
     """
 
     def __init__(self, settings, view, rows, tell):
@@ -87,6 +85,7 @@
         self.view = view
         self.rows = rows
         self.tell = tell
+        self.followers = following.make_followers(self.place, view.clock)
         self.known = {}
         self.rng = random.Random()
         self.caller = calls.make_caller(CONNECT_TIMEOUT, READ_TIMEOUT)
@@ -95,6 +94,7 @@
         self.written = False
         self.heard_at = {}
         self.touches = {}
+        self.losses = {}
         self.behind_since = None
         self.ahead = None
         self.thread = threading.Thread(target=self.run, daemon=True)
@@ -124,10 +124,27 @@
             endpoints=list(snapshot.endpoints.values()),
         )
 
-    def heard(self, name, address, domain, touch, now):
-        """Note a datagram of another router."""
+    def heard(self, name, address, domain, touch, now, losses=0):
+        """Note a datagram of another router.
+
+        Parameters
+        ----------
+        name, address, domain : str
+        touch : ordering.StoreTouch
+            What it knows of the store.
+        now : float
+        losses : int
+            How often it has lost the store.
+        """
+        before = self.touches.get(name)
+        known = self.losses.get(name)
         self.heard_at[name] = now
         self.touches[name] = touch
+        self.losses[name] = losses
+        if known is not None and losses > known:
+            self.followers.trouble(is_told=True)
+        if before is LOST and touch is FOLLOWED:
+            self.followers.returned()
         row = self.known.get(name)
         if row is None or row.address != address:
             self.known[name] = ports.RouterRow(name, address, domain, 0.0)
@@ -153,6 +170,23 @@
             1 for at in list(self.heard_at.values()) if now - at < HEARD_FOR
         )
 
+    def place(self):
+        """Give this router's place among those that run.
+
+        Returns
+        -------
+        polling.Fleet
+        """
+        now = self.view.clock()
+        own = self.settings.router_id
+        names = [
+            name
+            for name, at in list(self.heard_at.items())
+            if now - at < HEARD_FOR
+        ]
+        before = sum(1 for name in names if name < own)
+        return polling.Fleet(len(names) + 1, before)
+
     def store_touches(self, now):
         """Give what the routers heard lately know of the store.
 
@@ -211,31 +245,8 @@
     def _is_stale(self, now):
         snapshot = self.view.snapshot
         age = now - min(snapshot.table_at, snapshot.endpoints_at)
-        return age > self.wait() + ASK_AFTER
-
-    def wait(self):
-        """Give how long a call that follows the store may wait, in seconds.
-
-        A connection to the store may fall silent for good.  Routers that
-        hear each other notice it together: the next one whose call begins
-        anew learns what the others missed, and they ask it.  With the wait
-        in proportion to their number, some call of the fleet begins every
-        0.8 s on average, and the calls a second do not grow with it.
-        """
-        alone = self.settings.feed_wait_s
-        shared = CALL_EVERY * self.running(self.view.clock())
-        return min(MOST_WAIT, max(alone, shared))
-
-    def pause(self):
-        """Give the seconds from a change to the next call that follows.
-
-        When many endpoints register at once, a call for each change by each
-        router would be most of a day's calls.  A change that comes within
-        the pause is known that much later, a fraction of the two seconds in
-        which a leaving endpoint still serves.
-        """
-        running = self.running(self.view.clock())
-        return min(MOST_PAUSE, LEAST_PAUSE + PAUSE_EACH * running)
+        usual = polling.CALL_EVERY * self.running(now)
+        return age > min(polling.MOST_WAIT, usual) + ASK_AFTER
 
     def _list_if_alone(self, now):
         if self.running(now) > 1 and self.written:
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -50,6 +50,8 @@
         Gives what other routers told lately of the store, by name.
     tell : callable
         Takes `directory.Learnt` messages.
+    on_trouble : callable
+        Called when the store does not answer.
     """
 
     def __init__(
@@ -61,11 +63,13 @@
         metrics,
         store_touches,
         tell,
+        on_trouble,
     ):
         super().__init__()
         self.router_id = router_id
         self.store_touches = store_touches
         self.tell_directory = tell
+        self.on_trouble = on_trouble
         self.pool = concurrent.futures.ThreadPoolExecutor(MOST_AT_ONCE)
         self.view = view
         self.engines = engines
@@ -216,6 +220,7 @@
             written = self.leases.write_lease(wanted)
         except exceptions.IbisringError as error:
             logs.event(LOG, 'lease_unavailable', why=error.detail)
+            self.on_trouble()
             if self.view.lease_lost_at is None:
                 self.view.lease_lost_at = time.monotonic()
             return self._leads_without_store()
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -8,6 +8,7 @@
     'Page',
     'Gone',
     'HistoryGone',
+    'CallEnded',
     'Source',
     'LeaseTable',
     'RouterRow',
@@ -35,6 +36,12 @@
     remedy = 'read everything again'
 
 
+class CallEnded(exceptions.PlatformAnswerLost):
+    """This router itself ended a call, to make another one."""
+
+    code = 'call_ended'
+
+
 class Gone(msgspec.Struct, frozen=True):
     """An entry was removed."""
 
@@ -76,7 +83,16 @@
         Raises
         ------
         PlatformUnavailable
+        PlatformAnswerLost
         HistoryGone
+        CallEnded
+        """
+
+    @abc.abstractmethod
+    def end_call(self):
+        """End the call under way, from another thread.
+
+        It raises `CallEnded`; if there is none, the next one may.
         """
 
 
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -14,7 +14,6 @@
 from ibisring_gateway import directory
 from ibisring_gateway import doctor
 from ibisring_gateway import exchange
-from ibisring_gateway import following
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossip
 from ibisring_gateway import logwriter
@@ -110,6 +109,7 @@
             self.metrics,
             self._store_touches,
             lambda message: self.directory.tell(message),
+            lambda: self.peers.followers.trouble(),
         )
         self._listen()
         self.directory = directory.Directory.start(
@@ -123,15 +123,10 @@
         self.peers = peers.make_peers(
             settings, self.view, self.installation.leases, tell
         )
-        self.parts = [
-            following.make_follower(
-                self.installation.table, True, self.peers, tell
-            ),
-            following.make_follower(
-                self.installation.endpoints, False, self.peers, tell
-            ),
-        ]
-        self.parts.append(self.peers.start())
+        followers = self.peers.followers
+        followers.add('table', self.installation.table, True, tell)
+        followers.add('endpoints', self.installation.endpoints, False, tell)
+        self.parts = [followers.start(), self.peers.start()]
         self.gossip = gossip.make_gossip(settings, self.view, self.peers, tell)
         self.parts.append(self.gossip.start())
         self.looking = periodic.start(LOOK_SECONDS, self._look_round)
--- a/packages/gateway/ibisring_gateway/settings.py
+++ b/packages/gateway/ibisring_gateway/settings.py
@@ -36,9 +36,7 @@
     repeat_ratio: float = 0.2
     repeat_window_s: float = 10.0
     repeat_slack: float = 64.0
-    # Longest time between two calls to a source that is followed: a silent
-    # connection is noticed after this and `feed_margin_s`.
-    feed_wait_s: float = 2.0
+    # Beyond the time that a call waits for changes, until it is given up.
     feed_margin_s: float = 0.6
     log_level: str = 'INFO'
 
--- a/packages/gateway/ibisring_gateway/tests/test_following.py
+++ b/packages/gateway/ibisring_gateway/tests/test_following.py
@@ -3,69 +3,93 @@
 from ibisring_gateway import directory
 from ibisring_gateway import following
 from ibisring_gateway import ports
+from ibisring_gateway.tests import builders
+from ibisring_policy.gateway import polling
 from ibisring_records import exceptions
 
 
 class _Source(ports.Source):
-    """Fails while `fails`; counts whole reads."""
+    """Gives errors in turn, then answers; notes how it was asked."""
 
     def __init__(self):
-        self.fails = True
-        self.whole_reads = 0
-
-    def _check(self):
-        if self.fails:
-            raise exceptions.PlatformUnavailable('no answer')
+        self.errors = []
+        self.asked = []
+        self.ended = 0
+
+    def _ask(self, what):
+        self.asked.append(what)
+        if self.errors:
+            raise self.errors.pop(0)
+        return ports.Page(7, [])
 
     def read_all(self):
-        self._check()
-        self.whole_reads += 1
-        return ports.Page(7, [])
+        return self._ask('all')
 
     def changes(self, position, wait):
-        self._check()
-        return ports.Page(position, [])
+        return self._ask(wait)
 
+    def end_call(self):
+        self.ended += 1
 
-class _Pace:
-    def wait(self):
-        return 0.0
 
-    def pause(self):
-        return 0.0
-
-
-def _follower():
+def _followers():
     told = []
-    follower = following.Follower(_Source(), False, _Pace(), told.append)
-    follower.stopped.wait = lambda seconds: None
-    return follower, told
+    followers = following.make_followers(polling.Fleet, builders.Clock())
+    for name in ('table', 'endpoints'):
+        followers.add(name, _Source(), name == 'table', told.append)
+    return followers, told
 
 
-def _fail(follower, times):
-    for _ in range(times):
-        follower._failed(exceptions.PlatformUnavailable('no answer'))
+def _lost():
+    return exceptions.PlatformAnswerLost('no answer')
 
 
-def test_a_router_that_knows_nothing_asks_soon_again():
-    """Symptom: after the store's return nobody is served for 1.5 s.
+def test_a_router_that_serves_goes_on_where_it_was():
+    """Everything is read once; what failed is asked for again, in short."""
+    followers, told = _followers()
+    table = followers.members['table']
+    table.step()
+    assert told[0].whole and told[0].position == 7
+    table.source.errors = [_lost()]
+    table._follow()
+    assert isinstance(told[1], directory.Failed) and told[1].is_table
+    table.step()
+    assert not told[-1].whole
+    assert table.source.asked == ['all', polling.CALL_EVERY, 0.0]
 
-    Sequence: all routers are killed while the store is down; it returns.
-    Cause: the pause between tries grew as for one that serves meanwhile.
-    """
-    follower, told = _follower()
-    _fail(follower, 20)
-    assert follower.pause == following.MOST_FIRST_PAUSE
-    assert all(isinstance(each, directory.Failed) for each in told)
 
+def test_a_failure_ends_the_call_that_may_hang():
+    """Symptom: endpoints are followed again, routes are old for seconds.
 
-def test_a_router_that_serves_spares_a_store_in_trouble():
-    follower, told = _follower()
-    follower.source.fails = False
-    follower.step()
-    assert told[0].whole and told[0].position == 7
-    _fail(follower, 20)
-    assert follower.pause == following.MOST_PAUSE
-    follower.step()
-    assert not told[-1].whole
-    assert follower.source.whole_reads == 1
+    Sequence: the store falls silent; one call ends and the next one is
+    answered; the other was begun in the silence too.
+    Cause: each call was left to its own timeout.
+    """
+    followers, _ = _followers()
+    table, endpoints = followers.members.values()
+    table.step()
+    endpoints.step()
+    followers.wait('endpoints')
+    table.source.errors = [_lost()]
+    table._follow()
+    assert endpoints.source.ended == 1
+
+
+def test_a_call_that_was_ended_is_no_failure():
+    followers, told = _followers()
+    table = followers.members['table']
+    table.step()
+    table.source.errors = [ports.CallEnded('a new one begins')]
+    table._follow()
+    assert len(told) == 1
+    assert not followers.polling.in_trouble('table')
+
+
+def test_a_dropped_history_is_no_failure():
+    followers, told = _followers()
+    table = followers.members['table']
+    table.step()
+    table.source.errors = [ports.HistoryGone('too old')]
+    table._follow()
+    table._follow()
+    assert table.source.asked[-1] == 'all' and len(told) == 2
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -9,8 +9,10 @@
 from ibisring_gateway import settings as settings_module
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import ordering
+from ibisring_policy.gateway import polling
 from ibisring_records import routing
 
+FOLLOWED = ordering.StoreTouch.FOLLOWED
 LOST = ordering.StoreTouch.LOST
 
 
@@ -28,21 +30,34 @@
     return peers.make_peers(settings, view, builders.Leases(), [].append)
 
 
-def test_a_router_alone_notices_a_silent_connection_by_itself():
-    assert _peers().wait() == 2.0
+def test_a_router_knows_its_place_among_those_that_run():
+    known = _peers()
+    clock = builders.Clock()
+    known.view.clock = clock
+    for name in ('q1', 'r1', 's1'):
+        known.heard(name, '10.0.0.1:1', 'a', LOST, clock())
+    assert known.place() == polling.Fleet(4, 1)
+    clock.now += 100.0
+    assert known.place() == polling.Fleet(1, 0)
+
 
+def test_what_others_say_of_the_store_is_passed_on():
+    """Symptom: five of six routers hang on a store that one knows is lost.
 
-def test_calls_of_the_fleet_do_not_grow_with_it():
-    for count in (6, 30, 83, 300):
-        known = _peers()
-        clock = builders.Clock()
-        known.view.clock = clock
-        for number in range(1, count):
-            known.heard(f'r{number}', f'10.0.0.{number}:1', 'a', LOST, clock())
-        assert known.wait() == min(peers.MOST_WAIT, peers.CALL_EVERY * count)
-        assert peers.LEAST_PAUSE < known.pause() <= peers.MOST_PAUSE
-        clock.now += 100.0
-        assert known.wait() == 2.0
+    Sequence: the store falls silent; one router's call ends, the others'
+    wait for seconds more, also after its return.
+    Cause: what a router told of the store was heard and not acted upon.
+    """
+    known = _peers()
+    said = []
+    known.followers.trouble = lambda is_told: said.append('lost')
+    known.followers.returned = lambda: said.append('back')
+    told = ((FOLLOWED, 3), (LOST, 4), (LOST, 4), (FOLLOWED, 4), (FOLLOWED, 5))
+    for touch, losses in told:
+        known.heard('r1', '10.0.0.1:1', 'a', touch, 10.0, losses)
+    assert said == ['lost', 'back', 'lost']
+    known.heard('r1', '10.0.0.1:1', 'a', FOLLOWED, 10.0, 0)
+    assert len(said) == 3
 
 
 def test_a_router_that_is_ahead_is_asked():
--- a/packages/gateway/ibisring_gateway/tests/test_placing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -42,6 +42,7 @@
         builders.Metrics(),
         lambda: touches or {},
         (told if told is not None else []).append,
+        lambda: None,
     )
     placer.turn = ordering.make_turn('r1', 0.0)
     placer.arrivals.changed_at = -100.0
--- a/packages/gateway/ibisring_gateway/tests/test_store_outages.py
+++ b/packages/gateway/ibisring_gateway/tests/test_store_outages.py
@@ -13,6 +13,9 @@
 
 # Seeds drawn in each run of the tests; some thousands are run by hand.
 SEEDS = 40
+# Seconds from the store's return, and one step of the play, in which every
+# router knows what the store has taken since.
+KNOWN_WITHIN = 1.5
 
 Change = virtualfleet.Change
 Trouble = virtualfleet.Trouble
@@ -35,6 +38,16 @@
     Sequence: the routers have just read a change when the store falls
     silent for six seconds; it returns and confirms changes; no router acts
     on them for four seconds more, and then all of them do at once.
+
+    Cause: calls that wait for changes went on waiting as on a calm store.
+    One that begins while the store is silent is never answered and ends by
+    its own timeout only, 5.4 s later; all routers' calls began together, so
+    that none was free to notice.
+
+    Evidence: in the routers' logs each call without an answer had run for
+    5.4 s and ended up to 5 s after the store's return; one whose process had
+    been frozen meanwhile asked anew and knew at once.  With calls that don't
+    wait on a store in trouble this and the schedules below hold.
     """
     silence = Trouble('silent', 5.0, 6.0)
     changes = (4.9, 11.6, 11.7, 11.8, 12.1, 14.1)
@@ -58,6 +71,21 @@
     assert not _violations(schedule)
 
 
+@pytest.mark.parametrize('routers', (1, 2, 3, 6))
+def test_a_return_is_known_in_time(routers):
+    """From the return on, whatever the routers' calls were doing."""
+    for lasts, before in itertools.product(
+        (0.3, 0.7, 1.9, 3.1, 6.3), (0.02, 0.4, 1.3, 2.9, 4.7)
+    ):
+        silence = Trouble('silent', 8.0, lasts)
+        changes = (8.0 - before, silence.ends - 0.02)
+        schedule = _schedule(routers, changes, silence)
+        # The store takes what was written to it just after its return.
+        since = silence.ends + 0.06
+        took = virtualfleet.seconds_until_known(schedule, TABLE, since)
+        assert took <= KNOWN_WITHIN, schedule
+
+
 @pytest.mark.parametrize('kind', virtualfleet.STORE_KINDS)
 @pytest.mark.parametrize('routers', (1, 3))
 def test_trouble_of_any_length(kind, routers):
--- a/packages/gateway/ibisring_gateway/tests/virtualfleet.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualfleet.py
@@ -4,14 +4,21 @@
 decides when to call, whom to ask and what to put in force is the product's.
 """
 
-__all__ = ['KINDS', 'Trouble', 'Change', 'Schedule', 'draw', 'play']
+__all__ = [
+    'KINDS',
+    'Trouble',
+    'Change',
+    'Schedule',
+    'draw',
+    'play',
+    'seconds_until_known',
+]
 
 import random
 
 import msgspec
 
 from ibisring_gateway import directory
-from ibisring_gateway import following
 from ibisring_gateway import gossip
 from ibisring_gateway import peers
 from ibisring_gateway import ports
@@ -277,10 +284,15 @@
     def changes(self, position, wait):
         return self._run(position, wait)
 
+    def end_call(self):
+        if self.call is not None:
+            self.call.fail(ports.CallEnded('a new one begins'))
+
     def _run(self, after, wait):
         call = self.store.begin(self.number, self.name, after, wait)
         self.call = call
         call.answered.wait(wait + MARGIN)
+        self.call = None
         if call.error is not None:
             raise call.error
         if not call.answered.is_set():
@@ -381,9 +393,15 @@
         self.gossip = gossip.Gossip(
             self.settings, self.view, self.peers, tell, network
         )
-        self.followers = self._make_followers(fleet, tell)
-        parts = [*self.followers, self.peers, self.gossip]
-        for part in parts:
+        followers = self.peers.followers
+        for name in (TABLE, ENDPOINTS):
+            source = _Source(fleet.store, number, name)
+            followers.add(name, source, name == TABLE, tell)
+        followers.polling.draw = random.Random(fleet.rng.random()).random
+        for part in followers.members.values():
+            part.wake = virtualtime.Event(scheduler)
+            scheduler.spawn(self.settings.router_id, part.run)
+        for part in (self.peers, self.gossip):
             part.stopped = virtualtime.Event(scheduler)
             part.rng = random.Random(fleet.rng.random())
             scheduler.spawn(self.settings.router_id, part.run)
@@ -391,18 +409,6 @@
         self.scheduler = scheduler
         self.shown = {TABLE: 0, ENDPOINTS: 0}
 
-    def _make_followers(self, fleet, tell):
-        return [
-            following.Follower(
-                _Source(fleet.store, self.number, name),
-                name == TABLE,
-                self.peers,
-                tell,
-                fleet.scheduler.clock,
-            )
-            for name in (TABLE, ENDPOINTS)
-        ]
-
     def _tick(self):
         while True:
             self.scheduler.sleep(0.25)
@@ -529,6 +535,14 @@
             if is_calm and due and version < due[-1]:
                 self._violated(router, source, f'{version}, not {due[-1]}')
 
+    def all_know(self, source):
+        """Say whether all routers act on a source's last version."""
+        last = self.store.acknowledged[source][-1][1]
+        return all(
+            router.versions()[source] >= last
+            for router in self.routers.values()
+        )
+
     def _violated(self, router, source, what):
         at = self.scheduler.now - virtualtime.START
         name = router.settings.router_id
@@ -558,3 +572,24 @@
     fleet.scheduler.run(virtualtime.START + schedule.ends)
     fleet.scheduler.kill()
     return fleet.violations, fleet.store.calls
+
+
+def seconds_until_known(schedule, source, since):
+    """Play a schedule until all routers know the last change of a source.
+
+    Returns
+    -------
+    float
+        Seconds from the time `since`, after which nothing may be written.
+    """
+    fleet = Fleet(schedule)
+    fleet.arrange()
+    until = virtualtime.START + since
+    end = virtualtime.START + schedule.ends
+    while until < end:
+        fleet.scheduler.run(until)
+        if fleet.all_know(source):
+            break
+        until += STORE_DELAY
+    fleet.scheduler.kill()
+    return fleet.scheduler.now - virtualtime.START - since
--- /dev/null
+++ b/packages/policy/ibisring_policy/gateway/polling.py
@@ -0,0 +1,277 @@
+"""When a router calls the store that it follows, and how long a call waits.
+
+A call that waits for changes is the cheapest way to follow a table, but one
+under way when the store falls silent is never answered.  It ends by its own
+timeout, for a fleet of six 5.4 s later, however soon the store is back; the
+router acts on old routes, keys and endpoints meanwhile.  So a call waits only
+while nothing speaks against the store.  A sign of trouble ends the calls that
+wait, and short ones ask until one is answered.
+"""
+
+__all__ = ['Fleet', 'Polling', 'change_pause', 'make_polling']
+
+import math
+
+import msgspec
+
+# Seconds between the ends of calls of a whole fleet that follow one table,
+# and the longest that one may wait: the store keeps some 20 s of history.
+CALL_EVERY = 0.9
+MOST_WAIT = 15.0
+# Seconds to pause after a change: at least, for each router, and at most.  In
+# a pause a router learns from another of its failure domain what has changed,
+# 0.25 s after it was told that something has; the bound is for the case that
+# none tells, and leaves half of the two seconds in which a leaving endpoint
+# still serves.
+LEAST_PAUSE = 0.1
+PAUSE_EACH = 0.016
+MOST_PAUSE = 1.2
+# Seconds from one try to the next while the store does not answer: the first
+# ones come quickly, since one answer may just have been lost.  Later ones are
+# as far apart as a return may stay unnoticed, further in a large fleet, so
+# that a store which comes back to many routers at once is spared; one that is
+# answered tells the others.
+FIRST_RETRY = 0.1
+RETRY_GROWTH = 2.0
+LEAST_RETRY = 1.2
+RETRY_EACH = 0.05
+MOST_RETRY = 4.0
+# A router that knows nothing yet serves nobody, so it asks sooner.
+MOST_FIRST_RETRY = 0.3
+# Seconds that a try may take, and those by which the table that was tried
+# last lets the other go first.
+TRY_SECONDS = 0.6
+TURN_SECONDS = 0.02
+# Seconds after an answer for which another router's word that the store is
+# lost is not taken for news: it tells of the trouble that the answer ended.
+ANSWERED_LATELY = 1.0
+# A try that follows another router's word of the return comes within so many
+# seconds, at random: those who are told together don't ask together.
+SPREAD_SECONDS = 0.2
+
+
+class Fleet(msgspec.Struct, frozen=True):
+    """How many routers run, and this one's place among them, from 0 on."""
+
+    running: int = 1
+    rank: int = 0
+
+
+class _Followed:
+    """One table: its call under way, and what speaks for or against it."""
+
+    __slots__ = (
+        'trouble_at',
+        'answered_at',
+        'has_read',
+        'is_waiting',
+        'is_fresh',
+        'next_try_at',
+        'begun_at',
+    )
+
+    def __init__(self):
+        self.begun_at = -math.inf
+        self.trouble_at = -math.inf
+        self.answered_at = -math.inf
+        self.has_read = False
+        self.is_waiting = False
+        self.is_fresh = True
+        self.next_try_at = -math.inf
+
+    @property
+    def in_trouble(self):
+        """Whether a sign of trouble is newer than the last answer."""
+        return self.trouble_at >= self.answered_at
+
+
+class Polling:
+    """Decides for the calls of one router, one at a time for each table.
+
+    Parameters
+    ----------
+    names : list of str
+        Of the tables that are followed.
+    draw : callable
+        Gives random numbers from 0 to 1.
+
+    Attributes
+    ----------
+    losses : int
+        How often the store was lost to this router.  Others are told the
+        number, since a loss that is over before the next datagram may have
+        struck their calls too.
+
+    Examples
+    --------
+    >>> polling = make_polling(['routes', 'endpoints'], lambda: 0.5)
+    >>> for name in ('routes', 'endpoints'):
+    ...     _ = polling.answered(name, 10.0, True)
+    >>> polling.wait('routes', 10.0, Fleet(6, 2))
+    2.7
+    >>> polling.trouble(11.5)
+    ['routes']
+    >>> polling.wait('routes', 11.5, Fleet(6, 2))
+    0.0
+    """
+
+    def __init__(self, names, draw):
+        self.tables = {name: _Followed() for name in names}
+        self.draw = draw
+        self.next_try_at = -math.inf
+        self.retry = FIRST_RETRY
+        self.tried_last = None
+        self.losses = 0
+
+    def in_trouble(self, name):
+        """Say whether a table's next call must not wait for changes."""
+        return self.tables[name].in_trouble
+
+    def delay(self, name, now):
+        """Give the seconds until a table's next call may begin.
+
+        While the store does not answer, the tables take turns: one try of
+        either shows as much as two.
+        """
+        table = self.tables[name]
+        if not table.in_trouble:
+            return 0.0
+        if not table.has_read:
+            return max(0.0, table.next_try_at - now)
+        due = self.next_try_at
+        if name == self.tried_last:
+            due += TURN_SECONDS
+        return max(0.0, due - now)
+
+    def wait(self, name, now, fleet):
+        """Begin a call and give the seconds that it waits for a change.
+
+        Calls that began together, after a change, end one after the other,
+        so that some call of the fleet begins every `CALL_EVERY` seconds and
+        shows a silence to all.  All would otherwise hang until the last.
+
+        Parameters
+        ----------
+        name : str
+        now : float
+        fleet : Fleet
+
+        Returns
+        -------
+        float
+        """
+        table = self.tables[name]
+        table.is_waiting = not table.in_trouble
+        if table.in_trouble:
+            self.tried_last = name
+            table.begun_at = now
+            if table.has_read:
+                self.next_try_at = now + TRY_SECONDS + FIRST_RETRY
+            return 0.0
+        step = min(CALL_EVERY, MOST_WAIT / fleet.running)
+        if table.is_fresh:
+            return step * (fleet.rank + 1)
+        return step * fleet.running
+
+    def answered(self, name, now, changed):
+        """Note an answer.
+
+        Parameters
+        ----------
+        name : str
+        now : float
+        changed : bool
+            Whether there was anything new.
+
+        Returns
+        -------
+        list of str
+            Tables in trouble, whose next call may begin now.
+        """
+        table = self.tables[name]
+        table.is_fresh = changed or table.in_trouble
+        table.answered_at = now
+        table.has_read = True
+        table.is_waiting = False
+        self.retry = FIRST_RETRY
+        self.next_try_at = now
+        return self._in_trouble()
+
+    def failed(self, name, now, fleet):
+        """Note a call without an answer.
+
+        Returns
+        -------
+        list of str
+            Tables whose calls are to be ended.
+        """
+        table = self.tables[name]
+        table.is_waiting = False
+        ended = self.trouble(now)
+        pause = self.retry * (0.9 + 0.2 * self.draw())
+        table.next_try_at = now + min(pause, MOST_FIRST_RETRY)
+        # A call that took its whole time has waited already.
+        self.next_try_at = max(table.begun_at + pause, now + FIRST_RETRY)
+        shared = RETRY_EACH * fleet.running
+        longest = min(MOST_RETRY, max(LEAST_RETRY, shared))
+        self.retry = min(longest, self.retry * RETRY_GROWTH)
+        return ended
+
+    def trouble(self, now, is_told=False):
+        """Note a sign that the store may not answer.
+
+        Parameters
+        ----------
+        now : float
+        is_told : bool
+            Whether another router tells it.
+
+        Returns
+        -------
+        list of str
+            Tables whose calls are to be ended.
+        """
+        if not is_told and not self._in_trouble():
+            self.losses += 1
+        ended = []
+        for name, table in self.tables.items():
+            if is_told and now - table.answered_at < ANSWERED_LATELY:
+                continue
+            table.trouble_at = now
+            if table.is_waiting:
+                table.is_waiting = False
+                ended.append(name)
+        return ended
+
+    def returned(self, now):
+        """Note that another router is answered again.
+
+        Returns
+        -------
+        list of str
+            Tables whose next call may begin sooner than planned.
+        """
+        soon = now + SPREAD_SECONDS * self.draw()
+        self.next_try_at = min(self.next_try_at, soon)
+        return self._in_trouble()
+
+    def _in_trouble(self):
+        return [
+            name for name, table in self.tables.items() if table.in_trouble
+        ]
+
+
+def change_pause(fleet):
+    """Give the seconds from a change to the next call that waits.
+
+    When many endpoints register at once, a call for each change by each
+    router would be most of a day's calls.  A change that comes within the
+    pause is known that much later, a fraction of the two seconds in which a
+    leaving endpoint still serves.
+    """
+    return min(MOST_PAUSE, LEAST_PAUSE + PAUSE_EACH * fleet.running)
+
+
+def make_polling(names, draw):
+    """Make a `Polling` that has read nothing yet."""
+    return Polling(names, draw)
