An old answer of the store puts no endpoint back

What callers may see: a request at an endpoint that is leaving, for a moment.

Cause: endpoints read from the store were put in force whatever version they were of; a process that stood still with an answer on its way reads it after another router has told it more. Now what is older than known is left out, with a log line, and comes again, since the next call goes on from the older position.

test_directory (2 cases) fails without this.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -180,6 +180,22 @@
         self.on_table(table)
 
     def _apply_endpoints(self, message, now):
+        """Put endpoints in force unless something newer is known.
+
+        A process that stood still may wake with an answer from before, when
+        another router has told it more; an endpoint that is leaving would
+        seem to stay.  What is left out comes again: the next call goes on
+        from the older position.
+        """
+        if message.position < self.view.snapshot.position:
+            logs.event(
+                LOG,
+                'old_state',
+                origin=message.origin,
+                position=message.position,
+                known=self.view.snapshot.position,
+            )
+            return
         if message.origin != STORE:
             self.presence.served_another(now - message.age)
             if message.position <= self.view.snapshot.position:
--- a/packages/gateway/ibisring_gateway/tests/test_directory.py
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -7,6 +7,7 @@
 from ibisring_gateway import view as view_module
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
+import pytest
 
 
 def _directory():
@@ -83,6 +84,26 @@
     assert view.snapshot.endpoints == {}
 
 
+@pytest.mark.parametrize('whole', (True, False))
+def test_an_old_answer_of_the_store_brings_nothing_back(whole):
+    """Symptom: a leaving endpoint gets requests again for a moment.
+
+    Sequence: a router stands still with an answer on its way; it wakes,
+    another router tells it of a newer state, and then it reads the answer.
+    Cause: what the store said was put in force whatever it was of.
+    """
+    actor, view, _ = _directory()
+    ready = build.endpoint('x')
+    leaving = build.endpoint('x', state=routing.State.DRAINING)
+    _endpoints(actor, [ready], position=4)
+    _endpoints(actor, [leaving], position=6, origin='router r2')
+    _endpoints(actor, [ready], whole, position=5)
+    assert view.snapshot.endpoints['x'].state is routing.State.DRAINING
+    gone = [ports.Gone('x')]
+    _endpoints(actor, gone, whole=False, position=7)
+    assert view.snapshot.endpoints == {}
+
+
 def test_an_engine_that_started_again_is_believed_alive():
     actor, view, _ = _directory()
     _endpoints(actor, [build.held_endpoint('x', 0, 8, started=1)])
