Calls are spread anew when the fleet that is heard has changed much

What callers may see: a change unknown for three seconds, just after a start.

Calls are now spread again when the routers heard have become half as many more or fewer; a change by one or two keeps the rhythm, since spreading anew costs half a call a router.

--- a/packages/gateway/ibisring_gateway/tests/test_store_outages.py
+++ b/packages/gateway/ibisring_gateway/tests/test_store_outages.py
@@ -63,14 +63,26 @@
         _schedule(
             5, (8.6, 11.8), Trouble('silent', 11.7, 6.7), source=ENDPOINTS
         ),
+        _schedule(6, (3.5,), Trouble('silent', 3.2, 0.4), source=ENDPOINTS),
     ],
-    ids=('returns', 'just_begun', 'short', 'endpoints'),
+    ids=('returns', 'just_begun', 'short', 'endpoints', 'just_started'),
 )
 def test_schedules_that_failed(schedule):
     """Symptom, sequence and cause as above; found by drawing, then shrunk."""
     assert not _violations(schedule)
 
 
+def test_an_old_state_puts_nothing_back():
+    """Symptom: a router uses endpoints as they were seconds before.
+
+    Sequence: the store shows an old state; some routers know a newer one.
+    Cause: endpoints read from the store were applied whatever their version.
+    """
+    old = Trouble('old', 3.1, 6.0)
+    schedule = _schedule(3, (2.0, 5.9), old, source=ENDPOINTS)
+    assert not _violations(schedule)
+
+
 @pytest.mark.parametrize('routers', (1, 2, 3, 6))
 def test_a_return_is_known_in_time(routers):
     """From the return on, whatever the routers' calls were doing."""
--- a/packages/policy/ibisring_policy/gateway/polling.py
+++ b/packages/policy/ibisring_policy/gateway/polling.py
@@ -18,6 +18,8 @@
 # and the longest that one may wait: the store keeps some 20 s of history.
 CALL_EVERY = 0.9
 MOST_WAIT = 15.0
+# Growth or shrinking of the fleet at which its calls are spread anew.
+OTHER_FLEET = 1.5
 # Seconds to pause after a change: at least, for each router, and at most.  In
 # a pause a router learns from another of its failure domain what has changed,
 # 0.25 s after it was told that something has; the bound is for the case that
@@ -68,6 +70,7 @@
         'is_fresh',
         'next_try_at',
         'begun_at',
+        'spread_among',
     )
 
     def __init__(self):
@@ -78,6 +81,12 @@
         self.is_waiting = False
         self.is_fresh = True
         self.next_try_at = -math.inf
+        self.spread_among = 0
+
+    def is_other_fleet(self, fleet):
+        """Say whether so many came or left that calls may end together."""
+        few, many = sorted((self.spread_among, fleet.running))
+        return many >= few * OTHER_FLEET
 
     @property
     def in_trouble(self):
@@ -146,9 +155,10 @@
     def wait(self, name, now, fleet):
         """Begin a call and give the seconds that it waits for a change.
 
-        Calls that began together, after a change, end one after the other,
-        so that some call of the fleet begins every `CALL_EVERY` seconds and
-        shows a silence to all.  All would otherwise hang until the last.
+        Calls that began together, after a change or while the routers had
+        not heard of each other, end one after the other, so that some call
+        of the fleet begins every `CALL_EVERY` seconds and shows a silence to
+        all.  All would otherwise hang until the last.
 
         Parameters
         ----------
@@ -169,7 +179,8 @@
                 self.next_try_at = now + TRY_SECONDS + FIRST_RETRY
             return 0.0
         step = min(CALL_EVERY, MOST_WAIT / fleet.running)
-        if table.is_fresh:
+        if table.is_fresh or table.is_other_fleet(fleet):
+            table.spread_among = fleet.running
             return step * (fleet.rank + 1)
         return step * fleet.running
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_polling.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_polling.py
@@ -52,6 +52,24 @@
     assert max(gaps) <= polling.CALL_EVERY + 1e-9
 
 
+def test_calls_are_spread_once_the_routers_know_each_other():
+    """Symptom: three seconds after a silence of 0.4 s no router is up to date.
+
+    Sequence: six routers start and begin their calls together; they hear of
+    each other; nothing changes until the store falls silent.
+    Cause: calls were spread after a change only, and by the fleet known then.
+    """
+    alone = polling.Fleet(1, 0)
+    ends = []
+    for rank in range(6):
+        made = _polling()
+        made.wait(ROUTES, 10.0, alone)
+        made.answered(ROUTES, 11.0, False)
+        ends.append(made.wait(ROUTES, 11.0, polling.Fleet(6, rank)))
+    gaps = [after - before for before, after in zip([0.0, *ends], ends)]
+    assert max(gaps) <= polling.CALL_EVERY + 1e-9
+
+
 def test_a_call_does_not_wait_on_a_store_in_trouble():
     """Symptom: a router acts on an old table for seconds after an outage.
 
