The soak promises that a confirmed route is not refused as unknown

Each change of the configuration in a run adds a route, idempotent callers use the newest one, and a 403 or 404 more than two seconds after the store took it is a violation, unless the store or that router was struck in the three seconds before.

--- a/packages/soak/ibisring_soak/callers.py
+++ b/packages/soak/ibisring_soak/callers.py
@@ -70,6 +70,8 @@
                 )
             made += 1
             call = self._draw(rng, f'c{number}-{made}', router)
+            if call.kind == 'safe' and made % 2 and self.world.added:
+                call.route = self.world.added[-1]
             self.world.history.calls.append(call)
             keep = self._make(conn, call, rng)
             call.ended_at = time.monotonic()
@@ -100,6 +102,8 @@
     def _make(self, conn, call, rng):
         """Make a call; True if its connection may be used again."""
         method, path, _ = PATHS[call.kind]
+        if call.route:
+            path = f'/{call.route}/x'
         sent = running.headers(call.id, call.length, Credential=call.key)
         body = b'body' if method == 'POST' else None
         try:
--- a/packages/soak/ibisring_soak/injecting.py
+++ b/packages/soak/ibisring_soak/injecting.py
@@ -189,7 +189,7 @@
         if fault.kind == 'storm':
             for _ in range(STORM):
                 with self.lock:
-                    world.configure()
+                    self._add_route()
                 time.sleep(STORM_GAP)
             return
         with self.lock:
@@ -197,10 +197,16 @@
             if fault.kind == 'revoke' and len(keys) > 2:
                 key = self._pick(keys, fault.draw)
                 world.revoked.add(key)
-                world.configure()
+                self._add_route()
                 self._notice('revoked', key)
                 return
-            world.configure(routes=MANY_ROUTES)
+            self._add_route(MANY_ROUTES)
+
+    def _add_route(self, more=0):
+        """Write a version with one more route, and some that are not used."""
+        name = self.world.add_route()
+        self.world.configure(routes=more)
+        self._notice('added', name)
 
 
 def make_injector(world):
--- a/packages/soak/ibisring_soak/promises.py
+++ b/packages/soak/ibisring_soak/promises.py
@@ -48,6 +48,7 @@
     found.extend(_known_callers(history))
     found.extend(_chains(history))
     found.extend(_notices(history))
+    found.extend(_added_routes(history))
     found.extend(_shutdowns(history))
     found.extend(_recovery(history))
     found.extend(
@@ -131,6 +132,8 @@
     """Leaving endpoints get nothing new, and revoked keys do not pass."""
     calls = {call.id: call for call in history.calls}
     for notice in history.notices:
+        if notice.kind == 'added':
+            continue
         limit = notice.at + FOLLOWS_WITHIN
         for run in history.runs:
             call = calls.get(run.request)
@@ -148,6 +151,23 @@
                 yield Violation(f'{notice.kind} is followed', call.id, late)
 
 
+def _added_routes(history):
+    """What the store has confirmed is not refused as unknown."""
+    added = {n.name: n.at for n in history.notices if n.kind == 'added'}
+    for call in history.calls:
+        confirmed = added.get(call.route)
+        if confirmed is None or call.status not in (403, 404):
+            continue
+        late = call.sent_at - confirmed
+        struck = ('store', f'router {call.router}')
+        since = call.sent_at - IN_TOUCH
+        if late <= FOLLOWS_WITHIN:
+            continue
+        if not _is_disturbed(history, struck, since, call.ended_at):
+            detail = f'{call.status} from {call.router} {late:.2f} s after'
+            yield Violation('an added route is followed', call.id, detail)
+
+
 def _shutdowns(history):
     """A process that is told to end does so in time and cuts nothing."""
     for router, at, seconds in history.ended:
--- a/packages/soak/ibisring_soak/records.py
+++ b/packages/soak/ibisring_soak/records.py
@@ -8,6 +8,7 @@
 class Call(msgspec.Struct):
     """A caller's request and its answer; times are monotonic seconds.
 
+    `route` names the added route that it is for, if any;
     `status` is 0 if no answer came; `whole` that the answer ended as its
     framing says; `words` the data of a stream's events.
     """
@@ -26,6 +27,7 @@
     words: list[str] = []
     length: int = 0
     gave_up: bool = False
+    route: str = ''
 
 
 class Run(msgspec.Struct, frozen=True):
@@ -46,7 +48,8 @@
 class Notice(msgspec.Struct, frozen=True):
     """Something that routers must follow from a moment on.
 
-    `kind` is 'draining' with an endpoint's id, or 'revoked' with a key.
+    `kind` is 'draining' with an endpoint's id, 'revoked' with a key, or
+    'added' with a route's name.
     """
 
     kind: str
--- a/packages/soak/ibisring_soak/tests/test_promises.py
+++ b/packages/soak/ibisring_soak/tests/test_promises.py
@@ -97,3 +97,27 @@
 def test_requests_that_are_not_served_again():
     lost = [call(f'l{n}', sent_at=170.0, status=503) for n in range(5)]
     assert _broken(lost) == ['serves again']
+
+
+@pytest.mark.parametrize(
+    ('sent_at', 'disturbed', 'broken'),
+    [
+        (12.5, (), ['an added route is followed']),
+        (11.5, (), []),
+        (12.5, (('store', 5.0, 9.8),), []),
+        (13.0, (('store', 5.0, 9.8),), ['an added route is followed']),
+        (12.5, (('router r1', 11.0, 12.0),), []),
+        (12.5, (('router r2', 11.0, 12.0),), ['an added route is followed']),
+    ],
+)
+def test_an_added_route_is_not_refused(sent_at, disturbed, broken):
+    refused = call(
+        kind='safe',
+        status=404,
+        route='added-1',
+        sent_at=sent_at,
+        ended_at=13.1,
+    )
+    notices = [records.Notice('added', 'added-1', 10.0)]
+    found = _broken([refused], notices=notices, disturbed=list(disturbed))
+    assert found == broken
--- a/packages/soak/ibisring_soak/world.py
+++ b/packages/soak/ibisring_soak/world.py
@@ -135,6 +135,7 @@
         self.version = 0
         self.named = 0
         self.revoked = set()
+        self.added = []
         for _ in range(engines):
             self.add_engine()
         for _ in range(services):
@@ -194,7 +195,7 @@
     def configure(self, routes=0):
         """Write the next version, with more routes if asked."""
         self.version += 1
-        names = [f'more-{n}' for n in range(routes)]
+        names = [*self.added, *(f'more-{n}' for n in range(routes))]
         more = [
             standin.route(name, 'safe', standin.PLAIN_SERVICE, 800)
             for name in names
@@ -209,6 +210,11 @@
             tenants=tenants,
         )
 
+    def add_route(self):
+        """Have one more route from the next version on, and give its name."""
+        self.added.append(f'added-{len(self.added) + 1}')
+        return self.added[-1]
+
     def collect(self):
         """Take over what the endpoints saw, and give the history."""
         self.history.runs = [records.Run(*each) for each in self.site.runs()]
