--- a/packages/gateway/ibisring_gateway/tests/test_store_outages.py
+++ b/packages/gateway/ibisring_gateway/tests/test_store_outages.py
@@ -9,6 +9,7 @@
 
 import pytest
 
+from ibisring_gateway.tests import schedules
 from ibisring_gateway.tests import virtualfleet
 
 # Seeds drawn in each run of the tests; some thousands are run by hand.
@@ -17,15 +18,15 @@
 # router knows what the store has taken since.
 KNOWN_WITHIN = 1.5
 
-Change = virtualfleet.Change
-Trouble = virtualfleet.Trouble
-TABLE = virtualfleet.TABLE
-ENDPOINTS = virtualfleet.ENDPOINTS
+Change = schedules.Change
+Trouble = schedules.Trouble
+TABLE = schedules.TABLE
+ENDPOINTS = schedules.ENDPOINTS
 
 
 def _schedule(routers, changes, *troubles, source=TABLE):
     changes = tuple(Change(at, source) for at in changes)
-    return virtualfleet.Schedule(routers, changes, troubles)
+    return schedules.Schedule(routers, changes, troubles)
 
 
 def _violations(schedule):
@@ -98,7 +99,7 @@
         assert took <= KNOWN_WITHIN, schedule
 
 
-@pytest.mark.parametrize('kind', virtualfleet.STORE_KINDS)
+@pytest.mark.parametrize('kind', schedules.STORE_KINDS)
 @pytest.mark.parametrize('routers', (1, 3))
 def test_trouble_of_any_length(kind, routers):
     """Every length in steps, with a change just before it and after it."""
@@ -109,7 +110,7 @@
         assert not _violations(schedule), schedule
 
 
-@pytest.mark.parametrize('kind', virtualfleet.ROUTER_KINDS)
+@pytest.mark.parametrize('kind', schedules.ROUTER_KINDS)
 def test_a_router_struck_in_a_silence(kind):
     silence = Trouble('silent', 5.0, 3.0)
     for at, lasts in itertools.product((4.0, 5.5, 7.5), (0.8, 3.5)):
@@ -120,5 +121,5 @@
 
 @pytest.mark.parametrize('seed', range(SEEDS))
 def test_drawn_schedules(seed):
-    schedule = virtualfleet.draw(seed)
+    schedule = schedules.draw(seed)
     assert not _violations(schedule), schedule
--- a/packages/gateway/ibisring_gateway/tests/virtualfleet.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualfleet.py
@@ -1,18 +1,11 @@
 """Routers' real code that follows a store, all in one thread's virtual time.
 
-The store, its links and the network between routers are made here.  What
-decides when to call, whom to ask and what to put in force is the product's.
+The store, its links and the network between routers are made for the tests.
+What decides when to call, whom to ask and what to put in force is the
+product's.
 """
 
-__all__ = [
-    'KINDS',
-    'Trouble',
-    'Change',
-    'Schedule',
-    'draw',
-    'play',
-    'seconds_until_known',
-]
+__all__ = ['Router', 'Fleet', 'play', 'seconds_until_known']
 
 import random
 
@@ -21,283 +14,26 @@
 from ibisring_gateway import directory
 from ibisring_gateway import gossip
 from ibisring_gateway import peers
-from ibisring_gateway import ports
 from ibisring_gateway import settings as settings_module
 from ibisring_gateway.tests import builders
+from ibisring_gateway.tests import schedules
+from ibisring_gateway.tests import virtualstore
 from ibisring_gateway.tests import virtualtime
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
-from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import exceptions
 from ibisring_web import calls
 
-# What may go wrong: the store for all routers or for some; one router.
-STORE_KINDS = ('silent', 'reset', 'busy', 'old', 'lost')
-ROUTER_KINDS = (
-    'unreachable',
-    'cut',
-    'isolated',
-    'frozen',
-    'restart',
-    'lossy',
-)
-KINDS = STORE_KINDS + ROUTER_KINDS
-# Seconds that an answer of the store and a datagram take.
-STORE_DELAY = 0.004
+ENDPOINTS = schedules.ENDPOINTS
+TABLE = schedules.TABLE
+# Seconds that a datagram takes, and the share lost on links that lose some.
 PEER_DELAY = 0.002
-# Seconds beyond its wait after which a call is given up.
-MARGIN = 0.6
-# Seconds by which the state is old that a store shows in such trouble.
-OLD_BY = 4.0
-# Shares of what is lost in trouble that loses some.
-LOST_SHARE = 0.5
 LOSSY_SHARE = 0.3
 # Seconds without trouble after which a router is held to its promise, and
 # seconds after the store's acknowledgement at which it knows a change.
 CALM = 3.0
 KNOWS_WITHIN = 2.0
 CHECK_EVERY = 0.1
-# Seconds that are played after the last change or trouble.
-AFTER = 8.0
-TABLE = 'table'
-ENDPOINTS = 'endpoints'
-
-
-class Trouble(msgspec.Struct, frozen=True):
-    """Something that goes wrong, from `at` on, for `lasts` seconds.
-
-    `who` are numbers of routers; none means all.
-    """
-
-    kind: str
-    at: float
-    lasts: float
-    who: tuple[int, ...] = ()
-
-    @property
-    def ends(self):
-        """When it is over."""
-        return self.at + self.lasts
-
-    def strikes(self, number):
-        """Say whether it is about a router."""
-        return not self.who or number in self.who
-
-
-class Change(msgspec.Struct, frozen=True):
-    """The operator, or an endpoint, writes at a time."""
-
-    at: float
-    source: str
-
-
-class Schedule(msgspec.Struct, frozen=True):
-    """What happens in a run; times are seconds from its start."""
-
-    routers: int
-    changes: tuple[Change, ...]
-    troubles: tuple[Trouble, ...]
-    seed: int = 0
-
-    @property
-    def ends(self):
-        """When the run ends."""
-        times = [0.0]
-        times += [change.at for change in self.changes]
-        times += [trouble.ends for trouble in self.troubles]
-        return max(times) + AFTER
-
-
-def draw(seed):
-    """Draw a schedule: troubles in series and overlapping, many changes."""
-    rng = random.Random(seed)
-    routers = rng.randint(3, 7)
-    troubles = []
-    for _ in range(rng.randint(1, 4)):
-        kind = rng.choice(KINDS)
-        lasts = rng.uniform(0.3, 7.0)
-        who = ()
-        if kind in ROUTER_KINDS or rng.random() < 0.3:
-            who = tuple(rng.sample(range(routers), rng.randint(1, 2)))
-        troubles.append(Trouble(kind, rng.uniform(3.0, 14.0), lasts, who))
-    changes = [
-        Change(rng.uniform(2.0, 20.0), rng.choice((TABLE, ENDPOINTS)))
-        for _ in range(rng.randint(3, 14))
-    ]
-    changes.sort(key=lambda change: change.at)
-    return Schedule(routers, tuple(changes), tuple(troubles), seed)
-
-
-class _Call:
-    """A call of the store under way; `page` or `error` once it is set."""
-
-    def __init__(self, scheduler, number, source, after):
-        self.number = number
-        self.source = source
-        self.after = after
-        self.answered = virtualtime.Event(scheduler)
-        self.page = None
-        self.error = None
-        self.is_lost = False
-
-    def fail(self, error):
-        """End it with an error."""
-        self.error = error
-        self.answered.set()
-
-
-class Store:
-    """Two tables that are written, read and followed.
-
-    Attributes
-    ----------
-    acknowledged : dict of str to list of (float, int)
-        When each version of a source was acknowledged.
-    calls : int
-        Calls that routers made.
-    """
-
-    def __init__(self, scheduler, troubles, rng):
-        self.scheduler = scheduler
-        self.troubles = troubles
-        self.rng = rng
-        self.log = []
-        self.waiting = []
-        self.acknowledged = {TABLE: [], ENDPOINTS: []}
-        self.calls = 0
-
-    def kind_of_trouble(self, number):
-        """Give what is wrong between the store and a router now, or None."""
-        passed = self.scheduler.now - virtualtime.START
-        for trouble in self.troubles:
-            if not trouble.at <= passed < trouble.ends:
-                continue
-            if not trouble.strikes(number):
-                continue
-            if trouble.kind in STORE_KINDS:
-                return trouble.kind
-            if trouble.kind in ('unreachable', 'isolated'):
-                return 'silent'
-        return None
-
-    def trouble_begins(self, trouble):
-        """Strike the calls that wait."""
-        struck = [c for c in self.waiting if trouble.strikes(c.number)]
-        for call in struck:
-            if trouble.kind == 'reset':
-                call.fail(exceptions.PlatformAnswerLost('reset'))
-            elif trouble.kind in ('silent', 'unreachable', 'isolated'):
-                call.is_lost = True
-
-    def write(self, source):
-        """Write the next version, when the store takes it."""
-        passed = self.scheduler.now - virtualtime.START
-        for trouble in self.troubles:
-            refuses = trouble.kind in ('silent', 'reset', 'busy')
-            if refuses and not trouble.who:
-                if trouble.at <= passed < trouble.ends:
-                    later = virtualtime.START + trouble.ends + 0.05
-                    self.scheduler.at(later, lambda: self.write(source))
-                    return
-        version = len(self.log) + 1
-        if source == TABLE:
-            item = build.table(version)
-        else:
-            item = build.endpoint('x', started=version)
-        now = self.scheduler.now
-        self.log.append((now, version, source, item))
-        self.acknowledged[source].append((now, version))
-        self.tell_waiting()
-
-    def tell_waiting(self):
-        """Answer the calls for which there is something by now."""
-        for call in list(self.waiting):
-            if self._page(call).items:
-                self._finish(call)
-
-    def begin(self, number, source, after, wait):
-        """Begin a call, of all there is if `after` is None."""
-        self.calls += 1
-        call = _Call(self.scheduler, number, source, after)
-        arrives = self.scheduler.now + STORE_DELAY / 2
-        self.scheduler.at(arrives, lambda: self._arrive(call, wait))
-        return call
-
-    def _arrive(self, call, wait):
-        kind = self.kind_of_trouble(call.number)
-        if kind == 'silent':
-            return
-        if kind == 'reset':
-            call.fail(exceptions.PlatformAnswerLost('reset'))
-            return
-        if kind == 'busy':
-            call.fail(exceptions.PlatformUnavailable('429'))
-            return
-        page = self._page(call)
-        if call.after is None or page.items or wait <= 0.0:
-            self._finish(call)
-            return
-        self.waiting.append(call)
-        ends = self.scheduler.now + wait
-        self.scheduler.at(ends, lambda: self._finish(call))
-
-    def _finish(self, call):
-        if call in self.waiting:
-            self.waiting.remove(call)
-        if call.page is not None or call.error is not None or call.is_lost:
-            return
-        kind = self.kind_of_trouble(call.number)
-        if kind == 'silent':
-            return
-        if kind == 'lost' and self.rng.random() < LOST_SHARE:
-            return
-        call.page = self._page(call)
-        comes = self.scheduler.now + STORE_DELAY / 2
-        self.scheduler.at(comes, call.answered.set)
-
-    def _page(self, call):
-        known = self.log
-        if self.kind_of_trouble(call.number) == 'old':
-            limit = self.scheduler.now - OLD_BY
-            known = [entry for entry in known if entry[0] <= limit]
-        position = known[-1][1] if known else 0
-        mine = [entry for entry in known if entry[2] == call.source]
-        if call.after is None:
-            items = [entry[3] for entry in mine[-1:]]
-        else:
-            items = [entry[3] for entry in mine if entry[1] > call.after]
-        return ports.Page(position, items)
-
-
-class _Source(ports.Source):
-    """A table of the store as one router reaches it."""
-
-    def __init__(self, store, number, name):
-        self.store = store
-        self.number = number
-        self.name = name
-        self.call = None
-
-    def read_all(self):
-        return self._run(None, 0.0)
-
-    def changes(self, position, wait):
-        return self._run(position, wait)
-
-    def end_call(self):
-        if self.call is not None:
-            self.call.fail(ports.CallEnded('a new one begins'))
-
-    def _run(self, after, wait):
-        call = self.store.begin(self.number, self.name, after, wait)
-        self.call = call
-        call.answered.wait(wait + MARGIN)
-        self.call = None
-        if call.error is not None:
-            raise call.error
-        if not call.answered.is_set():
-            raise exceptions.PlatformAnswerLost('no answer')
-        return call.page
 
 
 class _Rows:
@@ -318,9 +54,9 @@
     def _check(self):
         self.fleet.store.calls += 1
         if self.fleet.store.kind_of_trouble(self.number) is not None:
-            self.fleet.scheduler.sleep(MARGIN)
+            self.fleet.scheduler.sleep(virtualstore.MARGIN)
             raise exceptions.PlatformAnswerLost('no answer')
-        self.fleet.scheduler.sleep(STORE_DELAY)
+        self.fleet.scheduler.sleep(virtualstore.DELAY)
 
 
 class _Network:
@@ -395,7 +131,7 @@
         )
         followers = self.peers.followers
         for name in (TABLE, ENDPOINTS):
-            source = _Source(fleet.store, number, name)
+            source = virtualstore.Source(fleet.store, number, name)
             followers.add(name, source, name == TABLE, tell)
         followers.polling.draw = random.Random(fleet.rng.random()).random
         for part in followers.members.values():
@@ -436,7 +172,9 @@
         self.schedule = schedule
         self.scheduler = virtualtime.Scheduler()
         self.rng = random.Random(schedule.seed)
-        self.store = Store(self.scheduler, schedule.troubles, self.rng)
+        self.store = virtualstore.Store(
+            self.scheduler, schedule.troubles, self.rng
+        )
         self.rows = {}
         self.by_address = {}
         self.routers = {}
@@ -495,7 +233,7 @@
             self.scheduler.at(
                 start + trouble.at, lambda each=trouble: self._begin(each)
             )
-            after = start + trouble.ends + STORE_DELAY
+            after = start + trouble.ends + virtualstore.DELAY
             self.scheduler.at(after, self.store.tell_waiting)
         self.scheduler.at(start, self._check)
 
@@ -553,7 +291,9 @@
         if passed < CALM:
             return False
         for trouble in self.schedule.troubles:
-            mine = trouble.kind in STORE_KINDS or trouble.strikes(number)
+            mine = trouble.kind in schedules.STORE_KINDS or trouble.strikes(
+                number
+            )
             if mine and trouble.at <= passed < trouble.ends + CALM:
                 return False
         return True
@@ -590,6 +330,6 @@
         fleet.scheduler.run(until)
         if fleet.all_know(source):
             break
-        until += STORE_DELAY
+        until += virtualstore.DELAY
     fleet.scheduler.kill()
     return fleet.scheduler.now - virtualtime.START - since
