Revert "A router that has lost the store refuses nothing for good"

Cause, traced: the router had learnt from another that the key is gone, but had lost the store before, and answered 503 for as long as it was turned away; on a calm machine it learns of the key first. So callers whose key was revoked, or who ask for a route that is gone, were told to come back for the whole time although the router knew, from one that follows the store.

Without a gain in worth and with that cost it is taken back.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -12,7 +12,6 @@
 from ibisring_gateway import sending
 from ibisring_gateway import watching
 from ibisring_policy.gateway import attempts
-from ibisring_policy.gateway import polling
 from ibisring_records import exceptions
 from ibisring_router import logs
 from ibisring_web import serving
@@ -149,7 +148,7 @@
         snapshot = self.view.snapshot
         if not self.view.is_ready:
             raise exceptions.NotReady('no configuration yet', UNREADY_RETRY)
-        match = self._match(snapshot, request)
+        match = snapshot.index.find(request.host, request.path, request.key)
         if self.refuse_after is not None and started > self.refuse_after:
             raise exceptions.NotReady('this router is ending', 0.0)
         service = snapshot.index.pick_service(match.route, self.rng.random())
@@ -166,27 +165,6 @@
         self._run(job)
         self._finish(job)
 
-    def _match(self, snapshot, request):
-        """Give the match of a request in the routing table.
-
-        A router that has lost the store may lack a route or a key that was
-        added since.  A caller takes 401, 403 and 404 for final, so it is told
-        to come back instead; another router, or this one, knows then.
-        """
-        try:
-            return snapshot.index.find(request.host, request.path, request.key)
-        except (
-            exceptions.NotFound,
-            exceptions.Unauthorized,
-            exceptions.Forbidden,
-        ) as error:
-            if self.view.store_lost_at is None:
-                raise
-            raise exceptions.NotReady(
-                f'the configuration may be out of date: {error.detail}',
-                polling.LEAST_RETRY,
-            ) from error
-
     def _finish(self, job):
         answer = job.answer
         if job.late:
