Peers are given the followers that they tell, and a test of denials

Peers made the followers, of which it only tells what others say of the store; the process makes them now and hands them over. No decision changes. The test shows what the reverted rule broke: what another router told a router without the store is final; it fails with that rule.

--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -10,7 +10,6 @@
 import msgspec
 
 from ibisring_gateway import directory as directory_module
-from ibisring_gateway import following
 from ibisring_gateway import ports
 from ibisring_policy.gateway import ordering
 from ibisring_policy.gateway import polling
@@ -74,19 +73,16 @@
     rows : ports.LeaseTable
     tell : callable
         Takes `directory.Read` messages.
-
-    Attributes
-    ----------
     followers : following.Followers
         Told what other routers say of the store.
     """
 
-    def __init__(self, settings, view, rows, tell):
+    def __init__(self, settings, view, rows, tell, followers):
         self.settings = settings
         self.view = view
         self.rows = rows
         self.tell = tell
-        self.followers = following.make_followers(self.place, view.clock)
+        self.followers = followers
         self.known = {}
         self.rng = random.Random()
         self.caller = calls.make_caller(CONNECT_TIMEOUT, READ_TIMEOUT)
@@ -327,6 +323,6 @@
             )
 
 
-def make_peers(settings, view, rows, tell):
+def make_peers(settings, view, rows, tell, followers):
     """Make `Peers`; start it with ``start()``."""
-    return Peers(settings, view, rows, tell)
+    return Peers(settings, view, rows, tell, followers)
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -14,6 +14,7 @@
 from ibisring_gateway import directory
 from ibisring_gateway import doctor
 from ibisring_gateway import exchange
+from ibisring_gateway import following
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossip
 from ibisring_gateway import logwriter
@@ -80,6 +81,7 @@
             self.watcher,
             self.metrics,
         )
+        self.followers = following.make_followers(self._place)
         self.signals = []
         self.signalled = threading.Event()
         self.servers = []
@@ -95,6 +97,9 @@
     def _count_routers(self):
         return self.peers.fleet(time.monotonic())
 
+    def _place(self):
+        return self.peers.place()
+
     def _store_touches(self):
         return self.peers.store_touches(time.monotonic())
 
@@ -109,7 +114,7 @@
             self.metrics,
             self._store_touches,
             lambda message: self.directory.tell(message),
-            lambda: self.peers.followers.trouble(),
+            self.followers.trouble,
         )
         self._listen()
         self.directory = directory.Directory.start(
@@ -120,10 +125,10 @@
             self._apply_limits,
         )
         tell = self.directory.tell
+        followers = self.followers
         self.peers = peers.make_peers(
-            settings, self.view, self.installation.leases, tell
+            settings, self.view, self.installation.leases, tell, followers
         )
-        followers = self.peers.followers
         followers.add('table', self.installation.table, True, tell)
         followers.add('endpoints', self.installation.endpoints, False, tell)
         self.parts = [followers.start(), self.peers.start()]
--- a/packages/gateway/ibisring_gateway/tests/test_forwarding.py
+++ b/packages/gateway/ibisring_gateway/tests/test_forwarding.py
@@ -1,8 +1,13 @@
 """Tests of a request's one final answer."""
 
+import types
+
 from ibisring_gateway import forwarding
 from ibisring_gateway.tests import builders
+from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import exceptions
+from ibisring_records import routing
+import pytest
 
 
 class _Exchange:
@@ -50,3 +55,21 @@
     exchange = _refuse(begun=False)
     assert exchange.written == [exceptions.Interrupted.status]
     assert not exchange.aborted
+
+
+def test_a_router_without_the_store_says_what_another_told_it():
+    """Symptom: a revoked key gets 503 for as long as an outage lasts.
+
+    Sequence: the store turns one router away; another that is served tells
+    it that a key is gone; the key is used.
+    Cause: whatever a router knew counted as out of date once it had lost
+    the store.
+    """
+    table = build.table(accounts=(routing.Account('acme', ('k1',)),))
+    view = builders.view_of([], table, store_lost_at=10.0)
+    forwarder = forwarding.make_forwarder(
+        view, _Codec(), None, None, None, lambda: 1, builders.Metrics()
+    )
+    request = types.SimpleNamespace(host='h.example', path='/a/x', key='k2')
+    with pytest.raises(exceptions.Unauthorized):
+        forwarder._serve(None, request, view.clock())
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -4,6 +4,7 @@
 import pytest
 
 from ibisring_gateway import directory
+from ibisring_gateway import following
 from ibisring_gateway import gossip
 from ibisring_gateway import peers
 from ibisring_gateway import settings as settings_module
@@ -27,7 +28,10 @@
         peer_port=0,
     )
     view = view or builders.view_of([])
-    return peers.make_peers(settings, view, builders.Leases(), [].append)
+    followers = following.make_followers(polling.Fleet)
+    return peers.make_peers(
+        settings, view, builders.Leases(), [].append, followers
+    )
 
 
 def test_a_router_knows_its_place_among_those_that_run():
--- a/packages/gateway/ibisring_gateway/tests/virtualfleet.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualfleet.py
@@ -12,6 +12,7 @@
 import msgspec
 
 from ibisring_gateway import directory
+from ibisring_gateway import following
 from ibisring_gateway import gossip
 from ibisring_gateway import peers
 from ibisring_gateway import settings as settings_module
@@ -124,12 +125,16 @@
         network = _Network(fleet, self)
         tell = self.directory.on_receive
         rows = _Rows(fleet, number)
-        self.peers = peers.Peers(self.settings, self.view, rows, tell)
+        followers = following.make_followers(
+            lambda: self.peers.place(), scheduler.clock
+        )
+        self.peers = peers.Peers(
+            self.settings, self.view, rows, tell, followers
+        )
         self.peers.caller = network
         self.gossip = gossip.Gossip(
             self.settings, self.view, self.peers, tell, network
         )
-        followers = self.peers.followers
         for name in (TABLE, ENDPOINTS):
             source = virtualstore.Source(fleet.store, number, name)
             followers.add(name, source, name == TABLE, tell)
