A test of one true fault is not failed by stalls of its own process

Cause, from the decisions printed at that load: healthy engines fall silent for over the 0.5 s that these tests allow a token, since engines, router and caller share one stalled process; each takes one of the four attempts, or the retry budget, which all tests of the module share, and the request ends with a truthful error. The product's own limit is 2 s. So the case is allowed, and the test had two faults where it tells of one.

Change: these cases have a router of their own with 10 s; what is checked is as before, and all three fail if a failure is never followed by a new attempt (retries.decide made to give up, tried by hand). 0 of 48 runs failed at a load of 26.

Ruled out before: a first status that is missed (nine plays, all answered).

--- a/packages/router/ibisring_router/tests/test_failures.py
+++ b/packages/router/ibisring_router/tests/test_failures.py
@@ -28,12 +28,29 @@
 @pytest.fixture
 def router(site, shared_router):
     yield shared_router
+    mend(site)
+    shared_router.placement.inspect(forgive)
+
+
+@pytest.fixture
+def patient_router(site):
+    """Give a router that takes no engine for silent because tests are slow.
+
+    Stalls of the test's own process look like silence after half a second,
+    and use up the attempts of a request that has one true fault to survive.
+    """
+    router = builders.start_router(site, token_timeout=10.0)
+    yield router
+    router.stop()
+    mend(site)
+
+
+def mend(site):
     for server in site.engines.values():
         server.engine.faults = faults.EngineFaults()
     for service in site.services.values():
         service.faults = faults.ServiceFaults()
         service.ledger.clear()
-    shared_router.placement.inspect(forgive)
 
 
 def forgive(dispatcher):
@@ -58,7 +75,7 @@
 
 
 @pytest.mark.parametrize('position', [0, 5, TOKENS - 1])
-def test_stage_death_at_any_token_is_not_seen(site, router, position):
+def test_stage_death_at_any_token_is_not_seen(site, patient_router, position):
     """Symptom: an allergen sheet broke off in the middle.
 
     Sequence: a stage of the chain dies while the answer streams.
@@ -67,7 +84,7 @@
     victim = next(iter(site.engines.values()))
     victim.engine.faults = faults.EngineFaults(die_at=position, dies=99)
     for _ in range(4):
-        body = complete(router).json()
+        body = complete(patient_router).json()
         assert 'choices' in body, body
         assert body['choices'][0]['text'] == right_answer()
 
