When a router asks another one is a decision of its own

Cause: when to ask, whom, and when to forget who was ahead stood in the thread that asks, and could be tested only through it.

--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -11,6 +11,7 @@
 
 from ibisring_gateway import directory as directory_module
 from ibisring_gateway import ports
+from ibisring_policy.gateway import catchup
 from ibisring_policy.gateway import ordering
 from ibisring_policy.gateway import polling
 from ibisring_records import exceptions
@@ -25,9 +26,6 @@
 STATE_PATH = '/state'
 CONNECT_TIMEOUT = 0.15
 READ_TIMEOUT = 0.3
-# Seconds without the store after which a peer is asked, and between asks.
-ASK_AFTER = 0.5
-ASK_EVERY = 0.4
 # The list of routers is read at the start, again a little later, and when
 # nobody was heard for so many seconds; routers that come later make
 # themselves known.
@@ -39,9 +37,6 @@
 # how many it tells at once.
 HEARD_LATELY = 2.5
 TOLD_AT_ONCE = 6
-# Seconds that another router may be ahead before it is asked: usually the
-# same change is on its way here.
-MOST_BEHIND = 0.25
 TICK = 0.1
 
 
@@ -91,8 +86,7 @@
         self.written = False
         self.heard_at = {}
         self.touches = {}
-        self.behind_since = None
-        self.ahead = None
+        self.catchup = catchup.make_catchup()
         self.thread = threading.Thread(target=self.run, daemon=True)
 
     def start(self):
@@ -145,10 +139,7 @@
 
     def behind(self, name, now):
         """Note that another router knows something newer."""
-        if self.ahead is None or self._is_near(name):
-            self.ahead = name
-        if self.behind_since is None:
-            self.behind_since = now
+        self.catchup.behind(name, now, self._is_near(name))
 
     def _is_near(self, name):
         """Whether a router is in this one's failure domain.
@@ -160,9 +151,15 @@
 
     def running(self, now):
         """Give how many routers seem to run, this one included."""
-        return 1 + sum(
-            1 for at in list(self.heard_at.values()) if now - at < HEARD_FOR
-        )
+        return 1 + len(self._heard(now))
+
+    def _heard(self, now):
+        """Give the names of the other routers that seem to run."""
+        return [
+            name
+            for name, at in list(self.heard_at.items())
+            if now - at < HEARD_FOR
+        ]
 
     def place(self):
         """Give this router's place among those that run.
@@ -171,13 +168,8 @@
         -------
         polling.Fleet
         """
-        now = self.view.clock()
         own = self.settings.router_id
-        names = [
-            name
-            for name, at in list(self.heard_at.items())
-            if now - at < HEARD_FOR
-        ]
+        names = self._heard(self.view.clock())
         before = sum(1 for name in names if name < own)
         return polling.Fleet(len(names) + 1, before)
 
@@ -210,37 +202,22 @@
 
     def run(self):
         """Ask others, when that is due, until stopped."""
-        asked_at = 0.0
         while not self.stopped.wait(TICK * self.rng.uniform(0.8, 1.2)):
             now = self.view.clock()
             try:
                 if now >= self.list_at:
                     self._list_if_alone(now)
-                if now - asked_at >= ASK_EVERY and self._should_ask(now):
-                    asked_at = now
+                if self.catchup.is_due(now, self._age(now), self.running(now)):
+                    self.catchup.asked(now)
                     self._ask_one()
-                self._check_behind(now)
+                self.catchup.forget(now)
             except Exception:
                 LOG.exception('peers_failed')
 
-    def _should_ask(self, now):
-        if self._is_stale(now):
-            return True
-        since = self.behind_since
-        return since is not None and now - since >= MOST_BEHIND
-
-    def _check_behind(self, now):
-        """Forget who was ahead once this router was told the same."""
-        since = self.behind_since
-        if since is not None and now - since > 2 * MOST_BEHIND:
-            self.behind_since = None
-            self.ahead = None
-
-    def _is_stale(self, now):
+    def _age(self, now):
+        """Give the seconds since the older of both tables was read."""
         snapshot = self.view.snapshot
-        age = now - min(snapshot.table_at, snapshot.endpoints_at)
-        usual = polling.CALL_EVERY * self.running(now)
-        return age > min(polling.MOST_WAIT, usual) + ASK_AFTER
+        return now - min(snapshot.table_at, snapshot.endpoints_at)
 
     def _list_if_alone(self, now):
         if self.running(now) > 1 and self.written:
@@ -282,10 +259,10 @@
         return [row for name, row in known if name != own]
 
     def _ask_one(self):
-        others = self.others()
+        others = {row.name: row for row in self.others()}
         if not others:
             return
-        row = self.known.get(self.ahead) or self.rng.choice(others)
+        row = others[self.catchup.choose(list(others), self.rng.random)]
         version = self.view.snapshot.version
         try:
             state = self.caller.call(
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -98,17 +98,37 @@
         if not self.arrivals.are_settled(staying, now):
             return
         self.orders.settle(staying, now)
+        engines = self._engines(staying, service.model, now)
+        self._tell_missing(service, staying)
+        if self.view.store_lost_at is not None:
+            self._learn(staying)
+        if now - snapshot.known_since < presence.RETURN_GRACE:
+            # Entries that lapsed in an outage come back within two seconds.
+            # A router that has just started can't tell them from engines
+            # that are gone, and would move all that it sees.
+            return
+        changes = layers.plan(engines, service.model)
+        if not self.turn.may_act(bool(changes), now):
+            return
+        if not self._hold_lease(now):
+            return
+        by_id = {e.id: e for e in staying}
+        wanted = [(by_id[c.id], c.holding) for c in changes]
+        self._order_all(wanted, service.model)
+
+    def _engines(self, staying, model, now):
+        """Give the planner's view of the engines that may be ordered."""
         # On a site that starts nothing is about to be replaced.
         is_whole = any(e.holding is not None for e in staying)
         with self.view.lock:
-            holders = self.view.book.holders(staying, service.model, now)
+            holders = self.view.book.holders(staying, model, now)
         loads = {h.id: h.used / h.room for h in holders if h.room > 0}
-        engines = []
+        found = []
         for each in staying:
             if self.orders.is_emptying(each, now):
                 continue
-            card = service.model.card(each.card)
-            engines.append(
+            card = model.card(each.card)
+            found.append(
                 windows.Engine(
                     each.id,
                     each.failure_domain,
@@ -120,22 +140,7 @@
                     loads.get(each.id, 0.0),
                 )
             )
-        self._tell_missing(service, staying)
-        if self.view.store_lost_at is not None:
-            self._learn(staying)
-        if now - snapshot.known_since < presence.RETURN_GRACE:
-            # Entries that lapsed in an outage come back within two seconds.
-            # A router that has just started can't tell them from engines
-            # that are gone, and would move all that it sees.
-            return
-        changes = layers.plan(engines, service.model)
-        if not self.turn.may_act(bool(changes), now):
-            return
-        if not self._hold_lease(now):
-            return
-        by_id = {e.id: e for e in staying}
-        wanted = [(by_id[c.id], c.holding) for c in changes]
-        self._order_all(wanted, service.model)
+        return found
 
     def _learn(self, staying):
         """Ask engines under orders what they hold, while the store is away.
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -9,6 +9,7 @@
 from ibisring_gateway import peers
 from ibisring_gateway import settings as settings_module
 from ibisring_gateway.tests import builders
+from ibisring_policy.gateway import catchup
 from ibisring_policy.gateway import ordering
 from ibisring_policy.gateway import polling
 from ibisring_records import routing
@@ -75,15 +76,15 @@
     telling.view, telling.peers = view, known
     news = gossip.Told('r1', {}, [], changed=0, table=view.snapshot.version)
     telling.take(news, ('10.0.0.1', 7000))
-    assert known.behind_since is None
+    assert known.catchup.behind_since is None
     news.table += 1
     telling.take(news, ('10.0.0.1', 7000))
-    since = known.behind_since
-    assert known.ahead == 'r1'
+    since = known.catchup.behind_since
+    assert known.catchup.ahead == 'r1'
     assert known.others()[0].address == '10.0.0.1:7000'
-    assert known._should_ask(since + peers.MOST_BEHIND)
-    known._check_behind(since + 10.0)
-    assert known.ahead is None
+    assert known.catchup.is_due(since + catchup.MOST_BEHIND, 0.0, 6)
+    known.catchup.forget(since + 10.0)
+    assert known.catchup.ahead is None
 
 
 def test_a_router_nearby_is_asked_first():
@@ -95,7 +96,7 @@
     for name, domain in (('far', 'b'), ('near', 'a'), ('away', 'c')):
         known.heard(name, f'{name}:1', domain, LOST, 10.0)
         known.behind(name, 10.0)
-    assert known.ahead == 'near'
+    assert known.catchup.ahead == 'near'
 
 
 @pytest.mark.parametrize('count', (6, 83))
--- /dev/null
+++ b/packages/policy/ibisring_policy/gateway/catchup.py
@@ -0,0 +1,115 @@
+"""When a router asks another one for what it knows, and which.
+
+The store may turn some routers away and serve the others, and a call that
+follows it may hang.  A router then goes on with a revoked key or a leaving
+endpoint, while another one knows better.
+"""
+
+__all__ = ['Catchup', 'make_catchup']
+
+import math
+
+from ibisring_policy.gateway import polling
+
+# Seconds beyond the usual wait for the store after which others are asked,
+# and between two questions.
+ASK_AFTER = 0.5
+ASK_EVERY = 0.4
+# Seconds that another router may be ahead before it is asked: usually the
+# same change is on its way here.
+MOST_BEHIND = 0.25
+
+
+class Catchup:
+    """Decides for one router.
+
+    Attributes
+    ----------
+    ahead : str or None
+        A router that knows something newer.
+    behind_since : float or None
+        Since when some router does.
+
+    Examples
+    --------
+    >>> catchup = make_catchup()
+    >>> catchup.behind('r2', 10.0, is_near=False)
+    >>> catchup.is_due(10.1, 1.0, 6), catchup.is_due(10.3, 1.0, 6)
+    (False, True)
+    >>> catchup.choose(['r1', 'r2'], lambda: 0.0)
+    'r2'
+    """
+
+    __slots__ = ('ahead', 'behind_since', 'asked_at')
+
+    def __init__(self):
+        self.ahead = None
+        self.behind_since = None
+        self.asked_at = -math.inf
+
+    def behind(self, name, now, is_near):
+        """Note that another router knows something newer.
+
+        One nearby is preferred: what it tells crosses no link between
+        failure domains, which are dear.
+
+        Parameters
+        ----------
+        name : str
+        now : float
+        is_near : bool
+            Whether it is in this router's failure domain.
+        """
+        if self.ahead is None or is_near:
+            self.ahead = name
+        if self.behind_since is None:
+            self.behind_since = now
+
+    def is_due(self, now, age, running):
+        """Say whether to ask another router now.
+
+        Parameters
+        ----------
+        now : float
+        age : float
+            Seconds since the older of both tables was read.
+        running : int
+            Routers that seem to run, this one included.
+        """
+        if now - self.asked_at < ASK_EVERY:
+            return False
+        usual = min(polling.MOST_WAIT, polling.CALL_EVERY * running)
+        if age > usual + ASK_AFTER:
+            return True
+        since = self.behind_since
+        return since is not None and now - since >= MOST_BEHIND
+
+    def asked(self, now):
+        """Note that another router is asked."""
+        self.asked_at = now
+
+    def choose(self, names, draw):
+        """Give the router to ask, of some that are known.
+
+        Parameters
+        ----------
+        names : list of str
+            Not empty.
+        draw : callable
+            Gives random numbers from 0 up to, without, 1.
+        """
+        if self.ahead in names:
+            return self.ahead
+        return names[int(draw() * len(names))]
+
+    def forget(self, now):
+        """Forget who was ahead once this router was told the same."""
+        since = self.behind_since
+        if since is not None and now - since > 2 * MOST_BEHIND:
+            self.behind_since = None
+            self.ahead = None
+
+
+def make_catchup():
+    """Make a `Catchup` that has heard nothing yet."""
+    return Catchup()
--- a/packages/router/ibisring_router/settings.py
+++ b/packages/router/ibisring_router/settings.py
@@ -4,6 +4,7 @@
 
 import re
 
+from ibisring_policy import retries
 from ibisring_records import exceptions
 import msgspec
 
@@ -39,7 +40,7 @@
     lease_seconds: float = 6.0
     claim_seconds: float = 600.0
     most_peers: int = 8
-    most_attempts: int = 4
+    most_attempts: int = retries.MOST_ATTEMPTS
     peer_keys: str = ''
     table_reads: int = 1000
     table_writes: int = 200
