--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -1,6 +1,6 @@
 """The actor that holds which endpoints and which configuration are known."""
 
-__all__ = ['Read', 'Failed', 'Learnt', 'Tick', 'Directory']
+__all__ = ['Read', 'Failed', 'Confirmed', 'Learnt', 'Tick', 'Directory']
 
 import logging
 
@@ -22,8 +22,8 @@
     """Something was read; `whole` if it was all there is.
 
     `origin` tells the store from a peer; `position` is the store's version
-    that the items are of, `age` the seconds since the store was read,
-    `waited` those that the call took.
+    that the items are of, `changed` that of the newest one, `age` the seconds
+    since the store was read, `waited` those that the call took.
     """
 
     items: list
@@ -33,6 +33,21 @@
     position: int = 0
     age: float = 0.0
     waited: float = 0.0
+    changed: int = 0
+
+
+class Confirmed(msgspec.Struct):
+    """A router that reads the store says that nothing newer is there.
+
+    `table` is the routing table's version, `changed` the store's at which
+    endpoints last changed, `position` the one up to which it has read, `age`
+    the seconds since.
+    """
+
+    table: int
+    changed: int
+    position: int
+    age: float
 
 
 class Failed(msgspec.Struct):
@@ -83,6 +98,7 @@
         return {
             Read: self.on_read,
             Failed: self.on_failed,
+            Confirmed: self.on_confirmed,
             Learnt: self.on_learnt,
             Tick: self.on_tick,
         }
@@ -110,6 +126,18 @@
             return
         self._apply_endpoints(message, now)
 
+    def on_confirmed(self, message):
+        """Note that what is known is not older than what a reader knows."""
+        before = self.view.snapshot
+        read_at = self.view.clock() - message.age
+        if message.table == before.version:
+            self._replace(table_at=max(before.table_at, read_at))
+        if message.changed <= before.position:
+            self._replace(
+                endpoints_at=max(before.endpoints_at, read_at),
+                position=max(before.position, message.position),
+            )
+
     def _store_answered(self, message, now):
         self.view.lease_lost_at = None
         if self.presence.succeeded(now):
@@ -200,17 +228,13 @@
             self.presence.served_another(now - message.age)
             if message.position <= self.view.snapshot.position:
                 return
-            # The peer reads the store, so what is missing there has left.
-            changed = self.presence.replace(message.items, now, sure=True)
-        elif message.whole:
-            changed = self.presence.replace(message.items, now)
+        if message.whole:
+            # Another router reads the store, so what is missing there has
+            # left.
+            sure = message.origin != STORE
+            changed = self.presence.replace(message.items, now, sure=sure)
         else:
-            changed = False
-            for item in message.items:
-                if isinstance(item, ports.Gone):
-                    changed |= self.presence.remove(item.id, now)
-                else:
-                    changed |= self.presence.put(item, now)
+            changed = self._apply_each(message.items, now)
         changed |= self.presence.expire(now)
         if not changed and self.view.snapshot.endpoints_known:
             self._replace(
@@ -219,6 +243,16 @@
             return
         self._publish(now, message.origin, now - message.age, message)
 
+    def _apply_each(self, items, now):
+        """Put or remove endpoints; True if something is new."""
+        changed = False
+        for item in items:
+            if isinstance(item, ports.Gone):
+                changed |= self.presence.remove(item.id, now)
+            else:
+                changed |= self.presence.put(item, now)
+        return changed
+
     def _publish(self, now, origin, read_at, known):
         """Put the endpoints in force.
 
@@ -242,7 +276,7 @@
             by_service=by_service,
             endpoints_at=read_at,
             position=known.position,
-            changed=known.position,
+            changed=known.changed or known.position,
             endpoints_known=True,
             known_since=before.known_since if before.endpoints_known else now,
         )
--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -10,11 +10,15 @@
 from ibisring_gateway import directory as directory_module
 from ibisring_gateway import ports
 from ibisring_policy.gateway import polling as polling_module
+from ibisring_policy.gateway import sharing
 from ibisring_records import exceptions
 
 LOG = logging.getLogger(__name__)
 # Seconds to pause after an error that nobody thought of.
 AFTER_ERROR = 1.0
+# Seconds between looks whether a router that leaves reading to others must
+# read by itself.
+LOOK_AGAIN = 0.5
 
 
 class Follower:
@@ -29,6 +33,13 @@
         Decides when to call and how long to wait.
     tell : callable
         Takes `directory.Read` and `directory.Failed` messages.
+
+    Attributes
+    ----------
+    position : int or None
+        The store's version up to which this router knows the table.
+    changed_by : int
+        A version from which on nothing changed up to `position`.
     """
 
     def __init__(self, name, source, is_table, followers, tell):
@@ -39,6 +50,7 @@
         self.tell = tell
         self.clock = followers.clock
         self.position = None
+        self.changed_by = 0
         self.begun_at = 0.0
         self.is_stopped = False
         self.wake = threading.Event()
@@ -88,13 +100,15 @@
         """
         self.begun_at = self.clock()
         wait = self.followers.wait(self.name)
-        whole = self.position is None
+        position, before = self.position, self.changed_by
+        whole = position is None
         if whole:
             page = self.source.read_all()
         else:
-            page = self.source.changes(self.position, wait)
-        self.position = page.position
-        self.followers.answered(self.name, bool(page.items))
+            page = self.source.changes(position, wait)
+        changed = bool(page.items)
+        self.followers.read(self, page.position, whole or changed)
+        self.followers.answered(self.name, changed)
         self.tell(
             directory_module.Read(
                 page.items,
@@ -102,9 +116,18 @@
                 is_table=self.is_table,
                 position=page.position,
                 waited=self.clock() - self.begun_at,
+                changed=page.changed,
             )
         )
-        return bool(page.items)
+        if changed and not whole:
+            self.followers.share(page, before, self.is_table)
+        return changed
+
+    def advance(self, position, changed):
+        """Note that this router knows the table up to a version."""
+        if changed:
+            self.changed_by = max(self.changed_by, position)
+        self.position = max(self.position or 0, position)
 
 
 class Followers:
@@ -114,12 +137,25 @@
     ----------
     fleet : callable
         Gives the `polling.Fleet`.
+    role : callable
+        Gives the `sharing.Role`.
     clock : callable
+
+    Attributes
+    ----------
+    publish : callable
+        Takes a page, the version that it follows, and whether it is of
+        routing tables, to tell the routers that leave reading to this one.
+    wanted : set of str
+        Tables to be read once although others read them.
     """
 
-    def __init__(self, fleet, clock=time.monotonic):
+    def __init__(self, fleet, role, clock=time.monotonic):
         self.fleet = fleet
+        self.role = role
         self.clock = clock
+        self.publish = _to_nobody
+        self.wanted = set()
         self.members = {}
         self.polling = polling_module.make_polling((), random.random)
         self.lock = threading.Lock()
@@ -150,13 +186,95 @@
 
     def delay(self, name):
         """Give the seconds until a follower's next call may begin."""
+        role = self.role()
+        now = self.clock()
         with self.lock:
-            return self.polling.delay(name, self.clock())
+            if role is sharing.Role.ASKS and self.polling.is_steady(now):
+                self.polling.told_of_loss(now)
+            if self._is_left_to_others(name, role, now):
+                return LOOK_AGAIN
+            return self.polling.delay(name, now)
+
+    def _is_left_to_others(self, name, role, now):
+        if role is not sharing.Role.TOLD or name in self.wanted:
+            return False
+        return self.polling.has_read(name) and self.polling.is_steady(now)
 
     def wait(self, name):
         """Begin a call and give the seconds that it waits."""
+        fleet = self.fleet()
+        with self.lock:
+            wait = self.polling.wait(name, self.clock(), fleet)
+            if name in self.wanted:
+                self.wanted.discard(name)
+                return 0.0
+            return wait
+
+    def read(self, follower, position, changed):
+        """Note how far a table was read."""
+        with self.lock:
+            follower.advance(position, changed)
+
+    def read_now(self, names):
+        """Have tables read once although others read them."""
+        with self.lock:
+            self.wanted.update(names)
+        self._wake(names)
+
+    def share(self, page, before, is_table):
+        """Tell the routers that leave reading to this one what changed.
+
+        Not just after trouble: what seems gone then may come back, and each
+        router must judge that by what it has seen of the store itself.
+        """
         with self.lock:
-            return self.polling.wait(name, self.clock(), self.fleet())
+            is_steady = self.polling.is_steady(self.clock())
+        if is_steady and self.role() is sharing.Role.READS:
+            self.publish(page, before, is_table)
+
+    def take(self, name, changes):
+        """Take in what a reader told; False if something before is missing.
+
+        Parameters
+        ----------
+        name : str
+        changes : changes.Changes
+
+        Returns
+        -------
+        bool
+        """
+        follower = self.members[name]
+        with self.lock:
+            if follower.position is None or changes.before > follower.position:
+                return False
+            if changes.position > follower.position:
+                follower.advance(changes.position, True)
+            return True
+
+    def confirm(self, name, position):
+        """Note that nothing has changed up to a version."""
+        follower = self.members[name]
+        with self.lock:
+            if follower.position is not None:
+                follower.advance(position, False)
+
+    def position(self, name):
+        """Give the store's version up to which a table is known."""
+        return self.members[name].position or 0
+
+    def standing(self, is_lost):
+        """Give the `sharing.Standing` of this router.
+
+        Parameters
+        ----------
+        is_lost : bool
+            Whether the store has stopped answering it.
+        """
+        with self.lock:
+            if not self.polling.has_read():
+                return sharing.Standing.STARTING
+        return sharing.Standing.LOST if is_lost else sharing.Standing.SERVED
 
     def change_pause(self):
         """Give the seconds to pause after a change."""
@@ -181,7 +299,12 @@
         self._end(ended)
 
     def told_of_loss(self, lost_at):
-        """Note when another router lost the store, and ask anew."""
+        """Note when another router lost the store, and ask anew.
+
+        A router that leaves reading to others has no call that could hang.
+        """
+        if self.role() is sharing.Role.TOLD:
+            return
         with self.lock:
             ended = self.polling.told_of_loss(lost_at)
         self._end(ended)
@@ -201,6 +324,10 @@
             self.members[name].source.end_call()
 
 
-def make_followers(fleet, clock=time.monotonic):
+def _to_nobody(page, before, is_table):
+    """Tell nobody of a page."""
+
+
+def make_followers(fleet, role, clock=time.monotonic):
     """Make `Followers` without any; start them with ``start()``."""
-    return Followers(fleet, clock)
+    return Followers(fleet, role, clock)
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -10,15 +10,20 @@
 
 import msgspec
 
+from ibisring_gateway import changes as changes_module
 from ibisring_gateway import directory
 from ibisring_gateway import peers as peers_module
 from ibisring_policy.gateway import ordering
+from ibisring_policy.gateway import sharing
 from ibisring_policy.gateway import telling
+from ibisring_records import exceptions
 from ibisring_records import routing
 
 LOG = logging.getLogger(__name__)
 MOST_BYTES = 60000
 SECOND_MS = 1000.0
+TABLE = peers_module.TABLE
+ENDPOINTS = peers_module.ENDPOINTS
 
 
 class Told(msgspec.Struct, array_like=True):
@@ -32,6 +37,14 @@
     to order that it knows.  `held` are start time, first layer and end that
     engines told it while the store is away.  `lost_ms` are the milliseconds
     since it last lost the store, None if it never has.
+
+    A release that does not know the later fields ignores them, and what it
+    leaves out has the default: it reads the store by itself and for nobody.
+    `standing` is how the router stands with the store, `counts` the running
+    routers by domain and the milliseconds since one there said so.
+    `position` and `table_position` are the store's versions up to which it
+    knows endpoints and routing table, `age_ms` the milliseconds since it read
+    the older of both, `changes` packed `changes.Changes` just read.
     """
 
     router: str
@@ -46,10 +59,19 @@
     full: list[str] = []
     domain: str = ''
     lost_ms: int | None = None
+    standing: sharing.Standing = sharing.Standing.STARTING
+    counts: dict[str, tuple[int, int]] = {}
+    position: int = 0
+    table_position: int = 0
+    age_ms: int = 0
+    changes: bytes = b''
 
 
 # What others act upon at once; load and names of routers are not.
 _NEWS = ('dead', 'slow', 'full', 'held', 'changed', 'table', 'touch', 'term')
+# What the whole failure domain is told at once; a change of a table is told
+# to it as it is read.
+_URGENT = ('dead', 'slow', 'full', 'held', 'touch', 'standing')
 
 
 class Gossip:
@@ -75,6 +97,9 @@
         self.tell = tell
         self.rng = random.Random()
         self.pace = telling.make_pace()
+        self.urgent = telling.make_pace()
+        self.rounds = telling.make_rounds(self.rng)
+        peers.followers.publish = self.tell_changes
         self.stopped = threading.Event()
         self.socket = sock
         self.threads = [
@@ -101,44 +126,99 @@
             except OSError as error:
                 LOG.debug('gossip not sent: %s', error)
 
-    def _send(self):
-        now = self.view.clock()
+    def _told(self, now):
+        """Give what this router has to tell now."""
         with self.view.lock:
-            own = self.view.book.own()
-            dead = self.view.book.lately_dead(now)
-            slow = self.view.book.slow(now)
-            full = self.view.book.refusing(now)
-            fullest = self.view.book.fullest
-        told = Told(
+            book = self.view.book
+            tokens = {n: int(each) for n, each in book.own().items()}
+            dead = book.lately_dead(now)
+            slow = book.slow(now)
+            full = book.refusing(now)
+        snapshot = self.view.snapshot
+        read_at = min(snapshot.table_at, snapshot.endpoints_at)
+        followers = self.peers.followers
+        return Told(
             self.settings.router_id,
-            {name: int(tokens) for name, tokens in own.items()},
+            tokens,
             dead,
-            self.view.snapshot.changed,
-            self.view.snapshot.version,
-            slow,
-            self.view.store_touch,
-            self.view.term,
-            self.view.told_holdings(now),
-            full,
-            self.settings.failure_domain,
-            self._lost_ms(now),
+            changed=snapshot.changed,
+            table=snapshot.version,
+            slow=slow,
+            touch=self.view.store_touch,
+            term=self.view.term,
+            held=self.view.told_holdings(now),
+            full=full,
+            domain=self.settings.failure_domain,
+            lost_ms=self._lost_ms(now),
+            standing=followers.standing(self.view.store_lost_at is not None),
+            counts=self.peers.counts_to_tell(now),
+            position=followers.position(ENDPOINTS),
+            table_position=followers.position(TABLE),
+            age_ms=int((now - read_at) * SECOND_MS),
         )
-        news = [getattr(told, name) for name in _NEWS]
-        news.append(self.peers.followers.lost_at)
-        others = self.peers.others()
-        reach = min(1.0, peers_module.TOLD_AT_ONCE / max(1, len(others)))
+
+    def _send(self):
+        now = self.view.clock()
+        told = self._told(now)
+        lost_at = self.peers.followers.lost_at
+        news = [getattr(told, name) for name in _NEWS] + [lost_at]
+        rows = {row.name: row for row in self.peers.others()}
+        reach = min(1.0, telling.ALL_AT_ONCE / max(1, len(rows)))
+        fullest = self.view.book.fullest
+        urgent = [getattr(told, name) for name in _URGENT] + [lost_at]
+        is_urgent = self.urgent.is_fresh(now, urgent)
         if not self.pace.is_due(now, news, fullest, reach):
             return
+        near = [name for name in rows if self.peers.is_near(name)]
+        far = [name for name in rows if not self.peers.is_near(name)]
+        busy = self._in_domains_of(told.tokens, far, rows)
+        names = self.rounds.choose(near, far, is_urgent, busy)
+        self._send_to([rows[name] for name in names], told)
+
+    def _in_domains_of(self, engines, far, rows):
+        """Give the far routers whose engines this router's requests use."""
+        endpoints = self.view.snapshot.endpoints
+        domains = {
+            endpoints[name].failure_domain
+            for name in engines
+            if name in endpoints
+        }
+        return [name for name in far if rows[name].domain in domains]
+
+    def _send_to(self, rows, told):
         data = msgspec.msgpack.encode(told)
         if len(data) > MOST_BYTES:
             LOG.warning('gossip_too_large %s', len(data))
             return
-        for row in self.rng.sample(
-            others, min(peers_module.TOLD_AT_ONCE, len(others))
-        ):
+        for row in rows:
             host, _, port = row.address.rpartition(':')
             self.socket.sendto(data, (host, int(port)))
 
+    def tell_changes(self, page, before, is_table):
+        """Tell the routers of this domain what has just been read.
+
+        Parameters
+        ----------
+        page : ports.Page
+        before : int
+            The store's version from which on nothing changed before the
+            page.
+        is_table : bool
+        """
+        near = [r for r in self.peers.others() if self.peers.is_near(r.name)]
+        if len(near) < sharing.READERS:
+            return
+        packed = changes_module.pack(
+            changes_module.changes_of(page, before, is_table)
+        )
+        told = self._told(self.view.clock())
+        told.tokens = {}
+        told.changes = packed
+        try:
+            self._send_to(near, told)
+        except OSError as error:
+            LOG.debug('changes not sent: %s', error)
+
     def _lost_ms(self, now):
         lost_at = self.peers.followers.lost_at
         return (
@@ -185,7 +265,13 @@
             told.touch,
             now,
             told.lost_ms,
+            told.standing,
+            told.counts,
         )
+        if told.changes:
+            self._take_changes(told)
+        elif told.standing is sharing.Standing.SERVED:
+            self._confirm(told)
         self.view.term = max(self.view.term, told.term)
         for name, (started, first, end) in told.held.items():
             held = routing.Holding(first, end) if end > first else None
@@ -193,7 +279,47 @@
         snapshot = self.view.snapshot
         behind = told.changed > max(snapshot.changed, snapshot.position)
         if behind or told.table > snapshot.version:
-            self.peers.behind(told.router, now)
+            versions = {TABLE: told.table, ENDPOINTS: told.changed}
+            self.peers.behind(told.router, now, versions)
+
+    def _take_changes(self, told):
+        """Apply what a reader has just read, unless this router missed some.
+
+        What is missing shows in the versions that others tell.
+        """
+        try:
+            changes = changes_module.unpack(told.changes)
+        except exceptions.MalformedMessage as error:
+            LOG.warning('changes_unreadable %s', error.detail)
+            return
+        name = TABLE if changes.is_table else ENDPOINTS
+        if not self.peers.followers.take(name, changes):
+            return
+        self.tell(
+            directory.Read(
+                changes.items,
+                False,
+                origin=f'router {told.router}',
+                is_table=changes.is_table,
+                position=changes.position,
+                changed=changes.changed,
+            )
+        )
+
+    def _confirm(self, told):
+        """Note what a router of this domain that is served knows."""
+        if not self.peers.is_near(told.router):
+            return
+        snapshot = self.view.snapshot
+        followers = self.peers.followers
+        if told.table == snapshot.version:
+            followers.confirm(TABLE, told.table_position)
+        if told.changed <= followers.position(ENDPOINTS):
+            followers.confirm(ENDPOINTS, told.position)
+        age = told.age_ms / SECOND_MS
+        self.tell(
+            directory.Confirmed(told.table, told.changed, told.position, age)
+        )
 
 
 def make_gossip(settings, view, peers, tell):
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -3,6 +3,7 @@
 __all__ = ['State', 'Peers', 'make_peers']
 
 import logging
+import math
 import random
 import threading
 import time
@@ -14,6 +15,7 @@
 from ibisring_policy.gateway import catchup
 from ibisring_policy.gateway import ordering
 from ibisring_policy.gateway import polling
+from ibisring_policy.gateway import sharing
 from ibisring_records import exceptions
 from ibisring_records import routing
 from ibisring_router import logs
@@ -24,6 +26,8 @@
 LOST = ordering.StoreTouch.LOST
 SECOND_MS = 1000.0
 STATE_PATH = '/state'
+TABLE = 'table'
+ENDPOINTS = 'endpoints'
 CONNECT_TIMEOUT = 0.15
 READ_TIMEOUT = 0.3
 # The list of routers is read at the start, again a little later, and when
@@ -31,13 +35,18 @@
 # themselves known.
 LIST_AGAIN = 3.0
 ALONE_AFTER = 12.0
-# Seconds for which a router counts as running after it was heard.
-HEARD_FOR = 8.0
-# Seconds after which a router that tells all others is taken for gone, and
-# how many it tells at once.
+# Seconds for which a router counts as running after it was heard, and for
+# which the number that another domain tells counts.  A router tells those of
+# its own domain something five times in this, so that of datagrams of which a
+# third is lost at least one comes.
+HEARD_FOR = 4.4
+# Seconds after its start in which a router has not heard all of its domain.
+COUNTS_AFTER = 2.0
+# Seconds for which what a router knows of the store counts.
 HEARD_LATELY = 2.5
-TOLD_AT_ONCE = 6
 TICK = 0.1
+# Of a domain of which nothing was told: when that was, and how many run.
+NEVER = (-math.inf, 0)
 
 
 class State(msgspec.Struct):
@@ -86,6 +95,12 @@
         self.written = False
         self.heard_at = {}
         self.touches = {}
+        self.standings = {}
+        self.counts = {}
+        self.first_hand = {}
+        self.begun_at = view.clock()
+        self.listens_until = 0.0
+        self.current_role = sharing.Role.READS
         self.catchup = catchup.make_catchup()
         self.thread = threading.Thread(target=self.run, daemon=True)
 
@@ -114,7 +129,17 @@
             endpoints=list(snapshot.endpoints.values()),
         )
 
-    def heard(self, name, address, domain, touch, now, lost_ms=None):
+    def heard(
+        self,
+        name,
+        address,
+        domain,
+        touch,
+        now,
+        lost_ms=None,
+        standing=sharing.Standing.STARTING,
+        counts=None,
+    ):
         """Note a datagram of another router.
 
         Parameters
@@ -125,10 +150,17 @@
         now : float
         lost_ms : int or None
             Milliseconds since it last lost the store, None if it never has.
+        standing : sharing.Standing
+            How it stands with the store itself.
+        counts : dict of str to (int, int), optional
+            By failure domain, how many routers run and how many milliseconds
+            ago one of them said so.
         """
         before = self.touches.get(name)
         self.heard_at[name] = now
         self.touches[name] = touch
+        self.standings[name] = standing
+        self._take_counts(counts or {}, domain, now)
         if lost_ms is not None:
             self.followers.told_of_loss(now - lost_ms / SECOND_MS)
         if before is LOST and touch is FOLLOWED:
@@ -137,11 +169,25 @@
         if row is None or row.address != address:
             self.known[name] = ports.RouterRow(name, address, domain, 0.0)
 
-    def behind(self, name, now):
+    def _take_counts(self, counts, teller, now):
+        """Take the newest word of how many routers run in each domain.
+
+        Only what a router says of its own domain is passed on: each hop
+        makes word look younger by its delay, so that it would go round for
+        as long as there are routers.
+        """
+        for domain, (count, age_ms) in counts.items():
+            said_at = now - age_ms / SECOND_MS
+            if said_at > self.counts.get(domain, NEVER)[0]:
+                self.counts[domain] = said_at, count
+            if domain == teller:
+                self.first_hand[domain] = said_at, count
+
+    def behind(self, name, now, versions=None):
         """Note that another router knows something newer."""
-        self.catchup.behind(name, now, self._is_near(name))
+        self.catchup.behind(name, now, self.is_near(name), versions)
 
-    def _is_near(self, name):
+    def is_near(self, name):
         """Whether a router is in this one's failure domain.
 
         What it tells then crosses no link between domains, which are dear.
@@ -151,27 +197,97 @@
 
     def running(self, now):
         """Give how many routers seem to run, this one included."""
-        return 1 + len(self._heard(now))
+        return sum(self._counts(now).values())
+
+    def counts_to_tell(self, now):
+        """Give how many routers run by domain, as `heard` takes it.
+
+        Returns
+        -------
+        dict of str to (int, int)
+        """
+        found = {
+            domain: (count, int((now - at) * SECOND_MS))
+            for domain, (at, count) in list(self.first_hand.items())
+            if now - at < HEARD_FOR
+        }
+        found.pop(self.settings.failure_domain, None)
+        if now - self.begun_at >= COUNTS_AFTER:
+            near = 1 + len(self._heard(now, near=True))
+            found[self.settings.failure_domain] = near, 0
+        return found
 
-    def _heard(self, now):
-        """Give the names of the other routers that seem to run."""
+    def _counts(self, now):
+        """Give the running routers by failure domain.
+
+        Of the other domains either some router has told the number, or only
+        those that were heard are known.
+        """
+        counts = {self.settings.failure_domain: 1}
+        for name in self._heard(now):
+            domain = self.known[name].domain
+            counts[domain] = counts.get(domain, 0) + 1
+        for domain, (at, count) in list(self.counts.items()):
+            if domain != self.settings.failure_domain:
+                if now - at < HEARD_FOR:
+                    counts[domain] = count
+        return counts
+
+    def _heard(self, now, near=False, within=HEARD_FOR):
+        """Give the names of the other routers that were heard lately.
+
+        Parameters
+        ----------
+        now : float
+        near : bool
+            Only those of the own failure domain.
+        within : float
+            Seconds.
+        """
         return [
             name
             for name, at in list(self.heard_at.items())
-            if now - at < HEARD_FOR
+            if now - at < within and (not near or self.is_near(name))
         ]
 
+    def _near_standings(self, now):
+        names = self._heard(now, near=True, within=sharing.SILENT_AFTER)
+        return {name: self.standings[name] for name in names}
+
+    def role(self):
+        """Give what this router does about the store.
+
+        Returns
+        -------
+        sharing.Role
+        """
+        return self.current_role
+
+    def _judge_role(self, now):
+        own = self.settings.router_id
+        found = sharing.role(own, self._near_standings(now))
+        if now < self.listens_until:
+            found = sharing.Role.TOLD
+        if found is not self.current_role:
+            self.current_role = found
+            logs.event(LOG, 'store_role', role=found.name.lower())
+
     def place(self):
-        """Give this router's place among those that run.
+        """Give this router's place among those that call the store.
 
         Returns
         -------
         polling.Fleet
         """
+        now = self.view.clock()
         own = self.settings.router_id
-        names = self._heard(self.view.clock())
-        before = sum(1 for name in names if name < own)
-        return polling.Fleet(len(names) + 1, before)
+        counts = self._counts(now)
+        if self.current_role is sharing.Role.ASKS:
+            before = sum(1 for name in self._heard(now) if name < own)
+            running = sum(counts.values())
+            return polling.Fleet(running, min(before, running - 1), running)
+        rank = len(sharing.readers(own, self._near_standings(now)))
+        return sharing.place(self.settings.failure_domain, rank, counts)
 
     def store_touches(self, now):
         """Give what the routers heard lately know of the store.
@@ -180,17 +296,8 @@
         -------
         dict of str to ordering.StoreTouch
         """
-        lately = self._lately()
-        return {
-            name: self.touches[name]
-            for name, at in list(self.heard_at.items())
-            if now - at < lately
-        }
-
-    def _lately(self):
-        """Give the seconds in which each running router is mostly heard."""
-        rounds = (len(self.heard_at) + 1) / TOLD_AT_ONCE
-        return min(HEARD_FOR, max(HEARD_LATELY, HEARD_LATELY * rounds))
+        names = self._heard(now, within=HEARD_LATELY)
+        return {name: self.touches[name] for name in names}
 
     def fleet(self, now):
         """Give how many routers there may be, this one included.
@@ -207,13 +314,29 @@
             try:
                 if now >= self.list_at:
                     self._list_if_alone(now)
-                if self.catchup.is_due(now, self._age(now), self.running(now)):
-                    self.catchup.asked(now)
-                    self._ask_one()
-                self.catchup.forget(now)
+                self._judge_role(now)
+                self._catch_up(now)
             except Exception:
                 LOG.exception('peers_failed')
 
+    def _catch_up(self, now):
+        """Get what others know already, if it does not come by itself."""
+        known = self.catchup
+        snapshot = self.view.snapshot
+        position = max(snapshot.changed, snapshot.position)
+        known.caught_up({TABLE: snapshot.version, ENDPOINTS: position})
+        is_told = self.current_role is sharing.Role.TOLD
+        callers = self.place().callers
+        if known.is_due(now, self._age(now), callers, is_told):
+            was_asked = now - known.asked_at < 3 * catchup.ASK_EVERY
+            known.asked(now)
+            if is_told and not was_asked:
+                # The list of endpoints is long; the store gives the changes.
+                self.followers.read_now((TABLE, ENDPOINTS))
+            else:
+                self._ask_one()
+        known.forget(now, is_told)
+
     def _age(self, now):
         """Give the seconds since the older of both tables was read."""
         snapshot = self.view.snapshot
@@ -232,6 +355,7 @@
                 self.rows.write_router(self._own_row())
                 self.written = True
             rows = self.rows.read_routers()
+            self._listen_first(rows, now)
         except exceptions.IbisringError as error:
             LOG.debug('routers not read: %s', error.detail)
             self.list_at = now + 1.0
@@ -243,6 +367,17 @@
             logs.event(LOG, 'routers', known=sorted(names))
         self.known = {row.name: row for row in rows}
 
+    def _listen_first(self, rows, now):
+        """Leave reading to others for a moment, if there may be others."""
+        if self.listens_until:
+            return
+        domain = self.settings.failure_domain
+        near = [row for row in rows if row.domain == domain]
+        if len(near) > sharing.READERS:
+            self.listens_until = now + sharing.LISTEN_FIRST
+        else:
+            self.listens_until = now
+
     def _own_row(self):
         settings = self.settings
         return ports.RouterRow(
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -51,11 +51,13 @@
 class Page(msgspec.Struct):
     """Items read from a source, and the position to go on from.
 
-    Items are `routing.Endpoint`, `routing.RoutingTable` or `Gone`.
+    Items are `routing.Endpoint`, `routing.RoutingTable` or `Gone`; `changed`
+    is the store's version of the newest of them, 0 without any.
     """
 
     position: int
     items: list
+    changed: int = 0
 
 
 class Source(abc.ABC):
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -81,7 +81,7 @@
             self.watcher,
             self.metrics,
         )
-        self.followers = following.make_followers(self._place)
+        self.followers = following.make_followers(self._place, self._role)
         self.signals = []
         self.signalled = threading.Event()
         self.servers = []
@@ -100,6 +100,9 @@
     def _place(self):
         return self.peers.place()
 
+    def _role(self):
+        return self.peers.role()
+
     def _store_touches(self):
         return self.peers.store_touches(time.monotonic())
 
--- a/packages/gateway/ibisring_gateway/tests/schedules.py
+++ b/packages/gateway/ibisring_gateway/tests/schedules.py
@@ -59,6 +59,7 @@
     changes: tuple[Change, ...]
     troubles: tuple[Trouble, ...]
     seed: int = 0
+    domains: int = 3
 
     @property
     def ends(self):
--- a/packages/gateway/ibisring_gateway/tests/test_following.py
+++ b/packages/gateway/ibisring_gateway/tests/test_following.py
@@ -5,9 +5,14 @@
 from ibisring_gateway import ports
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import polling
+from ibisring_policy.gateway import sharing
 from ibisring_records import exceptions
 
 
+def _reads():
+    return sharing.Role.READS
+
+
 class _Source(ports.Source):
     """Gives errors in turn, then answers; notes how it was asked."""
 
@@ -34,7 +39,9 @@
 
 def _followers():
     told = []
-    followers = following.make_followers(polling.Fleet, builders.Clock())
+    followers = following.make_followers(
+        polling.Fleet, _reads, builders.Clock()
+    )
     for name in ('table', 'endpoints'):
         followers.add(name, _Source(), name == 'table', told.append)
     return followers, told
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/tests/test_large_fleets.py
@@ -0,0 +1,163 @@
+"""What routers know of each other, and how often they call the store.
+
+Promised at every size: of the running routers nearly all count as running,
+one that stopped is forgotten, and the calls that follow the store grow with
+what changes and with failure domains, not with that times the routers.
+"""
+
+import pytest
+
+from ibisring_gateway.tests import schedules
+from ibisring_gateway.tests import virtualfleet
+from ibisring_gateway.tests import virtualtime
+
+ENDPOINTS = schedules.ENDPOINTS
+TABLE = schedules.TABLE
+Change = schedules.Change
+Trouble = schedules.Trouble
+
+SIZES = (6, 30, 88, 195)
+# Seconds after its end within which a router counts as gone.
+GONE_WITHIN = 5.0
+# Share of the routers by which the number that counts as running may be off.
+MOST_OFF = 0.02
+
+
+def _fleet(routers, changes=(), troubles=()):
+    schedule = schedules.Schedule(
+        routers,
+        tuple(changes),
+        tuple(troubles),
+        domains=5 if routers > 100 else 3,
+    )
+    fleet = virtualfleet.Fleet(schedule)
+    fleet.arrange()
+    return fleet
+
+
+def _run(fleet, until):
+    fleet.scheduler.run(virtualtime.START + until)
+
+
+def _counts(fleet, numbers=None):
+    now = fleet.scheduler.now
+    return [
+        router.peers.running(now)
+        for number, router in fleet.routers.items()
+        if numbers is None or number in numbers
+    ]
+
+
+def _calls(routers):
+    """Give the calls of a start, and those of four seconds of changes."""
+    changes = [Change(5.0 + 0.5 * n, ENDPOINTS) for n in range(8)]
+    changes += [Change(5.1, TABLE), Change(7.3, TABLE)]
+    fleet = _fleet(routers, changes)
+    _run(fleet, 5.0)
+    at_start = fleet.store.calls
+    _run(fleet, 10.0)
+    assert all(fleet.all_know(source) for source in (TABLE, ENDPOINTS))
+    assert not fleet.violations
+    fleet.scheduler.kill()
+    return at_start, fleet.store.calls - at_start
+
+
+def test_calls_follow_what_changes_and_not_the_number_of_routers():
+    """Symptom: half of a fleet's price is calls that follow the store.
+
+    Sequence: one endpoint changes; each of 195 routers has a call that
+    waits for it, and makes the next one.
+    Cause: every router read the store for itself alone.
+    """
+    few = _calls(6)[1]
+    for routers in (88, 195):
+        at_start, later = _calls(routers)
+        assert at_start <= 6 * routers
+        # Five failure domains in place of three.
+        assert later <= 2 * few
+
+
+@pytest.mark.parametrize('routers', SIZES)
+def test_running_routers_are_counted(routers):
+    """Symptom: a router of 195 believes that 120 run.
+
+    Sequence: each told six others at random, four times a second, and was
+    forgotten after eight seconds.
+    Cause: whom to tell did not go by how long one is remembered.
+    """
+    third = tuple(range(routers))
+    fleet = _fleet(routers, troubles=[Trouble('lossy', 0.0, 20.0, third)])
+    for until in (7.0, 8.5):
+        _run(fleet, until)
+        off = [abs(count - routers) for count in _counts(fleet)]
+        assert sorted(off)[len(off) * 9 // 10] <= max(1, MOST_OFF * routers)
+    fleet.scheduler.kill()
+
+
+@pytest.mark.parametrize('routers', SIZES)
+def test_routers_that_stopped_no_longer_count(routers):
+    """Symptom: the bound on repeats is divided by routers that are gone."""
+    fleet = _fleet(routers)
+    _run(fleet, 5.0)
+    gone = range(0, routers, 3)
+    for number in gone:
+        fleet.end(number)
+    _run(fleet, 5.0 + GONE_WITHIN)
+    left = routers - len(gone)
+    off = [abs(count - left) for count in _counts(fleet)]
+    assert max(off) <= max(1, MOST_OFF * routers)
+    fleet.scheduler.kill()
+
+
+def test_a_domain_that_was_cut_off_is_counted_again():
+    cut = tuple(range(0, 90, 3))
+    fleet = _fleet(90, troubles=[Trouble('cut', 6.0, 6.0, cut)])
+    _run(fleet, 11.9)
+    assert max(_counts(fleet, set(range(90)) - set(cut))) <= 60
+    _run(fleet, 16.0)
+    assert min(_counts(fleet)) >= 90 * (1 - MOST_OFF)
+    fleet.scheduler.kill()
+
+
+@pytest.mark.parametrize('kind', ('restart', 'frozen', 'isolated', 'cut'))
+def test_readers_of_a_domain_that_fail_together_are_replaced(kind):
+    """Failure: both routers that read the store for their domain are struck.
+
+    What changes just then is known in time to all others.
+    """
+    readers = (0, 12)
+    troubles = [Trouble(kind, 7.9, 6.0, readers)]
+    changes = [Change(8.0, ENDPOINTS), Change(8.2, TABLE), Change(10.0, TABLE)]
+    fleet = _fleet(30, changes, troubles)
+    _run(fleet, 20.0)
+    assert not fleet.violations
+    fleet.scheduler.kill()
+
+
+def test_a_change_that_no_reader_told_is_read():
+    """Symptom: one router acts on old endpoints until the next change.
+
+    Sequence: the datagrams that tell it of a change are all lost; the
+    change after it is told from a version that it does not know.
+    Cause: what is missing would show in nothing but the version.
+    """
+    deaf = tuple(range(9, 30))
+    troubles = [Trouble('lossy', 7.0, 8.0, deaf)]
+    changes = [Change(8.0 + 0.3 * n, ENDPOINTS) for n in range(20)]
+    fleet = _fleet(30, changes, troubles)
+    _run(fleet, 24.0)
+    assert not fleet.violations
+    assert fleet.all_know(ENDPOINTS)
+    fleet.scheduler.kill()
+
+
+def test_one_router_that_the_store_turns_away_does_not_make_all_ask():
+    """Load: one machine loses its way to the store, which serves the rest."""
+    calm = _fleet(60)
+    _run(calm, 16.0)
+    calm.scheduler.kill()
+    troubles = [Trouble('unreachable', 6.0, 6.0, (50,))]
+    fleet = _fleet(60, troubles=troubles)
+    _run(fleet, 16.0)
+    fleet.scheduler.kill()
+    assert fleet.store.calls <= calm.store.calls + 30
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -12,12 +12,17 @@
 from ibisring_policy.gateway import catchup
 from ibisring_policy.gateway import ordering
 from ibisring_policy.gateway import polling
+from ibisring_policy.gateway import sharing
 from ibisring_records import routing
 
 FOLLOWED = ordering.StoreTouch.FOLLOWED
 LOST = ordering.StoreTouch.LOST
 
 
+def _reads():
+    return sharing.Role.READS
+
+
 def _peers(view=None):
     settings = settings_module.Settings(
         router_id='r0',
@@ -29,21 +34,50 @@
         peer_port=0,
     )
     view = view or builders.view_of([])
-    followers = following.make_followers(polling.Fleet)
+    followers = following.make_followers(polling.Fleet, _reads)
     return peers.make_peers(
         settings, view, builders.Leases(), [].append, followers
     )
 
 
-def test_a_router_knows_its_place_among_those_that_run():
+def test_a_router_knows_its_place_among_those_that_read():
+    """Two of each domain read; all do while these have lost the store."""
     known = _peers()
     clock = builders.Clock()
     known.view.clock = clock
-    for name in ('q1', 'r1', 's1'):
-        known.heard(name, '10.0.0.1:1', 'a', LOST, clock())
-    assert known.place() == polling.Fleet(4, 1)
+    served = sharing.Standing.SERVED
+    for name, domain in (('q1', 'a'), ('r1', 'a'), ('s1', 'b'), ('t1', 'B')):
+        known.heard(name, '10.0.0.1:1', domain, LOST, clock(), None, served)
+    assert known.place() == polling.Fleet(4, 2, 5)
+    lost = sharing.Standing.LOST
+    for name in ('q1', 'r1'):
+        known.heard(name, '10.0.0.1:1', 'a', LOST, clock(), None, lost)
+    known._judge_role(clock())
+    assert known.role() is sharing.Role.ASKS
+    assert known.place() == polling.Fleet(5, 1, 5)
     clock.now += 100.0
-    assert known.place() == polling.Fleet(1, 0)
+    known._judge_role(clock())
+    assert known.place() == polling.Fleet(1, 0, 1)
+
+
+def test_a_number_that_was_told_is_not_told_on():
+    """Symptom: a domain of which nothing runs counts as running for good.
+
+    Sequence: its routers end at once; others tell each other how many there
+    were, and at each hop that seems a little later than it was.
+    Cause: what was heard at second hand was passed on.
+    """
+    known = _peers()
+    known.begun_at = -100.0
+    for domain in ('b', 'c'):
+        counts = {domain: (9, 0), 'd': (7, 100)}
+        known.heard('r1', 'r1:1', domain, LOST, 10.0, None, 0, counts)
+    assert known.running(10.0) == 1 + 9 + 9 + 7
+    assert known.counts_to_tell(10.5) == {
+        'a': (1, 0),
+        'b': (9, 500),
+        'c': (9, 500),
+    }
 
 
 def test_what_others_say_of_the_store_is_passed_on():
--- a/packages/gateway/ibisring_gateway/tests/virtualfleet.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualfleet.py
@@ -106,7 +106,7 @@
         self.is_up = True
         self.settings = settings_module.Settings(
             router_id=f'r{number}',
-            failure_domain='abc'[number % 3],
+            failure_domain='abcdef'[number % fleet.schedule.domains],
             host=self.host,
             caller_listen=f'{self.host}:1',
             ready_listen=f'{self.host}:2',
@@ -126,7 +126,9 @@
         tell = self.directory.on_receive
         rows = _Rows(fleet, number)
         followers = following.make_followers(
-            lambda: self.peers.place(), scheduler.clock
+            lambda: self.peers.place(),
+            lambda: self.peers.role(),
+            scheduler.clock,
         )
         self.peers = peers.Peers(
             self.settings, self.view, rows, tell, followers
--- a/packages/gateway/ibisring_gateway/tests/virtualstore.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualstore.py
@@ -157,8 +157,10 @@
         if call.after is None:
             items = [entry[3] for entry in mine[-1:]]
         else:
-            items = [entry[3] for entry in mine if entry[1] > call.after]
-        return ports.Page(position, items)
+            mine = [entry for entry in mine if entry[1] > call.after]
+            items = [entry[3] for entry in mine]
+        changed = mine[-1][1] if items else 0
+        return ports.Page(position, items, changed)
 
 
 class Source(ports.Source):
--- a/packages/policy/ibisring_policy/gateway/catchup.py
+++ b/packages/policy/ibisring_policy/gateway/catchup.py
@@ -16,8 +16,13 @@
 ASK_AFTER = 0.5
 ASK_EVERY = 0.4
 # Seconds that another router may be ahead before it is asked: usually the
-# same change is on its way here.
+# same change is on its way here.  A router that leaves reading to others is
+# told a change some time after they have read it.
 MOST_BEHIND = 0.25
+MOST_BEHIND_TOLD = 0.6
+# Seconds between two words of a reader that all is as before, with the time
+# that one may be lost.
+CONFIRMED_EVERY = 2.5
 
 
 class Catchup:
@@ -29,6 +34,8 @@
         A router that knows something newer.
     behind_since : float or None
         Since when some router does.
+    wanted : dict of str to int
+        Newest version that others know, by table.
 
     Examples
     --------
@@ -36,18 +43,21 @@
     >>> catchup.behind('r2', 10.0, is_near=False)
     >>> catchup.is_due(10.1, 1.0, 6), catchup.is_due(10.3, 1.0, 6)
     (False, True)
+    >>> catchup.is_due(10.3, 1.0, 6, is_told=True)
+    False
     >>> catchup.choose(['r1', 'r2'], lambda: 0.0)
     'r2'
     """
 
-    __slots__ = ('ahead', 'behind_since', 'asked_at')
+    __slots__ = ('ahead', 'behind_since', 'asked_at', 'wanted')
 
     def __init__(self):
+        self.wanted = {}
         self.ahead = None
         self.behind_since = None
         self.asked_at = -math.inf
 
-    def behind(self, name, now, is_near):
+    def behind(self, name, now, is_near, versions=None):
         """Note that another router knows something newer.
 
         One nearby is preferred: what it tells crosses no link between
@@ -59,13 +69,37 @@
         now : float
         is_near : bool
             Whether it is in this router's failure domain.
+        versions : dict of str to int, optional
+            What it knows, by table.
         """
+        for table, version in (versions or {}).items():
+            self.wanted[table] = max(version, self.wanted.get(table, 0))
         if self.ahead is None or is_near:
             self.ahead = name
         if self.behind_since is None:
             self.behind_since = now
 
-    def is_due(self, now, age, running):
+    def caught_up(self, versions):
+        """Forget who was ahead if this router knows as much by now.
+
+        Without this each change of endpoints was asked for a second time,
+        a quarter of a second after it had come by itself.
+
+        Parameters
+        ----------
+        versions : dict of str to int
+            What this router knows, by table.
+        """
+        if not self.wanted:
+            return
+        for table, version in self.wanted.items():
+            if versions.get(table, 0) < version:
+                return
+        self.wanted = {}
+        self.behind_since = None
+        self.ahead = None
+
+    def is_due(self, now, age, callers, is_told=False):
         """Say whether to ask another router now.
 
         Parameters
@@ -73,16 +107,20 @@
         now : float
         age : float
             Seconds since the older of both tables was read.
-        running : int
-            Routers that seem to run, this one included.
+        callers : int
+            Routers that follow the store.
+        is_told : bool
+            Whether this router leaves that to others.
         """
         if now - self.asked_at < ASK_EVERY:
             return False
-        usual = min(polling.MOST_WAIT, polling.CALL_EVERY * running)
+        usual = min(polling.MOST_WAIT, polling.CALL_EVERY * callers)
+        if is_told:
+            usual += CONFIRMED_EVERY
         if age > usual + ASK_AFTER:
             return True
         since = self.behind_since
-        return since is not None and now - since >= MOST_BEHIND
+        return since is not None and now - since >= _patience(is_told)
 
     def asked(self, now):
         """Note that another router is asked."""
@@ -102,12 +140,18 @@
             return self.ahead
         return names[int(draw() * len(names))]
 
-    def forget(self, now):
+    def forget(self, now, is_told=False):
         """Forget who was ahead once this router was told the same."""
         since = self.behind_since
-        if since is not None and now - since > 2 * MOST_BEHIND:
+        if since is not None and now - since > 2 * _patience(is_told):
             self.behind_since = None
             self.ahead = None
+            self.wanted = {}
+
+
+def _patience(is_told):
+    """Give the seconds that another router may be ahead."""
+    return MOST_BEHIND_TOLD if is_told else MOST_BEHIND
 
 
 def make_catchup():
--- a/packages/policy/ibisring_policy/gateway/polling.py
+++ b/packages/policy/ibisring_policy/gateway/polling.py
@@ -47,13 +47,21 @@
 # A try that follows another router's word of the return comes within so many
 # seconds, at random: those who are told together don't ask together.
 SPREAD_SECONDS = 0.2
+# Seconds after the end of trouble for which a router goes on by itself: what
+# lapsed meanwhile is back within two.
+STEADY_AFTER = 3.0
 
 
 class Fleet(msgspec.Struct, frozen=True):
-    """How many routers run, and this one's place among them, from 0 on."""
+    """How many routers call the store, and this one's place among them.
 
-    running: int = 1
+    `rank` counts from 0 on; `running` are all routers, which call it too
+    while it does not answer.
+    """
+
+    callers: int = 1
     rank: int = 0
+    running: int = 1
 
 
 class _Followed:
@@ -82,7 +90,7 @@
 
     def is_other_fleet(self, fleet):
         """Say whether so many came or left that calls may end together."""
-        few, many = sorted((self.spread_among, fleet.running))
+        few, many = sorted((self.spread_among, fleet.callers))
         return many >= few * OTHER_FLEET
 
     @property
@@ -113,11 +121,11 @@
     >>> polling = make_polling(['routes', 'endpoints'], lambda: 0.5)
     >>> for name in ('routes', 'endpoints'):
     ...     _ = polling.answered(name, 10.0, True)
-    >>> polling.wait('routes', 10.0, Fleet(6, 2))
+    >>> polling.wait('routes', 10.0, Fleet(6, 2, 6))
     2.7
     >>> polling.trouble(11.5)
     ['routes']
-    >>> polling.wait('routes', 11.5, Fleet(6, 2))
+    >>> polling.wait('routes', 11.5, Fleet(6, 2, 6))
     0.0
     """
 
@@ -128,6 +136,18 @@
         self.retry = FIRST_RETRY
         self.tried_last = None
         self.lost_at = -math.inf
+        self.regained_at = -math.inf
+
+    def has_read(self, name=None):
+        """Say whether a table was read, or all of them."""
+        names = self.tables if name is None else (name,)
+        return all(self.tables[each].has_read for each in names)
+
+    def is_steady(self, now):
+        """Say whether the store has answered for a while."""
+        if self._in_trouble():
+            return False
+        return now - self.regained_at >= STEADY_AFTER
 
     def in_trouble(self, name):
         """Say whether a table's next call must not wait for changes."""
@@ -175,11 +195,11 @@
             if table.has_read:
                 self.next_try_at = now + TRY_SECONDS + FIRST_RETRY
             return 0.0
-        step = min(CALL_EVERY, MOST_WAIT / fleet.running)
+        step = min(CALL_EVERY, MOST_WAIT / fleet.callers)
         if table.is_fresh or table.is_other_fleet(fleet):
-            table.spread_among = fleet.running
+            table.spread_among = fleet.callers
             return step * (fleet.rank + 1)
-        return step * fleet.running
+        return step * fleet.callers
 
     def answered(self, name, now, changed):
         """Note an answer.
@@ -197,6 +217,8 @@
             Tables in trouble, whose next call may begin now.
         """
         table = self.tables[name]
+        if table.in_trouble and table.has_read:
+            self.regained_at = now
         table.is_fresh = changed or table.in_trouble
         table.answered_at = now
         table.has_read = True
@@ -240,8 +262,8 @@
     def told_of_loss(self, lost_at):
         """Note that the store was lost to some router at a time.
 
-        A table that was answered since has nothing to do with that loss: of
-        88 routers the last is heard some fifteen seconds after the first.
+        A table that was answered since has nothing to do with that loss,
+        of which the last router may hear seconds after the first.
 
         Returns
         -------
@@ -284,7 +306,7 @@
     pause is known that much later, a fraction of the two seconds in which a
     leaving endpoint still serves.
     """
-    return min(MOST_PAUSE, LEAST_PAUSE + PAUSE_EACH * fleet.running)
+    return min(MOST_PAUSE, LEAST_PAUSE + PAUSE_EACH * fleet.callers)
 
 
 def make_polling(names, draw):
--- a/packages/policy/ibisring_policy/gateway/telling.py
+++ b/packages/policy/ibisring_policy/gateway/telling.py
@@ -6,7 +6,9 @@
 engines are nearly full, and seldom otherwise.
 """
 
-__all__ = ['Pace', 'make_pace']
+__all__ = ['Pace', 'Rounds', 'make_pace', 'make_rounds']
+
+import math
 
 # Seconds between looks whether there is something to tell.
 TICK = 0.25
@@ -23,6 +25,13 @@
 # it, the requests that begin within a second fit in any case: some 15 of the
 # 110 that a domain's engines hold.
 NEARLY_FULL = 0.7
+# As many others are all told at each look.  In a larger fleet each router of
+# the own failure domain is told once in so many seconds: load, and that this
+# router runs, matter there.  Of the other domains some are told at each look,
+# so that each domain hears of the others several times a second.
+ALL_AT_ONCE = 6
+ROUND_SECONDS = 0.8
+FAR_AT_ONCE = 2
 
 
 class Pace:
@@ -55,16 +64,87 @@
         reach : float
             Share of the other routers that are told each time.
         """
-        if news != self.news:
-            self.news = news
-            self.news_at = now
-        is_fresh = now - self.news_at < FRESH
+        is_fresh = self.is_fresh(now, news)
         if not is_fresh and fullest < NEARLY_FULL:
             if now - self.told_at < QUIET * reach:
                 return False
         self.told_at = now
         return True
 
+    def is_fresh(self, now, news):
+        """Say whether something to tell is new since a moment ago."""
+        if news != self.news:
+            self.news = news
+            self.news_at = now
+        return now - self.news_at < FRESH
+
+
+class Rounds:
+    """Chooses whom to tell at each look.
+
+    Parameters
+    ----------
+    rng : random.Random
+
+    Examples
+    --------
+    >>> import random
+    >>> rounds = make_rounds(random.Random(1))
+    >>> near = ['a1', 'a2', 'a3', 'a4', 'a5', 'a6', 'a7', 'a8']
+    >>> told = [rounds.choose(near, ['b1', 'b2']) for _ in range(3)]
+    >>> sorted({name for names in told for name in names if name in near})
+    ['a1', 'a2', 'a3', 'a4', 'a5', 'a6', 'a7', 'a8']
+    """
+
+    __slots__ = ('rng', 'order')
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.order = []
+
+    def choose(self, near, far, all_near=False, busy=()):
+        """Give the names to tell at this look.
+
+        Parameters
+        ----------
+        near : list of str
+            Routers of the own failure domain.
+        far : list of str
+            Routers of the others.
+        all_near : bool
+            Whether there is news that the whole domain acts upon.
+        busy : list of str
+            Routers of domains whose engines this router uses.
+
+        Returns
+        -------
+        list of str
+        """
+        if len(near) + len(far) <= ALL_AT_ONCE:
+            return near + far
+        few = min(FAR_AT_ONCE, len(far))
+        told = set(self.rng.sample(far, few))
+        told.update(self.rng.sample(busy, min(ALL_AT_ONCE, len(busy))))
+        told.update(near if all_near else self._next(near))
+        return sorted(told)
+
+    def _next(self, near):
+        """Give the next part of a round through the own domain.
+
+        The order stays, so that each is told at even times.
+        """
+        fresh = sorted(set(near) - set(self.order))
+        self.rng.shuffle(fresh)
+        order = [name for name in self.order + fresh if name in near]
+        part = math.ceil(len(near) * TICK / ROUND_SECONDS)
+        self.order = order[part:] + order[:part]
+        return order[:part]
+
+
+def make_rounds(rng):
+    """Make `Rounds` that has told nobody yet."""
+    return Rounds(rng)
+
 
 def make_pace():
     """Make a `Pace` that has told nothing yet."""
--- a/packages/policy/ibisring_policy/gateway/tests/test_polling.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_polling.py
@@ -6,7 +6,7 @@
 
 ROUTES = 'routes'
 ENDPOINTS = 'endpoints'
-SIX = polling.Fleet(6, 0)
+SIX = polling.Fleet(6, 0, 6)
 
 
 def _polling(now=10.0):
@@ -28,7 +28,7 @@
 def test_calls_of_the_fleet_do_not_grow_with_it(count):
     """Load: routers that follow a table in which nothing changes."""
     made = _polling()
-    fleet = polling.Fleet(count, 0)
+    fleet = polling.Fleet(count, 0, count)
     made.wait(ROUTES, 10.0, fleet)
     made.answered(ROUTES, 11.0, False)
     every = made.wait(ROUTES, 11.0, fleet) / count
@@ -130,7 +130,7 @@
     """Load: 88 and 380 routers before a store that is away."""
     for count in (88, 380):
         made = _polling()
-        fleet = polling.Fleet(count, 0)
+        fleet = polling.Fleet(count, 0, count)
         made.failed(ROUTES, 15.0, fleet)
         now = 15.1
         for _ in range(20):
@@ -190,7 +190,7 @@
 def test_a_return_told_by_another_router_is_tried_at_once():
     """Load: 88 routers, of which each tries every few seconds only."""
     made = _polling()
-    fleet = polling.Fleet(88, 0)
+    fleet = polling.Fleet(88, 0, 88)
     now = 15.0
     made.failed(ROUTES, now, fleet)
     for _ in range(6):
@@ -204,5 +204,5 @@
 
 def test_the_pause_after_a_change_is_bounded():
     for count in (1, 6, 88, 380):
-        pause = polling.change_pause(polling.Fleet(count, 0))
+        pause = polling.change_pause(polling.Fleet(count, 0, count))
         assert polling.LEAST_PAUSE < pause <= polling.MOST_PAUSE
--- /dev/null
+++ b/packages/policy/ibisring_policy/gateway/tests/test_sharing.py
@@ -0,0 +1,64 @@
+"""Tests of which routers read the store for others."""
+
+import pytest
+
+from ibisring_policy.gateway import sharing
+
+LOST = sharing.Standing.LOST
+SERVED = sharing.Standing.SERVED
+STARTING = sharing.Standing.STARTING
+
+
+def _roles(standings):
+    """Give each router's role where all have heard the same."""
+    return {
+        own: sharing.role(
+            own, {n: s for n, s in standings.items() if n != own}
+        )
+        for own in standings
+    }
+
+
+def _named(standings, role):
+    return [name for name, each in _roles(standings).items() if each is role]
+
+
+@pytest.mark.parametrize('count', (1, 2, 3, 39, 130))
+def test_two_read_however_many_there_are(count):
+    standings = {f'r{n:03}': SERVED for n in range(count)}
+    reading = _named(standings, sharing.Role.READS)
+    assert reading == sorted(standings)[: sharing.READERS]
+
+
+def test_one_that_has_read_nothing_reads_for_nobody():
+    """Symptom: nobody follows the store just after a start."""
+    standings = {'a': STARTING, 'b': STARTING, 'c': SERVED, 'd': SERVED}
+    assert _named(standings, sharing.Role.READS) == ['a', 'b', 'c', 'd']
+
+
+def test_one_that_lost_the_store_is_replaced():
+    """Failure: the store turns one reader away and serves the others."""
+    standings = {'a': LOST, 'b': SERVED, 'c': SERVED, 'd': SERVED}
+    assert _named(standings, sharing.Role.READS) == ['a', 'b', 'c']
+
+
+def test_all_ask_when_the_readers_lost_the_store():
+    """Failure: the store is away; its return is to be seen by each."""
+    standings = {'a': LOST, 'b': LOST, 'c': SERVED, 'd': SERVED}
+    assert _roles(standings)['d'] is sharing.Role.ASKS
+
+
+@pytest.mark.parametrize('counts', ({'a': 39, 'b': 39, 'c': 39}, {'a': 1}))
+def test_places_of_readers_differ(counts):
+    places = [
+        sharing.place(domain, rank, counts)
+        for domain, count in counts.items()
+        for rank in range(min(sharing.READERS, count))
+    ]
+    assert [each.rank for each in places] == list(range(len(places)))
+    assert {each.callers for each in places} == {len(places)}
+
+
+def test_a_place_is_one_of_those_there_are():
+    """Failure: a third router takes itself for a reader too."""
+    assert sharing.place('a', 2, {'a': 3}).rank == 1
--- a/packages/records/ibisring_records/exceptions.py
+++ b/packages/records/ibisring_records/exceptions.py
@@ -34,6 +34,7 @@
     'PlatformAnswerLost',
     'PlanInvalid',
     'StaleOrder',
+    'MalformedMessage',
     'error_from_code',
 ]
 
@@ -289,6 +290,13 @@
     remedy = 'take the lease again and use its fencing number'
 
 
+class MalformedMessage(IbisringError):
+    """Another process of this project sent what can't be read."""
+
+    code = 'malformed_message'
+    remedy = 'run releases that are at most one apart'
+
+
 def _all_subclasses(cls):
     for sub in cls.__subclasses__():
         yield sub
