A change of the routing table is told as what differs, by fast links

The small VMs' own links of 10 to 20 Mbit/s were full.

Change: readers tell a new table as what differs from the one in force (policy/gateway/tablechanges), some hundred bytes for a key in place of the whole; the routers of a domain with the fastest links read, the setting link says how fast; what would fill the teller's link for over 0.1 s is not told but read by each. Ruled out: engines that stalled (all domains at once, and the streams went on); routers without processor (0.03 cores at most).

--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -109,6 +109,10 @@
         changed = bool(page.items)
         self.followers.read(self, page.position, whole or changed)
         self.followers.answered(self.name, changed)
+        if changed and not whole:
+            # Before it is in force here: what changed is told as a
+            # difference from the table that is.
+            self.followers.share(page, before, self.is_table)
         self.tell(
             directory_module.Read(
                 page.items,
@@ -119,8 +123,6 @@
                 changed=page.changed,
             )
         )
-        if changed and not whole:
-            self.followers.share(page, before, self.is_table)
         return changed
 
     def advance(self, position, changed):
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -40,7 +40,8 @@
 
     A release that does not know the later fields ignores them, and what it
     leaves out has the default: it reads the store by itself and for nobody.
-    `standing` is how the router stands with the store, `counts` the running
+    `standing` is how the router stands with the store, `link` its VM's link
+    in Mbit/s, `counts` the running
     routers by domain and the milliseconds since one there said so.
     `position` and `table_position` are the store's versions up to which it
     knows endpoints and routing table, `age_ms` the milliseconds since it read
@@ -65,6 +66,7 @@
     table_position: int = 0
     age_ms: int = 0
     changes: bytes = b''
+    link: float = 0.0
 
 
 # What others act upon at once; load and names of routers are not.
@@ -155,6 +157,7 @@
             position=followers.position(ENDPOINTS),
             table_position=followers.position(TABLE),
             age_ms=int((now - read_at) * SECOND_MS),
+            link=self.settings.link,
         )
 
     def _send(self):
@@ -208,9 +211,18 @@
         near = [r for r in self.peers.others() if self.peers.is_near(r.name)]
         if len(near) < sharing.READERS:
             return
-        packed = changes_module.pack(
-            changes_module.changes_of(page, before, is_table)
-        )
+        index = self.view.snapshot.index
+        if is_table:
+            known = index.table if index else None
+            changes = changes_module.table_changes(page, before, known)
+        else:
+            changes = changes_module.endpoint_changes(page, before)
+        if changes is None:
+            return
+        packed = changes_module.pack(changes, len(near), self.settings.link)
+        if not packed:
+            LOG.info('changes_too_long %s', len(page.items))
+            return
         told = self._told(self.view.clock())
         told.tokens = {}
         told.changes = packed
@@ -265,7 +277,7 @@
             told.touch,
             now,
             told.lost_ms,
-            told.standing,
+            sharing.Neighbour(told.router, told.standing, told.link),
             told.counts,
         )
         if told.changes:
@@ -293,11 +305,13 @@
             LOG.warning('changes_unreadable %s', error.detail)
             return
         name = TABLE if changes.is_table else ENDPOINTS
-        if not self.peers.followers.take(name, changes):
+        index = self.view.snapshot.index
+        items = changes.items(index.table if index else None)
+        if items is None or not self.peers.followers.take(name, changes):
             return
         self.tell(
             directory.Read(
-                changes.items,
+                items,
                 False,
                 origin=f'router {told.router}',
                 is_table=changes.is_table,
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -95,7 +95,7 @@
         self.written = False
         self.heard_at = {}
         self.touches = {}
-        self.standings = {}
+        self.neighbours = {}
         self.counts = {}
         self.first_hand = {}
         self.begun_at = view.clock()
@@ -137,7 +137,7 @@
         touch,
         now,
         lost_ms=None,
-        standing=sharing.Standing.STARTING,
+        neighbour=None,
         counts=None,
     ):
         """Note a datagram of another router.
@@ -150,7 +150,7 @@
         now : float
         lost_ms : int or None
             Milliseconds since it last lost the store, None if it never has.
-        standing : sharing.Standing
+        neighbour : sharing.Neighbour or None
             How it stands with the store itself.
         counts : dict of str to (int, int), optional
             By failure domain, how many routers run and how many milliseconds
@@ -159,7 +159,8 @@
         before = self.touches.get(name)
         self.heard_at[name] = now
         self.touches[name] = touch
-        self.standings[name] = standing
+        if neighbour is not None:
+            self.neighbours[name] = neighbour
         self._take_counts(counts or {}, domain, now)
         if lost_ms is not None:
             self.followers.told_of_loss(now - lost_ms / SECOND_MS)
@@ -250,9 +251,16 @@
             if now - at < within and (not near or self.is_near(name))
         ]
 
-    def _near_standings(self, now):
+    def _neighbours(self, now):
+        """Give the routers of this domain that were heard lately."""
         names = self._heard(now, near=True, within=sharing.SILENT_AFTER)
-        return {name: self.standings[name] for name in names}
+        known = self.neighbours
+        return [known[name] for name in names if name in known]
+
+    def _self(self):
+        settings = self.settings
+        served = sharing.Standing.SERVED
+        return sharing.Neighbour(settings.router_id, served, settings.link)
 
     def role(self):
         """Give what this router does about the store.
@@ -264,8 +272,7 @@
         return self.current_role
 
     def _judge_role(self, now):
-        own = self.settings.router_id
-        found = sharing.role(own, self._near_standings(now))
+        found = sharing.role(self._self(), self._neighbours(now))
         if now < self.listens_until:
             found = sharing.Role.TOLD
         if found is not self.current_role:
@@ -280,13 +287,13 @@
         polling.Fleet
         """
         now = self.view.clock()
-        own = self.settings.router_id
         counts = self._counts(now)
         if self.current_role is sharing.Role.ASKS:
+            own = self.settings.router_id
             before = sum(1 for name in self._heard(now) if name < own)
             running = sum(counts.values())
             return polling.Fleet(running, min(before, running - 1), running)
-        rank = len(sharing.readers(own, self._near_standings(now)))
+        rank = len(sharing.readers(self._self(), self._neighbours(now)))
         return sharing.place(self.settings.failure_domain, rank, counts)
 
     def store_touches(self, now):
--- a/packages/gateway/ibisring_gateway/settings.py
+++ b/packages/gateway/ibisring_gateway/settings.py
@@ -29,6 +29,8 @@
     metrics_port: int = 9464
     descriptors: int = 4200
     memory_mb: int = 300
+    # Speed of the VM's link in Mbit/s, 0 if it is not known.
+    link: float = 0.0
     # Longest time after a leaving endpoint's notice to send it requests.
     drain_ms: float = 2000.0
     # Between the request to end a process and its forced end.
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -47,11 +47,12 @@
     known.view.clock = clock
     served = sharing.Standing.SERVED
     for name, domain in (('q1', 'a'), ('r1', 'a'), ('s1', 'b'), ('t1', 'B')):
-        known.heard(name, '10.0.0.1:1', domain, LOST, clock(), None, served)
+        each = sharing.Neighbour(name, served)
+        known.heard(name, '10.0.0.1:1', domain, LOST, clock(), None, each)
     assert known.place() == polling.Fleet(4, 2, 5)
-    lost = sharing.Standing.LOST
     for name in ('q1', 'r1'):
-        known.heard(name, '10.0.0.1:1', 'a', LOST, clock(), None, lost)
+        each = sharing.Neighbour(name, sharing.Standing.LOST)
+        known.heard(name, '10.0.0.1:1', 'a', LOST, clock(), None, each)
     known._judge_role(clock())
     assert known.role() is sharing.Role.ASKS
     assert known.place() == polling.Fleet(5, 1, 5)
@@ -71,7 +72,7 @@
     known.begun_at = -100.0
     for domain in ('b', 'c'):
         counts = {domain: (9, 0), 'd': (7, 100)}
-        known.heard('r1', 'r1:1', domain, LOST, 10.0, None, 0, counts)
+        known.heard('r1', 'r1:1', domain, LOST, 10.0, None, None, counts)
     assert known.running(10.0) == 1 + 9 + 9 + 7
     assert known.counts_to_tell(10.5) == {
         'a': (1, 0),
--- a/packages/policy/ibisring_policy/gateway/sharing.py
+++ b/packages/policy/ibisring_policy/gateway/sharing.py
@@ -7,11 +7,12 @@
 differ there is a reader more, or for a moment one less.
 """
 
-__all__ = ['Standing', 'Role', 'role', 'readers', 'place']
+__all__ = ['Standing', 'Role', 'Neighbour', 'role', 'readers', 'place']
 
 import enum
 
 from ibisring_policy.gateway import polling
+import msgspec
 
 # Two, so that the loss of one leaves nobody without a reader.
 READERS = 2
@@ -40,15 +41,32 @@
     ASKS = 2
 
 
-def role(own, standings):
+class Neighbour(msgspec.Struct, frozen=True):
+    """A router of one's own domain; `link` is its VM's, in Mbit/s.
+
+    Those with the fastest links read: they get whole tables and send what
+    has changed to all others.
+    """
+
+    name: str
+    standing: Standing
+    link: float = 0.0
+
+    @property
+    def order(self):
+        """Sorts those that read before the others."""
+        return -self.link, self.name
+
+
+def role(own, others):
     """Give a router's role.
 
     Parameters
     ----------
-    own : str
-        Its name.
-    standings : dict of str to Standing
-        Of the other routers of its domain that were heard lately.
+    own : Neighbour
+        The router itself.
+    others : list of Neighbour
+        Those of its domain that were heard lately.
 
     Returns
     -------
@@ -56,26 +74,30 @@
 
     Examples
     --------
-    >>> served, lost = Standing.SERVED, Standing.LOST
-    >>> role('c', {'a': served, 'b': served}).name
+    >>> a, b, c = (Neighbour(name, Standing.SERVED) for name in 'abc')
+    >>> role(c, [a, b]).name
     'TOLD'
-    >>> role('c', {'a': served, 'b': lost}).name
+    >>> role(c, [a, Neighbour('b', Standing.LOST)]).name
+    'READS'
+    >>> role(Neighbour('c', Standing.SERVED, 100.0), [a, b]).name
     'READS'
-    >>> role('c', {'a': lost, 'b': lost}).name
-    'ASKS'
     """
-    values = list(standings.values())
-    if values.count(Standing.LOST) >= READERS:
+    standings = [each.standing for each in others]
+    if standings.count(Standing.LOST) >= READERS:
         return Role.ASKS
-    if len(readers(own, standings)) < READERS:
+    if len(readers(own, others)) < READERS:
         return Role.READS
     return Role.TOLD
 
 
-def readers(own, standings):
-    """Give the names of the routers that read before this one does."""
-    served = [n for n, each in standings.items() if each is Standing.SERVED]
-    return sorted(name for name in served if name < own)[:READERS]
+def readers(own, others):
+    """Give the routers that read before this one does."""
+    before = [
+        each
+        for each in others
+        if each.standing is Standing.SERVED and each.order < own.order
+    ]
+    return sorted(before, key=lambda each: each.order)[:READERS]
 
 
 def place(own_domain, rank, counts):
--- a/packages/policy/ibisring_policy/gateway/tests/test_sharing.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_sharing.py
@@ -9,13 +9,16 @@
 STARTING = sharing.Standing.STARTING
 
 
-def _roles(standings):
+def _roles(standings, links=None):
     """Give each router's role where all have heard the same."""
+    links = links or {}
+    all_of_them = [
+        sharing.Neighbour(name, each, links.get(name, 10.0))
+        for name, each in standings.items()
+    ]
     return {
-        own: sharing.role(
-            own, {n: s for n, s in standings.items() if n != own}
-        )
-        for own in standings
+        own.name: sharing.role(own, [n for n in all_of_them if n is not own])
+        for own in all_of_them
     }
 
 
@@ -36,6 +39,12 @@
     assert _named(standings, sharing.Role.READS) == ['a', 'b', 'c', 'd']
 
 
+def test_those_with_fast_links_read():
+    """Load: a change told to 38 routers from a link of 10 Mbit/s."""
+    roles = _roles(dict.fromkeys('abcd', SERVED), {'c': 100.0, 'd': 100.0})
+    assert [n for n in 'abcd' if roles[n] is sharing.Role.READS] == ['c', 'd']
+
+
 def test_one_that_lost_the_store_is_replaced():
     """Failure: the store turns one reader away and serves the others."""
     standings = {'a': LOST, 'b': SERVED, 'c': SERVED, 'd': SERVED}
