--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -337,7 +337,18 @@
         if known.is_due(now, self._age(now), callers, is_told):
             was_asked = now - known.asked_at < 3 * catchup.ASK_EVERY
             known.asked(now)
-            if is_told and not was_asked:
+            asks_store = is_told and not was_asked
+            logs.event(
+                LOG,
+                'catching_up',
+                asks='store' if asks_store else 'router',
+                ahead=known.ahead,
+                wanted=known.wanted,
+                table=snapshot.version,
+                endpoints=position,
+                age_ms=round(self._age(now) * SECOND_MS),
+            )
+            if asks_store:
                 # The list of endpoints is long; the store gives the changes.
                 self.followers.read_now((TABLE, ENDPOINTS))
             else:
