A router that starts listens first, and goes on from what others gave it

Two causes in a play with logs (until second 2): each router made 3.8 reads of endpoints in its first second, since it took itself for a reader before it had heard anybody; and 305 times routers asked others for whole lists, since what they got that way did not count as known, so that every change told after it was refused as one with a gap, and the store, which would have closed it, was asked only if nobody had been asked for 1.2 s.

Change: a router reads everything once and then listens for 1.2 s; what another gave moves the version that it goes on from, of the table too; store and routers are asked in turn.

--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -254,12 +254,20 @@
                 follower.advance(changes.position, True)
             return True
 
-    def confirm(self, name, position):
-        """Note that nothing has changed up to a version."""
+    def confirm(self, name, position, changed=False):
+        """Note that this router knows a table up to a version.
+
+        Parameters
+        ----------
+        name : str
+        position : int
+        changed : bool
+            Whether something may have changed since the last version.
+        """
         follower = self.members[name]
         with self.lock:
             if follower.position is not None:
-                follower.advance(position, False)
+                follower.advance(position, changed)
 
     def position(self, name):
         """Give the store's version up to which a table is known."""
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -52,7 +52,9 @@
 class State(msgspec.Struct):
     """What a router knows, with the ages of both parts in seconds.
 
-    `table` is left out where the asker has that version already.
+    `table` is left out where the asker has that version already.  `position`
+    and `table_position` are the store's versions up to which endpoints and
+    table are known.
     """
 
     version: int
@@ -61,6 +63,7 @@
     position: int
     table: routing.RoutingTable | None = None
     endpoints: list[routing.Endpoint] = []
+    table_position: int = 0
 
 
 class Peers:
@@ -99,8 +102,7 @@
         self.counts = {}
         self.first_hand = {}
         self.begun_at = view.clock()
-        self.listens_until = 0.0
-        self.current_role = sharing.Role.READS
+        self.current_role = sharing.Role.TOLD
         self.catchup = catchup.make_catchup()
         self.thread = threading.Thread(target=self.run, daemon=True)
 
@@ -127,6 +129,7 @@
             position=snapshot.position,
             table=table,
             endpoints=list(snapshot.endpoints.values()),
+            table_position=self.followers.position(TABLE),
         )
 
     def heard(
@@ -273,7 +276,7 @@
 
     def _judge_role(self, now):
         found = sharing.role(self._self(), self._neighbours(now))
-        if now < self.listens_until:
+        if now - self.begun_at < sharing.LISTEN_FIRST:
             found = sharing.Role.TOLD
         if found is not self.current_role:
             self.current_role = found
@@ -335,9 +338,8 @@
         is_told = self.current_role is sharing.Role.TOLD
         callers = self.place().callers
         if known.is_due(now, self._age(now), callers, is_told):
-            was_asked = now - known.asked_at < 3 * catchup.ASK_EVERY
-            known.asked(now)
-            asks_store = is_told and not was_asked
+            asks_store = is_told and not known.asked_store
+            known.asked(now, asks_store)
             logs.event(
                 LOG,
                 'catching_up',
@@ -373,7 +375,6 @@
                 self.rows.write_router(self._own_row())
                 self.written = True
             rows = self.rows.read_routers()
-            self._listen_first(rows, now)
         except exceptions.IbisringError as error:
             LOG.debug('routers not read: %s', error.detail)
             self.list_at = now + 1.0
@@ -385,17 +386,6 @@
             logs.event(LOG, 'routers', known=sorted(names))
         self.known = {row.name: row for row in rows}
 
-    def _listen_first(self, rows, now):
-        """Leave reading to others for a moment, if there may be others."""
-        if self.listens_until:
-            return
-        domain = self.settings.failure_domain
-        near = [row for row in rows if row.domain == domain]
-        if len(near) > sharing.READERS:
-            self.listens_until = now + sharing.LISTEN_FIRST
-        else:
-            self.listens_until = now
-
     def _own_row(self):
         settings = self.settings
         return ports.RouterRow(
@@ -441,6 +431,7 @@
                     age=state.table_age,
                 )
             )
+            self.followers.confirm(TABLE, state.table_position, True)
         if state.position > self.view.snapshot.position:
             self.tell(
                 directory_module.Read(
@@ -451,6 +442,7 @@
                     age=state.endpoints_age,
                 )
             )
+            self.followers.confirm(ENDPOINTS, state.position, True)
 
 
 def make_peers(settings, view, rows, tell, followers):
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -3,6 +3,7 @@
 import msgspec
 import pytest
 
+from ibisring_gateway import changes
 from ibisring_gateway import directory
 from ibisring_gateway import following
 from ibisring_gateway import gossip
@@ -13,6 +14,7 @@
 from ibisring_policy.gateway import ordering
 from ibisring_policy.gateway import polling
 from ibisring_policy.gateway import sharing
+from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
 
 FOLLOWED = ordering.StoreTouch.FOLLOWED
@@ -35,6 +37,8 @@
     )
     view = view or builders.view_of([])
     followers = following.make_followers(polling.Fleet, _reads)
+    for name in (peers.TABLE, peers.ENDPOINTS):
+        followers.add(name, None, name == peers.TABLE, [].append)
     return peers.make_peers(
         settings, view, builders.Leases(), [].append, followers
     )
@@ -45,6 +49,7 @@
     known = _peers()
     clock = builders.Clock()
     known.view.clock = clock
+    known.begun_at = 0.0
     served = sharing.Standing.SERVED
     for name, domain in (('q1', 'a'), ('r1', 'a'), ('s1', 'b'), ('t1', 'B')):
         each = sharing.Neighbour(name, served)
@@ -168,3 +173,30 @@
     version = known.view.snapshot.version
     assert known.state_for(version).table is None
     assert known.state_for(version - 1).table.version == version
+
+
+def test_what_another_router_gave_is_gone_on_from():
+    """Symptom: a router asks others for the whole list again and again.
+
+    Sequence: it misses one change and gets all endpoints from another
+    router; the next change is told from a version that it has by now.
+    Cause: how far it knows the table was noted for the store's answers only.
+    """
+    known = _peers()
+    for follower in known.followers.members.values():
+        follower.position = 5
+    state = peers.State(9, 0.0, 0.0, 20, build.table(9), [], 19)
+    known._take('r1', state)
+    for name, before in ((peers.ENDPOINTS, 20), (peers.TABLE, 19)):
+        told = changes.Changes(name == peers.TABLE, before, 25, 25)
+        assert known.followers.take(name, told)
+
+
+def test_store_and_routers_are_asked_in_turn():
+    """Failure: one of both can't give what was missed."""
+    known = catchup.make_catchup()
+    asked = []
+    for turn in range(4):
+        known.asked(turn, not known.asked_store)
+        asked.append(known.asked_store)
+    assert asked == [True, False, True, False]
--- a/packages/policy/ibisring_policy/gateway/catchup.py
+++ b/packages/policy/ibisring_policy/gateway/catchup.py
@@ -36,6 +36,8 @@
         Since when some router does.
     wanted : dict of str to int
         Newest version that others know, by table.
+    asked_store : bool
+        Whether the store was asked last, and no router since.
 
     Examples
     --------
@@ -49,10 +51,17 @@
     'r2'
     """
 
-    __slots__ = ('ahead', 'behind_since', 'asked_at', 'wanted')
+    __slots__ = (
+        'ahead',
+        'behind_since',
+        'asked_at',
+        'asked_store',
+        'wanted',
+    )
 
     def __init__(self):
         self.wanted = {}
+        self.asked_store = False
         self.ahead = None
         self.behind_since = None
         self.asked_at = -math.inf
@@ -96,6 +105,7 @@
             if versions.get(table, 0) < version:
                 return
         self.wanted = {}
+        self.asked_store = False
         self.behind_since = None
         self.ahead = None
 
@@ -122,9 +132,10 @@
         since = self.behind_since
         return since is not None and now - since >= _patience(is_told)
 
-    def asked(self, now):
-        """Note that another router is asked."""
+    def asked(self, now, store=False):
+        """Note that another router is asked, or the store."""
         self.asked_at = now
+        self.asked_store = store
 
     def choose(self, names, draw):
         """Give the router to ask, of some that are known.
--- a/packages/policy/ibisring_policy/gateway/sharing.py
+++ b/packages/policy/ibisring_policy/gateway/sharing.py
@@ -19,8 +19,8 @@
 # Seconds after which a router that was not heard reads for nobody; it tells
 # each router of its domain something once a second.
 SILENT_AFTER = 2.5
-# Seconds for which a router that has just started listens for readers, where
-# it knows of enough routers in its domain.
+# Seconds for which a router that has just started, and has read everything
+# once, listens for readers.
 LISTEN_FIRST = 1.2
 
 
