Few routers ask a store that turns some away and serves the others

Cause: while two routers of a domain had lost the store all others asked it for themselves, also where it served most; and who had only been told of a loss went on by itself for three seconds.

Change: a domain whose readers lost the store asks as a whole only until two others have shown that they are served; routers tell whether what they say of the store is their own sight; one in doubt says so; a role that changes wakes the calls; a told loss makes one short call, and only an own failure makes a router go on by itself. A router that leaves reading to others waits 0.4 s for a change that others know, in place of 0.6.

--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -158,6 +158,7 @@
         self.clock = clock
         self.publish = _to_nobody
         self.wanted = set()
+        self.last_role = None
         self.members = {}
         self.polling = polling_module.make_polling((), random.random)
         self.lock = threading.Lock()
@@ -191,12 +192,18 @@
         role = self.role()
         now = self.clock()
         with self.lock:
-            if role is sharing.Role.ASKS and self.polling.is_steady(now):
+            if self._readers_lost_it(role):
                 self.polling.told_of_loss(now)
             if self._is_left_to_others(name, role, now):
                 return LOOK_AGAIN
             return self.polling.delay(name, now)
 
+    def _readers_lost_it(self, role):
+        """Say whether those that read for this router have just lost it."""
+        before = self.last_role
+        self.last_role = role
+        return role is sharing.Role.ASKS and before is sharing.Role.TOLD
+
     def _is_left_to_others(self, name, role, now):
         if role is not sharing.Role.TOLD or name in self.wanted:
             return False
@@ -217,6 +224,10 @@
         with self.lock:
             follower.advance(position, changed)
 
+    def go_on(self):
+        """Call the store now if nothing speaks against it."""
+        self._wake(self.members)
+
     def read_now(self, names):
         """Have tables read once although others read them."""
         with self.lock:
@@ -281,10 +292,12 @@
         is_lost : bool
             Whether the store has stopped answering it.
         """
+        if is_lost:
+            return sharing.Standing.LOST
         with self.lock:
-            if not self.polling.has_read():
-                return sharing.Standing.STARTING
-        return sharing.Standing.LOST if is_lost else sharing.Standing.SERVED
+            if self.polling.is_any_in_trouble():
+                return sharing.Standing.UNSURE
+        return sharing.Standing.SERVED
 
     def change_pause(self):
         """Give the seconds to pause after a change."""
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -41,7 +41,7 @@
     A release that does not know the later fields ignores them, and what it
     leaves out has the default: it reads the store by itself and for nobody.
     `standing` is how the router stands with the store, `link` its VM's link
-    in Mbit/s, `counts` the running
+    in Mbit/s, `reads` whether it calls the store, `counts` the running
     routers by domain and the milliseconds since one there said so.
     `position` and `table_position` are the store's versions up to which it
     knows endpoints and routing table, `age_ms` the milliseconds since it read
@@ -60,13 +60,14 @@
     full: list[str] = []
     domain: str = ''
     lost_ms: int | None = None
-    standing: sharing.Standing = sharing.Standing.STARTING
+    standing: sharing.Standing = sharing.Standing.UNSURE
     counts: dict[str, tuple[int, int]] = {}
     position: int = 0
     table_position: int = 0
     age_ms: int = 0
     changes: bytes = b''
     link: float = 0.0
+    reads: bool = False
 
 
 # What others act upon at once; load and names of routers are not.
@@ -139,6 +140,7 @@
         snapshot = self.view.snapshot
         read_at = min(snapshot.table_at, snapshot.endpoints_at)
         followers = self.peers.followers
+        own = self.peers.own_standing()
         return Told(
             self.settings.router_id,
             tokens,
@@ -152,12 +154,13 @@
             full=full,
             domain=self.settings.failure_domain,
             lost_ms=self._lost_ms(now),
-            standing=followers.standing(self.view.store_lost_at is not None),
+            standing=own.standing,
             counts=self.peers.counts_to_tell(now),
             position=followers.position(ENDPOINTS),
             table_position=followers.position(TABLE),
             age_ms=int((now - read_at) * SECOND_MS),
-            link=self.settings.link,
+            link=own.link,
+            reads=own.reads,
         )
 
     def _send(self):
@@ -277,7 +280,9 @@
             told.touch,
             now,
             told.lost_ms,
-            sharing.Neighbour(told.router, told.standing, told.link),
+            sharing.Neighbour(
+                told.router, told.standing, told.link, told.reads
+            ),
             told.counts,
         )
         if told.changes:
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -260,10 +260,20 @@
         known = self.neighbours
         return [known[name] for name in names if name in known]
 
-    def _self(self):
-        settings = self.settings
-        served = sharing.Standing.SERVED
-        return sharing.Neighbour(settings.router_id, served, settings.link)
+    def own_standing(self):
+        """Give how this router stands with the store, as others are told.
+
+        Returns
+        -------
+        sharing.Neighbour
+        """
+        is_lost = self.view.store_lost_at is not None
+        return sharing.Neighbour(
+            self.settings.router_id,
+            self.followers.standing(is_lost),
+            self.settings.link,
+            self.current_role is not sharing.Role.TOLD,
+        )
 
     def role(self):
         """Give what this router does about the store.
@@ -275,12 +285,14 @@
         return self.current_role
 
     def _judge_role(self, now):
-        found = sharing.role(self._self(), self._neighbours(now))
+        found = sharing.role(self.own_standing(), self._neighbours(now))
         if now - self.begun_at < sharing.LISTEN_FIRST:
             found = sharing.Role.TOLD
         if found is not self.current_role:
             self.current_role = found
             logs.event(LOG, 'store_role', role=found.name.lower())
+            if found is not sharing.Role.TOLD:
+                self.followers.go_on()
 
     def place(self):
         """Give this router's place among those that call the store.
@@ -296,7 +308,7 @@
             before = sum(1 for name in self._heard(now) if name < own)
             running = sum(counts.values())
             return polling.Fleet(running, min(before, running - 1), running)
-        rank = len(sharing.readers(self._self(), self._neighbours(now)))
+        rank = len(sharing.readers(self.own_standing(), self._neighbours(now)))
         return sharing.place(self.settings.failure_domain, rank, counts)
 
     def store_touches(self, now):
--- a/packages/gateway/ibisring_gateway/tests/test_large_fleets.py
+++ b/packages/gateway/ibisring_gateway/tests/test_large_fleets.py
@@ -151,6 +151,21 @@
     fleet.scheduler.kill()
 
 
+def test_a_third_that_the_store_turns_away_does_not_make_all_ask():
+    """Load: 20 of 60 machines lose the store for six seconds of changes."""
+    changes = [Change(7.0 + 0.5 * n, ENDPOINTS) for n in range(10)]
+    calm = _fleet(60, changes)
+    _run(calm, 16.0)
+    calm.scheduler.kill()
+    turned_away = tuple(range(20))
+    troubles = [Trouble('unreachable', 6.0, 6.0, turned_away)]
+    fleet = _fleet(60, changes, troubles)
+    _run(fleet, 20.0)
+    assert not fleet.violations
+    fleet.scheduler.kill()
+    assert fleet.store.calls <= calm.store.calls + 20 * len(turned_away)
+
+
 def test_one_router_that_the_store_turns_away_does_not_make_all_ask():
     """Load: one machine loses its way to the store, which serves the rest."""
     calm = _fleet(60)
--- a/packages/policy/ibisring_policy/gateway/catchup.py
+++ b/packages/policy/ibisring_policy/gateway/catchup.py
@@ -19,7 +19,7 @@
 # same change is on its way here.  A router that leaves reading to others is
 # told a change some time after they have read it.
 MOST_BEHIND = 0.25
-MOST_BEHIND_TOLD = 0.6
+MOST_BEHIND_TOLD = 0.4
 # Seconds between two words of a reader that all is as before, with the time
 # that one may be lost.
 CONFIRMED_EVERY = 2.5
--- a/packages/policy/ibisring_policy/gateway/polling.py
+++ b/packages/policy/ibisring_policy/gateway/polling.py
@@ -71,6 +71,7 @@
         'trouble_at',
         'answered_at',
         'has_read',
+        'has_failed',
         'is_waiting',
         'is_fresh',
         'next_try_at',
@@ -83,6 +84,7 @@
         self.trouble_at = -math.inf
         self.answered_at = -math.inf
         self.has_read = False
+        self.has_failed = False
         self.is_waiting = False
         self.is_fresh = True
         self.next_try_at = -math.inf
@@ -138,14 +140,17 @@
         self.lost_at = -math.inf
         self.regained_at = -math.inf
 
-    def has_read(self, name=None):
-        """Say whether a table was read, or all of them."""
-        names = self.tables if name is None else (name,)
-        return all(self.tables[each].has_read for each in names)
+    def has_read(self, name):
+        """Say whether a table was read."""
+        return self.tables[name].has_read
+
+    def is_any_in_trouble(self):
+        """Say whether some table was not answered since a sign of trouble."""
+        return bool(self._in_trouble())
 
     def is_steady(self, now):
         """Say whether the store has answered for a while."""
-        if self._in_trouble():
+        if self.is_any_in_trouble():
             return False
         return now - self.regained_at >= STEADY_AFTER
 
@@ -217,8 +222,9 @@
             Tables in trouble, whose next call may begin now.
         """
         table = self.tables[name]
-        if table.in_trouble and table.has_read:
+        if table.has_failed and table.has_read:
             self.regained_at = now
+        table.has_failed = False
         table.is_fresh = changed or table.in_trouble
         table.answered_at = now
         table.has_read = True
@@ -237,6 +243,7 @@
         """
         table = self.tables[name]
         table.is_waiting = False
+        table.has_failed = True
         ended = self.trouble(now)
         pause = self.retry * (0.9 + 0.2 * self.draw())
         table.next_try_at = now + min(pause, MOST_FIRST_RETRY)
--- a/packages/policy/ibisring_policy/gateway/sharing.py
+++ b/packages/policy/ibisring_policy/gateway/sharing.py
@@ -25,9 +25,13 @@
 
 
 class Standing(enum.IntEnum):
-    """How a router stands with the store, as it tells the others."""
+    """How a router stands with the store, as it tells the others.
 
-    STARTING = 0
+    One that has just started, or has seen a sign of trouble since the store
+    last answered it, is unsure.
+    """
+
+    UNSURE = 0
     LOST = 1
     SERVED = 2
 
@@ -45,12 +49,14 @@
     """A router of one's own domain; `link` is its VM's, in Mbit/s.
 
     Those with the fastest links read: they get whole tables and send what
-    has changed to all others.
+    has changed to all others.  `reads` says that the router calls the store,
+    so that its standing is what it has seen itself.
     """
 
     name: str
     standing: Standing
     link: float = 0.0
+    reads: bool = False
 
     @property
     def order(self):
@@ -84,7 +90,11 @@
     """
     standings = [each.standing for each in others]
     if standings.count(Standing.LOST) >= READERS:
-        return Role.ASKS
+        # A store that turns some routers away still serves the others, who
+        # then need not all ask it.
+        served = [e for e in (own, *others) if e.reads and _is_served(e)]
+        if len(served) < READERS:
+            return Role.ASKS
     if len(readers(own, others)) < READERS:
         return Role.READS
     return Role.TOLD
@@ -92,14 +102,14 @@
 
 def readers(own, others):
     """Give the routers that read before this one does."""
-    before = [
-        each
-        for each in others
-        if each.standing is Standing.SERVED and each.order < own.order
-    ]
+    before = [e for e in others if _is_served(e) and e.order < own.order]
     return sorted(before, key=lambda each: each.order)[:READERS]
 
 
+def _is_served(neighbour):
+    return neighbour.standing is Standing.SERVED
+
+
 def place(own_domain, rank, counts):
     """Give a reader's place among the readers of all failure domains.
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_sharing.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_sharing.py
@@ -6,7 +6,7 @@
 
 LOST = sharing.Standing.LOST
 SERVED = sharing.Standing.SERVED
-STARTING = sharing.Standing.STARTING
+UNSURE = sharing.Standing.UNSURE
 
 
 def _roles(standings, links=None):
@@ -35,7 +35,7 @@
 
 def test_one_that_has_read_nothing_reads_for_nobody():
     """Symptom: nobody follows the store just after a start."""
-    standings = {'a': STARTING, 'b': STARTING, 'c': SERVED, 'd': SERVED}
+    standings = {'a': UNSURE, 'b': UNSURE, 'c': SERVED, 'd': SERVED}
     assert _named(standings, sharing.Role.READS) == ['a', 'b', 'c', 'd']
 
 
@@ -57,6 +57,22 @@
     assert _roles(standings)['d'] is sharing.Role.ASKS
 
 
+def test_few_ask_a_store_that_serves_some():
+    """Load: the store turns a third of 39 routers away for nine seconds.
+
+    All others asked it for themselves meanwhile, at each change.
+    """
+    lost = [sharing.Neighbour(f'a{n}', LOST, reads=True) for n in range(13)]
+    unsure = [sharing.Neighbour(f'b{n}', SERVED) for n in range(24)]
+    own = sharing.Neighbour('c', SERVED)
+    assert sharing.role(own, lost + unsure) is sharing.Role.ASKS
+    served = [sharing.Neighbour(f'b{n}', SERVED, reads=True) for n in (0, 1)]
+    others = lost + served + unsure[2:]
+    assert sharing.role(own, others) is sharing.Role.TOLD
+    others = lost + served[1:] + unsure[2:]
+    assert sharing.role(served[0], others) is sharing.Role.READS
+
+
 @pytest.mark.parametrize('counts', ({'a': 39, 'b': 39, 'c': 39}, {'a': 1}))
 def test_places_of_readers_differ(counts):
     places = [
