Routers tell each other how many requests endpoints say they have

A router counted the slots that its own requests take, one or two of 96, so 195 routers of five domains chose the fastest first stage that was left until its queue was full.

Change: what endpoints tell of their load with each answer is told on at first hand, with its age; slots count by that (2 s at most). A first stage costs nothing more up to half of its slots, and then by what is taken over what is free; routers vary what they know by a fifth, since they would all go to the same one otherwise. Without slots an engine may still be a later stage, and a request may wait in an engine when no chain has a free slot at all.

Ruled out: layers that were missing (0 of 590), stale memory of prompts (no engine was preempted in these seconds).

--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -46,6 +46,8 @@
     `position` and `table_position` are the store's versions up to which it
     knows endpoints and routing table, `age_ms` the milliseconds since it read
     the older of both, `changes` packed `changes.Changes` just read.
+    `loads` are the running and waiting requests of endpoints, as these told
+    the router, and the milliseconds since.
     """
 
     router: str
@@ -68,6 +70,7 @@
     changes: bytes = b''
     link: float = 0.0
     reads: bool = False
+    loads: dict[str, tuple[int, int]] = {}
 
 
 # What others act upon at once; load and names of routers are not.
@@ -137,6 +140,7 @@
             dead = book.lately_dead(now)
             slow = book.slow(now)
             full = book.refusing(now)
+            loads = book.loads_to_tell(now)
         snapshot = self.view.snapshot
         read_at = min(snapshot.table_at, snapshot.endpoints_at)
         followers = self.peers.followers
@@ -161,6 +165,7 @@
             age_ms=int((now - read_at) * SECOND_MS),
             link=own.link,
             reads=own.reads,
+            loads=loads,
         )
 
     def _send(self):
@@ -228,6 +233,7 @@
             return
         told = self._told(self.view.clock())
         told.tokens = {}
+        told.loads = {}
         told.changes = packed
         try:
             self._send_to(near, told)
@@ -273,6 +279,7 @@
                 told.slow,
                 told.full,
             )
+            self.view.book.take_loads(told.loads, now)
         self.peers.heard(
             told.router,
             f'{source[0]}:{source[1]}',
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -23,6 +23,9 @@
 # Share of the memory reserved for requests that they are taken to use when
 # no chain has room otherwise.
 SQUEEZE = 0.9
+# The same of first engines' slots: a few requests may wait in an engine when
+# none has a slot, which is late but no loss.
+SQUEEZE_HEADS = 0.75
 # A refusal this late, in seconds, ends a stall and is not one of admission.
 STALLED = 1.0
 # Seconds a stream holds its memory, for a refusal's Retry-After.
@@ -128,6 +131,7 @@
         with self.view.lock:
             holders = self.view.book.holders(endpoints, model, now, avoid)
             self.view.book.note_fullest(holders)
+        chains.vary_heads(holders, self.rng.random)
         found = chains.choose(
             holders, demand, model.layers, self._noise, heads
         )
@@ -143,6 +147,7 @@
         """
         for holder in holders:
             holder.used *= SQUEEZE
+            holder.heads *= SQUEEZE_HEADS
         return chains.choose(holders, demand, model.layers, self._noise, heads)
 
     def repair(self, attempt, lost, now):
--- a/packages/policy/ibisring_policy/gateway/chains.py
+++ b/packages/policy/ibisring_policy/gateway/chains.py
@@ -5,7 +5,14 @@
 anyone's range.
 """
 
-__all__ = ['Stage', 'Holder', 'Demand', 'choose', 'tokens_needed']
+__all__ = [
+    'Stage',
+    'Holder',
+    'Demand',
+    'choose',
+    'tokens_needed',
+    'vary_heads',
+]
 
 from ibisring_policy import plans
 import msgspec
@@ -24,9 +31,16 @@
 # calm day and 0.25 on days of trouble against 50, and as many answers were
 # in time.
 AWAY_COST = 200.0
-# A first engine all of whose slots are taken, in proportion.
+# A first engine whose slots are over half taken, by what is taken beyond that
+# over what is free: at four fifths a slower one, or one in another domain, is
+# as good.  A request that finds no slot waits for the end of another.
 HEADS_COST = 100.0
-# Share of an engine's memory for prompts up to which its use costs nothing.
+LEAST_FREE = 0.05
+# Share by which routers that were told the same take first engines to be more
+# or less full.
+HEADS_VARY = 0.2
+# Share of an engine's memory for prompts, or of its slots, up to which its use
+# costs nothing.
 HALF_FULL = 0.5
 # Paths looked for before a group of engines counts as full.
 MOST_PATHS = 4
@@ -109,6 +123,22 @@
     return prompt + WRITTEN_SHARE * expected
 
 
+def vary_heads(holders, draw):
+    """Change the shares of slots that are taken a little, at random.
+
+    Hundreds of routers that were told the same would all send to the same
+    first engine until they are told again, and fill it.
+
+    Parameters
+    ----------
+    holders : list of Holder
+    draw : callable
+        Gives random numbers from 0 up to, without, 1.
+    """
+    for holder in holders:
+        holder.heads *= 1.0 + HEADS_VARY * (2.0 * draw() - 1.0)
+
+
 def choose(holders, demand, layers, noise, heads=None):
     """Give the best chain, or None if no chain has room.
 
@@ -225,7 +255,7 @@
 def _cost_a_layer(holder):
     """Cost of running one layer, or None if the engine is full."""
     used = holder.used / holder.room if holder.room > 0 else 1.0
-    if used >= FULL or holder.heads >= 1.0:
+    if used >= FULL:
         return None
     scarce = max(1.0, (1.0 - HALF_FULL) / (1.0 - used)) ** 2
     return holder.pace * scarce
@@ -239,7 +269,7 @@
     for holder in holders:
         if holder.id not in costs or not holder.first <= point < holder.end:
             continue
-        if heads is not None and point == 0 and holder.id not in heads:
+        if point == 0 and not _may_be_first(holder, heads):
             continue
         before, origin = min(
             (
@@ -254,12 +284,22 @@
             if size <= 0 or end > holder.end or demand.tokens * size > free:
                 continue
             total = before + STAGE_COST + size * costs[holder.id]
-            total += HEADS_COST * holder.heads if point == 0 else 0.0
+            total += _heads_cost(holder) if point == 0 else 0.0
             state = (end, holder.domain)
             if state not in best or total < best[state][0]:
                 best[state] = (total, origin, holder.id)
 
 
+def _may_be_first(holder, heads):
+    """Say whether an engine may be a first stage; only there slots count."""
+    return holder.heads < 1.0 and (heads is None or holder.id in heads)
+
+
+def _heads_cost(holder):
+    beyond = max(0.0, holder.heads - HALF_FULL)
+    return HEADS_COST * beyond / max(LEAST_FREE, 1.0 - holder.heads)
+
+
 def _entry_cost(holder, previous, demand):
     if previous is None:
         return 0.0 if holder.domain == demand.domain else AWAY_COST
--- a/packages/policy/ibisring_policy/gateway/loadbook.py
+++ b/packages/policy/ibisring_policy/gateway/loadbook.py
@@ -42,8 +42,10 @@
 # Times its usual pace from which an engine counts as slow.  Below it, going
 # round costs more than it gains: a stage is a tenth of a chain's time.
 SLOW = 2.0
-# A report of load older than this says nothing, in seconds.
+# A report of load older than this says nothing, in seconds: of a plain
+# endpoint, and of a first stage, whose requests last longer.
 REPORT_AGE = 1.0
+HEADS_AGE = 2.0
 
 
 class Belief(msgspec.Struct):
@@ -54,7 +56,9 @@
     heads: int = 0
     reported: int = 0
     reported_own: int = 0
+    reported_heads: int = 0
     reported_at: float = -1e9
+    report_told: bool = False
     failing: float = 0.0
     failures: int = 0
     ejected_until: float = 0.0
@@ -268,7 +272,50 @@
         belief = self.of(name)
         belief.reported = load
         belief.reported_own = belief.active
+        belief.reported_heads = belief.heads
         belief.reported_at = now
+        belief.report_told = False
+
+    def loads_to_tell(self, now):
+        """Give the loads that endpoints have told this router itself.
+
+        Returns
+        -------
+        dict of str to (int, int)
+            Running and waiting requests, and milliseconds since.
+        """
+        return {
+            name: (belief.reported, int((now - belief.reported_at) * 1000.0))
+            for name, belief in self.beliefs.items()
+            if now - belief.reported_at < REPORT_AGE and not belief.report_told
+        }
+
+    def take_loads(self, loads, now):
+        """Take the loads that endpoints have told another router.
+
+        One of hundreds of routers sends an endpoint too little to know how
+        busy it is by its own answers.
+
+        Parameters
+        ----------
+        loads : dict of str to (int, int)
+            As `loads_to_tell` gives them.
+        now : float
+        """
+        for name, (load, age_ms) in loads.items():
+            belief = self.beliefs.get(name)
+            at = now - age_ms / 1000.0
+            if belief is not None and at > belief.reported_at:
+                self.report(name, load, at)
+                belief.report_told = True
+
+    def heads(self, name, now):
+        """Estimate the requests that an engine has as their first stage."""
+        belief = self.of(name)
+        others = max(0, belief.reported - belief.reported_heads)
+        if now - belief.reported_at > HEADS_AGE:
+            others = 0
+        return belief.heads + others
 
     def is_ejected(self, name, now):
         """Say whether an endpoint is left out while others can serve."""
@@ -429,7 +476,7 @@
                     room,
                     used=belief.tokens + others.get(each.id, 0.0),
                     pace=card.step_factor * self.pace(each.id, now),
-                    heads=belief.heads / max(1, model.slots),
+                    heads=self.heads(each.id, now) / max(1, model.slots),
                 )
             )
         return found
