A lost engine is asked again by the routers that found it lost

Change: who was told waits four seconds for word that the engine is back; those that found it lost ask as before and tell when it answers. Word of a loss is not believed for a second after word of the return.

--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -47,7 +47,8 @@
     knows endpoints and routing table, `age_ms` the milliseconds since it read
     the older of both, `changes` packed `changes.Changes` just read.
     `loads` are the running and waiting requests of endpoints, as these told
-    the router, and the milliseconds since.
+    the router, and the milliseconds since, `back` lost engines that have
+    answered it.
     """
 
     router: str
@@ -71,13 +72,24 @@
     link: float = 0.0
     reads: bool = False
     loads: dict[str, tuple[int, int]] = {}
+    back: list[str] = []
 
 
 # What others act upon at once; load and names of routers are not.
-_NEWS = ('dead', 'slow', 'full', 'held', 'changed', 'table', 'touch', 'term')
+_NEWS = (
+    'dead',
+    'back',
+    'slow',
+    'full',
+    'held',
+    'changed',
+    'table',
+    'touch',
+    'term',
+)
 # What the whole failure domain is told at once; a change of a table is told
 # to it as it is read.
-_URGENT = ('dead', 'slow', 'full', 'held', 'touch', 'standing')
+_URGENT = ('dead', 'back', 'slow', 'full', 'held', 'touch', 'standing')
 
 
 class Gossip:
@@ -141,6 +153,7 @@
             slow = book.slow(now)
             full = book.refusing(now)
             loads = book.loads_to_tell(now)
+            back = book.lately_back(now)
         snapshot = self.view.snapshot
         read_at = min(snapshot.table_at, snapshot.endpoints_at)
         followers = self.peers.followers
@@ -166,6 +179,7 @@
             link=own.link,
             reads=own.reads,
             loads=loads,
+            back=back,
         )
 
     def _send(self):
@@ -280,6 +294,7 @@
                 told.full,
             )
             self.view.book.take_loads(told.loads, now)
+            self.view.book.take_back(told.back, now)
         self.peers.heard(
             told.router,
             f'{source[0]}:{source[1]}',
--- a/packages/policy/ibisring_policy/gateway/loadbook.py
+++ b/packages/policy/ibisring_policy/gateway/loadbook.py
@@ -35,6 +35,10 @@
 # believed by a router that has heard from the engine since.
 DEAD_NEWS = 1.0
 TRUST_OWN = 0.1
+# Seconds after which a router that was told of a lost engine asks that engine
+# itself, if nobody has told by then that it is back.  Those that found it lost
+# ask sooner; all of 195 asking made most of a bad day's status questions.
+TOLD_ASKS_AFTER = 4.0
 # An engine's own word that it is slow counts for so many seconds; it is asked
 # again after a part of that.
 SLOW_FOR = 2.5
@@ -67,6 +71,8 @@
     dead: bool = False
     dead_at: float = -1e9
     dead_told: bool = False
+    back_at: float = -1e9
+    back_told: bool = False
     full_until: float = 0.0
     full_for: float = FULL_SECONDS
     full_told: bool = False
@@ -128,9 +134,31 @@
         belief = self.of(name)
         belief.alive_at = now
         if belief.dead:
-            belief.dead = False
-            belief.ejected_until = now
-            belief.eject_for = EJECT_FIRST
+            self._revive(belief, now, told=False)
+
+    def _revive(self, belief, now, told):
+        belief.dead = False
+        belief.back_at = now
+        belief.back_told = told
+        belief.ejected_until = now
+        belief.eject_for = EJECT_FIRST
+
+    def lately_back(self, now):
+        """Give the lost engines that have answered this router lately."""
+        return [
+            name
+            for name, belief in self.beliefs.items()
+            if now - belief.back_at < DEAD_NEWS
+            and not belief.back_told
+            and not belief.dead
+        ]
+
+    def take_back(self, names, now):
+        """Note lost engines that have answered another router."""
+        for name in names:
+            belief = self.beliefs.get(name)
+            if belief is not None and belief.dead:
+                self._revive(belief, now, told=True)
 
     def unreachable(self, name, now, told=False):
         """Note that an endpoint could not be reached, or went silent.
@@ -249,9 +277,11 @@
         found = []
         for name in names:
             belief = self.beliefs.get(name)
-            if belief is not None and belief.dead:
-                if belief.ejected_until <= now:
-                    found.append(name)
+            if belief is None or not belief.dead:
+                continue
+            waits = belief.dead_told and now - belief.dead_at < TOLD_ASKS_AFTER
+            if belief.ejected_until <= now and not waits:
+                found.append(name)
         return found
 
     def answered(self, name, failed, now):
@@ -354,9 +384,12 @@
         self.told[router] = now, told
         for name in dead:
             belief = self.beliefs.get(name)
-            if belief is not None and not belief.dead:
-                if now - belief.alive_at > TRUST_OWN:
-                    self.unreachable(name, now, told=True)
+            if belief is None or belief.dead:
+                continue
+            # Word of the loss may come after word of the return.
+            was_back = now - belief.back_at < DEAD_NEWS
+            if now - belief.alive_at > TRUST_OWN and not was_back:
+                self.unreachable(name, now, told=True)
 
     def others(self, now):
         """Give other routers' tokens times layers, by engine."""
--- a/packages/policy/ibisring_policy/gateway/tests/test_loadbook.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_loadbook.py
@@ -89,6 +89,34 @@
     assert not first.is_dead('x')
 
 
+def test_a_lost_engine_is_asked_by_those_that_found_it():
+    """Load: nine engines are away for three seconds before 195 routers.
+
+    Each router asked each of them four times, on connections of their own.
+    """
+    finder, others = loadbook.make_book(), loadbook.make_book()
+    others.of('x')
+    finder.unreachable('x', 10.0)
+    others.take_told('r1', {}, finder.lately_dead(10.1), 10.1)
+    assert finder.to_revive(['x'], 10.6) == ['x']
+    assert others.to_revive(['x'], 10.6) == []
+    finder.reached('x', 12.0)
+    others.take_back(finder.lately_back(12.1), 12.2)
+    assert not others.is_dead('x')
+    assert others.lately_back(12.2) == []
+    others.take_told('r3', {}, ['x'], 12.3)
+    assert not others.is_dead('x')
+
+
+def test_a_lost_engine_is_asked_though_its_finder_is_gone():
+    """Failure: nobody tells that an engine is back."""
+    book = loadbook.make_book()
+    book.of('x')
+    book.take_told('r1', {}, ['x'], 10.0)
+    asks_at = 10.0 + loadbook.TOLD_ASKS_AFTER
+    assert book.to_revive(['x'], asks_at) == ['x']
+
+
 def test_what_is_reserved_is_given_back():
     book = loadbook.make_book()
     stages = [
