--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -106,6 +106,11 @@
         Takes `directory.Learnt` messages.
     sock : socket.socket
         Bound, for datagrams.
+
+    Attributes
+    ----------
+    bytes_told, bytes_heard : int
+        In datagrams, without their headers.
     """
 
     def __init__(self, settings, view, peers, tell, sock):
@@ -114,6 +119,8 @@
         self.peers = peers
         self.tell = tell
         self.rng = random.Random()
+        self.bytes_told = 0
+        self.bytes_heard = 0
         self.pace = telling.make_pace()
         self.urgent = telling.make_pace()
         self.rounds = telling.make_rounds(self.rng)
@@ -218,6 +225,7 @@
         for row in rows:
             host, _, port = row.address.rpartition(':')
             self.socket.sendto(data, (host, int(port)))
+            self.bytes_told += len(data)
 
     def tell_changes(self, page, before, is_table):
         """Tell the routers of this domain what has just been read.
@@ -264,6 +272,7 @@
         while not self.stopped.is_set():
             try:
                 data, source = self.socket.recvfrom(MOST_BYTES + 1)
+                self.bytes_heard += len(data)
                 told = msgspec.msgpack.decode(data, type=Told)
             except OSError as error:
                 LOG.debug('gossip not received: %s', error)
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -185,7 +185,11 @@
 
     def serve_metrics(self, call):
         """Give counters and quantiles as text."""
-        self.metrics.counters['log_lines_dropped'] = self.log_writer.dropped
+        counters = self.metrics.counters
+        counters['log_lines_dropped'] = self.log_writer.dropped
+        counters['gossip_bytes_told'] = self.gossip.bytes_told
+        counters['gossip_bytes_heard'] = self.gossip.bytes_heard
+        counters['routers_running'] = self.peers.running(time.monotonic())
         body = self.metrics.text().encode()
         call.answer(200, [('Content-Type', 'text/plain')], body)
 
