A router that lost the store calls it again

Cause: what follows a failed call was decided under the followers' lock, and asked there for the router's place, which by now depends on how the router stands with the store, read under the same lock: the thread waited for itself, and all others of the router that take the lock. In virtual time the answer was known without the lock, since messages are handled at once there.

Change: the place is asked for before the lock is taken. The test hung before.

--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -311,8 +311,9 @@
 
     def failed(self, name):
         """Note a call without an answer, and end what may hang as well."""
+        fleet = self.fleet()
         with self.lock:
-            ended = self.polling.failed(name, self.clock(), self.fleet())
+            ended = self.polling.failed(name, self.clock(), fleet)
         self._end(ended)
 
     def trouble(self):
--- a/packages/gateway/ibisring_gateway/tests/test_following.py
+++ b/packages/gateway/ibisring_gateway/tests/test_following.py
@@ -1,5 +1,7 @@
 """Tests of following a source that fails."""
 
+import threading
+
 from ibisring_gateway import directory
 from ibisring_gateway import following
 from ibisring_gateway import ports
@@ -100,3 +102,26 @@
     table._follow()
     table._follow()
     assert table.source.asked[-1] == 'all' and len(told) == 2
+
+
+def test_what_decides_may_ask_how_the_router_stands():
+    """Symptom: a router that lost the store once never calls it again.
+
+    Sequence: a call fails; its follower notes that under the lock, and asks
+    for this router's place, which depends on how it stands with the store.
+    Cause: how it stands is read under the same lock.
+    """
+    followers, _ = _followers()
+
+    def fleet():
+        followers.standing(False)
+        return polling.Fleet()
+
+    followers.fleet = fleet
+    table = followers.members['table']
+    table.step()
+    table.source.errors = [_lost()]
+    thread = threading.Thread(target=table._follow, daemon=True)
+    thread.start()
+    thread.join(5.0)
+    assert not thread.is_alive()
