--- a/packages/gateway/ibisring_gateway/tests/schedules.py
+++ b/packages/gateway/ibisring_gateway/tests/schedules.py
@@ -1,6 +1,6 @@
 """What goes wrong in a run in virtual time, and when."""
 
-__all__ = ['Trouble', 'Change', 'Schedule', 'draw']
+__all__ = ['Trouble', 'Change', 'Schedule', 'draw', 'draw_large']
 
 import random
 
@@ -88,3 +88,35 @@
     ]
     changes.sort(key=lambda change: change.at)
     return Schedule(routers, tuple(changes), tuple(troubles), seed)
+
+
+def draw_large(seed, least=9, most=24, domains=3):
+    """Draw a schedule for more routers than read the store.
+
+    Trouble of some routers strikes a few, a tenth or a third of them; half of
+    the time those of one failure domain whose names come first, which read.
+    """
+    schedule = draw(seed)
+    rng = random.Random(seed + 1)
+    routers = rng.randint(least, most)
+    troubles = []
+    for trouble in schedule.troubles:
+        if trouble.who:
+            who = _some(rng, routers, domains)
+            trouble = msgspec.structs.replace(trouble, who=who)
+        troubles.append(trouble)
+    return msgspec.structs.replace(
+        schedule,
+        routers=routers,
+        troubles=tuple(troubles),
+        domains=domains,
+    )
+
+
+def _some(rng, routers, domains):
+    count = rng.choice((1, 2, max(2, routers // 10), max(2, routers // 3)))
+    if rng.random() < 0.5:
+        return tuple(rng.sample(range(routers), count))
+    domain = rng.randrange(domains)
+    names = sorted(range(domain, routers, domains), key=str)
+    return tuple(names[:count])
--- a/packages/gateway/ibisring_gateway/tests/test_large_fleets.py
+++ b/packages/gateway/ibisring_gateway/tests/test_large_fleets.py
@@ -17,6 +17,8 @@
 Trouble = schedules.Trouble
 
 SIZES = (6, 30, 88, 195)
+# Seeds drawn in each run of the tests; some hundreds are run by hand.
+SEEDS = 12
 # Seconds after its end within which a router counts as gone.
 GONE_WITHIN = 5.0
 # Share of the routers by which the number that counts as running may be off.
@@ -176,3 +178,10 @@
     _run(fleet, 16.0)
     fleet.scheduler.kill()
     assert fleet.store.calls <= calm.store.calls + 30
+
+
+@pytest.mark.parametrize('seed', range(SEEDS))
+def test_drawn_schedules(seed):
+    schedule = schedules.draw_large(seed)
+    violations, _ = virtualfleet.play(schedule)
+    assert not violations, schedule
