Who runs, and what they know, is a decision of its own

Cause: gossip's sender, the list of routers, the role and the counts stood in one class of 460 lines that could be tested only through it; and a router that leaves reading to others told that it follows the store, so that with the store away nobody would have ordered engines while one such router was heard. Change: policy/gateway/hearing, pure, with what the peers had; word of the store counts from those that have seen it themselves (a test of its own).

--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -13,6 +13,7 @@
 from ibisring_gateway import changes as changes_module
 from ibisring_gateway import directory
 from ibisring_gateway import peers as peers_module
+from ibisring_policy.gateway import hearing
 from ibisring_policy.gateway import ordering
 from ibisring_policy.gateway import sharing
 from ibisring_policy.gateway import telling
@@ -179,7 +180,7 @@
             domain=self.settings.failure_domain,
             lost_ms=self._lost_ms(now),
             standing=own.standing,
-            counts=self.peers.counts_to_tell(now),
+            counts=self.peers.hearing.counts_to_tell(now),
             position=followers.position(ENDPOINTS),
             table_position=followers.position(TABLE),
             age_ms=int((now - read_at) * SECOND_MS),
@@ -304,18 +305,7 @@
             )
             self.view.book.take_loads(told.loads, now)
             self.view.book.take_back(told.back, now)
-        self.peers.heard(
-            told.router,
-            f'{source[0]}:{source[1]}',
-            told.domain,
-            told.touch,
-            now,
-            told.lost_ms,
-            sharing.Neighbour(
-                told.router, told.standing, told.link, told.reads
-            ),
-            told.counts,
-        )
+        self._hear(told, f'{source[0]}:{source[1]}', now)
         if told.changes:
             self._take_changes(told)
         elif told.standing is sharing.Standing.SERVED:
@@ -330,6 +320,20 @@
             versions = {TABLE: told.table, ENDPOINTS: told.changed}
             self.peers.behind(told.router, now, versions)
 
+    def _hear(self, told, address, now):
+        """Note that a router runs, and what it says of the fleet."""
+        heard = hearing.Heard(
+            name=told.router,
+            domain=told.domain,
+            at=now,
+            touch=told.touch,
+            neighbour=sharing.Neighbour(
+                told.router, told.standing, told.link, told.reads
+            ),
+        )
+        self.peers.heard(heard, address, told.lost_ms)
+        self.peers.hearing.take_counts(told.counts, told.domain, now)
+
     def _take_changes(self, told):
         """Apply what a reader has just read, unless this router missed some.
 
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -3,7 +3,6 @@
 __all__ = ['State', 'Peers', 'make_peers']
 
 import logging
-import math
 import random
 import threading
 import time
@@ -13,6 +12,7 @@
 from ibisring_gateway import directory as directory_module
 from ibisring_gateway import ports
 from ibisring_policy.gateway import catchup
+from ibisring_policy.gateway import hearing
 from ibisring_policy.gateway import ordering
 from ibisring_policy.gateway import polling
 from ibisring_policy.gateway import sharing
@@ -35,18 +35,7 @@
 # themselves known.
 LIST_AGAIN = 3.0
 ALONE_AFTER = 12.0
-# Seconds for which a router counts as running after it was heard, and for
-# which the number that another domain tells counts.  A router tells those of
-# its own domain something five times in this, so that of datagrams of which a
-# third is lost at least one comes.
-HEARD_FOR = 4.4
-# Seconds after its start in which a router has not heard all of its domain.
-COUNTS_AFTER = 2.0
-# Seconds for which what a router knows of the store counts.
-HEARD_LATELY = 2.5
 TICK = 0.1
-# Of a domain of which nothing was told: when that was, and how many run.
-NEVER = (-math.inf, 0)
 
 
 class State(msgspec.Struct):
@@ -96,12 +85,9 @@
         self.stopped = threading.Event()
         self.list_at = 0.0
         self.written = False
-        self.heard_at = {}
-        self.touches = {}
-        self.neighbours = {}
-        self.counts = {}
-        self.first_hand = {}
-        self.begun_at = view.clock()
+        self.hearing = hearing.make_hearing(
+            settings.router_id, settings.failure_domain, view.clock()
+        )
         self.current_role = sharing.Role.TOLD
         self.catchup = catchup.make_catchup()
         self.thread = threading.Thread(target=self.run, daemon=True)
@@ -132,60 +118,27 @@
             table_position=self.followers.position(TABLE),
         )
 
-    def heard(
-        self,
-        name,
-        address,
-        domain,
-        touch,
-        now,
-        lost_ms=None,
-        neighbour=None,
-        counts=None,
-    ):
+    def heard(self, heard, address, lost_ms=None):
         """Note a datagram of another router.
 
         Parameters
         ----------
-        name, address, domain : str
-        touch : ordering.StoreTouch
-            What it knows of the store.
-        now : float
+        heard : hearing.Heard
+        address : str
         lost_ms : int or None
             Milliseconds since it last lost the store, None if it never has.
-        neighbour : sharing.Neighbour or None
-            How it stands with the store itself.
-        counts : dict of str to (int, int), optional
-            By failure domain, how many routers run and how many milliseconds
-            ago one of them said so.
         """
-        before = self.touches.get(name)
-        self.heard_at[name] = now
-        self.touches[name] = touch
-        if neighbour is not None:
-            self.neighbours[name] = neighbour
-        self._take_counts(counts or {}, domain, now)
+        before = self.hearing.take(heard)
         if lost_ms is not None:
-            self.followers.told_of_loss(now - lost_ms / SECOND_MS)
-        if before is LOST and touch is FOLLOWED:
+            self.followers.told_of_loss(heard.at - lost_ms / SECOND_MS)
+        was_lost = before is not None and before.touch is LOST
+        if was_lost and heard.touch is FOLLOWED:
             self.followers.returned()
-        row = self.known.get(name)
+        row = self.known.get(heard.name)
         if row is None or row.address != address:
-            self.known[name] = ports.RouterRow(name, address, domain, 0.0)
-
-    def _take_counts(self, counts, teller, now):
-        """Take the newest word of how many routers run in each domain.
-
-        Only what a router says of its own domain is passed on: each hop
-        makes word look younger by its delay, so that it would go round for
-        as long as there are routers.
-        """
-        for domain, (count, age_ms) in counts.items():
-            said_at = now - age_ms / SECOND_MS
-            if said_at > self.counts.get(domain, NEVER)[0]:
-                self.counts[domain] = said_at, count
-            if domain == teller:
-                self.first_hand[domain] = said_at, count
+            self.known[heard.name] = ports.RouterRow(
+                heard.name, address, heard.domain, 0.0
+            )
 
     def behind(self, name, now, versions=None):
         """Note that another router knows something newer."""
@@ -201,64 +154,7 @@
 
     def running(self, now):
         """Give how many routers seem to run, this one included."""
-        return sum(self._counts(now).values())
-
-    def counts_to_tell(self, now):
-        """Give how many routers run by domain, as `heard` takes it.
-
-        Returns
-        -------
-        dict of str to (int, int)
-        """
-        found = {
-            domain: (count, int((now - at) * SECOND_MS))
-            for domain, (at, count) in list(self.first_hand.items())
-            if now - at < HEARD_FOR
-        }
-        found.pop(self.settings.failure_domain, None)
-        if now - self.begun_at >= COUNTS_AFTER:
-            near = 1 + len(self._heard(now, near=True))
-            found[self.settings.failure_domain] = near, 0
-        return found
-
-    def _counts(self, now):
-        """Give the running routers by failure domain.
-
-        Of the other domains either some router has told the number, or only
-        those that were heard are known.
-        """
-        counts = {self.settings.failure_domain: 1}
-        for name in self._heard(now):
-            domain = self.known[name].domain
-            counts[domain] = counts.get(domain, 0) + 1
-        for domain, (at, count) in list(self.counts.items()):
-            if domain != self.settings.failure_domain:
-                if now - at < HEARD_FOR:
-                    counts[domain] = count
-        return counts
-
-    def _heard(self, now, near=False, within=HEARD_FOR):
-        """Give the names of the other routers that were heard lately.
-
-        Parameters
-        ----------
-        now : float
-        near : bool
-            Only those of the own failure domain.
-        within : float
-            Seconds.
-        """
-        return [
-            name
-            for name, at in list(self.heard_at.items())
-            if now - at < within and (not near or self.is_near(name))
-        ]
-
-    def _neighbours(self, now):
-        """Give the routers of this domain that were heard lately."""
-        names = self._heard(now, near=True, within=sharing.SILENT_AFTER)
-        known = self.neighbours
-        return [known[name] for name in names if name in known]
+        return sum(self.hearing.counts(now).values())
 
     def own_standing(self):
         """Give how this router stands with the store, as others are told.
@@ -285,8 +181,9 @@
         return self.current_role
 
     def _judge_role(self, now):
-        found = sharing.role(self.own_standing(), self._neighbours(now))
-        if now - self.begun_at < sharing.LISTEN_FIRST:
+        neighbours = self.hearing.neighbours(now)
+        found = sharing.role(self.own_standing(), neighbours)
+        if now - self.hearing.begun_at < sharing.LISTEN_FIRST:
             found = sharing.Role.TOLD
         if found is not self.current_role:
             self.current_role = found
@@ -302,14 +199,15 @@
         polling.Fleet
         """
         now = self.view.clock()
-        counts = self._counts(now)
+        counts = self.hearing.counts(now)
         if self.current_role is sharing.Role.ASKS:
-            own = self.settings.router_id
-            before = sum(1 for name in self._heard(now) if name < own)
             running = sum(counts.values())
-            return polling.Fleet(running, min(before, running - 1), running)
-        rank = len(sharing.readers(self.own_standing(), self._neighbours(now)))
-        return sharing.place(self.settings.failure_domain, rank, counts)
+            rank = min(self.hearing.rank(now), running - 1)
+            return polling.Fleet(running, rank, running)
+        before = sharing.readers(
+            self.own_standing(), self.hearing.neighbours(now)
+        )
+        return sharing.place(self.settings.failure_domain, len(before), counts)
 
     def store_touches(self, now):
         """Give what the routers heard lately know of the store.
@@ -318,8 +216,7 @@
         -------
         dict of str to ordering.StoreTouch
         """
-        names = self._heard(now, within=HEARD_LATELY)
-        return {name: self.touches[name] for name in names}
+        return self.hearing.touches(now)
 
     def fleet(self, now):
         """Give how many routers there may be, this one included.
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -11,6 +11,7 @@
 from ibisring_gateway import settings as settings_module
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import catchup
+from ibisring_policy.gateway import hearing
 from ibisring_policy.gateway import ordering
 from ibisring_policy.gateway import polling
 from ibisring_policy.gateway import sharing
@@ -25,6 +26,15 @@
     return sharing.Role.READS
 
 
+def _hear(known, name, domain, touch, at, lost_ms=None, standing=None):
+    """Have a router hear another one."""
+    neighbour = sharing.Neighbour(name, standing) if standing else None
+    heard = hearing.Heard(
+        name=name, domain=domain, at=at, touch=touch, neighbour=neighbour
+    )
+    known.heard(heard, f'{name}:1', lost_ms)
+
+
 def _peers(view=None):
     settings = settings_module.Settings(
         router_id='r0',
@@ -49,15 +59,14 @@
     known = _peers()
     clock = builders.Clock()
     known.view.clock = clock
-    known.begun_at = 0.0
+    known.hearing.begun_at = 0.0
     served = sharing.Standing.SERVED
     for name, domain in (('q1', 'a'), ('r1', 'a'), ('s1', 'b'), ('t1', 'B')):
-        each = sharing.Neighbour(name, served)
-        known.heard(name, '10.0.0.1:1', domain, LOST, clock(), None, each)
+        _hear(known, name, domain, LOST, clock(), None, served)
     assert known.place() == polling.Fleet(4, 2, 5)
     for name in ('q1', 'r1'):
-        each = sharing.Neighbour(name, sharing.Standing.LOST)
-        known.heard(name, '10.0.0.1:1', 'a', LOST, clock(), None, each)
+        lost = sharing.Standing.LOST
+        _hear(known, name, 'a', LOST, clock(), None, lost)
     known._judge_role(clock())
     assert known.role() is sharing.Role.ASKS
     assert known.place() == polling.Fleet(5, 1, 5)
@@ -66,26 +75,6 @@
     assert known.place() == polling.Fleet(1, 0, 1)
 
 
-def test_a_number_that_was_told_is_not_told_on():
-    """Symptom: a domain of which nothing runs counts as running for good.
-
-    Sequence: its routers end at once; others tell each other how many there
-    were, and at each hop that seems a little later than it was.
-    Cause: what was heard at second hand was passed on.
-    """
-    known = _peers()
-    known.begun_at = -100.0
-    for domain in ('b', 'c'):
-        counts = {domain: (9, 0), 'd': (7, 100)}
-        known.heard('r1', 'r1:1', domain, LOST, 10.0, None, None, counts)
-    assert known.running(10.0) == 1 + 9 + 9 + 7
-    assert known.counts_to_tell(10.5) == {
-        'a': (1, 0),
-        'b': (9, 500),
-        'c': (9, 500),
-    }
-
-
 def test_what_others_say_of_the_store_is_passed_on():
     """Symptom: five of six routers hang on a store that one knows is lost.
 
@@ -99,7 +88,7 @@
     known.followers.returned = lambda: said.append('back')
     told = ((FOLLOWED, None), (LOST, 500), (FOLLOWED, 800))
     for touch, lost_ms in told:
-        known.heard('r1', '10.0.0.1:1', 'a', touch, 10.0, lost_ms)
+        _hear(known, 'r1', 'a', touch, 10.0, lost_ms)
     assert said == [9.5, 9.2, 'back']
 
 
@@ -134,7 +123,7 @@
     """
     known = _peers()
     for name, domain in (('far', 'b'), ('near', 'a'), ('away', 'c')):
-        known.heard(name, f'{name}:1', domain, LOST, 10.0)
+        _hear(known, name, domain, LOST, 10.0)
         known.behind(name, 10.0)
     assert known.catchup.ahead == 'near'
 
@@ -148,11 +137,11 @@
     """
     known = _peers()
     for number in range(1, count):
-        known.heard(f'r{number}', '10.0.0.1:1', 'a', LOST, 10.0)
+        _hear(known, f'r{number}', 'a', LOST, 10.0)
     assert len(known.store_touches(11.0)) == count - 1
-    assert known.store_touches(10.0 + peers.HEARD_FOR) == {}
+    assert known.store_touches(10.0 + hearing.HEARD_FOR) == {}
     if count == 6:
-        assert known.store_touches(10.0 + peers.HEARD_LATELY) == {}
+        assert known.store_touches(10.0 + hearing.HEARD_LATELY) == {}
 
 
 def test_holdings_that_engines_told_another_router_are_taken():
