A call under way from before does not hang when the readers lost the store

Cause, read off the code: only a call that begins was made short, so a router that had just left reading to others, with a call that waits up to nine seconds, would have learnt of a return with the end of that call. Change: the change to asking ends calls that wait. The test failed before.

--- a/packages/gateway/ibisring_gateway/following.py
+++ b/packages/gateway/ibisring_gateway/following.py
@@ -158,7 +158,6 @@
         self.clock = clock
         self.publish = _to_nobody
         self.wanted = set()
-        self.last_role = None
         self.members = {}
         self.polling = polling_module.make_polling((), random.random)
         self.lock = threading.Lock()
@@ -192,18 +191,10 @@
         role = self.role()
         now = self.clock()
         with self.lock:
-            if self._readers_lost_it(role):
-                self.polling.told_of_loss(now)
             if self._is_left_to_others(name, role, now):
                 return LOOK_AGAIN
             return self.polling.delay(name, now)
 
-    def _readers_lost_it(self, role):
-        """Say whether those that read for this router have just lost it."""
-        before = self.last_role
-        self.last_role = role
-        return role is sharing.Role.ASKS and before is sharing.Role.TOLD
-
     def _is_left_to_others(self, name, role, now):
         if role is not sharing.Role.TOLD or name in self.wanted:
             return False
@@ -224,9 +215,18 @@
         with self.lock:
             follower.advance(position, changed)
 
-    def go_on(self):
-        """Call the store now if nothing speaks against it."""
-        self._wake(self.members)
+    def role_changed(self, role):
+        """Note what this router does about the store from now on.
+
+        Where its readers have lost the store, a call that this router still
+        has under way from before may hang for as long as it may wait.
+        """
+        if role is sharing.Role.ASKS:
+            with self.lock:
+                ended = self.polling.told_of_loss(self.clock())
+            self._end(ended)
+        if role is not sharing.Role.TOLD:
+            self._wake(self.members)
 
     def read_now(self, names):
         """Have tables read once although others read them."""
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -188,8 +188,7 @@
         if found is not self.current_role:
             self.current_role = found
             logs.event(LOG, 'store_role', role=found.name.lower())
-            if found is not sharing.Role.TOLD:
-                self.followers.go_on()
+            self.followers.role_changed(found)
 
     def place(self):
         """Give this router's place among those that call the store.
--- a/packages/gateway/ibisring_gateway/tests/test_following.py
+++ b/packages/gateway/ibisring_gateway/tests/test_following.py
@@ -125,3 +125,20 @@
     thread.start()
     thread.join(5.0)
     assert not thread.is_alive()
+
+
+def test_a_call_from_before_does_not_hang_when_the_readers_lost_the_store():
+    """Symptom: a router knows of the store's return nine seconds late.
+
+    Sequence: it leaves reading to others with a call under way; the store
+    falls silent; its readers say so.
+    Cause: only a call that begins was made short.
+    """
+    followers, _ = _followers()
+    for follower in followers.members.values():
+        follower.step()
+    followers.wait('table')
+    followers.clock.now += 1.0
+    followers.role_changed(sharing.Role.ASKS)
+    assert [f.source.ended for f in followers.members.values()] == [1, 0]
+    assert followers.wait('endpoints') == 0.0
