Routers tell how far what is in force goes, not how far they have read

Cause, found while reading the change once more: a reader's datagram took the store's version up to which it had read from its follower, and the last change from its directory, which applies what was read a moment later. A datagram in between says that nothing has changed up to a version that holds a change; a router that hears it first leaves the change out when it is told, and nothing shows it later: an endpoint that has left would get requests for good. Each change leaves some milliseconds for it, on each router that reads.

The test failed before.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -39,12 +39,14 @@
 class Confirmed(msgspec.Struct):
     """A router that reads the store says that nothing newer is there.
 
-    `table` is the routing table's version, `changed` the store's at which
-    endpoints last changed, `position` the one up to which it has read, `age`
-    the seconds since.
+    `table` is the routing table's version and `table_position` the store's up
+    to which it has read that, `changed` the store's at which endpoints last
+    changed and `position` the one up to which it has read these, `age` the
+    seconds since.
     """
 
     table: int
+    table_position: int
     changed: int
     position: int
     age: float
@@ -123,6 +125,8 @@
             self._replace(table_at=now - message.age)
             for table in message.items:
                 self._apply_table(table, message.origin)
+            known = max(self.view.snapshot.table_position, message.position)
+            self._replace(table_position=known)
             return
         self._apply_endpoints(message, now)
 
@@ -131,7 +135,10 @@
         before = self.view.snapshot
         read_at = self.view.clock() - message.age
         if message.table == before.version:
-            self._replace(table_at=max(before.table_at, read_at))
+            known = max(before.table_position, message.table_position)
+            self._replace(
+                table_at=max(before.table_at, read_at), table_position=known
+            )
         if message.changed <= before.position:
             self._replace(
                 endpoints_at=max(before.endpoints_at, read_at),
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -164,7 +164,6 @@
             back = book.lately_back(now)
         snapshot = self.view.snapshot
         read_at = min(snapshot.table_at, snapshot.endpoints_at)
-        followers = self.peers.followers
         own = self.peers.own_standing()
         return Told(
             self.settings.router_id,
@@ -181,8 +180,10 @@
             lost_ms=self._lost_ms(now),
             standing=own.standing,
             counts=self.peers.hearing.counts_to_tell(now),
-            position=followers.position(ENDPOINTS),
-            table_position=followers.position(TABLE),
+            # Not how far this router has read, which may not be in force
+            # yet: others would take what it has just read for known.
+            position=snapshot.position,
+            table_position=snapshot.table_position,
             age_ms=int((now - read_at) * SECOND_MS),
             link=own.link,
             reads=own.reads,
@@ -372,7 +373,13 @@
             followers.confirm(ENDPOINTS, told.position)
         age = told.age_ms / SECOND_MS
         self.tell(
-            directory.Confirmed(told.table, told.changed, told.position, age)
+            directory.Confirmed(
+                told.table,
+                told.table_position,
+                told.changed,
+                told.position,
+                age,
+            )
         )
 
 
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -115,7 +115,7 @@
             position=snapshot.position,
             table=table,
             endpoints=list(snapshot.endpoints.values()),
-            table_position=self.followers.position(TABLE),
+            table_position=snapshot.table_position,
         )
 
     def heard(self, heard, address, lost_ms=None):
@@ -336,6 +336,7 @@
                     True,
                     origin=origin,
                     is_table=True,
+                    position=state.table_position,
                     age=state.table_age,
                 )
             )
--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -2,7 +2,12 @@
 
 import msgspec
 
+from ibisring_gateway import following
 from ibisring_gateway import gossip
+from ibisring_gateway import peers
+from ibisring_gateway import settings as settings_module
+from ibisring_gateway.tests import builders
+from ibisring_policy.gateway import polling
 from ibisring_policy.gateway import sharing
 
 
@@ -38,3 +43,43 @@
     neighbour = sharing.Neighbour(told.router, told.standing, told.link)
     own = sharing.Neighbour('b', sharing.Standing.SERVED)
     assert sharing.role(own, [neighbour] * 3) is sharing.Role.READS
+
+
+def _gossip(view):
+    """Give a router's gossip that sends nothing, and what it heard."""
+    settings = settings_module.Settings(
+        router_id='r0',
+        failure_domain='a',
+        host='127.0.0.1',
+        caller_listen='127.0.0.1:1',
+        ready_listen='127.0.0.1:2',
+        store='127.0.0.1:3',
+        peer_port=0,
+    )
+    followers = following.make_followers(
+        polling.Fleet, lambda: sharing.Role.READS
+    )
+    for name in (peers.TABLE, peers.ENDPOINTS):
+        followers.add(name, None, name == peers.TABLE, [].append)
+    known = peers.make_peers(
+        settings, view, builders.Leases(), [].append, followers
+    )
+    return gossip.Gossip(settings, view, known, [].append, None)
+
+
+def test_what_is_not_in_force_yet_is_not_told_as_known():
+    """Symptom: one router sends to an endpoint that has left, for good.
+
+    Sequence: a reader has read a change that its directory has yet to apply,
+    and tells how far it has read beside what was in force before; another
+    router takes nothing to have changed up to there, and leaves out the
+    change when it is told.
+    Cause: versions of what was read and of what is in force in one datagram.
+    """
+    view = builders.view_of([])
+    teller = _gossip(view)
+    for follower in teller.peers.followers.members.values():
+        follower.position = view.snapshot.position + 100
+    told = teller._told(view.clock())
+    assert told.position == view.snapshot.position
+    assert told.table_position == view.snapshot.table_position
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -23,9 +23,9 @@
 
     `index` is a `routetable.Index` or None before a table was read;
     `position` is the store's version that the endpoints are of, `changed` the
-    one at which they last changed, `known_since` when endpoints were first
-    read; `store_lost_at` is None while the store
-    answers.  Times are monotonic.
+    one at which they last changed, `table_position` the one up to which the
+    table is known, `known_since` when endpoints were first read;
+    `store_lost_at` is None while the store answers.  Times are monotonic.
     """
 
     index: object = None
@@ -37,6 +37,7 @@
     known_since: float = 0.0
     position: int = 0
     changed: int = 0
+    table_position: int = 0
     store_lost_at: float | None = None
 
     @property
