Log lines say which attempts are the same request, and whether its endpoint ended

No line had anything that two attempts of one request share, so that a request which ends its endpoints could not be told from a bystander that is sent on with it. A digest of account, method, host, path and body now stands in request, attempt_ended and answer_lost; the last also says how long the attempt had run and whether the endpoint has ended: a closed port or a later start, asked where nothing had come of the answer.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -43,6 +43,7 @@
     count_routers : callable
         Gives how many routers share the bound on repeats.
     metrics : metrics.Metrics
+    prober : liveness.Prober
     """
 
     def __init__(
@@ -54,6 +55,7 @@
         window,
         count_routers,
         metrics,
+        prober,
     ):
         self.view = view
         self.codec = codec
@@ -63,7 +65,7 @@
         self.metrics = metrics
         self.selector = selecting.make_selector(view)
         self.sender = sending.make_sender(
-            view, codec, connections, self.selector
+            view, codec, connections, self.selector, prober
         )
         self.clock = view.clock
         self.rng = random.Random()
@@ -174,6 +176,7 @@
             'answered' if answer and answer.status < 400 else 'failed',
             job.started,
             status=answer.status if answer else None,
+            digest=job.digest.hex(),
             route=job.route.name,
             service=job.service.name,
             account=job.match.account,
@@ -212,6 +215,7 @@
                 LOG,
                 'attempt_ended',
                 id=job.request.id,
+                digest=job.digest.hex(),
                 chain=job.chain,
                 end=end.value,
                 next=step.value,
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -6,6 +6,7 @@
 
 from ibisring_gateway import events
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import identity
 from ibisring_records import routing
 
 
@@ -25,6 +26,8 @@
         Monotonic seconds at which its first byte was read.
     splitter : events.Splitter
     progress : attempts.Progress
+    digest : bytes
+        The same for each attempt of one request, see `identity`.
     avoid : set of str
         Endpoints that failed this request.
     first_at, last_at : float or None
@@ -41,6 +44,13 @@
         self.service = service
         self.started = started
         self.deadline = deadline
+        self.digest = identity.digest(
+            match.account,
+            request.method,
+            request.host,
+            request.target,
+            request.body,
+        )
         self.splitter = events.make_splitter(request.after_event)
         self.avoid = set()
         self.sent_to = []
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -17,6 +17,7 @@
 from ibisring_gateway import following
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossip
+from ibisring_gateway import liveness
 from ibisring_gateway import logwriter
 from ibisring_gateway import peers
 from ibisring_gateway import placing
@@ -73,6 +74,7 @@
             self.window,
             self._count_routers,
             self.metrics,
+            liveness.make_prober(installation.engines),
         )
         self.doctor = doctor.make_doctor(
             self.view,
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -16,6 +16,7 @@
 PATIENCE = 2.0
 # Bytes of a plain answer that are held until it is whole.
 HELD_WHOLE = 1 << 20
+SECOND_MS = 1000.0
 
 
 class Sender:
@@ -27,13 +28,15 @@
     codec : ports.Codec
     connections : upstream.Connections
     selector : selecting.Selector
+    prober : liveness.Prober
     """
 
-    def __init__(self, view, codec, connections, selector):
+    def __init__(self, view, codec, connections, selector, prober):
         self.view = view
         self.codec = codec
         self.connections = connections
         self.selector = selector
+        self.prober = prober
         self.clock = view.clock
 
     def send(self, job, attempt):
@@ -126,12 +129,26 @@
             LOG,
             'answer_lost',
             id=job.request.id,
+            digest=job.digest.hex(),
             endpoint=attempt.endpoint.id,
             end=attempt.end.value if attempt.end else None,
+            ended=self._has_ended(attempt),
+            ran_ms=round((self.clock() - attempt.sent_at) * SECOND_MS),
+            events=attempt.events,
             why=str(error),
         )
         return attempt.end or attempts.End.LOST
 
+    def _has_ended(self, attempt):
+        """Say whether the endpoint ended before it answered anything.
+
+        Not asked where this router ended the attempt, or where the endpoint
+        had begun to answer.
+        """
+        if attempt.end is not None or attempt.events:
+            return None
+        return self.prober.has_ended(attempt.endpoint)
+
     def _receive(self, job, attempt, conn, response):
         answer = self.codec.decode_answer(response.status, response.headers)
         name = attempt.endpoint.id
@@ -274,6 +291,6 @@
     return [h for h in headers if h[0].lower() != 'content-length']
 
 
-def make_sender(view, codec, connections, selector):
+def make_sender(view, codec, connections, selector, prober):
     """Make a `Sender`."""
-    return Sender(view, codec, connections, selector)
+    return Sender(view, codec, connections, selector, prober)
--- a/packages/gateway/ibisring_gateway/tests/test_forwarding.py
+++ b/packages/gateway/ibisring_gateway/tests/test_forwarding.py
@@ -33,7 +33,7 @@
 def _refuse(begun):
     view = builders.view_of([])
     forwarder = forwarding.make_forwarder(
-        view, _Codec(), None, None, None, lambda: 1, builders.Metrics()
+        view, _Codec(), None, None, None, lambda: 1, builders.Metrics(), None
     )
     exchange = _Exchange(begun)
     error = exceptions.Interrupted('the last attempt ended', 1.0)
@@ -68,7 +68,7 @@
     table = build.table(accounts=(routing.Account('acme', ('k1',)),))
     view = builders.view_of([], table, store_lost_at=10.0)
     forwarder = forwarding.make_forwarder(
-        view, _Codec(), None, None, None, lambda: 1, builders.Metrics()
+        view, _Codec(), None, None, None, lambda: 1, builders.Metrics(), None
     )
     request = types.SimpleNamespace(host='h.example', path='/a/x', key='k2')
     with pytest.raises(exceptions.Unauthorized):
--- a/packages/gateway/ibisring_gateway/tests/test_jobs.py
+++ b/packages/gateway/ibisring_gateway/tests/test_jobs.py
@@ -1,10 +1,10 @@
 """Tests of what a router says of a request that it served."""
 
-import types
-
 import pytest
 
 from ibisring_gateway import jobs
+from ibisring_gateway import ports
+from ibisring_policy.gateway import routetable
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
 
@@ -13,8 +13,10 @@
     route = build.route(
         kind=routing.Kind.STREAM, objective=0.5, longest_pause=0.2, **changes
     )
-    request = types.SimpleNamespace(after_event=None)
-    match = types.SimpleNamespace(route=route)
+    request = ports.CallerRequest(
+        id='a1', method='POST', host='h.example', target='/a/x', headers={}
+    )
+    match = routetable.Match(route, 'acme', 0)
     return jobs.Job(None, request, match, None, 10.0, 30.0)
 
 
