--- a/packages/soak/ibisring_soak/proxy.py
+++ b/packages/soak/ibisring_soak/proxy.py
@@ -70,6 +70,7 @@
         self.delay = 0.0
         self.refusing = False
         self.losing = set()
+        self.ended_port = None
         self.links = set()
         self.lock = threading.Lock()
         self.listener = socket.create_server(('127.0.0.1', 0), backlog=BACKLOG)
@@ -97,6 +98,21 @@
         self.refusing = False
         self.losing = set()
 
+    def end(self):
+        """Close the port and reset everything, as the end of a process."""
+        port = self.port
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        self.reset_all()
+        self.ended_port = port
+
+    def begin_again(self):
+        """Listen on the same port again."""
+        address = '127.0.0.1', self.ended_port
+        self.listener = socket.create_server(address, backlog=BACKLOG)
+        threading.Thread(target=self._accept, daemon=True).start()
+
     def stop(self):
         """Close everything."""
         self.listener.close()
@@ -108,9 +124,10 @@
             return list(self.links)
 
     def _accept(self):
+        listener = self.listener
         while True:
             try:
-                near, _ = self.listener.accept()
+                near, _ = listener.accept()
             except OSError as error:
                 LOG.debug('proxy ended: %s', error)
                 return
