A request that ends its endpoints is recognised, and sent on no more

What callers saw: one request ended first engine after first engine, 15 in a spell, and all streams through them broke off; it was sent on for as long as it came.

Cause: each attempt, and each router, judged by itself. Nothing knew that an attempt was the same request as one whose endpoint had ended, and a bystander was sent on beside it to the next endpoint.

Now a lost answer of which nothing had come, whose endpoint has closed its port or started anew, counts against the request's digest. Routers tell each other of such ends at once and pass them on. After one end the request runs apart, one attempt at a time, where few streams run; after two it waits for a step of its own after the last end, so that two which share an end do not share the next; after three it is refused at once with 503 for ten minutes, an attempt that may have run with 504. An answer clears it. One whose ends are all among those of another with more is a bystander.

Virtual fleet, a third of the datagrams lost: known to 99 in 100 of 3, 6, 88 and 195 routers within 1 s and to all within 3 s; also to one that starts and to one that was cut off, within 3 s of the end of that.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -43,7 +43,7 @@
     count_routers : callable
         Gives how many routers share the bound on repeats.
     metrics : metrics.Metrics
-    prober : liveness.Prober
+    screen : screening.Screen
     """
 
     def __init__(
@@ -55,7 +55,7 @@
         window,
         count_routers,
         metrics,
-        prober,
+        screen,
     ):
         self.view = view
         self.codec = codec
@@ -63,9 +63,10 @@
         self.window = window
         self.count_routers = count_routers
         self.metrics = metrics
+        self.screen = screen
         self.selector = selecting.make_selector(view)
         self.sender = sending.make_sender(
-            view, codec, connections, self.selector, prober
+            view, codec, connections, self.selector, screen
         )
         self.clock = view.clock
         self.rng = random.Random()
@@ -237,14 +238,21 @@
             job.answer = None
             return
         detail = f'the last attempt ended as {end.value}'
-        if step is attempts.Next.REFUSE:
-            raise exceptions.NoEndpoint(
-                detail, self.selector.retry_after(job.service)
+        if step is attempts.Next.REFUSE and end is attempts.End.SUSPECTED:
+            raise exceptions.EndsEndpoints(
+                'endpoints have ended under this request',
+                self.screen.retry_after(job),
+                digest=job.digest.hex(),
+                ends=self.screen.verdict(job).ends,
             )
+        retry_after = max(
+            self.selector.retry_after(job.service),
+            self.screen.retry_after(job),
+        )
+        if step is attempts.Next.REFUSE:
+            raise exceptions.NoEndpoint(detail, retry_after)
         if job.route.repeatable:
-            raise exceptions.Interrupted(
-                detail, self.selector.retry_after(job.service)
-            )
+            raise exceptions.Interrupted(detail, retry_after)
         raise exceptions.OutcomeUnknown(detail)
 
     def _attempt(self, job):
@@ -255,6 +263,8 @@
         attempts.End or None
             None once the caller has its final answer.
         """
+        if not self.screen.passes(job):
+            return attempts.End.SUSPECTED
         choice = self.selector.choose(job, self.clock())
         if choice is None and job.exchange.begun:
             choice = self._wait_for_choice(job)
@@ -274,12 +284,14 @@
         attempt.may_leave = self._may_leave(job, choice.endpoint)
         job.chain = _chain_text(choice.stages)
         self.selector.reserve(attempt)
+        self.screen.begin(job, attempt)
         self.watcher.add(job.exchange.socket, attempt)
         try:
             return self.sender.send(job, attempt)
         finally:
             self.watcher.remove(job.exchange.socket)
             self.selector.release(attempt)
+            self.screen.finish(job)
 
     def _may_leave(self, job, endpoint):
         """Whether another endpoint may get the request after this one."""
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -16,9 +16,11 @@
 from ibisring_policy.gateway import hearing
 from ibisring_policy.gateway import ordering
 from ibisring_policy.gateway import sharing
+from ibisring_policy.gateway import suspects as suspects_module
 from ibisring_policy.gateway import telling
 from ibisring_records import exceptions
 from ibisring_records import routing
+from ibisring_router import logs
 
 LOG = logging.getLogger(__name__)
 MOST_BYTES = 60000
@@ -49,7 +51,7 @@
     the older of both, `changes` packed `changes.Changes` just read.
     `loads` are the running and waiting requests of endpoints, as these told
     the router, and the milliseconds since, `back` lost engines that have
-    answered it.
+    answered it, `suspects` requests under which endpoints have ended.
     """
 
     router: str
@@ -74,6 +76,7 @@
     reads: bool = False
     loads: dict[str, tuple[int, int]] = {}
     back: list[str] = []
+    suspects: list[suspects_module.Word] = []
 
 
 # What others act upon at once; load and names of routers are not.
@@ -127,6 +130,7 @@
         self.rounds = telling.make_rounds(self.rng)
         peers.followers.publish = self.tell_changes
         self.stopped = threading.Event()
+        self.wake = threading.Event()
         self.socket = sock
         self.threads = [
             threading.Thread(target=each, daemon=True)
@@ -142,11 +146,18 @@
     def stop(self):
         """Let the threads end."""
         self.stopped.set()
+        self.wake.set()
         self.socket.close()
 
+    def hurry(self):
+        """Look at once whether there is something to tell."""
+        self.wake.set()
+
     def run(self):
         """Tell the others, when that is due, until stopped."""
-        while not self.stopped.wait(telling.TICK * self.rng.uniform(0.8, 1.2)):
+        while not self.stopped.is_set():
+            self.wake.wait(telling.TICK * self.rng.uniform(0.8, 1.2))
+            self.wake.clear()
             try:
                 self._send()
             except OSError as error:
@@ -162,6 +173,7 @@
             full = book.refusing(now)
             loads = book.loads_to_tell(now)
             back = book.lately_back(now)
+            suspects = self.view.suspects.to_tell(now, self.rng)
         snapshot = self.view.snapshot
         read_at = min(snapshot.table_at, snapshot.endpoints_at)
         own = self.peers.own_standing()
@@ -189,17 +201,21 @@
             reads=own.reads,
             loads=loads,
             back=back,
+            suspects=suspects,
         )
 
     def _send(self):
         now = self.view.clock()
         told = self._told(now)
         lost_at = self.peers.followers.lost_at
-        news = [getattr(told, name) for name in _NEWS] + [lost_at]
+        known = self.view.suspects
+        news = [getattr(told, name) for name in _NEWS]
+        news += [lost_at, known.changes]
         rows = {row.name: row for row in self.peers.others()}
         reach = min(1.0, telling.ALL_AT_ONCE / max(1, len(rows)))
         fullest = self.view.book.fullest
-        urgent = [getattr(told, name) for name in _URGENT] + [lost_at]
+        urgent = [getattr(told, name) for name in _URGENT]
+        urgent += [lost_at, known.found]
         is_urgent = self.urgent.is_fresh(now, urgent)
         if not self.pace.is_due(now, news, fullest, reach):
             return
@@ -258,6 +274,7 @@
         told = self._told(self.view.clock())
         told.tokens = {}
         told.loads = {}
+        told.suspects = []
         told.changes = packed
         try:
             self._send_to(near, told)
@@ -306,6 +323,7 @@
             )
             self.view.book.take_loads(told.loads, now)
             self.view.book.take_back(told.back, now)
+        self._take_suspects(told, now)
         self._hear(told, f'{source[0]}:{source[1]}', now)
         if told.changes:
             self._take_changes(told)
@@ -321,6 +339,20 @@
             versions = {TABLE: told.table, ENDPOINTS: told.changed}
             self.peers.behind(told.router, now, versions)
 
+    def _take_suspects(self, told, now):
+        known = self.view.suspects
+        with self.view.lock:
+            fresh = known.take(told.suspects, now)
+            ends = [known.verdict(digest, now).ends for digest in fresh]
+        for digest, count in zip(fresh, ends):
+            logs.event(
+                LOG,
+                'suspect',
+                digest=digest.hex(),
+                ends=count,
+                origin=f'router {told.router}',
+            )
+
     def _hear(self, told, address, now):
         """Note that a router runs, and what it says of the fleet."""
         heard = hearing.Heard(
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -28,6 +28,8 @@
     progress : attempts.Progress
     digest : bytes
         The same for each attempt of one request, see `identity`.
+    is_suspect : bool
+        Whether some endpoint may have ended under it.
     avoid : set of str
         Endpoints that failed this request.
     first_at, last_at : float or None
@@ -52,6 +54,7 @@
             request.body,
         )
         self.splitter = events.make_splitter(request.after_event)
+        self.is_suspect = False
         self.avoid = set()
         self.sent_to = []
         self.answer = None
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -21,6 +21,7 @@
 from ibisring_gateway import logwriter
 from ibisring_gateway import peers
 from ibisring_gateway import placing
+from ibisring_gateway import screening
 from ibisring_gateway import settings as settings_module
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
@@ -66,6 +67,11 @@
             settings.repeat_ratio * attempts.RATIO_SHARE,
             settings.repeat_slack * attempts.SLACK_SHARE,
         )
+        self.screen = screening.make_screen(
+            self.view,
+            liveness.make_prober(installation.engines),
+            self.metrics,
+        )
         self.forwarder = forwarding.make_forwarder(
             self.view,
             installation.codec,
@@ -74,7 +80,7 @@
             self.window,
             self._count_routers,
             self.metrics,
-            liveness.make_prober(installation.engines),
+            self.screen,
         )
         self.doctor = doctor.make_doctor(
             self.view,
@@ -138,6 +144,7 @@
         followers.add('endpoints', self.installation.endpoints, False, tell)
         self.parts = [followers.start(), self.peers.start()]
         self.gossip = gossip.make_gossip(settings, self.view, self.peers, tell)
+        self.screen.on_found = self.gossip.hurry
         self.parts.append(self.gossip.start())
         self.looking = periodic.start(LOOK_SECONDS, self._look_round)
         logs.event(LOG, 'started', router=settings.router_id)
@@ -191,6 +198,8 @@
         counters['log_lines_dropped'] = self.log_writer.dropped
         counters['gossip_bytes_told'] = self.gossip.bytes_told
         counters['gossip_bytes_heard'] = self.gossip.bytes_heard
+        with self.view.lock:
+            counters['suspects'] = len(self.view.suspects.by_digest)
         counters['routers_running'] = self.peers.running(time.monotonic())
         body = self.metrics.text().encode()
         call.answer(200, [('Content-Type', 'text/plain')], body)
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -2,6 +2,7 @@
 
 __all__ = ['Choice', 'Sending', 'Selector', 'make_selector']
 
+import math
 import random
 
 from ibisring_policy.gateway import chains
@@ -77,6 +78,8 @@
             left = [e for e in endpoints if e.id not in job.sent_to]
         if not left:
             return None
+        at_risk = self._at_risk(job)
+        left = [e for e in left if e.id not in at_risk] or left
         with self.view.lock:
             ranked = self.view.book.rank_plain(left, now, self.rng.random)
         return Choice(ranked[0])
@@ -91,7 +94,11 @@
         if job.progress.sent_to >= job.progress.most_endpoints:
             # No further endpoint may get the request, but these may again.
             heads = job.sent_to
-        stages = self._find(endpoints, model, now, demand, heads, job.avoid)
+        stages = self._apart(job, endpoints, now, demand, heads)
+        if stages is None:
+            stages = self._find(
+                endpoints, model, now, demand, heads, job.avoid
+            )
         if stages is None and job.avoid:
             # One that only lost an answer is better than none; those that
             # are believed lost or full are left out all the same.
@@ -104,6 +111,40 @@
             return None
         return Choice(endpoint, tuple(stages), demand.tokens)
 
+    def _at_risk(self, job):
+        """Give the endpoints that a suspect may be about to end."""
+        with self.view.lock:
+            return self.view.suspects.endpoints_at_risk(job.digest)
+
+    def _apart(self, job, endpoints, now, demand, heads):
+        """Choose a chain away from suspects, and for one where few run.
+
+        Returns
+        -------
+        list of chains.Stage or None
+            None if there is none, or no need for one.
+        """
+        at_risk = self._at_risk(job)
+        if not at_risk and not job.is_suspect:
+            return None
+        if job.is_suspect and heads is None:
+            heads = self._quiet_heads(endpoints, at_risk | job.avoid, now)
+        model = job.service.model
+        avoid = at_risk | job.avoid
+        return self._find(endpoints, model, now, demand, heads, avoid)
+
+    def _quiet_heads(self, endpoints, avoid, now):
+        """Give the half of the first engines that run the fewest streams."""
+        firsts = [
+            each.id
+            for each in endpoints
+            if each.holding and each.holding.first == 0
+            if each.id not in avoid
+        ]
+        with self.view.lock:
+            firsts.sort(key=lambda name: self.view.book.heads(name, now))
+        return firsts[: math.ceil(len(firsts) / 2)]
+
     def _demand(self, job):
         request = job.request
         tokens = chains.tokens_needed(
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -28,15 +28,15 @@
     codec : ports.Codec
     connections : upstream.Connections
     selector : selecting.Selector
-    prober : liveness.Prober
+    screen : screening.Screen
     """
 
-    def __init__(self, view, codec, connections, selector, prober):
+    def __init__(self, view, codec, connections, selector, screen):
         self.view = view
         self.codec = codec
         self.connections = connections
         self.selector = selector
-        self.prober = prober
+        self.screen = screen
         self.clock = view.clock
 
     def send(self, job, attempt):
@@ -119,6 +119,7 @@
     def _lost(self, job, attempt, error):
         """Sort a failure after the request was written."""
         job.progress.may_have_run = True
+        has_ended = self.screen.lost(job, attempt)
         if attempt.end is None or attempt.end is attempts.End.SILENT:
             job.avoid.add(attempt.endpoint.id)
             with self.view.lock:
@@ -132,23 +133,13 @@
             digest=job.digest.hex(),
             endpoint=attempt.endpoint.id,
             end=attempt.end.value if attempt.end else None,
-            ended=self._has_ended(attempt),
+            ended=has_ended,
             ran_ms=round((self.clock() - attempt.sent_at) * SECOND_MS),
             events=attempt.events,
             why=str(error),
         )
         return attempt.end or attempts.End.LOST
 
-    def _has_ended(self, attempt):
-        """Say whether the endpoint ended before it answered anything.
-
-        Not asked where this router ended the attempt, or where the endpoint
-        had begun to answer.
-        """
-        if attempt.end is not None or attempt.events:
-            return None
-        return self.prober.has_ended(attempt.endpoint)
-
     def _receive(self, job, attempt, conn, response):
         answer = self.codec.decode_answer(response.status, response.headers)
         name = attempt.endpoint.id
@@ -222,6 +213,7 @@
             return self._lost(job, attempt, 'broken off')
         if answer.length is not None and answer.length != size:
             return self._lost(job, attempt, 'short answer')
+        self.screen.answered(job)
         failed = answer.status >= 500
         with self.view.lock:
             self.view.book.answered(attempt.endpoint.id, failed, self.clock())
@@ -258,6 +250,8 @@
                 now = self.clock()
                 self.selector.event_came(attempt, now)
                 job.piece_came(now)
+                if attempt.events == 1:
+                    self.screen.answered(job)
                 if not exchange.begun:
                     exchange.begin(answer.status, _streamed(answer.headers))
                 exchange.write(whole)
@@ -291,6 +285,6 @@
     return [h for h in headers if h[0].lower() != 'content-length']
 
 
-def make_sender(view, codec, connections, selector, prober):
+def make_sender(view, codec, connections, selector, screen):
     """Make a `Sender`."""
-    return Sender(view, codec, connections, selector, prober)
+    return Sender(view, codec, connections, selector, screen)
--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -9,6 +9,7 @@
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import polling
 from ibisring_policy.gateway import sharing
+from ibisring_policy.gateway import suspects
 
 
 class _Older(msgspec.Struct, array_like=True):
@@ -29,11 +30,21 @@
 
 
 def test_an_older_release_reads_what_a_newer_one_tells():
-    told = gossip.Told('r1', {'x': 5}, ['y'], 7, changes=b'abc', back=['z'])
+    suspect = suspects.Word(b'12345678', {1: 5})
+    told = gossip.Told(
+        'r1',
+        {'x': 5},
+        ['y'],
+        7,
+        changes=b'abc',
+        back=['z'],
+        suspects=[suspect],
+    )
     data = msgspec.msgpack.encode(told)
     older = msgspec.msgpack.decode(data, type=_Older)
     assert (older.router, older.tokens, older.dead) == ('r1', {'x': 5}, ['y'])
     assert older.changed == 7
+    assert msgspec.msgpack.decode(data, type=gossip.Told).suspects == [suspect]
 
 
 def test_an_older_release_reads_for_nobody():
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/tests/test_news_of_suspects.py
@@ -0,0 +1,77 @@
+"""How far evidence against a request reaches, by the routers' real code."""
+
+import pytest
+
+from ibisring_gateway.tests import schedules
+from ibisring_gateway.tests import virtualfleet
+from ibisring_gateway.tests import virtualtime
+
+Trouble = schedules.Trouble
+DIGEST = b'bad-one!'
+# Seconds within which all routers in contact act on what any has seen.
+CONTACT = 3.0
+
+
+def _fleet(routers, *troubles):
+    schedule = schedules.Schedule(
+        routers, (), troubles, domains=5 if routers > 100 else 3
+    )
+    fleet = virtualfleet.Fleet(schedule)
+    fleet.arrange()
+    return fleet
+
+
+def _run(fleet, until):
+    fleet.scheduler.run(virtualtime.START + until)
+
+
+def _end_three(fleet):
+    """Let three routers see an end each, at the same moment."""
+    numbers = [0, len(fleet.routers) // 2, len(fleet.routers) - 1]
+    for number in numbers:
+        router = fleet.routers[number]
+        now = fleet.scheduler.now
+        router.view.suspects.ended(DIGEST, f'e{number}', 1, now)
+        router.gossip.hurry()
+
+
+def _refusing(fleet, numbers=None):
+    now = fleet.scheduler.now
+    return [
+        number
+        for number, router in fleet.routers.items()
+        if numbers is None or number in numbers
+        if router.view.suspects.verdict(DIGEST, now).refused_until
+    ]
+
+
+@pytest.mark.parametrize('routers', (3, 6, 88, 195))
+def test_ends_seen_by_three_routers_are_known_to_all(routers):
+    """Failure: a bad request runs at routers that did not hear of its ends."""
+    third = tuple(range(routers))
+    fleet = _fleet(routers, Trouble('lossy', 0.0, 20.0, third))
+    _run(fleet, 7.0)
+    _end_three(fleet)
+    _run(fleet, 8.0)
+    assert len(_refusing(fleet)) >= 0.99 * routers
+    _run(fleet, 7.0 + CONTACT)
+    assert len(_refusing(fleet)) == routers
+    fleet.scheduler.kill()
+
+
+@pytest.mark.parametrize('routers', (6, 88))
+def test_a_router_that_starts_or_was_cut_off_is_told(routers):
+    """Failure: a bad request runs again where nobody saw its ends."""
+    cut, started = 2, 4
+    fleet = _fleet(
+        routers,
+        Trouble('cut', 6.0, 6.0, (cut,)),
+        Trouble('restart', 9.0, 2.0, (started,)),
+    )
+    _run(fleet, 7.0)
+    _end_three(fleet)
+    _run(fleet, 11.9)
+    assert _refusing(fleet, {cut}) == []
+    _run(fleet, 12.0 + CONTACT)
+    assert len(_refusing(fleet)) == routers
+    fleet.scheduler.kill()
--- a/packages/gateway/ibisring_gateway/tests/virtualfleet.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualfleet.py
@@ -146,6 +146,7 @@
             scheduler.spawn(self.settings.router_id, part.run)
         for part in (self.peers, self.gossip):
             part.stopped = virtualtime.Event(scheduler)
+            part.wake = virtualtime.Event(scheduler)
             part.rng = random.Random(fleet.rng.random())
             scheduler.spawn(self.settings.router_id, part.run)
         scheduler.spawn(self.settings.router_id, self._tick)
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -11,6 +11,7 @@
 
 from ibisring_policy.gateway import loadbook
 from ibisring_policy.gateway import ordering
+from ibisring_policy.gateway import suspects
 import msgspec
 
 # Seconds for which other routers are told what an engine said: of 83, each
@@ -52,7 +53,7 @@
     Attributes
     ----------
     lock : threading.Lock
-        Guards `book`.
+        Guards `book` and `suspects`.
     term : int
         The newest of the right to order that this router knows.
     lease_lost_at : float or None
@@ -68,6 +69,7 @@
         self.snapshot = Snapshot()
         self.lock = threading.Lock()
         self.book = loadbook.make_book()
+        self.suspects = suspects.make_suspects()
         self.term = 0
         self.lease_lost_at = None
         self.learnt = {}
--- a/packages/operator/ibisring_operator/tracing.py
+++ b/packages/operator/ibisring_operator/tracing.py
@@ -18,6 +18,7 @@
         'started',
         'store_lost',
         'store_regained',
+        'suspect',
         'table_in_force',
     )
 )
--- a/packages/policy/ibisring_policy/gateway/attempts.py
+++ b/packages/policy/ibisring_policy/gateway/attempts.py
@@ -16,7 +16,10 @@
 
 
 class End(enum.StrEnum):
-    """How an attempt ended, by what it says about the request."""
+    """How an attempt ended, by what it says about the request.
+
+    `SUSPECTED` is one that was not made: the request ends its endpoints.
+    """
 
     NOT_SENT = 'not_sent'
     REFUSED = 'refused'
@@ -26,6 +29,7 @@
     SILENT = 'silent'
     DEADLINE = 'deadline'
     CALLER_GONE = 'caller_gone'
+    SUSPECTED = 'suspected'
 
 
 class Next(enum.StrEnum):
@@ -93,7 +97,7 @@
     """
     if end is End.CALLER_GONE:
         return Next.DROP
-    if end is End.DEADLINE:
+    if end in (End.DEADLINE, End.SUSPECTED):
         return _give_up(progress)
     if progress.may_have_run and not progress.repeatable:
         return _give_up(progress)
--- a/packages/records/ibisring_records/exceptions.py
+++ b/packages/records/ibisring_records/exceptions.py
@@ -25,6 +25,7 @@
     'CallerGone',
     'EndpointRefused',
     'EndpointFailed',
+    'EndsEndpoints',
     'OutcomeUnknown',
     'Interrupted',
     'Conflict',
@@ -209,6 +210,18 @@
     remedy = 'look at the endpoint error; a repeat is a new run'
 
 
+class EndsEndpoints(IbisringError):
+    """Endpoints have ended under this request, so none gets it."""
+
+    code = 'ends_endpoints'
+    status = 503
+    outcome = Outcome.NOT_RUN
+    remedy = (
+        'change the request, or send it again after the time given, once what '
+        'the endpoints run has been mended'
+    )
+
+
 class OutcomeUnknown(IbisringError):
     """The request may have run and nobody can say."""
 
