The soak has a request that ends its endpoints, and a promise about it

A thread beside the callers asks for it each 0.4 s, with faults of all kinds; what has ended three endpoints may run three times more at routers that were left alone for 3 s.

--- a/packages/soak/ibisring_soak/__main__.py
+++ b/packages/soak/ibisring_soak/__main__.py
@@ -20,6 +20,9 @@
     routers: int = typer.Option(3, min=1, max=200),
     engines: int = typer.Option(8, min=4, max=200),
     callers: int = typer.Option(10, min=1, max=200),
+    poison: str = typer.Option(
+        '', help='Route (safe, once, stream) of a request that ends endpoints.'
+    ),
     folder: pathlib.Path = typer.Option(
         pathlib.Path('soak-runs'), help='For settings and logs, by seed.'
     ),
@@ -32,7 +35,7 @@
         place = folder / str(number)
         place.mkdir(parents=True, exist_ok=True)
         outcome = soaking.soak(
-            number, seconds, place, routers, engines, callers
+            number, seconds, place, routers, engines, callers, poison
         )
         failed += bool(outcome.violations)
         print(
--- a/packages/soak/ibisring_soak/poison.py
+++ b/packages/soak/ibisring_soak/poison.py
@@ -4,7 +4,7 @@
 and endpoints saw.
 """
 
-__all__ = ['Load', 'Seen', 'Call', 'play']
+__all__ = ['Load', 'Seen', 'Call', 'Ender', 'Attack', 'play']
 
 import concurrent.futures
 import http.client
@@ -14,10 +14,12 @@
 import time
 
 from ibisring_adapter.tests import running
+from ibisring_soak import records
 import msgspec
 
 LOG = logging.getLogger(__name__)
 BODY = b'ends what runs it'
+KEY = 'key-1'
 # A body that many callers ask for.
 POPULAR = b'asked often'
 POPULAR_EVERY = 2
@@ -94,30 +96,122 @@
         return len(served) / max(1, len(others))
 
 
-class _Play:
-    """Sends both kinds of requests at routers in turn."""
+class Ender:
+    """Ends endpoints that run the bad request, and starts them again.
 
-    def __init__(self, world, load):
+    Parameters
+    ----------
+    world : world.World
+
+    Attributes
+    ----------
+    ends : list of float
+        When one ended, in monotonic seconds.
+    """
+
+    def __init__(self, world):
         self.world = world
-        self.load = load
         self.ends = []
-        self.calls = []
-        self.numbers = itertools.count()
+        self.lock = threading.Lock()
+        self.down = set()
         world.site.poison = BODY
-        world.site.on_poison = self._end
+        world.site.on_poison = self.end
 
-    def _end(self, server):
+    def end(self, server):
         """End an endpoint's process, and start it again a little later."""
-        self.ends.append(time.monotonic())
-        link = self.world.proxies[server.name]
-        link.end()
-        timer = threading.Timer(BACK_AFTER, self._begin_again, (server, link))
+        with self.lock:
+            if server.name in self.down:
+                return
+            self.down.add(server.name)
+        now = time.monotonic()
+        self.ends.append(now)
+        struck = 'endpoints', now, now + BACK_AFTER
+        self.world.history.disturbed.append(struck)
+        self.world.proxies[server.name].end()
+        timer = threading.Timer(BACK_AFTER, self._begin_again, (server,))
         timer.daemon = True
         timer.start()
 
-    def _begin_again(self, server, link):
-        link.begin_again()
-        server.restart()
+    def _begin_again(self, server):
+        self.world.proxies[server.name].begin_again()
+        self.down.discard(server.name)
+        site = self.world.site
+        if server.name in site.engines or server.name in site.services:
+            server.restart()
+
+
+class Attack:
+    """A caller that asks for the bad request again and again.
+
+    Parameters
+    ----------
+    world : world.World
+    kind : str
+        Of the route that it uses.
+    """
+
+    def __init__(self, world, kind):
+        self.world = world
+        self.kind = kind
+        self.ender = Ender(world)
+        self.stopped = threading.Event()
+        self.threads = []
+        self.thread = threading.Thread(target=self._loop, daemon=True)
+
+    def start(self):
+        """Begin to ask."""
+        self.thread.start()
+
+    def stop(self):
+        """Ask no more, and note in the history what ended."""
+        self.stopped.set()
+        self.thread.join()
+        for thread in self.threads:
+            thread.join(timeout=10.0)
+        self.world.history.ends = sorted(self.ender.ends)
+
+    def _loop(self):
+        for number in itertools.count():
+            if self.stopped.wait(Load().poison_every):
+                return
+            routers = self.world.routers
+            router = routers[number % len(routers)]
+            thread = threading.Thread(
+                target=self._call, args=(f'bad{number}', router), daemon=True
+            )
+            thread.start()
+            self.threads.append(thread)
+
+    def _call(self, name, router):
+        call = records.Call(
+            id=name,
+            kind='bad',
+            router=router.name,
+            key=KEY,
+            sent_at=time.monotonic(),
+        )
+        self.world.history.calls.append(call)
+        sent = running.headers(name, Credential=KEY)
+        path = f'/{self.kind}/x'
+        try:
+            reply = running.fetch(
+                router.process.front, 'POST', path, sent, BODY
+            )
+            call.status = reply.status
+        except (OSError, http.client.HTTPException) as error:
+            LOG.debug('%s: %s', name, error)
+        call.ended_at = time.monotonic()
+
+
+class _Play:
+    """Sends both kinds of requests at routers in turn."""
+
+    def __init__(self, world, load):
+        self.world = world
+        self.load = load
+        self.ender = Ender(world)
+        self.calls = []
+        self.numbers = itertools.count()
 
     def run(self):
         """Send until the time is over, and give what was seen."""
@@ -133,7 +227,7 @@
                 due[which] += every
                 number = next(self.numbers)
                 pool.submit(self._call, number, self._body(which, number))
-        return Seen(self.ends, self.world.site.poison_runs, self.calls)
+        return Seen(self.ender.ends, self.world.site.poison_runs, self.calls)
 
     def _body(self, which, number):
         if which == 'poison':
@@ -145,7 +239,7 @@
     def _call(self, number, body):
         routers = self.world.routers
         port = routers[number % len(routers)].process.front
-        sent = running.headers(f'q{number}', Credential='key-1')
+        sent = running.headers(f'q{number}', Credential=KEY)
         at = time.monotonic()
         call = Call(at, body, 0, 0.0)
         try:
--- a/packages/soak/ibisring_soak/promises.py
+++ b/packages/soak/ibisring_soak/promises.py
@@ -14,6 +14,10 @@
 # share of them that must be.
 RECOVERS_WITHIN = 12.0
 SERVED_SHARE = 0.9
+# Ends of endpoints under one request after which it is known to be bad, and
+# how often it may run later than routers can know that.
+ENDS = 3
+MOST_LATE = 3
 # Beyond the grace time, for the operating system to reap a process.
 END_SLACK = 1.0
 
@@ -51,6 +55,7 @@
     found.extend(_added_routes(history))
     found.extend(_shutdowns(history))
     found.extend(_recovery(history))
+    found.extend(_bad_requests(history))
     found.extend(
         Violation('ends only when told to', '', each)
         for each in history.crashed
@@ -168,6 +173,35 @@
             yield Violation('an added route is followed', call.id, detail)
 
 
+def _bad_requests(history):
+    """What has ended three endpoints reaches no more of them."""
+    if len(history.ends) < ENDS:
+        return
+    since = history.ends[ENDS - 1] + IN_TOUCH
+    routers = {c.id: c.router for c in history.calls if c.kind == 'bad'}
+    late = [
+        run
+        for run in history.runs
+        if run.request in routers
+        and run.at > since
+        and not _has_just_come(history, routers[run.request], run.at)
+    ]
+    if len(late) > MOST_LATE:
+        detail = f'{len(late)} runs after {len(history.ends)} ends'
+        yield Violation('what ends endpoints runs no more', '', detail)
+
+
+def _has_just_come(history, router, now):
+    """Say whether a router was struck or started too short a time ago."""
+    own = (f'router {router}',)
+    if _is_disturbed(history, own, now - IN_TOUCH, now):
+        return True
+    return any(
+        name == router and at <= now <= at + seconds + IN_TOUCH + END_SLACK
+        for name, at, seconds in history.ended
+    )
+
+
 def _shutdowns(history):
     """A process that is told to end does so in time and cuts nothing."""
     for router, at, seconds in history.ended:
@@ -196,6 +230,7 @@
         call
         for call in history.calls
         if call.sent_at > since
+        and call.kind != 'bad'
         and not call.gave_up
         and call.key not in revoked
     ]
--- a/packages/soak/ibisring_soak/records.py
+++ b/packages/soak/ibisring_soak/records.py
@@ -63,7 +63,8 @@
     `disturbed` holds spans of seconds in which something other than planned
     work went wrong, by what it struck: 'router NAME', 'store', 'callers' or
     'endpoints'.  `ended` holds, for each termination, the router, the moment
-    of the signal, and the seconds until the process was gone.
+    of the signal, and the seconds until the process was gone; `ends` when
+    endpoints ended under the bad request.
     """
 
     calls: list[Call] = []
@@ -71,6 +72,7 @@
     notices: list[Notice] = []
     disturbed: list[tuple[str, float, float]] = []
     ended: list[tuple[str, float, float]] = []
+    ends: list[float] = []
     overloaded: list[str] = []
     crashed: list[str] = []
     calm_from: float = 0.0
--- a/packages/soak/ibisring_soak/soaking.py
+++ b/packages/soak/ibisring_soak/soaking.py
@@ -7,6 +7,7 @@
 
 from ibisring_soak import callers as callers_module
 from ibisring_soak import injecting
+from ibisring_soak import poison as poison_module
 from ibisring_soak import promises
 from ibisring_soak import schedule
 from ibisring_soak import world as world_module
@@ -27,7 +28,7 @@
     runs: int
 
 
-def soak(seed, seconds, folder, routers=3, engines=8, callers=10):
+def soak(seed, seconds, folder, routers=3, engines=8, callers=10, poison=''):
     """Run once.
 
     Parameters
@@ -39,6 +40,9 @@
     folder : pathlib.Path
         For settings and logs.
     routers, engines, callers : int
+    poison : str
+        Kind of a route on which a request comes that ends its endpoints, ''
+        for none.
 
     Returns
     -------
@@ -50,7 +54,13 @@
         world.start()
         threads = callers_module.make_callers(world, seed, callers)
         threads.start()
+        attack = None
+        if poison:
+            attack = poison_module.Attack(world, poison)
+            attack.start()
         injecting.make_injector(world).run(faults)
+        if attack is not None:
+            attack.stop()
         time.sleep(promises.RECOVERS_WITHIN + JUDGED)
         threads.stop()
         history = world.collect()
--- a/packages/soak/ibisring_soak/tests/test_promises.py
+++ b/packages/soak/ibisring_soak/tests/test_promises.py
@@ -10,7 +10,10 @@
 
 
 def _broken(calls=(), runs=(), **changes):
-    history = builders.history(calls, runs, **changes)
+    return _found(builders.history(calls, runs, **changes))
+
+
+def _found(history):
     return [each.promise for each in promises.check(history)]
 
 
@@ -121,3 +124,27 @@
     notices = [records.Notice('added', 'added-1', 10.0)]
     found = _broken([refused], notices=notices, disturbed=list(disturbed))
     assert found == broken
+
+
+def _bad_runs(count, **changes):
+    calls = [
+        builders.call(f'b{n}', kind='bad', status=503) for n in range(count)
+    ]
+    runs = [
+        builders.run(f'b{n}', at=114.0 + n, endpoint='p2')
+        for n in range(count)
+    ]
+    return builders.history(calls, runs, **changes)
+
+
+def test_what_ends_endpoints_again_and_again_is_noticed():
+    history = _bad_runs(4, ends=[108.0, 109.0, 110.0])
+    assert _found(history) == ['what ends endpoints runs no more']
+    assert _found(_bad_runs(3, ends=[108.0, 109.0, 110.0])) == []
+    assert _found(_bad_runs(4, ends=[108.0, 109.0])) == []
+
+
+def test_a_router_that_just_started_may_not_know_what_ends_endpoints():
+    ended = [('r1', 112.0, 3.0)]
+    history = _bad_runs(4, ends=[108.0, 109.0, 110.0], ended=ended)
+    assert _found(history) == []
--- a/packages/soak/ibisring_soak/tests/test_soak.py
+++ b/packages/soak/ibisring_soak/tests/test_soak.py
@@ -22,6 +22,12 @@
     assert outcome.calls > 100
 
 
+@pytest.mark.parametrize('kind', ('safe', 'stream'))
+def test_promises_hold_while_a_request_ends_endpoints(kind, tmp_path):
+    outcome = soaking.soak(2, 6.0, tmp_path, 3, poison=kind)
+    assert outcome.violations == []
+
+
 def test_faults_overlap_and_strike_everything():
     faults = schedule.make_schedule(5, 200.0)
     assert {fault.group for fault in faults} == set(schedule.KINDS)
