--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -183,6 +183,7 @@
             account=job.match.account,
             tries=job.progress.tries,
             endpoints=job.sent_to,
+            limit=answer.limit if answer else None,
             events=job.splitter.count,
             first_ms=_rounded_ms(job.first_seconds),
             longest_pause_ms=_rounded_ms(job.longest_pause),
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -244,6 +244,9 @@
     that another one has the address; `culprit` names the address of the
     stage that a refusal is about.  `signed` says that the endpoint vouches
     for the answer; `whole` that its end can be told from a lost connection.
+    `limit` is the rate in requests a second that the endpoint takes from all
+    routers together, None if it names none; `limit_damaged` that what it
+    names is no rate.
     """
 
     status: int
@@ -257,6 +260,8 @@
     length: int | None = None
     encoded: bool = False
     signed: bool = False
+    limit: float | None = None
+    limit_damaged: bool = False
 
 
 class Codec(abc.ABC):
