--- /dev/null
+++ b/packages/soak/ibisring_soak/limited.py
@@ -0,0 +1,141 @@
+"""Endpoints that name a limit, under more requests than that.
+
+Played on real gateway processes; gives what callers got and what reached the
+endpoints.
+"""
+
+__all__ = ['Load', 'Seen', 'Call', 'play', 'allowed', 'most_within']
+
+import concurrent.futures
+import http.client
+import itertools
+import logging
+import time
+
+from ibisring_adapter.tests import running
+import msgspec
+
+LOG = logging.getLogger(__name__)
+KEY = 'key-1'
+WORKERS = 48
+# Bound of what reaches an endpoint that names a limit: so many times what the
+# limit allows in so many seconds, and some requests more.
+WINDOW = 4.0
+MOST_TIMES = 1.5
+EXTRA = 5
+# Seconds after an endpoint first named its limit from which it is kept.
+CONTACT = 3.0
+
+
+def allowed(rate):
+    """Give how many requests may reach an endpoint within `WINDOW`."""
+    return MOST_TIMES * rate * WINDOW + EXTRA
+
+
+def most_within(times, seconds):
+    """Give the most times that lie within some seconds of each other.
+
+    Examples
+    --------
+    >>> most_within([0.0, 1.0, 1.5, 9.0], 1.0)
+    2
+    """
+    times = sorted(times)
+    most, first = 0, 0
+    for last, at in enumerate(times):
+        while times[first] < at - seconds:
+            first += 1
+        most = max(most, last - first + 1)
+    return most
+
+
+class Load(msgspec.Struct, frozen=True):
+    """`limits` are what endpoints name, by name, `rate` is a second's load."""
+
+    limits: dict[str, str]
+    kind: str = 'safe'
+    rate: float = 24.0
+    seconds: float = 12.0
+
+
+class Call(msgspec.Struct):
+    """A request and its answer; `at` is monotonic, both in seconds."""
+
+    at: float
+    status: int = 0
+    seconds: float = 0.0
+    retry_after: float | None = None
+
+
+class Seen(msgspec.Struct):
+    """What callers and endpoints saw; times are monotonic seconds."""
+
+    calls: list[Call]
+    runs: dict[str, list[float]]
+    since: float
+
+    def runs_of(self, name):
+        """Give what an endpoint ran since its limit has to be kept."""
+        return [at for at in self.runs[name] if at >= self.since]
+
+    def later_calls(self):
+        """Give the calls since then."""
+        return [call for call in self.calls if call.at >= self.since]
+
+    def seconds(self):
+        """Give for how long the limit had to be kept."""
+        return max(call.at for call in self.calls) - self.since
+
+
+class _Play:
+    def __init__(self, world, load):
+        self.world = world
+        self.load = load
+        self.calls = []
+
+    def run(self):
+        self.world.site.limits = dict(self.load.limits)
+        begun = time.monotonic()
+        with concurrent.futures.ThreadPoolExecutor(WORKERS) as pool:
+            for number in itertools.count():
+                due = begun + number / self.load.rate
+                if due > begun + self.load.seconds:
+                    break
+                time.sleep(max(0.0, due - time.monotonic()))
+                pool.submit(self._call, number)
+        site = self.world.site
+        servers = {**site.engines, **site.services}
+        runs = {name: list(each.ran_at) for name, each in servers.items()}
+        return Seen(self.calls, runs, begun + CONTACT)
+
+    def _call(self, number):
+        routers = self.world.routers
+        port = routers[number % len(routers)].process.front
+        sent = running.headers(f'q{number}', Credential=KEY)
+        body = b'body %d' % number
+        call = Call(time.monotonic())
+        try:
+            path = f'/{self.load.kind}/x'
+            reply = running.fetch(port, 'POST', path, sent, body)
+            call.status = reply.status if reply.whole else 0
+            retry_after = reply.headers.get('Retry-After')
+            call.retry_after = float(retry_after) if retry_after else None
+        except (OSError, http.client.HTTPException) as error:
+            LOG.debug('q%s: %s', number, error)
+        call.seconds = time.monotonic() - call.at
+        self.calls.append(call)
+
+
+def play(world, load):
+    """Play a load on a world that has started.
+
+    Parameters
+    ----------
+    world : world.World
+    load : Load
+
+    Returns
+    -------
+    Seen
+    """
+    return _Play(world, load).run()
