What an endpoint takes from all routers together is divided among them

What callers saw: nothing yet; an endpoint in need that named a limit of 1 request a second got as many as before, 13 in 4 s where 11 are allowed.

Cause: a bound of one endpoint for the whole fleet was kept by nobody. The header was passed on unread.

Now each router knows what endpoints name, from its own answers or told by others, and uses a part: the limit is divided among the failure domains that want the endpoint, and there among some of the routers that do, 1.5 for each request a second, since each may send one at once. A share that is new begins empty, and what is not used is not saved. Retries and streams that go on elsewhere count. Others take the rest; where there are none, a request waits for its turn for half of its objective at most, or is refused at once by rank and fair share, with a time of return that is spread.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -290,7 +290,9 @@
         self.connections.forget(usable)
         with self.view.lock:
             self.view.book.keep_only(usable)
+            self.view.limits.keep_only(usable)
             for endpoint in usable.values():
+                self.view.limits.started(endpoint.id, endpoint.started)
                 belief = self.view.book.of(endpoint.id)
                 if belief.started != endpoint.started:
                     belief.started = endpoint.started
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -250,6 +250,9 @@
             self.selector.retry_after(job.service),
             self.screen.retry_after(job),
         )
+        if job.limited:
+            limited = self.selector.limited_until(job, self.clock())
+            retry_after = max(retry_after, limited)
         if step is attempts.Next.REFUSE:
             raise exceptions.NoEndpoint(detail, retry_after)
         if job.route.repeatable:
@@ -272,12 +275,20 @@
         if choice is None and job.progress.tries:
             job.progress.tries = attempts.MOST_TRIES
             return attempts.End.NOT_SENT
+        if choice is None and job.limited:
+            raise exceptions.Overloaded(
+                'endpoints take no more requests for now',
+                self.selector.limited_until(job, self.clock()),
+                limited=sorted(job.limited),
+            )
         if choice is None:
             raise exceptions.Overloaded(
                 'no endpoint has room',
                 self.selector.retry_after(job.service),
                 layers=self.selector.shortages(job, self.clock()),
             )
+        if choice.wait:
+            time.sleep(choice.wait)
         attempt = watching.Attempt(
             job.request.id, choice.endpoint, choice.stages, job.deadline
         )
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -15,6 +15,7 @@
 from ibisring_gateway import peers as peers_module
 from ibisring_policy.gateway import hearing
 from ibisring_policy.gateway import ordering
+from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import sharing
 from ibisring_policy.gateway import suspects as suspects_module
 from ibisring_policy.gateway import telling
@@ -51,7 +52,8 @@
     the older of both, `changes` packed `changes.Changes` just read.
     `loads` are the running and waiting requests of endpoints, as these told
     the router, and the milliseconds since, `back` lost engines that have
-    answered it, `suspects` requests under which endpoints have ended.
+    answered it, `suspects` requests under which endpoints have ended,
+    `limits` the rates that endpoints take from all routers together.
     """
 
     router: str
@@ -77,6 +79,7 @@
     loads: dict[str, tuple[int, int]] = {}
     back: list[str] = []
     suspects: list[suspects_module.Word] = []
+    limits: dict[str, ratelimits.Word] = {}
 
 
 # What others act upon at once; load and names of routers are not.
@@ -174,6 +177,7 @@
             loads = book.loads_to_tell(now)
             back = book.lately_back(now)
             suspects = self.view.suspects.to_tell(now, self.rng)
+            limits = self.view.limits.to_tell(now)
         snapshot = self.view.snapshot
         read_at = min(snapshot.table_at, snapshot.endpoints_at)
         own = self.peers.own_standing()
@@ -202,20 +206,21 @@
             loads=loads,
             back=back,
             suspects=suspects,
+            limits=limits,
         )
 
     def _send(self):
         now = self.view.clock()
         told = self._told(now)
         lost_at = self.peers.followers.lost_at
-        known = self.view.suspects
+        known, limits = self.view.suspects, self.view.limits
         news = [getattr(told, name) for name in _NEWS]
-        news += [lost_at, known.changes]
+        news += [lost_at, known.changes, limits.changes, limits.wanted(now)]
         rows = {row.name: row for row in self.peers.others()}
         reach = min(1.0, telling.ALL_AT_ONCE / max(1, len(rows)))
         fullest = self.view.book.fullest
         urgent = [getattr(told, name) for name in _URGENT]
-        urgent += [lost_at, known.found]
+        urgent += [lost_at, known.found, limits.changes]
         is_urgent = self.urgent.is_fresh(now, urgent)
         if not self.pace.is_due(now, news, fullest, reach):
             return
@@ -275,6 +280,7 @@
         told.tokens = {}
         told.loads = {}
         told.suspects = []
+        told.limits = {}
         told.changes = packed
         try:
             self._send_to(near, told)
@@ -324,6 +330,7 @@
             self.view.book.take_loads(told.loads, now)
             self.view.book.take_back(told.back, now)
         self._take_suspects(told, now)
+        self._take_limits(told, now)
         self._hear(told, f'{source[0]}:{source[1]}', now)
         if told.changes:
             self._take_changes(told)
@@ -353,6 +360,26 @@
                 origin=f'router {told.router}',
             )
 
+    def _take_limits(self, told, now):
+        endpoints = self.view.snapshot.endpoints
+        starts = {
+            name: endpoints[name].started
+            for name in told.limits
+            if name in endpoints
+        }
+        with self.view.lock:
+            news = self.view.limits.take_told(
+                told.router, told.domain, told.limits, now, starts
+            )
+        for name in news:
+            logs.event(
+                LOG,
+                'endpoint_limit',
+                endpoint=name,
+                rate=told.limits[name].rate,
+                origin=f'router {told.router}',
+            )
+
     def _hear(self, told, address, now):
         """Note that a router runs, and what it says of the fleet."""
         heard = hearing.Heard(
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -32,6 +32,8 @@
         Whether some endpoint may have ended under it.
     avoid : set of str
         Endpoints that failed this request.
+    limited : set of str
+        Endpoints that it could not go to for their limits, when last tried.
     first_at, last_at : float or None
         When the first and the latest piece of its answer came.
     longest_pause : float
@@ -56,6 +58,7 @@
         self.splitter = events.make_splitter(request.after_event)
         self.is_suspect = False
         self.avoid = set()
+        self.limited = set()
         self.sent_to = []
         self.answer = None
         self.chain = ''
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -59,7 +59,9 @@
         self.settings = settings
         self.installation = installation
         self.metrics = metrics.make_metrics()
-        self.view = view_module.make_view(settings.failure_domain)
+        self.view = view_module.make_view(
+            settings.failure_domain, name=settings.router_id
+        )
         self.connections = upstream.make_connections()
         self.watcher = watching.make_watcher(self._on_silence)
         self.window = attempts.make_window(
@@ -145,6 +147,7 @@
         self.parts = [followers.start(), self.peers.start()]
         self.gossip = gossip.make_gossip(settings, self.view, self.peers, tell)
         self.screen.on_found = self.gossip.hurry
+        self.forwarder.sender.on_limit = self.gossip.hurry
         self.parts.append(self.gossip.start())
         self.looking = periodic.start(LOOK_SECONDS, self._look_round)
         logs.event(LOG, 'started', router=settings.router_id)
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -31,16 +31,26 @@
 STALLED = 1.0
 # Seconds a stream holds its memory, for a refusal's Retry-After.
 MEAN_STREAM = 3.5
+# Share of its objective that a request waits for its turn under an
+# endpoint's limit.
+MOST_TURN_WAIT = 0.5
+# Seconds within which a limit must leave room for a stream that is broken off
+# to go on there.
+SOON_FREE = 1.0
 # Seconds after which a plain service is worth another try.
 LEAST_RETRY = 0.1
 
 
 class Choice(msgspec.Struct):
-    """Where a request goes; `stages` is empty for a plain service."""
+    """Where a request goes; `stages` is empty for a plain service.
+
+    `wait` is the seconds until its turn under the endpoint's limit.
+    """
 
     endpoint: object
     stages: tuple = ()
     tokens: float = 0.0
+    wait: float = 0.0
 
 
 class Sending(msgspec.Struct, kw_only=True):
@@ -66,13 +76,64 @@
         self.rng = random.Random()
 
     def choose(self, job, now):
-        """Give a `Choice`, or None if nothing can take the request."""
+        """Give a `Choice`, or None if nothing can take the request.
+
+        Its turn under the endpoint's limit is taken with it.  An endpoint
+        that takes it later is chosen only where no other takes it now.
+        """
+        patience = MOST_TURN_WAIT * job.route.objective
+        for allowed in (0.0, patience):
+            job.limited = set()
+            choice = self._choose_within(job, now, allowed)
+            if choice is not None or not job.limited:
+                return choice
+        return None
+
+    def _choose_within(self, job, now, patience):
         endpoints = self.view.snapshot.by_service.get(job.service.name, ())
-        if job.service.model is None:
-            return self._plain(job, endpoints, now)
-        return self._chain(job, endpoints, now)
+        pick = self._plain if job.service.model is None else self._chain
+        while True:
+            choice = pick(job, endpoints, now)
+            if choice is None:
+                return None
+            wait = self._take_turn(job, choice.endpoint.id, now, patience)
+            if wait is not None:
+                choice.wait = wait
+                return choice
+            job.limited.add(choice.endpoint.id)
+
+    def _take_turn(self, job, name, now, patience):
+        """Take a request's turn at an endpoint.
+
+        Returns
+        -------
+        float or None
+            Seconds until then; None if there is none.
+        """
+        rank, account = job.match.priority, job.match.account
+        with self.view.lock:
+            limits = self.view.limits
+            if limits.rate(name) is None:
+                return 0.0
+            if limits.is_outranked(rank, account, now):
+                return None
+            wait = limits.take(name, now, patience)
+            if wait is not None:
+                limits.granted(rank, account, now)
+            return wait
+
+    def limited_until(self, job, now):
+        """Give the seconds after which limits may have room for a request.
+
+        It counts as refused, for those that come after it.
+        """
+        with self.view.lock:
+            limits = self.view.limits
+            limits.refused(job.match.priority, job.match.account, now)
+            return limits.retry_after(job.limited, now, self.rng.random())
 
     def _plain(self, job, endpoints, now):
+        endpoints = [e for e in endpoints if e.id not in job.limited]
         left = [e for e in endpoints if e.id not in job.avoid]
         if not left:
             left = [e for e in endpoints if e.id not in job.sent_to]
@@ -94,6 +155,8 @@
         if job.progress.sent_to >= job.progress.most_endpoints:
             # No further endpoint may get the request, but these may again.
             heads = job.sent_to
+        if job.limited:
+            heads = self._unlimited_heads(job, endpoints, heads)
         stages = self._apart(job, endpoints, now, demand, heads)
         if stages is None:
             stages = self._find(
@@ -133,6 +196,16 @@
         avoid = at_risk | job.avoid
         return self._find(endpoints, model, now, demand, heads, avoid)
 
+    def _unlimited_heads(self, job, endpoints, heads):
+        """Give the first engines whose limits leave room for a request."""
+        if heads is None:
+            heads = [
+                each.id
+                for each in endpoints
+                if each.holding and each.holding.first == 0
+            ]
+        return [name for name in heads if name not in job.limited]
+
     def _quiet_heads(self, endpoints, avoid, now):
         """Give the half of the first engines that run the fewest streams."""
         firsts = [
@@ -362,9 +435,18 @@
         demand = chains.Demand(
             attempt.tokens, self.view.domain, 0, model.layers, False
         )
-        found = chains.choose(holders, demand, model.layers, self._noise)
+        heads = self._soon_free(holders, now)
+        found = chains.choose(
+            holders, demand, model.layers, self._noise, heads
+        )
         return found is not None
 
+    def _soon_free(self, holders, now):
+        """Give the engines whose limits leave room soon."""
+        with self.view.lock:
+            wait = self.view.limits.wait
+            return [h.id for h in holders if wait(h.id, now) <= SOON_FREE]
+
 
 def make_selector(view):
     """Make a `Selector`."""
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -29,6 +29,11 @@
     connections : upstream.Connections
     selector : selecting.Selector
     screen : screening.Screen
+
+    Attributes
+    ----------
+    on_limit : callable
+        Called when an endpoint names another limit than before.
     """
 
     def __init__(self, view, codec, connections, selector, screen):
@@ -37,6 +42,7 @@
         self.connections = connections
         self.selector = selector
         self.screen = screen
+        self.on_limit = lambda: None
         self.clock = view.clock
 
     def send(self, job, attempt):
@@ -152,6 +158,7 @@
             self.view.book.reached(name, now)
             if answer.load is not None:
                 self.view.book.report(name, answer.load, now)
+        self._note_limit(attempt, answer, now)
         if answer.refused:
             response.drain_conn()
             conn.close()
@@ -177,6 +184,38 @@
             conn.close()
         return end
 
+    def _note_limit(self, attempt, answer, now):
+        """Note the limit that an endpoint names.
+
+        A refusal without one says nothing: what writes it may not be what
+        names limits.
+        """
+        endpoint = attempt.endpoint
+        if answer.limit_damaged:
+            logs.event(LOG, 'limit_unreadable', endpoint=endpoint.id)
+            return
+        if answer.wrong_endpoint or (answer.refused and answer.limit is None):
+            return
+        with self.view.lock:
+            limits = self.view.limits
+            before = limits.rate(endpoint.id)
+            is_news = limits.said(
+                endpoint.id,
+                endpoint.started,
+                answer.limit,
+                attempt.sent_at,
+                now,
+            )
+        if is_news:
+            logs.event(
+                LOG,
+                'endpoint_limit',
+                endpoint=endpoint.id,
+                rate=answer.limit,
+                before=before,
+            )
+            self.on_limit()
+
     def _refused(self, job, attempt, answer):
         """The endpoint, or a stage behind it, did not run the request."""
         culprit = self.selector.culprit(attempt, answer)
--- a/packages/gateway/ibisring_gateway/tests/test_news_of_suspects.py
+++ b/packages/gateway/ibisring_gateway/tests/test_spread.py
@@ -1,4 +1,4 @@
-"""How far evidence against a request reaches, by the routers' real code."""
+"""How far what one router found out reaches, by the routers' real code."""
 
 import pytest
 
@@ -75,3 +75,25 @@
     _run(fleet, 12.0 + CONTACT)
     assert len(_refusing(fleet)) == routers
     fleet.scheduler.kill()
+
+
+@pytest.mark.parametrize('routers', (3, 88, 195))
+def test_a_limit_named_to_one_router_is_known_to_all(routers):
+    """Failure: each router sends until an endpoint has told it itself."""
+    third = tuple(range(routers))
+    fleet = _fleet(routers, Trouble('lossy', 0.0, 20.0, third))
+    _run(fleet, 7.0)
+    router = fleet.routers[1]
+    now = fleet.scheduler.now
+    router.view.limits.said('e1', 1, 2.5, now, now)
+    router.gossip.hurry()
+    _run(fleet, 7.0 + CONTACT)
+    rates = {r.view.limits.rate('e1') for r in fleet.routers.values()}
+    assert rates == {2.5}
+    now = fleet.scheduler.now
+    router.view.limits.said('e1', 1, None, now, now)
+    router.gossip.hurry()
+    _run(fleet, 7.0 + 2 * CONTACT)
+    rates = {r.view.limits.rate('e1') for r in fleet.routers.values()}
+    assert rates == {None}
+    fleet.scheduler.kill()
--- a/packages/gateway/ibisring_gateway/tests/virtualfleet.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualfleet.py
@@ -114,7 +114,9 @@
             peer_port=7000,
         )
         domain = self.settings.failure_domain
-        self.view = view_module.make_view(domain, scheduler.clock)
+        self.view = view_module.make_view(
+            domain, scheduler.clock, self.settings.router_id
+        )
         self.directory = directory.Directory(
             self.view,
             builders.Metrics(),
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -11,6 +11,7 @@
 
 from ibisring_policy.gateway import loadbook
 from ibisring_policy.gateway import ordering
+from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import suspects
 import msgspec
 
@@ -53,7 +54,7 @@
     Attributes
     ----------
     lock : threading.Lock
-        Guards `book` and `suspects`.
+        Guards `book`, `suspects` and `limits`.
     term : int
         The newest of the right to order that this router knows.
     lease_lost_at : float or None
@@ -63,13 +64,14 @@
         start time, what they hold.
     """
 
-    def __init__(self, domain='', clock=time.monotonic):
+    def __init__(self, domain='', clock=time.monotonic, name=''):
         self.domain = domain
         self.clock = clock
         self.snapshot = Snapshot()
         self.lock = threading.Lock()
         self.book = loadbook.make_book()
         self.suspects = suspects.make_suspects()
+        self.limits = ratelimits.make_limits(name, domain)
         self.term = 0
         self.lease_lost_at = None
         self.learnt = {}
@@ -109,6 +111,6 @@
         return now.index is not None and now.endpoints_known
 
 
-def make_view(domain='', clock=time.monotonic):
+def make_view(domain='', clock=time.monotonic, name=''):
     """Make an empty `View` of a router in a failure domain."""
-    return View(domain, clock)
+    return View(domain, clock, name)
--- /dev/null
+++ b/packages/policy/ibisring_policy/gateway/ratelimits.py
@@ -0,0 +1,419 @@
+"""How much of an endpoint's limit this router may use.
+
+An endpoint in need names the rate of requests that it takes from all routers
+together.  It is divided among the failure domains that want it, and there
+among some of the routers that do, so few that each may send now and then.
+Nothing is agreed on: each router goes by what it has heard lately, and what
+the fleet sends while views differ is bounded by how little a share saves up.
+"""
+
+__all__ = ['Limits', 'Word', 'make_limits']
+
+import math
+import zlib
+
+import msgspec
+
+# Share of a limit that is divided: what is sent while a share changes hands
+# is taken from the rest.
+DIVIDED = 0.9
+# Routers that share a limit, for each request a second of it.  Each may send
+# one request at once, so that this also bounds how many come together.
+SHARERS = 1.5
+# Seconds for which a router counts as wanting an endpoint after it last did.
+WANTED_FOR = 6.0
+# An endpoint that names less than this, in requests a second, is asked that
+# often all the same: nobody would learn otherwise that it takes more again.
+LEAST_RATE = 0.1
+# Seconds of a share that is not used at once and may be sent together.
+SAVED = 0.1
+# Seconds within which refusals count towards a caller's time to return, and
+# bounds of that time.
+REFUSED_FOR = 2.0
+LEAST_RETRY = 0.1
+MOST_RETRY = 10.0
+# Seconds for which grants are kept to compare client accounts.
+GRANTS_FOR = 10.0
+# Limits that are known at most, and told at once.
+MOST_KNOWN = 500
+MOST_TOLD = 24
+SECOND_MS = 1000.0
+
+
+class Word(msgspec.Struct, array_like=True):
+    """What a router tells of a limit.
+
+    `rate` is what the endpoint named, None that it named none any more;
+    `age_ms` are milliseconds since the request was sent whose answer said so,
+    `started` the start of the endpoint, `wanted_ms` milliseconds since the
+    router last wanted it, and `domain_ms` since some router of its failure
+    domain did, None if that is too long.
+    """
+
+    rate: float | None
+    age_ms: int
+    started: int
+    wanted_ms: int | None = None
+    domain_ms: int | None = None
+
+
+class _Limit(msgspec.Struct):
+    """What is known of a limit; times are monotonic seconds.
+
+    `near` and `far` say when routers of the own failure domain, and other
+    failure domains, last wanted the endpoint.
+    """
+
+    rate: float | None
+    said_at: float
+    started: int
+    next_at: float = 0.0
+    share: float = 0.0
+    wanted_at: float = -1e9
+    changed_at: float = 0.0
+    near: dict[str, float] = {}
+    far: dict[str, float] = {}
+
+
+class _Grant(msgspec.Struct, frozen=True):
+    at: float
+    rank: int
+    account: str
+    granted: bool
+
+
+class Limits:
+    """Limits by endpoint id; the caller holds a lock around each call.
+
+    Parameters
+    ----------
+    name, domain : str
+        This router's name and failure domain.
+
+    Attributes
+    ----------
+    changes : int
+        Rises with each change of what some endpoint names.
+
+    Examples
+    --------
+    >>> limits = make_limits('r1', 'a')
+    >>> limits.said('e1', 0, 2.0, 10.0, 10.0)
+    True
+    >>> limits.wait('e1', 10.0) > 0.0
+    True
+    >>> limits.take('e1', 20.0, 0.0)
+    0.0
+    >>> limits.take('e1', 20.0, 0.0) is None
+    True
+    """
+
+    def __init__(self, name, domain):
+        self.name = name
+        self.domain = domain
+        self.by_endpoint = {}
+        self.changes = 0
+        self.refusals = []
+        self.grants = []
+
+    def said(self, endpoint, started, rate, sent_at, now):
+        """Note what an endpoint has named, or that it named nothing.
+
+        An answer says nothing against one to a request that was sent later:
+        it may have been under way for long.
+
+        Parameters
+        ----------
+        endpoint : str
+        started : int
+            Tells its lifetimes under one id apart.
+        rate : float or None
+            Requests a second.
+        sent_at, now : float
+
+        Returns
+        -------
+        bool
+            Whether that is new.
+        """
+        limit = self.by_endpoint.get(endpoint)
+        if limit is None:
+            if rate is None or len(self.by_endpoint) >= MOST_KNOWN:
+                return False
+            limit = _Limit(None, sent_at, started)
+            self.by_endpoint[endpoint] = limit
+        elif sent_at < limit.said_at:
+            return False
+        limit.said_at = sent_at
+        limit.started = started
+        if limit.rate == rate:
+            return False
+        limit.rate = rate
+        limit.changed_at = now
+        self.changes += 1
+        return True
+
+    def started(self, endpoint, started):
+        """Forget what an endpoint named in an earlier lifetime."""
+        limit = self.by_endpoint.get(endpoint)
+        if limit is not None and limit.started != started:
+            del self.by_endpoint[endpoint]
+            self.changes += 1
+
+    def keep_only(self, names):
+        """Forget endpoints that are gone."""
+        for name in [n for n in self.by_endpoint if n not in names]:
+            del self.by_endpoint[name]
+
+    def rate(self, endpoint):
+        """Give the rate that an endpoint names, None without one."""
+        limit = self.by_endpoint.get(endpoint)
+        return None if limit is None else limit.rate
+
+    def wait(self, endpoint, now):
+        """Give the seconds until this router may send to an endpoint.
+
+        Returns
+        -------
+        float
+            0 without a limit, infinity if the router has no share in it.
+        """
+        limit = self.by_endpoint.get(endpoint)
+        if limit is None or limit.rate is None:
+            return 0.0
+        self._divide(endpoint, limit, now)
+        if not limit.share:
+            return math.inf
+        return max(0.0, limit.next_at - now)
+
+    def take(self, endpoint, now, patience):
+        """Take the right to send one request to an endpoint.
+
+        Parameters
+        ----------
+        endpoint : str
+        now : float
+        patience : float
+            Seconds that the request may wait for its turn.
+
+        Returns
+        -------
+        float or None
+            Seconds to wait before sending it; None if it may not go there.
+        """
+        limit = self.by_endpoint.get(endpoint)
+        if limit is None or limit.rate is None:
+            return 0.0
+        limit.wanted_at = now
+        wait = self.wait(endpoint, now)
+        if wait > patience:
+            return None
+        # What was not used is saved for a moment only, however long ago: a
+        # router that stood still has nothing to catch up.
+        limit.next_at = max(limit.next_at, now - SAVED) + 1.0 / limit.share
+        return wait
+
+    def _divide(self, endpoint, limit, now):
+        """Work out this router's share, in requests a second."""
+        share = self._share(endpoint, limit, now)
+        if share == limit.share:
+            return
+        if not limit.share and share:
+            # Others may have used this share until now.  Routers that begin
+            # together begin at different times.
+            drawn = _draw(endpoint, self.name)
+            limit.next_at = now + drawn / share
+        elif share:
+            limit.next_at = min(limit.next_at, now + 1.0 / share)
+        limit.share = share
+
+    def _share(self, endpoint, limit, now):
+        rate = DIVIDED * max(limit.rate, LEAST_RATE)
+        domains = 1 + sum(
+            1 for at in limit.far.values() if now - at < WANTED_FOR
+        )
+        near = [
+            name
+            for name, at in limit.near.items()
+            if now - at < WANTED_FOR and name != self.name
+        ]
+        near.append(self.name)
+        most = math.ceil(SHARERS * limit.rate / domains)
+        sharers = sorted(near, key=lambda name: _draw(endpoint, name))
+        sharers = sharers[: max(1, most)]
+        if self.name not in sharers:
+            return 0.0
+        return rate / domains / len(sharers)
+
+    def is_outranked(self, rank, account, now):
+        """Say whether others come first where there is too little for all.
+
+        Those are requests of a higher rank that were refused a moment ago,
+        and client accounts that have got less than their fair share.
+
+        Parameters
+        ----------
+        rank : int
+            0 is first.
+        account : str
+        now : float
+        """
+        self._expire(now)
+        refused = [g for g in self.grants if not g.granted]
+        lately = [g for g in refused if now - g.at < REFUSED_FOR]
+        if any(g.rank < rank for g in lately):
+            return True
+        same = [g for g in self.grants if g.rank == rank]
+        got = {g.account: 0 for g in same}
+        got.setdefault(account, 0)
+        for grant in same:
+            got[grant.account] += grant.granted
+        fair = sum(got.values()) / len(got)
+        starved = {g.account for g in lately if g.rank == rank}
+        is_starved = any(
+            got[name] < fair for name in starved if name != account
+        )
+        return is_starved and got[account] >= fair + 1.0
+
+    def granted(self, rank, account, now):
+        """Note that a request may go to an endpoint that names a limit."""
+        self.grants.append(_Grant(now, rank, account, True))
+
+    def refused(self, rank, account, now):
+        """Note that a request was refused for want of room under limits."""
+        self.grants.append(_Grant(now, rank, account, False))
+        self.refusals.append(now)
+
+    def _expire(self, now):
+        self.refusals = [a for a in self.refusals if now - a < REFUSED_FOR]
+        self.grants = [g for g in self.grants if now - g.at < GRANTS_FOR]
+
+    def retry_after(self, endpoints, now, draw):
+        """Give the seconds after which a refused request may find room.
+
+        Those refused a moment ago come back too; they are spread over the
+        time in which the endpoints take as many.
+
+        Parameters
+        ----------
+        endpoints : list of str
+            Those that could have taken it.
+        now : float
+        draw : float
+            Random, from 0 up to, without, 1.
+        """
+        self._expire(now)
+        share = 0.0
+        soonest = MOST_RETRY
+        for name in endpoints:
+            limit = self.by_endpoint.get(name)
+            if limit is None or limit.rate is None:
+                continue
+            wait = self.wait(name, now)
+            share += limit.share
+            soonest = min(soonest, wait)
+        if not share:
+            # This router has no share; the caller may reach one that has.
+            rates = [self.rate(name) or 0.0 for name in endpoints]
+            share = max(LEAST_RATE, sum(rates))
+            soonest = 0.0
+        spread = (1 + len(self.refusals)) / share
+        found = soonest + draw * spread
+        return min(MOST_RETRY, max(LEAST_RETRY, found)) + draw * LEAST_RETRY
+
+    def to_tell(self, now):
+        """Give what to tell other routers, by endpoint.
+
+        Returns
+        -------
+        dict of str to Word
+        """
+        known = sorted(
+            self.by_endpoint.items(), key=lambda item: -item[1].changed_at
+        )
+        return {
+            name: self._word(limit, now) for name, limit in known[:MOST_TOLD]
+        }
+
+    def _word(self, limit, now):
+        wanted_at = [limit.wanted_at, *limit.near.values()]
+        return Word(
+            limit.rate,
+            int((now - limit.said_at) * SECOND_MS),
+            limit.started,
+            _age_ms(limit.wanted_at, now),
+            _age_ms(max(wanted_at), now),
+        )
+
+    def wanted(self, now):
+        """Give the endpoints with limits that this router wanted lately."""
+        return [
+            name
+            for name, limit in self.by_endpoint.items()
+            if now - limit.wanted_at < WANTED_FOR
+        ]
+
+    def take_told(self, router, domain, words, now, starts):
+        """Take what another router tells.
+
+        Parameters
+        ----------
+        router, domain : str
+            Its name and failure domain.
+        words : dict of str to Word
+        now : float
+        starts : dict of str to int
+            When endpoints started, as far as this router knows.
+
+        Returns
+        -------
+        list of str
+            Endpoints that name something new.
+        """
+        news = []
+        for name, word in words.items():
+            if word.age_ms < 0 or not _is_rate(word.rate):
+                continue
+            if word.started != starts.get(name, word.started):
+                # Named by one of the two in another lifetime.
+                continue
+            if word.rate != self.rate(name):
+                # The same said again is not taken: at each hop it would look
+                # younger by the hop's delay, and outlast its recall.
+                said_at = now - word.age_ms / SECOND_MS
+                if self.said(name, word.started, word.rate, said_at, now):
+                    news.append(name)
+            limit = self.by_endpoint.get(name)
+            if limit is None:
+                continue
+            if domain == self.domain:
+                _note(limit.near, router, word.wanted_ms, now)
+            else:
+                _note(limit.far, domain, word.domain_ms, now)
+        return news
+
+
+def _is_rate(rate):
+    return rate is None or (math.isfinite(rate) and rate > 0)
+
+
+def _note(times, name, age_ms, now):
+    if age_ms is not None and age_ms >= 0:
+        at = now - age_ms / SECOND_MS
+        times[name] = max(at, times.get(name, at))
+
+
+def _age_ms(at, now):
+    """Give the milliseconds since a time, None if it was long ago."""
+    age = now - at
+    return int(age * SECOND_MS) if age < WANTED_FOR else None
+
+
+def _draw(endpoint, router):
+    """Give a number from 0 up to 1 that all routers agree on."""
+    return zlib.crc32(f'{endpoint} {router}'.encode()) / 2.0**32
+
+
+def make_limits(name, domain):
+    """Make `Limits` of a router that knows none."""
+    return Limits(name, domain)
