The soak's endpoints name limits from time to time, and nonsense too

A promise about it: from 3 s after the first answer that named a limit, no endpoint runs more than one and a half times what it allows in 4 s, and five, of routers that were left alone for 3 s.

--- a/packages/soak/ibisring_soak/__main__.py
+++ b/packages/soak/ibisring_soak/__main__.py
@@ -23,6 +23,7 @@
     poison: str = typer.Option(
         '', help='Route (safe, once, stream) of a request that ends endpoints.'
     ),
+    limits: bool = typer.Option(False, help='Endpoints name limits.'),
     folder: pathlib.Path = typer.Option(
         pathlib.Path('soak-runs'), help='For settings and logs, by seed.'
     ),
@@ -35,7 +36,14 @@
         place = folder / str(number)
         place.mkdir(parents=True, exist_ok=True)
         outcome = soaking.soak(
-            number, seconds, place, routers, engines, callers, poison
+            number,
+            seconds,
+            place,
+            routers,
+            engines,
+            callers,
+            poison,
+            limits,
         )
         failed += bool(outcome.violations)
         print(
--- a/packages/soak/ibisring_soak/limited.py
+++ b/packages/soak/ibisring_soak/limited.py
@@ -4,15 +4,26 @@
 endpoints.
 """
 
-__all__ = ['Load', 'Seen', 'Call', 'play', 'allowed', 'most_within']
+__all__ = [
+    'Load',
+    'Seen',
+    'Call',
+    'Namer',
+    'play',
+    'allowed',
+    'most_within',
+]
 
 import concurrent.futures
 import http.client
 import itertools
 import logging
+import random
+import threading
 import time
 
 from ibisring_adapter.tests import running
+from ibisring_soak import records
 import msgspec
 
 LOG = logging.getLogger(__name__)
@@ -25,6 +36,12 @@
 EXTRA = 5
 # Seconds after an endpoint first named its limit from which it is kept.
 CONTACT = 3.0
+# Limits that endpoints name in a soak, for how long in seconds, and how long
+# they name none; and what is no limit.
+RATES = ('0.5', '1', '2', '5')
+LASTS = (5.0, 9.0)
+PAUSE = (0.3, 1.0)
+NONSENSE = ('x', '-1', 'nan', '0', '1e9', '1, 2')
 
 
 def allowed(rate):
@@ -87,6 +104,48 @@
         return max(call.at for call in self.calls) - self.since
 
 
+class Namer:
+    """Lets endpoints name limits from time to time, and nonsense too.
+
+    Parameters
+    ----------
+    world : world.World
+    seed : int
+    """
+
+    def __init__(self, world, seed):
+        self.world = world
+        self.rng = random.Random(f'limits {seed}')
+        self.stopped = threading.Event()
+        self.thread = threading.Thread(target=self._loop, daemon=True)
+
+    def start(self):
+        """Begin."""
+        self.thread.start()
+
+    def stop(self):
+        """Let no endpoint name anything more."""
+        self.stopped.set()
+        self.thread.join()
+
+    def _loop(self):
+        while not self.stopped.wait(self.rng.uniform(*PAUSE)):
+            site = self.world.site
+            name = self.rng.choice(sorted([*site.engines, *site.services]))
+            rate = self.rng.choice(RATES)
+            begun = time.monotonic()
+            site.limits[name] = rate
+            self.stopped.wait(self.rng.uniform(*LASTS))
+            span = records.LimitSpan(
+                name, float(rate), begun, time.monotonic()
+            )
+            self.world.history.limits.append(span)
+            # A damaged figure changes nothing, a recall lifts the limit.
+            site.limits[name] = self.rng.choice(NONSENSE)
+            self.stopped.wait(self.rng.uniform(*PAUSE))
+            del site.limits[name]
+
+
 class _Play:
     def __init__(self, world, load):
         self.world = world
--- a/packages/soak/ibisring_soak/promises.py
+++ b/packages/soak/ibisring_soak/promises.py
@@ -2,6 +2,7 @@
 
 __all__ = ['Violation', 'check']
 
+from ibisring_soak import limited
 import msgspec
 
 # Statuses that promise that a request has not run and never will.
@@ -56,6 +57,7 @@
     found.extend(_shutdowns(history))
     found.extend(_recovery(history))
     found.extend(_bad_requests(history))
+    found.extend(_limits(history))
     found.extend(
         Violation('ends only when told to', '', each)
         for each in history.crashed
@@ -191,6 +193,31 @@
         yield Violation('what ends endpoints runs no more', '', detail)
 
 
+def _limits(history):
+    """Endpoints get no more than the rate that they name allows."""
+    routers = {call.id: call.router for call in history.calls}
+    for span in history.limits:
+        mine = [
+            run
+            for run in history.runs
+            if run.endpoint == span.endpoint
+            and span.begun <= run.at <= span.ended
+        ]
+        if not mine:
+            continue
+        since = min(run.at for run in mine) + limited.CONTACT
+        times = [
+            run.at
+            for run in mine
+            if run.at > since
+            and not _has_just_come(history, routers[run.request], run.at)
+        ]
+        most = limited.most_within(times, limited.WINDOW)
+        if most > limited.allowed(span.rate):
+            detail = f'{most} in {limited.WINDOW} s at {span.rate} a second'
+            yield Violation('a limit is kept', span.endpoint, detail)
+
+
 def _has_just_come(history, router, now):
     """Say whether a router was struck or started too short a time ago."""
     own = (f'router {router}',)
--- a/packages/soak/ibisring_soak/records.py
+++ b/packages/soak/ibisring_soak/records.py
@@ -1,6 +1,6 @@
 """What callers and endpoints saw during a run."""
 
-__all__ = ['Call', 'Run', 'Notice', 'History']
+__all__ = ['Call', 'Run', 'Notice', 'LimitSpan', 'History']
 
 import msgspec
 
@@ -57,6 +57,15 @@
     at: float
 
 
+class LimitSpan(msgspec.Struct, frozen=True):
+    """A time in which an endpoint named a rate in requests a second."""
+
+    endpoint: str
+    rate: float
+    begun: float
+    ended: float
+
+
 class History(msgspec.Struct):
     """All that was seen, and when what was disturbed.
 
@@ -73,6 +82,7 @@
     disturbed: list[tuple[str, float, float]] = []
     ended: list[tuple[str, float, float]] = []
     ends: list[float] = []
+    limits: list[LimitSpan] = []
     overloaded: list[str] = []
     crashed: list[str] = []
     calm_from: float = 0.0
--- a/packages/soak/ibisring_soak/soaking.py
+++ b/packages/soak/ibisring_soak/soaking.py
@@ -7,6 +7,7 @@
 
 from ibisring_soak import callers as callers_module
 from ibisring_soak import injecting
+from ibisring_soak import limited
 from ibisring_soak import poison as poison_module
 from ibisring_soak import promises
 from ibisring_soak import schedule
@@ -28,7 +29,16 @@
     runs: int
 
 
-def soak(seed, seconds, folder, routers=3, engines=8, callers=10, poison=''):
+def soak(
+    seed,
+    seconds,
+    folder,
+    routers=3,
+    engines=8,
+    callers=10,
+    poison='',
+    limits=False,
+):
     """Run once.
 
     Parameters
@@ -43,6 +53,8 @@
     poison : str
         Kind of a route on which a request comes that ends its endpoints, ''
         for none.
+    limits : bool
+        Whether endpoints name limits from time to time.
 
     Returns
     -------
@@ -54,13 +66,16 @@
         world.start()
         threads = callers_module.make_callers(world, seed, callers)
         threads.start()
-        attack = None
+        troubles = []
         if poison:
-            attack = poison_module.Attack(world, poison)
-            attack.start()
+            troubles.append(poison_module.Attack(world, poison))
+        if limits:
+            troubles.append(limited.Namer(world, seed))
+        for trouble in troubles:
+            trouble.start()
         injecting.make_injector(world).run(faults)
-        if attack is not None:
-            attack.stop()
+        for trouble in troubles:
+            trouble.stop()
         time.sleep(promises.RECOVERS_WITHIN + JUDGED)
         threads.stop()
         history = world.collect()
--- a/packages/soak/ibisring_soak/tests/test_promises.py
+++ b/packages/soak/ibisring_soak/tests/test_promises.py
@@ -148,3 +148,24 @@
     ended = [('r1', 112.0, 3.0)]
     history = _bad_runs(4, ends=[108.0, 109.0, 110.0], ended=ended)
     assert _found(history) == []
+
+
+def _limited_runs(count, **changes):
+    calls = [builders.call(f'l{n}') for n in range(count)]
+    runs = [
+        builders.run(f'l{n}', at=110.0 + n / 10, endpoint='p5')
+        for n in range(count)
+    ]
+    first = builders.run('first', at=105.0, endpoint='p5')
+    calls.append(builders.call('first'))
+    for call in calls:
+        call.body = f'p5 ran {call.id}'.encode()
+    span = records.LimitSpan('p5', 1.0, 104.0, 120.0)
+    return builders.history(calls, [*runs, first], limits=[span], **changes)
+
+
+def test_a_limit_that_is_not_kept_is_noticed():
+    assert _found(_limited_runs(12)) == ['a limit is kept']
+    assert _found(_limited_runs(11)) == []
+    struck = [('router r1', 109.0, 112.0)]
+    assert _found(_limited_runs(12, disturbed=struck)) == []
--- a/packages/soak/ibisring_soak/tests/test_soak.py
+++ b/packages/soak/ibisring_soak/tests/test_soak.py
@@ -28,6 +28,11 @@
     assert outcome.violations == []
 
 
+def test_promises_hold_while_endpoints_name_limits(tmp_path):
+    outcome = soaking.soak(3, 12.0, tmp_path, 3, limits=True)
+    assert outcome.violations == []
+
+
 def test_faults_overlap_and_strike_everything():
     faults = schedule.make_schedule(5, 200.0)
     assert {fault.group for fault in faults} == set(schedule.KINDS)
