Fair shares and turns under limits are modules of their own

What comes first where there is too little for all is fairness, pure; taking a turn by the view's limits is turns.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -251,7 +251,7 @@
             self.screen.retry_after(job),
         )
         if job.limited:
-            limited = self.selector.limited_until(job, self.clock())
+            limited = self.selector.turns.refuse(job, self.clock())
             retry_after = max(retry_after, limited)
         if step is attempts.Next.REFUSE:
             raise exceptions.NoEndpoint(detail, retry_after)
@@ -278,7 +278,7 @@
         if choice is None and job.limited:
             raise exceptions.Overloaded(
                 'endpoints take no more requests for now',
-                self.selector.limited_until(job, self.clock()),
+                self.selector.turns.refuse(job, self.clock()),
                 limited=sorted(job.limited),
             )
         if choice is None:
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -5,6 +5,7 @@
 import math
 import random
 
+from ibisring_gateway import turns
 from ibisring_policy.gateway import chains
 from ibisring_policy.gateway import loadbook
 from ibisring_policy.gateway import shortage
@@ -31,12 +32,6 @@
 STALLED = 1.0
 # Seconds a stream holds its memory, for a refusal's Retry-After.
 MEAN_STREAM = 3.5
-# Share of its objective that a request waits for its turn under an
-# endpoint's limit.
-MOST_TURN_WAIT = 0.5
-# Seconds within which a limit must leave room for a stream that is broken off
-# to go on there.
-SOON_FREE = 1.0
 # Seconds after which a plain service is worth another try.
 LEAST_RETRY = 0.1
 
@@ -74,6 +69,7 @@
     def __init__(self, view):
         self.view = view
         self.rng = random.Random()
+        self.turns = turns.make_turns(view, self.rng)
 
     def choose(self, job, now):
         """Give a `Choice`, or None if nothing can take the request.
@@ -81,7 +77,7 @@
         Its turn under the endpoint's limit is taken with it.  An endpoint
         that takes it later is chosen only where no other takes it now.
         """
-        patience = MOST_TURN_WAIT * job.route.objective
+        patience = turns.MOST_WAIT * job.route.objective
         for allowed in (0.0, patience):
             job.limited = set()
             choice = self._choose_within(job, now, allowed)
@@ -96,42 +92,12 @@
             choice = pick(job, endpoints, now)
             if choice is None:
                 return None
-            wait = self._take_turn(job, choice.endpoint.id, now, patience)
+            wait = self.turns.take(job, choice.endpoint.id, now, patience)
             if wait is not None:
                 choice.wait = wait
                 return choice
             job.limited.add(choice.endpoint.id)
 
-    def _take_turn(self, job, name, now, patience):
-        """Take a request's turn at an endpoint.
-
-        Returns
-        -------
-        float or None
-            Seconds until then; None if there is none.
-        """
-        rank, account = job.match.priority, job.match.account
-        with self.view.lock:
-            limits = self.view.limits
-            if limits.rate(name) is None:
-                return 0.0
-            if limits.is_outranked(rank, account, now):
-                return None
-            wait = limits.take(name, now, patience)
-            if wait is not None:
-                limits.granted(rank, account, now)
-            return wait
-
-    def limited_until(self, job, now):
-        """Give the seconds after which limits may have room for a request.
-
-        It counts as refused, for those that come after it.
-        """
-        with self.view.lock:
-            limits = self.view.limits
-            limits.refused(job.match.priority, job.match.account, now)
-            return limits.retry_after(job.limited, now, self.rng.random())
-
     def _plain(self, job, endpoints, now):
         endpoints = [e for e in endpoints if e.id not in job.limited]
         left = [e for e in endpoints if e.id not in job.avoid]
@@ -435,18 +401,12 @@
         demand = chains.Demand(
             attempt.tokens, self.view.domain, 0, model.layers, False
         )
-        heads = self._soon_free(holders, now)
+        heads = self.turns.soon([h.id for h in holders], now)
         found = chains.choose(
             holders, demand, model.layers, self._noise, heads
         )
         return found is not None
 
-    def _soon_free(self, holders, now):
-        """Give the engines whose limits leave room soon."""
-        with self.view.lock:
-            wait = self.view.limits.wait
-            return [h.id for h in holders if wait(h.id, now) <= SOON_FREE]
-
 
 def make_selector(view):
     """Make a `Selector`."""
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -9,6 +9,7 @@
 import threading
 import time
 
+from ibisring_policy.gateway import fairness
 from ibisring_policy.gateway import loadbook
 from ibisring_policy.gateway import ordering
 from ibisring_policy.gateway import ratelimits
@@ -54,7 +55,7 @@
     Attributes
     ----------
     lock : threading.Lock
-        Guards `book`, `suspects` and `limits`.
+        Guards `book`, `suspects`, `limits` and `fairness`.
     term : int
         The newest of the right to order that this router knows.
     lease_lost_at : float or None
@@ -71,6 +72,7 @@
         self.lock = threading.Lock()
         self.book = loadbook.make_book()
         self.suspects = suspects.make_suspects()
+        self.fairness = fairness.make_fairness()
         self.limits = ratelimits.make_limits(name, domain)
         self.term = 0
         self.lease_lost_at = None
--- a/packages/policy/ibisring_policy/gateway/ratelimits.py
+++ b/packages/policy/ibisring_policy/gateway/ratelimits.py
@@ -27,13 +27,9 @@
 LEAST_RATE = 0.1
 # Seconds of a share that is not used at once and may be sent together.
 SAVED = 0.1
-# Seconds within which refusals count towards a caller's time to return, and
-# bounds of that time.
-REFUSED_FOR = 2.0
+# Bounds of a refused caller's time to return, in seconds.
 LEAST_RETRY = 0.1
 MOST_RETRY = 10.0
-# Seconds for which grants are kept to compare client accounts.
-GRANTS_FOR = 10.0
 # Limits that are known at most, and told at once.
 MOST_KNOWN = 500
 MOST_TOLD = 24
@@ -75,13 +71,6 @@
     far: dict[str, float] = {}
 
 
-class _Grant(msgspec.Struct, frozen=True):
-    at: float
-    rank: int
-    account: str
-    granted: bool
-
-
 class Limits:
     """Limits by endpoint id; the caller holds a lock around each call.
 
@@ -113,8 +102,6 @@
         self.domain = domain
         self.by_endpoint = {}
         self.changes = 0
-        self.refusals = []
-        self.grants = []
 
     def said(self, endpoint, started, rate, sent_at, now):
         """Note what an endpoint has named, or that it named nothing.
@@ -245,50 +232,7 @@
             return 0.0
         return rate / domains / len(sharers)
 
-    def is_outranked(self, rank, account, now):
-        """Say whether others come first where there is too little for all.
-
-        Those are requests of a higher rank that were refused a moment ago,
-        and client accounts that have got less than their fair share.
-
-        Parameters
-        ----------
-        rank : int
-            0 is first.
-        account : str
-        now : float
-        """
-        self._expire(now)
-        refused = [g for g in self.grants if not g.granted]
-        lately = [g for g in refused if now - g.at < REFUSED_FOR]
-        if any(g.rank < rank for g in lately):
-            return True
-        same = [g for g in self.grants if g.rank == rank]
-        got = {g.account: 0 for g in same}
-        got.setdefault(account, 0)
-        for grant in same:
-            got[grant.account] += grant.granted
-        fair = sum(got.values()) / len(got)
-        starved = {g.account for g in lately if g.rank == rank}
-        is_starved = any(
-            got[name] < fair for name in starved if name != account
-        )
-        return is_starved and got[account] >= fair + 1.0
-
-    def granted(self, rank, account, now):
-        """Note that a request may go to an endpoint that names a limit."""
-        self.grants.append(_Grant(now, rank, account, True))
-
-    def refused(self, rank, account, now):
-        """Note that a request was refused for want of room under limits."""
-        self.grants.append(_Grant(now, rank, account, False))
-        self.refusals.append(now)
-
-    def _expire(self, now):
-        self.refusals = [a for a in self.refusals if now - a < REFUSED_FOR]
-        self.grants = [g for g in self.grants if now - g.at < GRANTS_FOR]
-
-    def retry_after(self, endpoints, now, draw):
+    def retry_after(self, endpoints, refused, now, draw):
         """Give the seconds after which a refused request may find room.
 
         Those refused a moment ago come back too; they are spread over the
@@ -296,13 +240,14 @@
 
         Parameters
         ----------
-        endpoints : list of str
+        endpoints : collection of str
             Those that could have taken it.
+        refused : int
+            Requests that were refused a moment ago.
         now : float
         draw : float
             Random, from 0 up to, without, 1.
         """
-        self._expire(now)
         share = 0.0
         soonest = MOST_RETRY
         for name in endpoints:
@@ -317,7 +262,7 @@
             rates = [self.rate(name) or 0.0 for name in endpoints]
             share = max(LEAST_RATE, sum(rates))
             soonest = 0.0
-        spread = (1 + len(self.refusals)) / share
+        spread = (1 + refused) / share
         found = soonest + draw * spread
         return min(MOST_RETRY, max(LEAST_RETRY, found)) + draw * LEAST_RETRY
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_ratelimits.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_ratelimits.py
@@ -170,31 +170,12 @@
     assert 0.0 < limits.take('e1', 12.0, 0.2) <= 0.2
 
 
-def test_a_higher_rank_that_was_refused_comes_first():
-    limits = _limits()
-    assert not limits.is_outranked(1, 'acme', 12.0)
-    limits.refused(0, 'other', 12.0)
-    assert limits.is_outranked(1, 'acme', 12.5)
-    assert not limits.is_outranked(0, 'acme', 12.5)
-    assert not limits.is_outranked(1, 'acme', 15.0)
-
-
-def test_an_account_that_got_less_comes_first():
-    """Failure: one client account takes all that a limit allows."""
-    limits = _limits()
-    for number in range(4):
-        limits.granted(1, 'greedy', 12.0 + number / 10)
-    limits.refused(1, 'modest', 12.5)
-    assert limits.is_outranked(1, 'greedy', 12.6)
-    assert not limits.is_outranked(1, 'modest', 12.6)
-
-
 def test_those_refused_come_back_at_different_times():
     limits = _limits(rate=4.0)
     times = []
     for number in range(20):
-        limits.refused(1, 'acme', 12.0)
-        times.append(limits.retry_after(['e1'], 12.0, (number % 10) / 10))
+        draw = (number % 10) / 10
+        times.append(limits.retry_after(['e1'], number, 12.0, draw))
     assert len(set(times)) > 10
     assert max(times) > 2.0 and min(times) > 0.0
 
@@ -204,7 +185,7 @@
     for number in range(40):
         _tell(limits, 11.0, f'x{number}')
     assert limits.wait('e1', 11.0) == math.inf
-    assert 0.0 < limits.retry_after(['e1'], 11.0, 0.5) < 10.0
+    assert 0.0 < limits.retry_after(['e1'], 0, 11.0, 0.5) < 10.0
 
 
 def test_only_so_many_limits_are_kept_and_told():
