A stream under way is not screened; recalls of limits are told for a while

Found by reading: a stream of which its caller had a part would have been broken off if its body came to be refused meanwhile, and a recalled limit was told for ever. Each with a test. The soak's two loads share how they ask.

--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -48,10 +48,14 @@
     def passes(self, job):
         """Wait until a request may be sent on; False if it may not.
 
+        One of which its caller has a part was answered, and goes on.
+
         Raises
         ------
         CallerLeft
         """
+        if job.exchange.begun:
+            return True
         end = min(job.deadline, self.clock() + MOST_WAIT)
         while True:
             verdict = self.verdict(job)
@@ -60,7 +64,7 @@
                 return False
             now = self.clock()
             is_early = verdict.is_running or now < verdict.begins_at
-            if job.exchange.begun or not is_early or now >= end:
+            if not is_early or now >= end:
                 return True
             time.sleep(TICK)
             if serving.is_gone(job.exchange.socket):
@@ -92,6 +96,7 @@
             found = known.found > before
         if found:
             self._log(job.digest, 0)
+            self.on_found()
 
     def lost(self, job, attempt):
         """Look into an answer that was lost before it began.
--- a/packages/gateway/ibisring_gateway/tests/test_screening.py
+++ b/packages/gateway/ibisring_gateway/tests/test_screening.py
@@ -98,6 +98,14 @@
     assert screen.retry_after(job) > 500.0
 
 
+def test_a_stream_under_way_is_not_broken_off():
+    """Failure: a caller loses half an answer to a body that was refused."""
+    screen = _screen()
+    for number in range(3):
+        screen.lost(_job(screen), _attempt(screen, f'e{number}'))
+    assert screen.passes(_job(screen, begun=True))
+
+
 def test_an_answer_clears_a_suspect():
     screen = _screen()
     for number in range(2):
--- a/packages/gateway/ibisring_gateway/turns.py
+++ b/packages/gateway/ibisring_gateway/turns.py
@@ -66,10 +66,10 @@
             )
 
     def soon(self, names, now):
-        """Give the endpoints whose limits leave room soon."""
+        """Give the set of endpoints whose limits leave room soon."""
         with self.view.lock:
             wait = self.view.limits.wait
-            return [name for name in names if wait(name, now) <= SOON]
+            return {name for name in names if wait(name, now) <= SOON}
 
 
 def make_turns(view, rng):
--- a/packages/policy/ibisring_policy/gateway/ratelimits.py
+++ b/packages/policy/ibisring_policy/gateway/ratelimits.py
@@ -30,6 +30,8 @@
 # Bounds of a refused caller's time to return, in seconds.
 LEAST_RETRY = 0.1
 MOST_RETRY = 10.0
+# Seconds for which the recall of a limit is told.
+RECALLED_FOR = 30.0
 # Limits that are known at most, and told at once.
 MOST_KNOWN = 500
 MOST_TOLD = 24
@@ -273,6 +275,7 @@
         -------
         dict of str to Word
         """
+        self._forget_recalled(now)
         known = sorted(
             self.by_endpoint.items(), key=lambda item: -item[1].changed_at
         )
@@ -280,6 +283,13 @@
             name: self._word(limit, now) for name, limit in known[:MOST_TOLD]
         }
 
+    def _forget_recalled(self, now):
+        """Forget limits whose recall has reached all routers by now."""
+        for name, limit in list(self.by_endpoint.items()):
+            is_old = now - limit.changed_at > RECALLED_FOR
+            if limit.rate is None and is_old:
+                del self.by_endpoint[name]
+
     def _word(self, limit, now):
         wanted_at = [limit.wanted_at, *limit.near.values()]
         return Word(
--- a/packages/policy/ibisring_policy/gateway/tests/test_ratelimits.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_ratelimits.py
@@ -188,6 +188,13 @@
     assert 0.0 < limits.retry_after(['e1'], 0, 11.0, 0.5) < 10.0
 
 
+def test_a_recall_is_told_for_a_while():
+    limits = _limits(at=10.0)
+    limits.said('e1', 1, None, 11.0, 11.0)
+    assert limits.to_tell(12.0)['e1'].rate is None
+    assert not limits.to_tell(12.0 + ratelimits.RECALLED_FOR)
+
+
 def test_only_so_many_limits_are_kept_and_told():
     limits = ratelimits.make_limits('r1', 'a')
     for number in range(ratelimits.MOST_KNOWN + 10):
--- a/packages/soak/ibisring_soak/limited.py
+++ b/packages/soak/ibisring_soak/limited.py
@@ -7,7 +7,6 @@
 __all__ = [
     'Load',
     'Seen',
-    'Call',
     'Namer',
     'play',
     'allowed',
@@ -15,19 +14,17 @@
 ]
 
 import concurrent.futures
-import http.client
 import itertools
-import logging
+import math
 import random
 import threading
 import time
 
-from ibisring_adapter.tests import running
+from ibisring_policy.gateway.tests import limitload
+from ibisring_soak import asking
 from ibisring_soak import records
 import msgspec
 
-LOG = logging.getLogger(__name__)
-KEY = 'key-1'
 WORKERS = 48
 # Bound of what reaches an endpoint that names a limit: so many times what the
 # limit allows in so many seconds, and some requests more.
@@ -57,13 +54,7 @@
     >>> most_within([0.0, 1.0, 1.5, 9.0], 1.0)
     2
     """
-    times = sorted(times)
-    most, first = 0, 0
-    for last, at in enumerate(times):
-        while times[first] < at - seconds:
-            first += 1
-        most = max(most, last - first + 1)
-    return most
+    return limitload.most_within(times, seconds, -math.inf)
 
 
 class Load(msgspec.Struct, frozen=True):
@@ -75,19 +66,10 @@
     seconds: float = 12.0
 
 
-class Call(msgspec.Struct):
-    """A request and its answer; `at` is monotonic, both in seconds."""
-
-    at: float
-    status: int = 0
-    seconds: float = 0.0
-    retry_after: float | None = None
-
-
 class Seen(msgspec.Struct):
     """What callers and endpoints saw; times are monotonic seconds."""
 
-    calls: list[Call]
+    calls: list[asking.Call]
     runs: dict[str, list[float]]
     since: float
 
@@ -169,19 +151,9 @@
 
     def _call(self, number):
         routers = self.world.routers
-        port = routers[number % len(routers)].process.front
-        sent = running.headers(f'q{number}', Credential=KEY)
+        router = routers[number % len(routers)]
         body = b'body %d' % number
-        call = Call(time.monotonic())
-        try:
-            path = f'/{self.load.kind}/x'
-            reply = running.fetch(port, 'POST', path, sent, body)
-            call.status = reply.status if reply.whole else 0
-            retry_after = reply.headers.get('Retry-After')
-            call.retry_after = float(retry_after) if retry_after else None
-        except (OSError, http.client.HTTPException) as error:
-            LOG.debug('q%s: %s', number, error)
-        call.seconds = time.monotonic() - call.at
+        call = asking.ask(router, f'q{number}', self.load.kind, body)
         self.calls.append(call)
 
 
--- a/packages/soak/ibisring_soak/poison.py
+++ b/packages/soak/ibisring_soak/poison.py
@@ -4,22 +4,18 @@
 and endpoints saw.
 """
 
-__all__ = ['Load', 'Seen', 'Call', 'Ender', 'Attack', 'play']
+__all__ = ['Load', 'Seen', 'Ender', 'Attack', 'play']
 
 import concurrent.futures
-import http.client
 import itertools
-import logging
 import threading
 import time
 
-from ibisring_adapter.tests import running
+from ibisring_soak import asking
 from ibisring_soak import records
 import msgspec
 
-LOG = logging.getLogger(__name__)
 BODY = b'ends what runs it'
-KEY = 'key-1'
 # A body that many callers ask for.
 POPULAR = b'asked often'
 POPULAR_EVERY = 2
@@ -45,23 +41,12 @@
     seconds: float = 15.0
 
 
-class Call(msgspec.Struct):
-    """A request and its answer; `at` is monotonic, both in seconds."""
-
-    at: float
-    body: bytes
-    status: int
-    seconds: float
-    retry_after: float | None = None
-    whole: bool = False
-
-
 class Seen(msgspec.Struct):
     """What was seen; times are monotonic seconds."""
 
     ends: list[float]
     poison_runs: list[float]
-    calls: list[Call]
+    calls: list[asking.Call]
 
     @property
     def third_end(self):
@@ -92,7 +77,7 @@
     def served_share(self, body=None):
         """Give the share of the others that was served."""
         others = self.others(body)
-        served = [c for c in others if c.status == 200 and c.whole]
+        served = [call for call in others if call.status == 200]
         return len(served) / max(1, len(others))
 
 
@@ -187,19 +172,11 @@
             id=name,
             kind='bad',
             router=router.name,
-            key=KEY,
+            key=asking.KEY,
             sent_at=time.monotonic(),
         )
         self.world.history.calls.append(call)
-        sent = running.headers(name, Credential=KEY)
-        path = f'/{self.kind}/x'
-        try:
-            reply = running.fetch(
-                router.process.front, 'POST', path, sent, BODY
-            )
-            call.status = reply.status
-        except (OSError, http.client.HTTPException) as error:
-            LOG.debug('%s: %s', name, error)
+        call.status = asking.ask(router, name, self.kind, BODY).status
         call.ended_at = time.monotonic()
 
 
@@ -238,20 +215,8 @@
 
     def _call(self, number, body):
         routers = self.world.routers
-        port = routers[number % len(routers)].process.front
-        sent = running.headers(f'q{number}', Credential=KEY)
-        at = time.monotonic()
-        call = Call(at, body, 0, 0.0)
-        try:
-            path = f'/{self.load.kind}/x'
-            reply = running.fetch(port, 'POST', path, sent, body)
-            call.status = reply.status
-            call.whole = reply.whole
-            retry_after = reply.headers.get('Retry-After')
-            call.retry_after = float(retry_after) if retry_after else None
-        except (OSError, http.client.HTTPException) as error:
-            LOG.debug('q%s: %s', number, error)
-        call.seconds = time.monotonic() - at
+        router = routers[number % len(routers)]
+        call = asking.ask(router, f'q{number}', self.load.kind, body)
         self.calls.append(call)
 
 
