--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -176,8 +176,9 @@
             full = book.refusing(now)
             loads = book.loads_to_tell(now)
             back = book.lately_back(now)
-            suspects = self.view.suspects.to_tell(now, self.rng)
-            limits = self.view.limits.to_tell(now)
+            share = self._old_share()
+            suspects = self.view.suspects.to_tell(now, self.rng, share)
+            limits = self.view.limits.to_tell(now, self.rng, share)
         snapshot = self.view.snapshot
         read_at = min(snapshot.table_at, snapshot.endpoints_at)
         own = self.peers.own_standing()
@@ -209,6 +210,15 @@
             limits=limits,
         )
 
+    def _old_share(self):
+        """Give how often this router tells its domain what is old.
+
+        So often that each router hears it from some of the others each time.
+        """
+        others = self.peers.others()
+        near = sum(1 for each in others if self.peers.is_near(each.name))
+        return min(1.0, telling.OLD_TELLERS / max(1, near))
+
     def _send(self):
         now = self.view.clock()
         told = self._told(now)
--- a/packages/policy/ibisring_policy/gateway/ratelimits.py
+++ b/packages/policy/ibisring_policy/gateway/ratelimits.py
@@ -32,6 +32,8 @@
 MOST_RETRY = 10.0
 # Seconds for which the recall of a limit is told.
 RECALLED_FOR = 30.0
+# Seconds for which a change of a limit is told each time.
+NEW_FOR = 2.0
 # Limits that are known at most, and told at once.
 MOST_KNOWN = 500
 MOST_TOLD = 24
@@ -268,17 +270,31 @@
         found = soonest + draw * spread
         return min(MOST_RETRY, max(LEAST_RETRY, found)) + draw * LEAST_RETRY
 
-    def to_tell(self, now):
+    def to_tell(self, now, rng, old_share=1.0):
         """Give what to tell other routers, by endpoint.
 
+        Parameters
+        ----------
+        now : float
+        rng : random.Random
+        old_share : float
+            How often limits are told that are not new, and that this router
+            does not want.
+
         Returns
         -------
         dict of str to Word
         """
         self._forget_recalled(now)
-        known = sorted(
-            self.by_endpoint.items(), key=lambda item: -item[1].changed_at
-        )
+        tells_all = rng.random() < old_share
+        known = [
+            (name, limit)
+            for name, limit in self.by_endpoint.items()
+            if tells_all
+            or now - limit.changed_at < NEW_FOR
+            or now - limit.wanted_at < WANTED_FOR
+        ]
+        known.sort(key=lambda item: -item[1].changed_at)
         return {
             name: self._word(limit, now) for name, limit in known[:MOST_TOLD]
         }
--- a/packages/policy/ibisring_policy/gateway/suspects.py
+++ b/packages/policy/ibisring_policy/gateway/suspects.py
@@ -224,7 +224,7 @@
             if other != digest
         }
 
-    def to_tell(self, now, rng):
+    def to_tell(self, now, rng, old_share=1.0):
         """Give what to tell other routers.
 
         What is new is told by whoever hears of it, so that it reaches all;
@@ -234,6 +234,9 @@
         ----------
         now : float
         rng : random.Random
+        old_share : float
+            How often what is old is told too: where many tell one router,
+            each need not do so each time.
 
         Returns
         -------
@@ -247,7 +250,8 @@
                 old.append(digest)
         new.sort(reverse=True)
         told = [digest for _, digest in new[:MOST_NEW]]
-        told += rng.sample(old, min(MOST_OLD, len(old)))
+        if rng.random() < old_share:
+            told += rng.sample(old, min(MOST_OLD, len(old)))
         return [self._word(digest, now) for digest in told]
 
     def _word(self, digest, now):
--- a/packages/policy/ibisring_policy/gateway/telling.py
+++ b/packages/policy/ibisring_policy/gateway/telling.py
@@ -32,6 +32,9 @@
 ALL_AT_ONCE = 6
 ROUND_SECONDS = 0.8
 FAR_AT_ONCE = 2
+# Routers of a failure domain that tell it, in each round, what is known for
+# long: bytes, where all of forty did.
+OLD_TELLERS = 3.0
 
 
 class Pace:
--- a/packages/policy/ibisring_policy/gateway/tests/limitload.py
+++ b/packages/policy/ibisring_policy/gateway/tests/limitload.py
@@ -19,6 +19,8 @@
 # Ticks in which each router of the own failure domain is told once.
 ROUND = 3
 SMALL = 7
+# Routers that tell another one what is old, each time.
+TELLERS = 3.0
 
 
 class Site(msgspec.Struct, frozen=True):
@@ -116,8 +118,10 @@
         if self.is_frozen(router, now):
             return
         self.ticks[router] += 1
-        words = self.limits[router].to_tell(now)
-        for other in self.whom(router):
+        others = self.whom(router)
+        share = min(1.0, TELLERS / len(others))
+        words = self.limits[router].to_tell(now, self.rng, share)
+        for other in others:
             if words and self.rng.random() > self.site.loss:
                 after = 0.005 + 0.02 * self.rng.random()
                 self.at(now + after, self.hear, other, router, words)
--- a/packages/policy/ibisring_policy/gateway/tests/test_ratelimits.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_ratelimits.py
@@ -1,6 +1,7 @@
 """Tests of how routers share what an endpoint takes."""
 
 import math
+import random
 
 from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway.tests import limitload
@@ -115,7 +116,7 @@
 def test_an_old_word_does_not_bring_a_limit_back():
     """Failure: routers tell each other of a limit for ever."""
     limits = _limits(at=10.0)
-    words = limits.to_tell(10.5)
+    words = limits.to_tell(10.5, random.Random(1))
     limits.said('e1', 1, None, 11.0, 11.0)
     limits.take_told('r2', 'a', words, 11.0, {'e1': 1})
     assert limits.rate('e1') is None
@@ -191,8 +192,20 @@
 def test_a_recall_is_told_for_a_while():
     limits = _limits(at=10.0)
     limits.said('e1', 1, None, 11.0, 11.0)
-    assert limits.to_tell(12.0)['e1'].rate is None
-    assert not limits.to_tell(12.0 + ratelimits.RECALLED_FOR)
+    assert limits.to_tell(12.0, random.Random(1))['e1'].rate is None
+    later = 12.0 + ratelimits.RECALLED_FOR
+    assert not limits.to_tell(later, random.Random(1))
+
+
+def test_what_is_old_and_not_wanted_is_told_seldom():
+    limits = _limits(at=10.0)
+    rng = random.Random(1)
+    assert limits.to_tell(10.5, rng, 0.0)
+    assert not limits.to_tell(20.0, rng, 0.0)
+    told = sum(bool(limits.to_tell(20.0, rng, 0.2)) for _ in range(200))
+    assert 20 <= told <= 60
+    limits.take('e1', 20.0, 0.0)
+    assert limits.to_tell(20.5, rng, 0.0)
 
 
 def test_only_so_many_limits_are_kept_and_told():
@@ -200,7 +213,7 @@
     for number in range(ratelimits.MOST_KNOWN + 10):
         limits.said(f'e{number}', 1, 1.0, 10.0, 10.0)
     assert len(limits.by_endpoint) == ratelimits.MOST_KNOWN
-    assert len(limits.to_tell(10.0)) == ratelimits.MOST_TOLD
+    assert len(limits.to_tell(10.0, random.Random(1))) == ratelimits.MOST_TOLD
     limits.keep_only(['e1'])
     assert list(limits.by_endpoint) == ['e1']
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_suspects.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_suspects.py
@@ -175,8 +175,10 @@
 
 def test_old_suspects_are_told_to_those_that_start():
     known = _after(3)
-    told = known.to_tell(200.0, random.Random(1))
-    assert [word.digest for word in told] == [BAD]
+    rng = random.Random(1)
+    assert [word.digest for word in known.to_tell(200.0, rng)] == [BAD]
+    told = sum(len(known.to_tell(200.0, rng, 0.2)) for _ in range(200))
+    assert 20 <= told <= 60
 
 
 @pytest.mark.parametrize('seed', range(SEEDS))
