--- a/packages/policy/ibisring_policy/gateway/suspects.py
+++ b/packages/policy/ibisring_policy/gateway/suspects.py
@@ -30,9 +30,9 @@
 # one that was answered, whose answer has reached all routers by then.
 FORGOTTEN_AFTER = 1800.0
 CLEARED_FOR = 60.0
-# With one end fewer, it is sent on some of these steps after the last, in
-# seconds, so that suspects that saw the same end run one after another: an
-# end that they share again would say nothing of either.
+# After the last end but one, a suspect waits for so many steps of this length,
+# in seconds, as its digest says: those that saw the same end then run one
+# after another, and an end that follows speaks against one of them only.
 STEP = 0.15
 STEPS = 8
 # Seconds after its sending within which a lost answer counts against it.
@@ -242,6 +242,7 @@
         -------
         list of Word
         """
+        self.expire(now)
         new, old = [], []
         for digest, suspect in self.by_digest.items():
             if now - suspect.changed_at < TOLD_FOR:
--- a/packages/policy/ibisring_policy/gateway/tests/test_suspects.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_suspects.py
@@ -161,7 +161,8 @@
 
 def test_suspects_are_forgotten_in_time():
     known = _after(2)
-    known.expire(102.0 + suspects_module.FORGOTTEN_AFTER)
+    later = 102.0 + suspects_module.FORGOTTEN_AFTER
+    assert known.to_tell(later, random.Random(1)) == []
     assert not known.by_digest
 
 
