A stream under way is not cut for refusals that last a moment

Cause: an engine gave its layers up, and a stream was moved off it; the two first engines that could go on with it refused within 20 ms, and with a refusal at its beginning its four tries were spent. Refusals were counted like tries that cost a connection's time.

Refusals of a stream under way are counted apart, six at most, 0.1 s between them. Test_attempts has the decision.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -229,6 +229,14 @@
             if step not in GOING_ON:
                 self._give_up(job, end, step)
                 return
+            if step is attempts.Next.RESUME and end is attempts.End.REFUSED:
+                self._pause(job)
+
+    def _pause(self, job):
+        """Let a moment pass before a stream under way is tried again."""
+        time.sleep(attempts.REFUSED_PAUSE)
+        if serving.is_gone(job.exchange.socket):
+            raise exchange_module.CallerLeft('between two tries')
 
     def _give_up(self, job, end, step):
         if step is attempts.Next.DROP:
@@ -273,6 +281,7 @@
         if choice is None and job.exchange.begun:
             choice = self._wait_for_choice(job)
         if choice is None and job.progress.tries:
+            job.progress.refused = attempts.MOST_REFUSED
             job.progress.tries = attempts.MOST_TRIES
             return attempts.End.NOT_SENT
         if choice is None and job.limited:
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -219,6 +219,7 @@
     def _refused(self, job, attempt, answer):
         """The endpoint, or a stage behind it, did not run the request."""
         culprit = self.selector.culprit(attempt, answer)
+        job.progress.refused += 1
         job.avoid.add(culprit)
         with self.view.lock:
             self.selector.blame(attempt, culprit, answer, self.clock())
--- a/packages/policy/ibisring_policy/gateway/attempts.py
+++ b/packages/policy/ibisring_policy/gateway/attempts.py
@@ -50,7 +50,8 @@
 class Progress(msgspec.Struct, kw_only=True):
     """All that the decision depends on.
 
-    `tries` counts connections tried, `sent_to` endpoints that were sent the
+    `tries` counts connections tried, `refused` those of them that ended in a
+    refusal, `sent_to` endpoints that were sent the
     request, `may_have_run` whether one of them may have begun; `delivering`
     that the caller has got the head of an answer.  Times are in seconds.
     """
@@ -59,6 +60,7 @@
     stream: bool
     most_endpoints: int
     tries: int = 0
+    refused: int = 0
     sent_to: int = 0
     may_have_run: bool = False
     delivering: bool = False
@@ -73,6 +75,10 @@
 SLACK_SHARE = 0.6
 # Connections tried for one request: each costs up to the connect timeout.
 MOST_TRIES = 4
+# Refusals beside them that a stream under way may meet, and the seconds
+# between two tries then: engines that are full have room again soon.
+MOST_REFUSED = 6
+REFUSED_PAUSE = 0.1
 # A repeat with less time than this left would only be cut again, in seconds.
 LEAST_TIME = 0.03
 
@@ -109,7 +115,7 @@
 
 
 def _may_go_on(end, progress):
-    if progress.tries >= MOST_TRIES or progress.time_left < LEAST_TIME:
+    if _tries_spent(progress) or progress.time_left < LEAST_TIME:
         return False
     # A stream may go to an endpoint that has had it before, over a chain
     # with other stages: that is no further endpoint.
@@ -118,6 +124,19 @@
     return is_open and (progress.budget or not progress.sent_to)
 
 
+def _tries_spent(progress):
+    """Say whether a request has had all its tries.
+
+    A stream under way loses all of its answer with the last of them, and a
+    refusal costs it a moment only.
+    """
+    if not progress.delivering:
+        return progress.tries >= MOST_TRIES
+    if progress.refused >= MOST_REFUSED:
+        return True
+    return progress.tries - progress.refused >= MOST_TRIES
+
+
 def _give_up(progress):
     if progress.delivering:
         return Next.BREAK
--- a/packages/policy/ibisring_policy/gateway/tests/test_attempts.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_attempts.py
@@ -50,6 +50,21 @@
     assert attempts.decide(End.LOST, progress) is Next.UNKNOWN
 
 
+def test_a_stream_under_way_outlasts_some_refusals():
+    """Failure: a stream is cut, as those that could go on with it are full."""
+    progress = _progress(stream=True, delivering=True, tries=5, refused=3)
+    assert attempts.decide(End.REFUSED, progress) is Next.RESUME
+    progress.refused = attempts.MOST_REFUSED
+    assert attempts.decide(End.REFUSED, progress) is Next.BREAK
+    progress = _progress(stream=True, delivering=True, tries=5, refused=1)
+    assert attempts.decide(End.REFUSED, progress) is Next.BREAK
+
+
+def test_a_stream_that_has_not_begun_counts_refusals():
+    progress = _progress(stream=True, tries=4, refused=3)
+    assert attempts.decide(End.REFUSED, progress) is Next.UNKNOWN
+
+
 def test_a_spent_budget_ends_the_repeats():
     progress = _progress(budget=False)
     assert attempts.decide(End.LOST, progress) is Next.UNKNOWN
