The choice beside suspects and under limits has tests without processes

The load that is played without a network has a choice of its own, so that nothing but the runs with processes would have failed if the selector had sent others to an endpoint with a suspect, or a suspect to the fullest first engine. Ten cases; no product code changes.

--- /dev/null
+++ b/packages/gateway/ibisring_gateway/tests/test_selecting.py
@@ -0,0 +1,123 @@
+"""Tests of the choice of endpoints beside suspects and under limits."""
+
+import types
+
+from ibisring_gateway import selecting
+from ibisring_gateway.tests import builders
+from ibisring_policy.gateway.tests import builders as build
+import pytest
+
+SUSPECT = b'suspect!'
+OTHER = b'another!'
+
+
+def _plain_view(*names):
+    endpoints = [
+        build.endpoint(name, address=f'{name}:1', slots=6) for name in names
+    ]
+    return builders.view_of(endpoints)
+
+
+def _chain_view(*heads):
+    engines = [
+        build.held_endpoint(name, 0, 40, address=f'{name}:1', card='big')
+        for name in heads
+    ]
+    engines.append(
+        build.held_endpoint('tail', 40, 80, address='tail:1', card='big')
+    )
+    return builders.view_of(engines)
+
+
+def _job(view, service, digest=OTHER, **changes):
+    values = dict(
+        digest=digest,
+        is_suspect=False,
+        avoid=set(),
+        limited=set(),
+        sent_to=[],
+        service=view.snapshot.index.services[service],
+        route=build.route(),
+        match=types.SimpleNamespace(priority=1, account='acme'),
+        progress=types.SimpleNamespace(sent_to=0, most_endpoints=2),
+        request=types.SimpleNamespace(
+            prompt_tokens=10, answer_tokens=10, answer_hint=None
+        ),
+    )
+    values.update(changes)
+    return types.SimpleNamespace(**values)
+
+
+def _chosen(view, job, tries=20):
+    """Give the names of the endpoints that are chosen, some not at all."""
+    selector = selecting.make_selector(view)
+    found = set()
+    for _ in range(tries):
+        choice = selector.choose(job, view.clock())
+        found.add(choice.endpoint.id if choice else None)
+    return found
+
+
+@pytest.mark.parametrize(
+    ('service', 'make'), [('lookup', _plain_view), ('model', _chain_view)]
+)
+def test_nobody_is_sent_to_where_a_suspect_runs(service, make):
+    """Failure: others end with the endpoint that a bad request has begun."""
+    view = make('h1', 'h2')
+    view.suspects.begin(SUSPECT, 'h1')
+    assert _chosen(view, _job(view, service)) == {'h2'}
+
+
+@pytest.mark.parametrize(
+    ('service', 'make'), [('lookup', _plain_view), ('model', _chain_view)]
+)
+def test_an_endpoint_with_a_suspect_is_better_than_none(service, make):
+    view = make('h1')
+    view.suspects.begin(SUSPECT, 'h1')
+    assert _chosen(view, _job(view, service)) == {'h1'}
+
+
+def test_a_suspect_begins_where_few_streams_run():
+    """Failure: a bad request ends the engine that has the most streams."""
+    view = _chain_view('h1', 'h2', 'h3')
+    view.book.of('h1').heads = 60
+    job = _job(view, 'model', SUSPECT, is_suspect=True)
+    assert 'h1' not in _chosen(view, job)
+
+
+@pytest.mark.parametrize(
+    ('service', 'make'), [('lookup', _plain_view), ('model', _chain_view)]
+)
+def test_others_take_what_a_limit_leaves_over(service, make):
+    view = make('h1', 'h2')
+    now = view.clock()
+    view.limits.said('h1', 0, 0.5, now, now)
+    job = _job(view, service)
+    selector = selecting.make_selector(view)
+    chosen = [selector.choose(job, now).endpoint.id for _ in range(30)]
+    assert chosen.count('h1') <= 1
+
+
+@pytest.mark.parametrize(
+    ('service', 'make'), [('lookup', _plain_view), ('model', _chain_view)]
+)
+def test_a_limit_that_is_used_up_leaves_no_choice(service, make):
+    view = make('h1')
+    now = view.clock()
+    view.limits.said('h1', 0, 0.5, now, now)
+    view.limits.take('h1', now + 10.0, 0.0)
+    job = _job(view, service)
+    selector = selecting.make_selector(view)
+    assert selector.choose(job, now + 10.0) is None
+    assert job.limited == {'h1'}
+    assert selector.turns.refuse(job, now + 10.0) > 0.0
+
+
+def test_a_request_that_is_outranked_leaves_the_turn_to_others():
+    view = _plain_view('h1')
+    now = view.clock()
+    view.limits.said('h1', 0, 0.5, now, now)
+    view.limits.wait('h1', now)
+    view.fairness.refused(0, 'other', now + 10.0)
+    selector = selecting.make_selector(view)
+    assert selector.choose(_job(view, 'lookup'), now + 10.0) is None
