A trace shows the ends that speak against a request, whenever they were

What an operator saw: a request refused for ten minutes shows only the refusal once the ends of its endpoints are more than two seconds back, or were seen by other VMs. Cause: beliefs are shown from around the request at its own VMs. Now lines about its digest are shown from any time before and any VM.

--- a/packages/operator/ibisring_operator/tests/test_tracing.py
+++ b/packages/operator/ibisring_operator/tests/test_tracing.py
@@ -32,6 +32,22 @@
     assert {line.source for line in found} == {'vm-1'}
 
 
+SUSPECTED = '''{"time": 1.0, "event": "suspect", "digest": "d1", "ends": 1}
+{"time": 1.5, "event": "suspect", "digest": "d2", "ends": 1}
+{"time": 60.0, "event": "request", "id": "r1", "digest": "d1", "ms": 1}
+{"time": 61.0, "event": "suspect", "digest": "d1", "ends": 4}
+'''
+
+
+def test_a_refused_request_shows_which_ends_speak_against_it():
+    """Failure: why it was not sent on lies minutes back, at another VM."""
+    lines = _read('vm-1', SUSPECTED)
+    elsewhere = '{"time": 2.0, "event": "suspect", "digest": "d1", "ends": 2}'
+    lines += _read('vm-2', elsewhere)
+    found = tracing.trace(lines, 'r1')
+    assert [line.time for line in found] == [1.0, 2.0, 60.0]
+
+
 def test_an_unknown_request_has_no_lines():
     assert tracing.trace(_read('vm-1', FIRST), 'none') == []
 
--- a/packages/operator/ibisring_operator/tracing.py
+++ b/packages/operator/ibisring_operator/tracing.py
@@ -18,10 +18,11 @@
         'started',
         'store_lost',
         'store_regained',
-        'suspect',
         'table_in_force',
     )
 )
+# An endpoint has ended under a request, perhaps under another attempt of it.
+SUSPECT = 'suspect'
 
 
 def trace(lines, request):
@@ -37,7 +38,8 @@
     list of loglines.Line
         By time.  Empty if no line names the request.  Beliefs are those of
         the VMs that served it, from `AROUND` seconds before its first line
-        to its last.
+        to its last.  What was found out about it by its digest is shown
+        whenever and wherever that was.
     """
     own = [line for line in lines if line.request == request]
     if not own:
@@ -52,7 +54,15 @@
         and line.source in sources
         and begin <= line.time <= end
     ]
-    return sorted(own + around, key=lambda line: line.time)
+    digests = {line.facts.get('digest') for line in own} - {None}
+    suspected = [
+        line
+        for line in lines
+        if line.event == SUSPECT
+        and line.facts.get('digest') in digests
+        and line.time <= end
+    ]
+    return sorted(own + around + suspected, key=lambda line: line.time)
 
 
 def _seconds(line):
