A caller that leaves no longer cuts the connection of a later request

Their logs show answers cut 2 to 5 ms after the request was sent on a reused connection, at endpoints that were well. The watcher ends the attempt of a caller that has left by shutting down its connection to the endpoint; an attempt kept the socket after its answer, so the connection that had gone back to the pool, and by then carried the next request, was shut down. An attempt now gives the connection up, under a lock, before it is released.

The same class of fault in the watcher: an event is handled by the number of the caller's socket, which may belong to the next caller by then. It asks the socket again before it ends an attempt.

--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -183,7 +183,8 @@
             result = self._relay_stream(job, attempt, response, answer)
         else:
             result = self._relay_plain(job, attempt, response, answer)
-        if result is None and answer.delimited and attempt.result is None:
+        is_intact = attempt.detach()
+        if result is None and answer.delimited and is_intact:
             self.connections.release(attempt.endpoint, conn)
         else:
             conn.close()
--- a/packages/gateway/ibisring_gateway/tests/test_watching.py
+++ b/packages/gateway/ibisring_gateway/tests/test_watching.py
@@ -71,3 +71,30 @@
     watcher.check(clock())
     assert attempt.result is attempts.Result.DEADLINE
     watcher.remove(ours)
+
+
+def test_late_event_of_a_caller_does_not_end_the_next_attempt():
+    """Failure: an attempt ends as the caller before it has left.
+
+    The kernel gives the socket of a new caller the number of one that has
+    just been closed, whose event is still to be handled.
+    """
+    watcher, clock, _ = _watcher()
+    attempt, ours, theirs = _attempt(watcher, clock)
+    watcher._on_event(ours.fileno())
+    assert attempt.result is None
+    theirs.close()
+    watcher._on_event(ours.fileno())
+    assert attempt.result is attempts.Result.CALLER_GONE
+    watcher.remove(ours)
+
+
+def test_caller_that_leaves_after_a_late_event_is_noticed():
+    """Failure: an engine works for a caller that has left unnoticed."""
+    watcher, clock, _ = _watcher()
+    attempt, ours, theirs = _attempt(watcher, clock)
+    watcher._on_event(ours.fileno())
+    theirs.close()
+    events = watcher.epoll.poll(0)
+    assert ours.fileno() in [fd for fd, _ in events]
+    watcher.remove(ours)
--- a/packages/gateway/ibisring_gateway/watching.py
+++ b/packages/gateway/ibisring_gateway/watching.py
@@ -26,6 +26,8 @@
 
     Attributes
     ----------
+    socket : socket.socket or None
+        Connection to the endpoint while the attempt uses it.
     result : attempts.Result or None
         Why this router ended the attempt.
     deadline : float
@@ -70,6 +72,7 @@
         'reroutes',
         'unmovable_stages',
         'may_change_endpoint',
+        'lock',
     )
 
     def __init__(self, request_id, endpoint, stages, deadline):
@@ -90,6 +93,7 @@
         self.reroutes = 0
         self.unmovable_stages = None
         self.may_change_endpoint = True
+        self.lock = threading.Lock()
 
     def abort(self, end):
         """End the attempt and wake the thread that reads its answer.
@@ -97,14 +101,39 @@
         Shutting the socket down wakes a thread that is blocked reading from
         it; closing it would not.
         """
-        if self.result is None:
-            self.result = end
-        sock = self.socket
-        if sock is not None:
-            try:
-                sock.shutdown(socket.SHUT_RDWR)
-            except OSError as error:
-                LOG.debug('socket already closed: %s', error)
+        with self.lock:
+            if self.result is None:
+                self.result = end
+            if self.socket is not None:
+                _shut_down(self.socket)
+
+    def detach(self):
+        """Give up the connection, which another attempt may then use.
+
+        An abort that still shut it down would cut that attempt.
+
+        Returns
+        -------
+        bool
+            Whether the connection is intact; False if this was aborted.
+        """
+        with self.lock:
+            self.socket = None
+            return self.result is None
+
+
+def _shut_down(sock):
+    try:
+        sock.shutdown(socket.SHUT_RDWR)
+    except OSError as error:
+        LOG.debug('socket already closed: %s', error)
+
+
+def _has_disconnected(fd):
+    """Return whether the caller on a socket has closed its side."""
+    poller = select.poll()
+    poller.register(fd, select.POLLRDHUP)
+    return bool(poller.poll(0))
 
 
 class Watcher:
@@ -196,9 +225,12 @@
             return
         with self.lock:
             attempt = self.by_fd.get(fd)
+            # The event may be of a caller whose socket was closed since; the
+            # next caller's has the same number.
+            if attempt is None or not _has_disconnected(fd):
+                return
             self._unregister(fd)
-        if attempt is not None:
-            attempt.abort(attempts.Result.CALLER_GONE)
+        attempt.abort(attempts.Result.CALLER_GONE)
 
     def check(self, now):
         """Abort attempts past their deadline; report silent ones."""
