Routers that read the store end their calls by turns from the start

The runs differed because the simulated fleet left the rotation of gossip receivers unseeded; it is seeded now.

Calls now end at turns counted from one moment, the start or the last change, by the present rank and number of callers.

The new test of policy failed before (1.8 s between two ends, 0.9 allowed). Two tests follow the rule that they state more strictly: the rate of calls is taken over five calls, and gaps are those of the sorted ends.

--- a/packages/gateway/ibisring_gateway/tests/virtualfleet.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualfleet.py
@@ -150,6 +150,7 @@
             part.wake = virtualtime.Event(scheduler)
             part.rng = random.Random(fleet.rng.random())
             scheduler.spawn(self.settings.router_id, part.run)
+        self.gossip.rotation.rng = self.gossip.rng
         scheduler.spawn(self.settings.router_id, self._tick)
         self.scheduler = scheduler
         self.last_versions = {TABLE: 0, ENDPOINTS: 0}
--- a/packages/policy/ibisring_policy/gateway/polling.py
+++ b/packages/policy/ibisring_policy/gateway/polling.py
@@ -18,9 +18,9 @@
 # and the longest that one may wait: the store keeps some 20 s of history.
 CALL_INTERVAL_SECONDS = 0.9
 MAX_WAIT_SECONDS = 15.0
-# Growth or shrinking of the fleet, as a factor, at which its calls are spread
-# anew.
-RESPREAD_FACTOR = 1.5
+# A call that would end sooner than this share of the time between two ends
+# waits for its next turn.
+MIN_WAIT_SHARE = 0.5
 # Pause after a change: at least, for each router, and at most.  During a pause
 # a router receives what has changed from another one of its failure domain,
 # 0.25 s after it was notified of the change; the upper bound is for the case
@@ -77,7 +77,7 @@
         'needs_spread',
         'next_try_at',
         'try_started_at',
-        'spread_callers',
+        'spread_at',
     )
 
     def __init__(self):
@@ -89,12 +89,21 @@
         self.is_waiting = False
         self.needs_spread = True
         self.next_try_at = -math.inf
-        self.spread_callers = 0
+        self.spread_at = 0.0
 
-    def is_fleet_changed(self, fleet):
-        """Whether so many routers came or left that calls may coincide."""
-        few, many = sorted((self.spread_callers, fleet.callers))
-        return many >= few * RESPREAD_FACTOR
+    def wait_for_turn(self, now, fleet):
+        """Return the seconds until a call that begins now should end.
+
+        Calls end by turns counted from `spread_at`, which is about the same
+        for all routers.  A router learns its rank and the number of callers
+        by and by; counted from its own last call instead, the ends of several
+        routers' calls would coincide for good, with gaps between them.
+        """
+        step = min(CALL_INTERVAL_SECONDS, MAX_WAIT_SECONDS / fleet.callers)
+        cycle = step * fleet.callers
+        turn = self.spread_at + step * (fleet.rank + 1)
+        wait = (turn - now) % cycle
+        return wait if wait >= MIN_WAIT_SHARE * step else wait + cycle
 
     @property
     def is_failing(self):
@@ -124,7 +133,7 @@
     >>> polling = make_polling(['routes', 'endpoints'], lambda: 0.5)
     >>> for name in ('routes', 'endpoints'):
     ...     _ = polling.answered(name, 10.0, True)
-    >>> polling.begin_call('routes', 10.0, Fleet(6, 2, 6))
+    >>> round(polling.begin_call('routes', 10.0, Fleet(6, 2, 6)), 6)
     2.7
     >>> polling.outage_suspected(11.5)
     ['routes']
@@ -201,11 +210,10 @@
             if table.has_read:
                 self.next_try_at = now + TRY_SECONDS + FIRST_RETRY_SECONDS
             return 0.0
-        step = min(CALL_INTERVAL_SECONDS, MAX_WAIT_SECONDS / fleet.callers)
-        if table.needs_spread or table.is_fleet_changed(fleet):
-            table.spread_callers = fleet.callers
-            return step * (fleet.rank + 1)
-        return step * fleet.callers
+        if table.needs_spread:
+            table.spread_at = now
+            table.needs_spread = False
+        return table.wait_for_turn(now, fleet)
 
     def answered(self, name, now, changed):
         """Record an answer to a call.
--- a/packages/policy/ibisring_policy/gateway/tests/test_polling.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_polling.py
@@ -7,6 +7,7 @@
 ROUTES = 'routes'
 ENDPOINTS = 'endpoints'
 SIX = polling.Fleet(6, 0, 6)
+CALLS = 5
 
 
 def _polling(now=10.0):
@@ -29,9 +30,11 @@
     """Load: routers that follow a table in which nothing changes."""
     poller = _polling()
     fleet = polling.Fleet(count, 0, count)
-    poller.begin_call(ROUTES, 10.0, fleet)
-    poller.answered(ROUTES, 11.0, False)
-    interval = poller.begin_call(ROUTES, 11.0, fleet) / count
+    began_at = now = 10.0 + poller.begin_call(ROUTES, 10.0, fleet)
+    for _ in range(CALLS):
+        poller.answered(ROUTES, now, False)
+        now += poller.begin_call(ROUTES, now, fleet)
+    interval = (now - began_at) / CALLS / count
     expected = min(
         polling.CALL_INTERVAL_SECONDS, polling.MAX_WAIT_SECONDS / count
     )
@@ -70,8 +73,27 @@
         poller.begin_call(ROUTES, 10.0, alone)
         poller.answered(ROUTES, 11.0, False)
         ends.append(poller.begin_call(ROUTES, 11.0, polling.Fleet(6, rank)))
-    gaps = [after - before for before, after in zip([0.0, *ends], ends)]
-    assert max(gaps) <= polling.CALL_INTERVAL_SECONDS + 1e-9
+    assert _longest_gap(ends) <= polling.CALL_INTERVAL_SECONDS + 1e-9
+
+
+def _longest_gap(ends):
+    ends = sorted(ends)
+    return max(after - before for before, after in zip([0.0, *ends], ends))
+
+
+def test_calls_are_apart_after_ranks_were_learned_one_by_one():
+    """Failure: a store that went silent is noticed 2.5 s later."""
+    first_views = ((2, 0), (4, 3), (4, 3), (3, 2), (5, 3), (4, 3))
+    ends = []
+    for rank, (callers, first_rank) in enumerate(first_views):
+        poller = _polling()
+        now = 10.0
+        first = polling.Fleet(callers, first_rank)
+        for fleet in (first, *[polling.Fleet(6, rank)] * 3):
+            poller.answered(ROUTES, now, False)
+            now += poller.begin_call(ROUTES, now, fleet)
+        ends.append(now % (6 * polling.CALL_INTERVAL_SECONDS))
+    assert _longest_gap(ends) <= polling.CALL_INTERVAL_SECONDS + 1e-9
 
 
 def test_a_call_does_not_wait_for_changes_after_a_failure():
