The callers' port is bound before the program is imported

The entry module binds the address first; connections wait in the kernel until routes and endpoints are read, for 0.4 s at most, since requests accepted before that were refused with a Retry-After of 2 s.

Tests: a caller that connects during the start is served; the module that binds imports none of the slow libraries.

--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -165,13 +165,27 @@
 
 
 class _Server(cheroot_server.HTTPServer):
-    """Logs cheroot's errors as structured lines."""
+    """Logs cheroot's errors as structured lines.
+
+    Attributes
+    ----------
+    bound_socket : socket.socket or None
+        Used in place of a new one.
+    """
+
+    bound_socket = None
+
+    def bind(self, family, type, proto=0):
+        if self.bound_socket is None:
+            return super().bind(family, type, proto)
+        self.socket = self.bound_socket
+        return self.socket
 
     def error_log(self, msg='', level=logging.INFO, traceback=False):
         LOG.log(level, 'caller_connection', extra={'facts': {'said': msg}})
 
 
-def make_server(address, threads, handler, limits):
+def make_server(address, threads, handler, limits, bound_socket=None):
     """Make a cheroot server.
 
     Parameters
@@ -183,6 +197,8 @@
     handler : callable
         Called with an `Exchange` in a worker thread of the server.
     limits : routing.CallerLimits
+    bound_socket : socket.socket or None
+        Already bound to the address.
 
     Returns
     -------
@@ -196,6 +212,7 @@
 
     host, _, port = address.rpartition(':')
     server = _Server((host, int(port)), Gateway)
+    server.bound_socket = bound_socket
     server.requests = GrowingPool(server, min=threads[0], max=threads[1])
     server.request_queue_size = LISTEN_BACKLOG
     server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -42,6 +42,10 @@
 # Interval of the periodic placement check, in addition to the one after each
 # change: finds orders without effect and engines that died silently.
 CHECK_SECONDS = 0.25
+# Longest time for which a starting process lets callers wait in the kernel
+# until it has read routes and endpoints; a store that answers takes a tenth.
+MAX_START_WAIT_SECONDS = 0.4
+START_POLL_SECONDS = 0.005
 # Interval at which a process that shuts down checks for running requests.
 SHUTDOWN_POLL_SECONDS = 0.05
 
@@ -53,10 +57,13 @@
     ----------
     settings : settings.Settings
     installation : ports.Installation
+    caller_socket : socket.socket or None
+        Bound to the callers' address, see `earlylisten.bind`.
     """
 
-    def __init__(self, settings, installation):
+    def __init__(self, settings, installation, caller_socket=None):
         self.settings = settings
+        self.caller_socket = caller_socket
         self.installation = installation
         self.metrics = metrics.make_metrics()
         self.view = view_module.make_view(
@@ -154,14 +161,34 @@
         self.periodic_checks = periodic.start(
             CHECK_SECONDS, self._run_periodic_checks
         )
+        self._wait_until_ready()
+        _serve(self.caller_server)
         logs.event(LOG, 'started', router=settings.router_id)
 
+    def _wait_until_ready(self):
+        """Wait a moment for the first read of routes and endpoints.
+
+        Requests accepted before it would be refused for seconds.
+        """
+        deadline = time.monotonic() + MAX_START_WAIT_SECONDS
+        while not self.view.is_ready and time.monotonic() < deadline:
+            time.sleep(START_POLL_SECONDS)
+
     def _listen(self):
+        """Bind all addresses; callers are served later."""
         settings = self.settings
         limits = routing.CallerLimits()
+        self.caller_server = exchange.make_server(
+            settings.caller_listen,
+            CALLER_THREADS,
+            self.forwarder.serve,
+            limits,
+            self.caller_socket,
+        )
+        self.caller_server.prepare()
+        self.servers.append(self.caller_server)
         host = settings.host
         listeners = (
-            (settings.caller_listen, CALLER_THREADS, self.forwarder.serve),
             (settings.ready_listen, READY_THREADS, self.serve_ready),
             (f'{host}:{settings.peer_port}', READY_THREADS, self.serve_peer),
             (f'{host}:{settings.metrics_port}', (1, 4), self.serve_metrics),
@@ -169,9 +196,8 @@
         for address, threads, handler in listeners:
             server = exchange.make_server(address, threads, handler, limits)
             server.prepare()
-            threading.Thread(target=server.serve, daemon=True).start()
+            _serve(server)
             self.servers.append(server)
-        self.caller_server = self.servers[0]
 
     def _apply_limits(self, table):
         exchange.apply_limits(self.caller_server, table.limits)
@@ -300,6 +326,11 @@
             self.log_writer.listener.stop()
 
 
-def make_gateway(settings, installation):
+def _serve(server):
+    """Serve a prepared server in a thread of its own."""
+    threading.Thread(target=server.serve, daemon=True).start()
+
+
+def make_gateway(settings, installation, caller_socket=None):
     """Make a `Gateway`; run it with ``run()`` or ``start()``."""
-    return Gateway(settings, installation)
+    return Gateway(settings, installation, caller_socket)
