A crash behind an open port is charged once a later start shows it

A loss without a known cause is now unresolved. It becomes a crash when the endpoints that any router learns of no longer contain that process, and is dropped when the same process answers a request sent after it. Three losses, resolved or not, refuse a request for 5 s, so that it can't crash endpoints until the first has restarted; one loss alone changes nothing, as links lose answers too.

Before, nothing counted such losses.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -315,6 +315,7 @@
                 if estimate.started != endpoint.started:
                     estimate.started = endpoint.started
                     self.view.estimates.note_reachable(endpoint.id, now)
+        self._charge_ended_processes(usable, now)
         logs.event(
             LOG,
             'endpoints',
@@ -325,6 +326,17 @@
         )
         self.on_change()
 
+    def _charge_ended_processes(self, usable, now):
+        """Charge requests whose answers were lost as a process ended."""
+        processes = {each.id: each.started for each in usable.values()}
+        with self.view.lock:
+            charged = self.view.suspects.processes_known(processes, now)
+        for digest in charged:
+            self.metrics.count('endpoints_ended_by_requests')
+            logs.event(
+                LOG, 'suspect', digest=digest.hex(), origin='later start'
+            )
+
     def _replace(self, **values):
         before = self.view.snapshot
         fields = {
--- a/packages/gateway/ibisring_gateway/liveness.py
+++ b/packages/gateway/ibisring_gateway/liveness.py
@@ -2,7 +2,8 @@
 
 Answers are also lost when a running endpoint drops them, when a link fails or
 when an endpoint is frozen.  Only a closed port, or a later start time, shows
-that the process that had the request has exited.
+that the process that had the request has exited.  An open port shows that
+something listens, which need not be that process.
 """
 
 __all__ = ['Prober', 'make_prober']
@@ -39,7 +40,8 @@
         Returns
         -------
         bool or None
-            None if it is unknown, as nothing answers at all.
+            None if it is unknown: nothing answers at all, or the port is open
+            and the endpoint reports no start time.
         """
         host, _, port = endpoint.address.rpartition(':')
         try:
@@ -56,7 +58,7 @@
     def _has_restarted(self, endpoint):
         """Compare start times; a plain endpoint reports none."""
         if endpoint.holding is None or not endpoint.started:
-            return False
+            return None
         try:
             status = self.engines.status(endpoint.address, TIMEOUT_SECONDS)
         except exceptions.IbisringError as error:
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -91,13 +91,18 @@
             with self.view.lock:
                 self.view.suspects.mark_finished(job.digest)
 
-    def record_answer(self, job):
+    def record_answer(self, job, attempt):
         """Record that an endpoint has answered a request, or begun to."""
+        now = self.clock()
+        endpoint = attempt.endpoint
         with self.view.lock:
             tracked = self.view.suspects
             changes_before = tracked.local_changes
             tracked.mark_finished(job.digest)
-            tracked.answered(job.digest, self.clock())
+            tracked.answered(job.digest, now)
+            tracked.process_answered(
+                endpoint.id, endpoint.started, attempt.sent_at, now
+            )
             has_changed = tracked.local_changes > changes_before
         if has_changed:
             self._log_suspect(job.digest, 0)
@@ -117,10 +122,21 @@
         if attempt.result is not None or attempt.events:
             return None
         has_crashed = self.prober.has_crashed(attempt.endpoint)
-        if has_crashed and self._may_be_cause(job, attempt):
-            self._record_crash(job, attempt.endpoint)
+        if self._may_be_cause(job, attempt):
+            if has_crashed:
+                self._record_crash(job, attempt.endpoint)
+            elif has_crashed is None:
+                self._record_unresolved(job, attempt.endpoint)
         return has_crashed
 
+    def _record_unresolved(self, job, endpoint):
+        """Record a loss that a later start of the endpoint may explain."""
+        with self.view.lock:
+            self.view.suspects.answer_lost(
+                job.digest, endpoint.id, endpoint.started, self.clock()
+            )
+        self.on_update()
+
     def _may_be_cause(self, job, attempt):
         """Return whether the request may have caused a crash.
 
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -267,7 +267,7 @@
             return self._handle_lost_answer(
                 job, attempt, 'the body does not match its Content-Length'
             )
-        self.screen.record_answer(job)
+        self.screen.record_answer(job, attempt)
         failed = answer.status >= 500
         with self.view.lock:
             self.view.estimates.note_response(
@@ -308,7 +308,7 @@
                 self.selector.record_event(attempt, now)
                 job.record_chunk(now)
                 if attempt.events == 1:
-                    self.screen.record_answer(job)
+                    self.screen.record_answer(job, attempt)
                 if not exchange.headers_sent:
                     exchange.begin(
                         answer.status, _stream_headers(answer.headers)
--- a/packages/gateway/ibisring_gateway/tests/test_directory.py
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -188,3 +188,15 @@
         ('store_regained', 'endpoints'),
     ]
     assert lines[0][1]['waited_ms'] == 5400
+
+
+def test_later_start_charges_a_request_whose_answer_was_lost():
+    """Failure: a crash behind an open port is charged to no request."""
+    actor, view, _ = _make_directory()
+    before = build.endpoint('e1', started=1)
+    actor.on_read(directory.ReadResult([before], True, position=1))
+    digest, now = b'12345678', view.clock()
+    view.suspects.answer_lost(digest, 'e1', 1, now)
+    after = build.endpoint('e1', started=2)
+    actor.on_read(directory.ReadResult([after], False, position=2))
+    assert view.suspects.verdict(digest, now).crashes == 1
--- a/packages/policy/ibisring_policy/gateway/chains.py
+++ b/packages/policy/ibisring_policy/gateway/chains.py
@@ -17,25 +17,18 @@
 from ibisring_policy import plans
 import msgspec
 
-# The unit of cost is one layer at step factor 1, which takes 0.09 ms per event
-# including the wait for the forward pass under way (fitted to 3,191 streams
-# of three days without failures: 0.22, 0.48 and 1.4 ms per layer on cards of
-# step factor 2.4, 5.3 and 16).
-# One more stage: 0.5 ms per event for the hop, and one more engine whose loss
-# pauses the stream; on a day with many failures, one in 150 streams of 3 s
-# meets such a loss.
+# Costs are in layers: one layer on the fastest kind of card is the unit.
+# One more stage: the hop, and one more engine whose loss pauses the stream.
 STAGE_COST = 25.0
 # A crossing between failure domains within a chain: the activations of the
-# prompt take some 11 to 30 ms of a link that all chains share.
+# prompt take tens of milliseconds of a link that all chains share.
 CROSSING_COST = 640.0
 # A first stage in another failure domain than the router's: the whole response
-# crosses, event by event.  Compared with 50, 200 reduced the traffic between
-# domains by 40 % on a day without failures and by 25 % on days with failures,
-# with as many responses in time.
+# crosses, event by event.
 REMOTE_FIRST_STAGE_COST = 200.0
 # A first stage with more than half of its slots taken, multiplied by the
-# excess over the free share: at four fifths, a slower engine or one in another
-# domain is as good.  A request that finds no slot waits until another ends.
+# excess over the free share: a request that finds no slot waits until another
+# ends.
 SLOT_COST = 100.0
 MIN_FREE_SLOT_SHARE = 0.05
 # Random variation of the slot use of first stages, so that routers which
@@ -51,12 +44,8 @@
 FULL_SHARE = 0.95
 # Share of the longest response that is expected without a better estimate.
 EXPECTED_RESPONSE_SHARE = 0.6
-# Share of the expected response for which memory is reserved.  An engine runs
-# dozens of requests at various points of their responses, half written on
-# average.  With the whole response reserved, engines reported 0.82 of the
-# reserved memory as used (21,000 reports), and 1,668 requests were refused
-# for lack of memory on fifteen days; with half of it 982 were, with 1 to 24
-# preempted requests on six of these days.
+# Share of the expected response for which memory is reserved: the requests of
+# an engine have written half of their responses on average.
 RESERVED_RESPONSE_SHARE = 0.5
 
 
--- a/packages/policy/ibisring_policy/gateway/suspects.py
+++ b/packages/policy/ibisring_policy/gateway/suspects.py
@@ -6,6 +6,11 @@
 they are answered sooner or later, and that all the crashes they saw may be a
 strict subset of those that another request saw.
 
+An answer may be lost without a sign whether the endpoint crashed, for example
+where something else keeps its port open.  Such a loss is unresolved: it counts
+for a moment, until the same process answers another request, or until a later
+start shows that it crashed.
+
 The evidence of all routers is combined: each sends the crashes that it has
 seen to others, which forward what is new to them.
 
@@ -26,6 +31,10 @@
 # How long it is refused after the last crash: long enough to replace the
 # software of the endpoints.  After that it may run once more.
 REFUSAL_SECONDS = 600.0
+# How long an unresolved loss counts, and until when a later start turns it
+# into a crash.
+UNRESOLVED_SECONDS = 5.0
+RESTART_SECONDS = 30.0
 # How long a suspect is kept without new evidence.  One that was answered is
 # kept only until its answer has reached all routers.
 SUSPECT_TTL_SECONDS = 1800.0
@@ -56,12 +65,14 @@
 
     `crashes` gives the age in milliseconds of each crash by its id, which
     stands for the endpoint and the start of its process; `cleared_ms` is the
-    time since the suspect was last answered, None if no answer is known.
+    time since the suspect was last answered, None if no answer is known;
+    `unresolved` gives the ages of unresolved losses like `crashes`.
     """
 
     digest: bytes
     crashes: dict[int, int]
     cleared_ms: int | None = None
+    unresolved: dict[int, int] = {}
 
 
 class Verdict(msgspec.Struct, frozen=True):
@@ -85,6 +96,25 @@
     changed_at: float
     crashes: dict[int, float] = {}
     cleared_at: float = -1e9
+    unresolved: dict[int, float] = {}
+
+    @property
+    def has_evidence(self):
+        """Whether it has crashed an endpoint, or may have."""
+        return bool(self.crashes or self.unresolved)
+
+    def clear(self, before):
+        """Drop the evidence up to a time."""
+        self.crashes = _later(self.crashes, before)
+        self.unresolved = _later(self.unresolved, before)
+
+
+def _later(times, than):
+    return {name: at for name, at in times.items() if at > than}
+
+
+def _crash_id(endpoint, started):
+    return zlib.crc32(f'{endpoint} {started}'.encode())
 
 
 class Suspects:
@@ -116,6 +146,7 @@
         self.local_changes = 0
         self.changes = 0
         self.evicted = 0
+        self.answered_at = {}
 
     def crashed(self, digest, endpoint, started, now):
         """Record that an endpoint crashed while it ran a request.
@@ -129,21 +160,78 @@
         now : float
         """
         suspect = self._get_or_add(digest, now)
-        crash_id = zlib.crc32(f'{endpoint} {started}'.encode())
+        crash_id = _crash_id(endpoint, started)
+        suspect.unresolved.pop(crash_id, None)
+        self._add_crash(suspect, crash_id, now, now)
+
+    def _add_crash(self, suspect, crash_id, at, now):
         if (
             crash_id not in suspect.crashes
             and len(suspect.crashes) < MAX_KEPT_CRASHES
         ):
-            suspect.crashes[crash_id] = now
+            suspect.crashes[crash_id] = at
+            self._mark_changed(suspect, now)
+            self.local_changes += 1
+
+    def answer_lost(self, digest, endpoint, started, now):
+        """Record a lost answer of an endpoint that may have crashed.
+
+        Takes the same parameters as `crashed`.
+        """
+        suspect = self._get_or_add(digest, now)
+        crash_id = _crash_id(endpoint, started)
+        if crash_id in suspect.crashes:
+            return
+        if len(suspect.unresolved) < MAX_KEPT_CRASHES:
+            suspect.unresolved[crash_id] = now
             self._mark_changed(suspect, now)
             self.local_changes += 1
 
+    def process_answered(self, endpoint, started, sent_at, now):
+        """Record an answer to a request that was sent at `sent_at`.
+
+        The losses at the same process before that were no crashes.
+        """
+        if not any(each.unresolved for each in self.by_digest.values()):
+            return
+        crash_id = _crash_id(endpoint, started)
+        self.answered_at = _later(self.answered_at, now - RESTART_SECONDS)
+        self.answered_at[crash_id] = now
+        for suspect in self.by_digest.values():
+            lost_at = suspect.unresolved.get(crash_id)
+            if lost_at is not None and lost_at <= sent_at:
+                del suspect.unresolved[crash_id]
+
+    def processes_known(self, processes, now):
+        """Turn losses at processes that have ended into crashes.
+
+        Parameters
+        ----------
+        processes : dict of str to int
+            Start time of each endpoint that exists, by its id.
+        now : float
+
+        Returns
+        -------
+        list of bytes
+            Digests of the requests that are charged with a crash.
+        """
+        charged = []
+        current = {_crash_id(*process) for process in processes.items()}
+        for digest, suspect in self.by_digest.items():
+            for crash_id in suspect.unresolved.keys() - current:
+                lost_at = suspect.unresolved.pop(crash_id)
+                if now - lost_at < RESTART_SECONDS:
+                    self._add_crash(suspect, crash_id, lost_at, now)
+                    charged.append(digest)
+        return charged
+
     def answered(self, digest, now):
         """Record that an endpoint has answered a request, or begun to."""
         suspect = self.by_digest.get(digest)
-        if suspect is None or not suspect.crashes:
+        if suspect is None or not suspect.has_evidence:
             return
-        suspect.crashes = {}
+        suspect.clear(now)
         suspect.cleared_at = now
         self._mark_changed(suspect, now)
         self.local_changes += 1
@@ -176,6 +264,9 @@
     def expire(self, now):
         """Drop suspects that have not changed for their time to live."""
         for digest, suspect in list(self.by_digest.items()):
+            suspect.unresolved = _later(
+                suspect.unresolved, now - RESTART_SECONDS
+            )
             ttl = (
                 SUSPECT_TTL_SECONDS if suspect.crashes else CLEARED_TTL_SECONDS
             )
@@ -192,13 +283,21 @@
         suspect = self.by_digest.get(digest)
         if suspect is None:
             return Verdict()
-        count = len(suspect.crashes)
-        if not count or self._is_bystander(suspect):
+        unresolved = _later(suspect.unresolved, now - UNRESOLVED_SECONDS)
+        evidence = suspect.crashes | unresolved
+        count = len(evidence)
+        # One lost answer is no sign of a crash; links lose answers as well.
+        if not suspect.crashes and count < MAX_CRASHES - 1:
             return Verdict()
-        last = max(suspect.crashes.values())
+        if self._is_bystander(evidence.keys()):
+            return Verdict()
+        last = max(evidence.values())
+        refused_until = last + UNRESOLVED_SECONDS
+        if len(suspect.crashes) >= MAX_CRASHES:
+            refused_until = max(suspect.crashes.values()) + REFUSAL_SECONDS
         is_running = digest in self.running
-        if count >= MAX_CRASHES and now < last + REFUSAL_SECONDS:
-            return Verdict(count, refused_until=last + REFUSAL_SECONDS)
+        if count >= MAX_CRASHES and now < refused_until:
+            return Verdict(count, refused_until=refused_until)
         not_before = 0.0
         if count >= MAX_CRASHES - 1:
             # The byte depends on the count, so that two suspects with the
@@ -207,10 +306,12 @@
             not_before = last + SLOT_SECONDS * (slot % SLOTS)
         return Verdict(count, not_before=not_before, is_running=is_running)
 
-    def _is_bystander(self, suspect):
+    def _is_bystander(self, evidence):
         """Whether another suspect saw all the same crashes, and more."""
-        own = suspect.crashes.keys()
-        return any(own < o.crashes.keys() for o in self.by_digest.values())
+        return any(
+            evidence < other.crashes.keys() | other.unresolved.keys()
+            for other in self.by_digest.values()
+        )
 
     def mark_running(self, digest, endpoint):
         """Record that this router sends a suspect to an endpoint."""
@@ -267,14 +368,15 @@
 
     def _make_update(self, digest, now):
         suspect = self.by_digest[digest]
-        crashes = {
-            crash_id: int((now - at) * MS_PER_SECOND)
-            for crash_id, at in suspect.crashes.items()
-        }
         cleared_ms = None
         if now - suspect.cleared_at < CLEARED_TTL_SECONDS:
             cleared_ms = int((now - suspect.cleared_at) * MS_PER_SECOND)
-        return SuspectUpdate(digest, crashes, cleared_ms)
+        return SuspectUpdate(
+            digest,
+            _ages_ms(suspect.crashes, now),
+            cleared_ms,
+            _ages_ms(suspect.unresolved, now),
+        )
 
     def receive_updates(self, updates, now):
         """Merge the updates of another router.
@@ -295,30 +397,51 @@
         cleared_at = -1e9
         if update.cleared_ms is not None:
             cleared_at = now - update.cleared_ms / MS_PER_SECOND
-        crashes = {
-            crash_id: now - age / MS_PER_SECOND
-            for crash_id, age in update.crashes.items()
-            if 0 <= age <= SUSPECT_TTL_SECONDS * MS_PER_SECOND
+        crashes = _times(update.crashes, now, SUSPECT_TTL_SECONDS)
+        unresolved = _times(update.unresolved, now, UNRESOLVED_SECONDS)
+        unresolved = {
+            crash_id: at
+            for crash_id, at in unresolved.items()
+            if at > self.answered_at.get(crash_id, -1e9)
         }
-        if not crashes and update.digest not in self.by_digest:
+        if not (crashes or unresolved or update.digest in self.by_digest):
             return False
         suspect = self._get_or_add(update.digest, now)
-        before = set(suspect.crashes)
+        before = set(suspect.crashes), set(suspect.unresolved)
         suspect.cleared_at = max(suspect.cleared_at, cleared_at)
-        for crash_id, at in crashes.items():
-            if len(suspect.crashes) < MAX_KEPT_CRASHES:
-                suspect.crashes.setdefault(crash_id, at)
-        suspect.crashes = {
-            crash_id: at
-            for crash_id, at in suspect.crashes.items()
-            if at > suspect.cleared_at
-        }
-        if set(suspect.crashes) == before:
+        _add_times(suspect.crashes, crashes)
+        _add_times(suspect.unresolved, unresolved)
+        for crash_id in suspect.crashes.keys() & suspect.unresolved.keys():
+            del suspect.unresolved[crash_id]
+        suspect.clear(suspect.cleared_at)
+        if (set(suspect.crashes), set(suspect.unresolved)) == before:
             return False
         self._mark_changed(suspect, now)
         return True
 
 
+def _ages_ms(times, now):
+    return {
+        crash_id: int((now - at) * MS_PER_SECOND)
+        for crash_id, at in times.items()
+    }
+
+
+def _times(ages_ms, now, max_seconds):
+    """Return the times of ages, without those that are out of range."""
+    return {
+        crash_id: now - age / MS_PER_SECOND
+        for crash_id, age in ages_ms.items()
+        if 0 <= age <= max_seconds * MS_PER_SECOND
+    }
+
+
+def _add_times(known, times):
+    for crash_id, at in times.items():
+        if len(known) < MAX_KEPT_CRASHES:
+            known.setdefault(crash_id, at)
+
+
 def make_suspects():
     """Make an empty `Suspects`."""
     return Suspects()
