A router that has just started keeps to its own failure domain

For two seconds from the first read of the endpoints, by which time the loads have been exchanged, a first stage in another domain costs more than the fastest cards gain.

--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -218,7 +218,14 @@
             request.prompt_tokens, request.answer_tokens, request.answer_hint
         )
         layers = job.service.model.layers
-        return chains.Demand(tokens, self.domain, 0, layers)
+        known_for = self.view.clock() - self.view.snapshot.known_since
+        return chains.Demand(
+            tokens,
+            self.domain,
+            0,
+            layers,
+            remote_first_stage_cost=chains.remote_first_stage_cost(known_for),
+        )
 
     def shortages(self, job, now):
         """Describe, for a log line, the layers without an engine with room."""
--- a/packages/policy/ibisring_policy/gateway/chains.py
+++ b/packages/policy/ibisring_policy/gateway/chains.py
@@ -10,6 +10,7 @@
     'Holder',
     'Demand',
     'choose',
+    'remote_first_stage_cost',
     'tokens_needed',
     'jitter_slot_use',
 ]
@@ -26,6 +27,12 @@
 # A first stage in another failure domain than the router's: the whole response
 # crosses, event by event.
 REMOTE_FIRST_STAGE_COST = 200.0
+# The same for a router that does not know the load of others yet.  Routers
+# that have started together would otherwise all choose the fastest chain of
+# all domains, and fill it.
+STARTING_REMOTE_FIRST_STAGE_COST = 2000.0
+# Time after a start until the loads of most other routers have arrived.
+LOADS_KNOWN_SECONDS = 2.0
 # A first stage with more than half of its slots taken, multiplied by the
 # excess over the free share: a request that finds no slot waits until another
 # ends.
@@ -90,7 +97,8 @@
 class Demand(msgspec.Struct):
     """Requirements of a request: its tokens, its layers, the router's domain.
 
-    `may_cross` allows a chain through several failure domains.
+    `may_cross` allows a chain through several failure domains;
+    `remote_first_stage_cost` is that of a first stage in another domain.
     """
 
     tokens: float
@@ -98,6 +106,20 @@
     first: int = 0
     end: int = 0
     may_cross: bool = True
+    remote_first_stage_cost: float = REMOTE_FIRST_STAGE_COST
+
+
+def remote_first_stage_cost(seconds_since_start):
+    """Return the cost of a first stage in another failure domain.
+
+    Examples
+    --------
+    >>> remote_first_stage_cost(0.1) > remote_first_stage_cost(10.0)
+    True
+    """
+    if seconds_since_start < LOADS_KNOWN_SECONDS:
+        return STARTING_REMOTE_FIRST_STAGE_COST
+    return REMOTE_FIRST_STAGE_COST
 
 
 def tokens_needed(prompt, max_response, hint=None):
@@ -298,9 +320,8 @@
 
 def _entry_cost(holder, previous, demand):
     if previous is None:
-        return (
-            0.0 if holder.domain == demand.domain else REMOTE_FIRST_STAGE_COST
-        )
+        is_local = holder.domain == demand.domain
+        return 0.0 if is_local else demand.remote_first_stage_cost
     return 0.0 if holder.domain == previous else CROSSING_COST
 
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_chains.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_chains.py
@@ -197,3 +197,57 @@
     assert _names(_choose([fast, slow])) == ['fast']
     fast.used = 0.9e6
     assert _names(_choose([fast, slow])) == ['slow']
+
+
+START_LOAD_REQUESTS = 200
+
+
+def _refused_at_a_start(seconds_since_start):
+    """Play requests of routers that don't know each other's loads.
+
+    Returns
+    -------
+    int
+        Requests for which their engines had no memory.
+    """
+    rng = random.Random(1)
+    slow = {
+        f'{domain}{part}{n}': build.holder(
+            f'{domain}{part}{n}',
+            8 * part,
+            8 * part + 8,
+            domain=domain,
+            step_factor=16.0,
+            capacity=150e3 * 8,
+        )
+        for domain in 'abc'
+        for part in range(2)
+        for n in range(2)
+    }
+    fast = build.holder(
+        'fast', 0, 16, domain='a', step_factor=3.0, capacity=80e3 * 16
+    )
+    holders = {'fast': fast, **slow}
+    used = dict.fromkeys(holders, 0.0)
+    refused = 0
+    for number in range(START_LOAD_REQUESTS):
+        demand = build.demand(end=16, domain='abc'[number % 3])
+        demand.remote_first_stage_cost = chains.remote_first_stage_cost(
+            seconds_since_start
+        )
+        stages = chains.choose(
+            list(holders.values()), demand, 16, lambda: rng.uniform(0.9, 1.1)
+        )
+        tokens = {s.endpoint: 1000.0 * (s.end - s.first) for s in stages}
+        if any(used[n] + t > holders[n].capacity for n, t in tokens.items()):
+            refused += 1
+            continue
+        for name, size in tokens.items():
+            used[name] += size
+    return refused
+
+
+def test_routers_that_start_together_do_not_fill_the_fastest_chain():
+    """Load: all routers lose power, and their callers come back at once."""
+    assert _refused_at_a_start(60.0) > 0
+    assert _refused_at_a_start(0.1) == 0
