Gateway: five modules are named after what they do

doctor is stalls, asking enginestatus, feeds storecalls, following storefollowing, watching attemptwatching; their tests, pages and imports follow. Only names change, but for the wait of a call, which is rounded to a microsecond: a test of the followers compared it with 0.9.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -6,11 +6,11 @@
 import random
 import time
 
+from ibisring_gateway import attemptwatching
 from ibisring_gateway import exchange as exchange_module
 from ibisring_gateway import jobs
 from ibisring_gateway import selecting
 from ibisring_gateway import sending
-from ibisring_gateway import watching
 from ibisring_policy.gateway import attempts
 from ibisring_records import exceptions
 from ibisring_router import logs
@@ -39,7 +39,7 @@
     view : view.View
     codec : ports.Codec
     connections : upstream.ConnectionPool
-    watcher : watching.Watcher
+    watcher : attemptwatching.Watcher
     retry_budget : attempts.RetryBudget
     count_routers : callable
         Returns the number of routers that share the limit on retries.
@@ -317,7 +317,7 @@
             )
         if choice.wait:
             time.sleep(choice.wait)
-        attempt = watching.Attempt(
+        attempt = attemptwatching.Attempt(
             job.request.id, choice.endpoint, choice.stages, job.deadline
         )
         attempt.tokens = choice.tokens
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -69,7 +69,7 @@
     lease_table : ports.LeaseTable
     tell_directory : callable
         Takes `directory.ReadResult` messages.
-    followers : following.Followers
+    followers : storefollowing.Followers
         Notified of what other routers report of the store.
     """
 
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -11,10 +11,9 @@
 import msgspec
 import pykka
 
+from ibisring_gateway import attemptwatching
 from ibisring_gateway import directory
-from ibisring_gateway import doctor
 from ibisring_gateway import exchange
-from ibisring_gateway import following
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossip
 from ibisring_gateway import liveness
@@ -23,9 +22,10 @@
 from ibisring_gateway import placing
 from ibisring_gateway import screening
 from ibisring_gateway import settings as settings_module
+from ibisring_gateway import stalls
+from ibisring_gateway import storefollowing
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
-from ibisring_gateway import watching
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import shutdown
 from ibisring_records import exceptions
@@ -70,7 +70,7 @@
             settings.failure_domain, name=settings.router_id
         )
         self.connections = upstream.make_connection_pool()
-        self.watcher = watching.make_watcher(self._on_stall)
+        self.watcher = attemptwatching.make_watcher(self._on_stall)
         self.retry_budget = attempts.make_retry_budget(
             settings.repeat_window_s,
             settings.repeat_ratio * attempts.RATIO_SHARE,
@@ -91,14 +91,14 @@
             self.metrics,
             self.screen,
         )
-        self.stall_handler = doctor.make_stall_handler(
+        self.stall_handler = stalls.make_stall_handler(
             self.view,
             installation.engines,
             self.forwarder.selector,
             self.watcher,
             self.metrics,
         )
-        self.followers = following.make_followers(
+        self.followers = storefollowing.make_followers(
             self._polling_slot, self._role
         )
         self.signals = []
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -279,7 +279,7 @@
 
         Parameters
         ----------
-        attempt : watching.Attempt
+        attempt : attemptwatching.Attempt
         lost : set of str
         now : float
 
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -52,7 +52,7 @@
         Parameters
         ----------
         job : jobs.Job
-        attempt : watching.Attempt
+        attempt : attemptwatching.Attempt
 
         Returns
         -------
--- a/packages/gateway/ibisring_gateway/doctor.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -5,7 +5,7 @@
 import concurrent.futures
 import logging
 
-from ibisring_gateway import asking
+from ibisring_gateway import enginestatus
 from ibisring_gateway import ports
 from ibisring_policy.gateway import attempts
 from ibisring_records import routing
@@ -37,7 +37,7 @@
     view : view.View
     engines : ports.EngineControl
     selector : selecting.Selector
-    watcher : watching.Watcher
+    watcher : attemptwatching.Watcher
     metrics : metrics.Metrics
     """
 
@@ -49,7 +49,7 @@
         self.metrics = metrics
         self.clock = view.clock
         self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
-        self.querier = asking.make_status_querier(view, engines, metrics)
+        self.querier = enginestatus.make_status_querier(view, engines, metrics)
 
     def stop(self):
         """Shut the thread pools down without waiting."""
--- a/packages/policy/ibisring_policy/gateway/polling.py
+++ b/packages/policy/ibisring_policy/gateway/polling.py
@@ -102,7 +102,7 @@
         step = min(CALL_INTERVAL_SECONDS, MAX_WAIT_SECONDS / fleet.callers)
         cycle = step * fleet.callers
         turn = self.spread_at + step * (fleet.rank + 1)
-        wait = (turn - now) % cycle
+        wait = round((turn - now) % cycle, 6)
         return wait if wait >= MIN_WAIT_SHARE * step else wait + cycle
 
     @property
@@ -133,7 +133,7 @@
     >>> polling = make_polling(['routes', 'endpoints'], lambda: 0.5)
     >>> for name in ('routes', 'endpoints'):
     ...     _ = polling.answered(name, 10.0, True)
-    >>> round(polling.begin_call('routes', 10.0, Fleet(6, 2, 6)), 6)
+    >>> polling.begin_call('routes', 10.0, Fleet(6, 2, 6))
     2.7
     >>> polling.outage_suspected(11.5)
     ['routes']
