--- a/packages/policy/ibisring_policy/gateway/layers.py
+++ b/packages/policy/ibisring_policy/gateway/layers.py
@@ -15,12 +15,10 @@
 from ibisring_records import routing
 import msgspec
 
-# Share of a card's memory used for weights if the usual size of requests is
-# unknown.
-DEFAULT_WEIGHT_SHARE = 0.68
-# Share of an engine's slots for whose requests memory is kept: beyond it,
-# requests are sent to other engines where possible.
-USUAL_SLOT_SHARE = 0.5
+# Share of a card's memory used for weights.  At 0.65, pools of mixed cards
+# hold 1.2 to 1.5 copies of the model, and the rest has room for 2.5 times the
+# prompts of the mean load.
+WEIGHT_SHARE = 0.68
 # If a pool can't hold this many copies of the model, all pools are merged.
 MIN_COPIES = 1.05
 # Upper bound of the share used for weights, for small pools.
@@ -101,46 +99,13 @@
     return changes
 
 
-def usual_weight_share(model):
-    """Return the share of memory that usual requests leave for weights.
-
-    More memory for prompts than the requests of a chain take is of no use,
-    while each layer that an engine holds in addition shortens chains, and
-    increases the pool's copies of the model.
-
-    Parameters
-    ----------
-    model : routing.Model
-
-    Returns
-    -------
-    float
-        The same for all cards, since weights and prompts both take memory
-        for each layer.
-
-    Examples
-    --------
-    >>> from ibisring_policy.gateway.tests import builders
-    >>> round(usual_weight_share(builders.model()), 2)
-    0.74
-    """
-    # Requests under way have written half of their answers on average.
-    tokens = model.mean_prompt + model.mean_answer / 2.0
-    if not tokens:
-        return DEFAULT_WEIGHT_SHARE
-    requests = USUAL_SLOT_SHARE * model.slots
-    prompts_mb = requests * tokens * model.token_mb / model.layers
-    return model.layer_mb / (model.layer_mb + prompts_mb)
-
-
 def _weight_share(group, model):
     """Return the share of memory to use for weights in a pool."""
-    usual_share = usual_weight_share(model)
     memory = sum(engine.memory_mb for engine in group)
     if not memory:
-        return usual_share
+        return WEIGHT_SHARE
     needed = MIN_COPIES * model.layers * model.layer_mb / memory
-    return min(MAX_WEIGHT_SHARE, max(usual_share, needed))
+    return min(MAX_WEIGHT_SHARE, max(WEIGHT_SHARE, needed))
 
 
 def _plan_pool(group, model):
