--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -12,8 +12,8 @@
 
 LOG = logging.getLogger(__name__)
 # Bounds in seconds of the timeout of a status query while a caller waits.
-# The endpoint needs no free slot to answer, and a stream counts as late after
-# a pause of 0.2 s.
+# The endpoint needs no free slot to answer, and the stream must go on before
+# its pause makes it late.
 MIN_TIMEOUT_SECONDS = 0.035
 MAX_TIMEOUT_SECONDS = 0.12
 # Timeout in seconds for an endpoint that counts as unreachable: no caller
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -19,7 +19,7 @@
 FIRST_EVENT_TIMEOUT = 0.12
 PREFILL_FACTOR = 4.0
 # Between events, a stage is suspected after this many mean gaps, within these
-# bounds in seconds; callers count a stream as late after 0.2.
+# bounds in seconds, well below the pause after which a stream counts as late.
 EVENT_TIMEOUT_FACTOR = 2.0
 MIN_EVENT_TIMEOUT = 0.06
 MAX_EVENT_TIMEOUT = 0.09
--- a/packages/policy/ibisring_policy/gateway/estimates.py
+++ b/packages/policy/ibisring_policy/gateway/estimates.py
@@ -30,9 +30,8 @@
 # Share of an engine's memory in use up to which a refusal can't be due to a
 # lack of memory.
 MEMORY_AVAILABLE_SHARE = 0.7
-# How long the load that another router sent counts: of 83 routers, each of
-# which sends to six others four times a second, nine in ten are received
-# within this time.
+# How long the load that another router sent counts: by then nearly every
+# router of a large fleet has sent again.
 MAX_PEER_TOKENS_AGE_SECONDS = 8.0
 # How long the loss of an engine is sent to other routers, and for how long
 # after its own contact with the engine a router ignores such a report.
@@ -40,8 +39,7 @@
 OWN_CONTACT_SECONDS = 0.1
 # Delay after which a router that learned of a lost engine from a peer probes
 # the engine itself, unless a peer has reported its recovery by then.  Routers
-# that detected the loss probe sooner; with all of 195 routers probing, these
-# were most of the status queries on a day with many failures.
+# that detected the loss probe sooner.
 PEER_REPORT_PROBE_DELAY_SECONDS = 4.0
 # How long an engine's report that it is slow counts, and after how long it is
 # queried again.
--- a/packages/policy/ibisring_policy/gateway/layers.py
+++ b/packages/policy/ibisring_policy/gateway/layers.py
@@ -15,9 +15,8 @@
 from ibisring_records import routing
 import msgspec
 
-# Share of a card's memory used for weights.  At 0.65, pools of mixed cards
-# hold 1.2 to 1.5 copies of the model, and the rest has room for 2.5 times the
-# prompts of the mean load.
+# Share of a card's memory used for weights.  More shortens chains and leaves
+# less room for prompts, which binds first on the fast cards.
 WEIGHT_SHARE = 0.68
 # If a pool can't hold this many copies of the model, all pools are merged.
 MIN_COPIES = 1.05
--- a/packages/policy/ibisring_policy/gateway/poolplan.py
+++ b/packages/policy/ibisring_policy/gateway/poolplan.py
@@ -12,9 +12,7 @@
 from ibisring_records import routing
 
 # Share of a card's memory kept for prompts when its range is extended to close
-# a gap, and when nothing else closes it.  At 0.2 a card of 14 GB holds 44,000
-# tokens for six layers, at 0.12 20,000 for seven: half of the active tokens of
-# a failure domain at the usual load.
+# a gap, and when nothing else closes it.
 RESERVE_SHARE = 0.2
 MIN_RESERVE_SHARE = 0.12
 # The same if the domain could serve no requests otherwise.
--- a/packages/policy/ibisring_policy/gateway/presence.py
+++ b/packages/policy/ibisring_policy/gateway/presence.py
@@ -9,7 +9,7 @@
 # seconds.
 REREGISTER_SECONDS = 2.2
 # An entry has not expired while the store accepted heartbeats until less than
-# this time ago: it expires after three missed heartbeats of 1.2 s.
+# this time ago: it expires after three missed heartbeats.
 EXPIRY_SECONDS = 3.0
 # Bound on the changes in one log line.
 MAX_LOGGED_CHANGES = 20
