The fastest cards hold the last layers, not the first

The plan filled windows from layer 0 and the fastest cards come first, so each domain's first layers were held by its fastest card alone, a range that takes seconds to load. A stream also ends with its first stage, while any other stage can be replaced.

Of equal windows the last is taken now. The slowest cards come last and hold the first layers, in small ranges; these have the least memory for prompts, so that second holders go there first. The two new tests failed before.

--- a/packages/policy/ibisring_policy/gateway/tests/test_layers.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_layers.py
@@ -333,3 +333,22 @@
     ]
     (change,) = layers.plan(engines, build.model(layers=21))
     assert change.holding == build.holding(8, 13)
+
+
+def test_each_domain_keeps_first_layers_when_any_of_their_holders_is_lost():
+    """Failure: a request that crashes first stages stops a whole site.
+
+    The first layers of each domain were held by its fastest card alone.
+    """
+    engines = build.planned(build.mixed_engines())
+    for lost in engines:
+        left = [e for e in engines if e is not lost]
+        for gaps in layers.missing(left, build.LAYERS).values():
+            assert all(gap.first > 0 for gap in gaps)
+
+
+def test_fastest_cards_do_not_hold_the_first_layers():
+    """Failure: the loss of a first stage takes seconds of loading to mend."""
+    for engine in build.planned(build.mixed_engines()):
+        if engine.holding.first == 0:
+            assert engine.holding.count <= 8
--- a/packages/policy/ibisring_policy/gateway/windows.py
+++ b/packages/policy/ibisring_policy/gateway/windows.py
@@ -115,7 +115,11 @@
     ones are standbys.  Then the least memory for prompts decides: a domain
     has room for as many requests as the layer with the least memory, and a
     second holder there takes over without loading if the first is lost.  Of
-    equal windows the first is taken, so that ranges are adjacent.
+    equal windows the last is taken, so that ranges are adjacent and the first
+    layers are left to the slower cards, which come last.  A stream ends with
+    the engine that runs its first layers, while another can be replaced: the
+    range there should be small and have a second holder, not be that of the
+    fastest card, which takes longest to load and is the only one of its kind.
 
     Parameters
     ----------
@@ -135,21 +139,22 @@
     best = None
     for first in range(first, last + 1):
         span = slice(first, first + size)
-        # A window that starts inside a gap leaves a fragment before it,
-        # which would need a whole engine later.
+        # A window that ends inside a gap leaves a fragment after it, which
+        # would need a whole engine later.
+        end = first + size
         leaves_fragment = bool(
-            first and is_empty[first - 1] and is_empty[first]
+            end < model.layers and is_empty[end] and is_empty[end - 1]
         )
         rank = (
             -sum(is_empty[span]),
             leaves_fragment,
             -round(sum(gains[span]), 3),
             -round(sum(scarcities[span]), 6),
-            first,
+            -first,
         )
         if best is None or rank < best:
             best = rank
-    return routing.Holding(best[-1], best[-1] + size)
+    return routing.Holding(-best[-1], size - best[-1])
 
 
 def gaps(counts):
