The first layers of a domain get a second holder before others do

Where layer 0 has one holder, and the new engine would not be faster there, it takes that window first.

--- a/packages/policy/ibisring_policy/gateway/windows.py
+++ b/packages/policy/ibisring_policy/gateway/windows.py
@@ -110,16 +110,16 @@
 def best_window(layer_holders, size, engine, model, around=None):
     """Return the window that most needs an engine.
 
-    Layers without a holder have priority, then layers that the engine runs
-    faster than all their holders: a chain of fast engines serves, slower
-    ones are standbys.  Then the least memory for prompts decides: a domain
-    has room for as many requests as the layer with the least memory, and a
-    second holder there takes over without loading if the first is lost.  Of
-    equal windows the last is taken, so that ranges are adjacent and the first
-    layers are left to the slower cards, which come last.  A stream ends with
-    the engine that runs its first layers, while another can be replaced: the
-    range there should be small and have a second holder, not be that of the
-    fastest card, which takes longest to load and is the only one of its kind.
+    Layers without a holder have priority, then the first layers, if they have
+    only one: a stream ends with the engine that runs them, while other stages
+    can be replaced.  Then come layers that the engine runs faster than all
+    their holders: a chain of fast engines serves, slower ones are standbys.
+    Then the least memory for prompts decides: a
+    domain has room for as many requests as the layer with the least memory,
+    and a second holder there takes over without loading if the first is lost.
+    Of equal windows the last is taken, so that ranges are adjacent and the
+    first layers are left to the slower cards, which come last and hold small
+    ranges, which are soon loaded again.
 
     Parameters
     ----------
@@ -136,6 +136,8 @@
     gains = [layer.gain(engine.step_factor) for layer in layer_holders]
     scarcities = [layer.scarcity(model) for layer in layer_holders]
     is_empty = [not layer.holders for layer in layer_holders]
+    # A faster engine serves more where it is the fastest.
+    needs_first_stage = len(layer_holders[0].holders) == 1 and not gains[0]
     best = None
     for first in range(first, last + 1):
         span = slice(first, first + size)
@@ -148,6 +150,7 @@
         rank = (
             -sum(is_empty[span]),
             leaves_fragment,
+            first > 0 or not needs_first_stage,
             -round(sum(gains[span]), 3),
             -round(sum(scarcities[span]), 6),
             -first,
