--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -251,6 +251,9 @@
     connection.  `limit` is the rate in requests per second that the endpoint
     accepts from all routers together, None if it states none;
     `limit_invalid` means that the stated limit can't be parsed as a rate.
+    `backoff` is for how many seconds an endpoint that turns a request away
+    wants no other from this router, None if it does not say;
+    `backoff_invalid` means that what it says can't be parsed as seconds.
     """
 
     status: int
@@ -266,6 +269,8 @@
     signed: bool = False
     limit: float | None = None
     limit_invalid: bool = False
+    backoff: float | None = None
+    backoff_invalid: bool = False
 
 
 class Codec(abc.ABC):
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -239,6 +239,8 @@
             culprit=refusing,
             status=answer.status,
             load=answer.load,
+            backoff=answer.backoff,
+            backoff_invalid=answer.backoff_invalid,
         )
         return attempts.Result.REFUSED
 
