Endpoints that ask a router for backoff get none of its requests

What endpoints and callers saw: an endpoint that turned a request away with 503 and `Retry-After: 3` got up to six requests of that router within the three seconds. While a plain endpoint turned everything away, callers whose route allows one endpoint were refused although two others were free, and where all endpoints asked for backoff, callers were told to return after 0.1 s.

Cause: nothing read what the endpoint asked for. A refusal was weighed by the router's own estimate only (0.3 s for an engine, nothing for a plain endpoint), after which the endpoint's low load made it the first choice.

Change: the limits of a router, which already decide how much of an endpoint it may use, keep backoffs too. An endpoint is not chosen before the end, by first attempts, repeats or resumed streams; a request chosen before is withdrawn before it is sent. The last end counts, an earlier answer ends nothing, a later start does. After the end requests go at intervals of 0.1 s until one is answered. At most a minute is kept, so that a damaged answer loses no endpoint for good. The refusal is not charged to the estimates as well. If all endpoints back off, callers are refused at once and told when the first takes requests, higher ranks first. Other routers are not told: the endpoint asked one, and may serve them.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -274,12 +274,9 @@
                 ends=self.screen.verdict(job).crashes,
             )
         retry_after = max(
-            self.selector.retry_after(job.service),
+            self.selector.refuse(job, self.clock()),
             self.screen.retry_after(job),
         )
-        if job.limited:
-            limited = self.selector.throttle.refuse(job, self.clock())
-            retry_after = max(retry_after, limited)
         if step is attempts.NextStep.REFUSE:
             raise exceptions.NoEndpoint(detail, retry_after)
         if job.route.repeatable:
@@ -306,13 +303,13 @@
         if choice is None and job.limited:
             raise exceptions.Overloaded(
                 'endpoints take no more requests for now',
-                self.selector.throttle.refuse(job, self.clock()),
+                self.selector.refuse(job, self.clock()),
                 limited=sorted(job.limited),
             )
         if choice is None:
             raise exceptions.Overloaded(
                 'no endpoint has room',
-                self.selector.retry_after(job.service),
+                self.selector.refuse(job, self.clock()),
                 layers=self.selector.shortages(job, self.clock()),
             )
         if choice.wait:
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -233,6 +233,7 @@
         counters['gossip_bytes_heard'] = self.gossip.bytes_received
         with self.view.lock:
             counters['suspects'] = len(self.view.suspects.by_digest)
+            counters['backoffs'] = len(self.view.limits.backoffs.by_endpoint)
         counters['routers_running'] = self.peers.running_count(
             time.monotonic()
         )
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -81,15 +81,26 @@
         at once.
         """
         max_wait = throttling.MAX_WAIT_SHARE * job.route.objective
+        max_wait = max(0.0, min(max_wait, job.deadline - now))
         for wait_bound in (0.0, max_wait):
-            job.limited = set()
+            job.limited = self._backing_off(job, now, wait_bound)
             choice = self._choose_within(job, now, wait_bound)
             if choice is not None or not job.limited:
                 return choice
         return None
 
+    def _endpoints(self, job):
+        return self.view.snapshot.by_service.get(job.service.name, ())
+
+    def _backing_off(self, job, now, max_wait=0.0):
+        """Return the service's endpoints that want nothing for longer."""
+        names = self.throttle.backing_off(now, max_wait)
+        if not names:
+            return names
+        return {each.id for each in self._endpoints(job) if each.id in names}
+
     def _choose_within(self, job, now, max_wait):
-        endpoints = self.view.snapshot.by_service.get(job.service.name, ())
+        endpoints = self._endpoints(job)
         choose = (
             self._choose_plain
             if job.service.model is None
@@ -189,21 +200,20 @@
     def _first_stages_within_limits(self, job, endpoints, first_stages):
         """Return the first stages whose rate limits allow the request."""
         if first_stages is None:
-            first_stages = [
-                each.id
-                for each in endpoints
-                if each.holding and each.holding.first == 0
-            ]
+            first_stages = self._first_stages(endpoints)
         return [name for name in first_stages if name not in job.limited]
 
-    def _least_loaded_first_stages(self, endpoints, avoid, now):
-        """Return the half of the first stages that run the fewest streams."""
-        found = [
+    def _first_stages(self, endpoints):
+        """Return the ids of the engines that hold the first layers."""
+        return [
             each.id
             for each in endpoints
             if each.holding and each.holding.first == 0
-            if each.id not in avoid
         ]
+
+    def _least_loaded_first_stages(self, endpoints, avoid, now):
+        """Return the half of the first stages that run the fewest streams."""
+        found = [n for n in self._first_stages(endpoints) if n not in avoid]
         with self.view.lock:
             found.sort(
                 key=lambda name: self.view.estimates.first_stage_load(
@@ -402,13 +412,15 @@
 
         A refusal that follows a stall is caused by a lost stage; one that
         comes at once by a lack of memory or slots, or by layers that are
-        being unloaded.
+        being unloaded.  An endpoint that asks for a backoff gets that one and
+        no estimated one in addition.
         """
+        is_own_refusal = refusing_endpoint == attempt.endpoint.id
         if answer.wrong_endpoint and not attempt.stages:
             self.view.estimates.note_unreachable(refusing_endpoint, now)
         elif attempt.stages and now - attempt.last_event_at > STALL_SECONDS:
             self.view.estimates.note_unreachable(refusing_endpoint, now)
-        else:
+        elif answer.backoff is None or not is_own_refusal:
             has_memory = (
                 self._memory_share(attempt, refusing_endpoint)
                 < estimates.MEMORY_AVAILABLE_SHARE
@@ -430,7 +442,33 @@
             return holder.used / holder.capacity if holder.capacity else 1.0
         return 1.0
 
-    def retry_after(self, service):
+    def refuse(self, job, now):
+        """Record that a request is refused.
+
+        Returns
+        -------
+        float
+            Seconds after which it may be served: when others than the
+            endpoints that were skipped for their limits are likely to have
+            room or, if there are none, when one of those takes requests.
+        """
+        job.limited |= self._backing_off(job, now)
+        capacity_after = self._capacity_after(job.service)
+        if not job.limited:
+            return capacity_after
+        limited_for = self.throttle.refuse(job, now)
+        if self._has_unlimited_endpoint(job):
+            return capacity_after
+        return limited_for
+
+    def _has_unlimited_endpoint(self, job):
+        """Return whether a request was not kept from all by their limits."""
+        names = {each.id for each in self._endpoints(job)}
+        if job.service.model is not None:
+            names = set(self._first_stages(self._endpoints(job)))
+        return bool(names - job.limited)
+
+    def _capacity_after(self, service):
         """Return the seconds after which capacity is likely to be free.
 
         Streams end evenly over their mean time, and missing layers are loaded
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -70,6 +70,9 @@
         if attempt.result is not None:
             conn.close()
             return attempt.result
+        if self._is_backing_off(endpoint):
+            # It asked for that since it was chosen.
+            return self._withdraw(attempt, conn)
         self._set_timeouts(job, attempt)
         if endpoint.id not in job.sent_to:
             job.sent_to.append(endpoint.id)
@@ -87,6 +90,19 @@
             return self._handle_lost_answer(job, attempt, error)
         return self._receive(job, attempt, conn, response)
 
+    def _withdraw(self, attempt, conn):
+        """Keep a connection for other requests, since nothing was sent."""
+        if attempt.detach():
+            self.connections.release(attempt.endpoint, conn)
+        else:
+            conn.close()
+        return attempt.result or attempts.Result.NOT_SENT
+
+    def _is_backing_off(self, endpoint):
+        with self.view.lock:
+            limits = self.view.limits
+            return limits.backoffs.remaining(endpoint.id, self.clock()) > 0.0
+
     def _metadata(self, job, attempt):
         return selecting.AttemptMetadata(
             stages=attempt.stages,
@@ -164,6 +180,7 @@
             if answer.load is not None:
                 self.view.estimates.note_load(name, answer.load, now)
         self._record_limit(attempt, answer, now)
+        self._record_backoff(job, attempt, answer, now)
         if answer.refused:
             response.drain_conn()
             conn.close()
@@ -222,6 +239,36 @@
             )
             self.on_limit()
 
+    def _record_backoff(self, job, attempt, answer, now):
+        """Record for how long an endpoint wants no requests, if it says so.
+
+        It concerns the endpoint that was asked, also if a later stage of the
+        chain is the reason.
+        """
+        endpoint = attempt.endpoint
+        if answer.backoff is None:
+            with self.view.lock:
+                self.view.limits.backoffs.record_answer(
+                    endpoint.id, endpoint.started, attempt.sent_at
+                )
+            return
+        known = self.view.snapshot.endpoints.get(endpoint.id, endpoint)
+        if known.started != endpoint.started:
+            # The process that asked for it has ended.
+            return
+        with self.view.lock:
+            is_kept = self.view.limits.backoffs.record(
+                endpoint.id, endpoint.started, answer.backoff, now
+            )
+        logs.event(
+            LOG,
+            'endpoint_backoff',
+            id=job.request.id,
+            endpoint=endpoint.id,
+            seconds=answer.backoff,
+            kept=is_kept,
+        )
+
     def _handle_refusal(self, job, attempt, answer):
         """Handle a refusal by the endpoint or a later stage of its chain."""
         refusing = self.selector.refusing_endpoint(attempt, answer)
@@ -273,7 +320,9 @@
         failed = answer.status >= 500
         with self.view.lock:
             self.view.estimates.note_response(
-                attempt.endpoint.id, failed, self.clock()
+                attempt.endpoint.id,
+                failed and answer.backoff is None,
+                self.clock(),
             )
         if failed and self._may_retry(job):
             job.avoid.add(attempt.endpoint.id)
--- a/packages/gateway/ibisring_gateway/tests/test_selecting.py
+++ b/packages/gateway/ibisring_gateway/tests/test_selecting.py
@@ -32,6 +32,7 @@
 def _job(view, service, digest=OTHER, **changes):
     values = dict(
         digest=digest,
+        deadline=view.clock() + 10.0,
         is_suspect=False,
         avoid=set(),
         limited=set(),
@@ -121,3 +122,110 @@
     view.fairness.refused(0, 'other', now + 10.0)
     selector = selecting.make_selector(view)
     assert selector.choose(_job(view, 'lookup'), now + 10.0) is None
+
+
+SERVICES = [('lookup', _plain_view), ('model', _chain_view)]
+
+
+def _ask_for_backoff(view, names, seconds=3.0):
+    """Have endpoints ask for a backoff, at a time that stands still."""
+    view.clock = builders.Clock()
+    for name in names:
+        view.limits.backoffs.record(name, 0, seconds, view.clock())
+
+
+@pytest.mark.parametrize(('service', 'make'), SERVICES)
+def test_endpoint_that_wants_no_requests_is_not_chosen(service, make):
+    """Guards against an endpoint being asked although it wants nothing."""
+    view = make('h1', 'h2')
+    _ask_for_backoff(view, ['h1'])
+    assert _chosen(view, _job(view, service)) == {'h2'}
+
+
+@pytest.mark.parametrize(('service', 'make'), SERVICES)
+def test_callers_are_told_when_the_first_endpoint_takes_requests(
+    service, make
+):
+    """Guards against callers that return while every endpoint backs off."""
+    view = make('h1', 'h2')
+    _ask_for_backoff(view, ['h1'], 6.0)
+    _ask_for_backoff(view, ['h2'], 3.0)
+    job = _job(view, service)
+    assert _chosen(view, job) == {None}
+    assert job.limited == {'h1', 'h2'}
+    selector = selecting.make_selector(view)
+    assert 3.0 <= selector.refuse(job, view.clock()) < 4.2
+
+
+def test_caller_may_return_at_once_if_another_endpoint_takes_requests():
+    """Guards against a long wait for one endpoint where others are free."""
+    view = _plain_view('h1', 'h2')
+    _ask_for_backoff(view, ['h1'])
+    selector = selecting.make_selector(view)
+    assert selector.refuse(_job(view, 'lookup'), view.clock()) < 0.5
+
+
+def test_first_stage_that_backs_off_still_serves_later_layers():
+    view = _chain_view('h1')
+    _ask_for_backoff(view, ['tail'])
+    assert _chosen(view, _job(view, 'model')) == {'h1'}
+
+
+def test_endpoints_of_other_services_are_not_limited():
+    view = _plain_view('h1')
+    _ask_for_backoff(view, ['elsewhere'])
+    job = _job(view, 'lookup')
+    assert _chosen(view, job) == {'h1'}
+    assert job.limited == set()
+
+
+def test_no_wait_for_a_backoff_that_ends_after_the_deadline():
+    """Guards against a request held although it can't be served in time."""
+    view = _plain_view('h1')
+    _ask_for_backoff(view, ['h1'], 0.04)
+    job = _job(view, 'lookup', deadline=view.clock() + 0.01)
+    selector = selecting.make_selector(view)
+    assert selector.choose(job, view.clock()) is None
+
+
+def test_short_backoff_is_waited_for():
+    view = _plain_view('h1')
+    _ask_for_backoff(view, ['h1'], 0.04)
+    selector = selecting.make_selector(view)
+    choice = selector.choose(_job(view, 'lookup'), view.clock())
+    assert 0.0 < choice.wait <= 0.04
+
+
+def _refusal(backoff):
+    return types.SimpleNamespace(
+        wrong_endpoint=False, refusing_address=None, backoff=backoff
+    )
+
+
+@pytest.mark.parametrize(('backoff', 'is_estimated'), [(3.0, 0), (None, 1)])
+def test_requested_backoff_replaces_the_estimated_one(backoff, is_estimated):
+    """Guards against charging a refusal twice: by request and by estimate."""
+    view = _chain_view('h1')
+    attempt = types.SimpleNamespace(
+        endpoint=view.snapshot.endpoints['h1'],
+        stages=(),
+        last_event_at=view.clock(),
+    )
+    selector = selecting.make_selector(view)
+    now = view.clock()
+    selector.record_refusal(attempt, 'h1', _refusal(backoff), now)
+    is_backing_off = view.estimates.get('h1').backoff_until > now
+    assert is_backing_off == bool(is_estimated)
+
+
+def test_later_stage_that_refuses_is_still_estimated_to_be_full():
+    view = _chain_view('h1')
+    attempt = types.SimpleNamespace(
+        endpoint=view.snapshot.endpoints['h1'],
+        stages=(),
+        last_event_at=view.clock(),
+    )
+    selector = selecting.make_selector(view)
+    now = view.clock()
+    selector.record_refusal(attempt, 'tail', _refusal(3.0), now)
+    assert view.estimates.get('tail').backoff_until > now
--- a/packages/gateway/ibisring_gateway/tests/test_sending.py
+++ b/packages/gateway/ibisring_gateway/tests/test_sending.py
@@ -5,6 +5,7 @@
 from ibisring_gateway import attemptwatching
 from ibisring_gateway import jobs
 from ibisring_gateway import ports
+from ibisring_gateway import selecting
 from ibisring_gateway import sending
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import attempts
@@ -14,13 +15,25 @@
 
 
 class _Codec:
-    """Decodes every answer as a complete success."""
+    """Decodes every answer as the same, a complete success by default."""
+
+    def __init__(self, **changes):
+        values = dict(
+            status=200,
+            headers=[],
+            request_id=None,
+            refused=False,
+            wrong_endpoint=False,
+            delimited=True,
+            signed=True,
+        )
+        self.answer = ports.Answer(**{**values, **changes})
 
     def encode_request(self, request, endpoint, metadata):
         return {}
 
     def decode_answer(self, status, headers):
-        return ports.Answer(status, [], None, False, False, True, signed=True)
+        return self.answer
 
 
 class _Response:
@@ -30,6 +43,9 @@
     def read1(self, size, decode_content):
         return b''
 
+    def drain_conn(self):
+        """Drain nothing."""
+
 
 class _Connection:
     def __init__(self):
@@ -44,11 +60,13 @@
 
     def __init__(self):
         self.released = []
+        self.sent = []
 
     def acquire(self, endpoint, fresh):
         return _Connection()
 
     def send(self, conn, request, headers, time_left):
+        self.sent.append(request.id)
         return _Response()
 
     def release(self, endpoint, conn):
@@ -72,26 +90,53 @@
         self.on_answer()
 
 
+class _Attempt:
+    """An attempt of an idempotent request at the endpoint `p1`."""
+
+    def __init__(self, codec, on_answer=lambda attempt: None, started=0):
+        endpoint = build.endpoint('p1')
+        self.view = builders.make_view([endpoint])
+        self.view.clock = builders.Clock()
+        now = self.view.clock()
+        self.attempt = attemptwatching.Attempt(
+            'a1', build.endpoint('p1', started=started), (), now + 10.0
+        )
+        request = ports.CallerRequest(
+            id='a1', method='GET', host='h.example', target='/a/x', headers={}
+        )
+        route = build.route(kind=routing.RequestKind.IDEMPOTENT)
+        self.job = jobs.Job(
+            _Exchange(lambda: on_answer(self.attempt)),
+            request,
+            routetable.Match(route, 'acme', 0),
+            None,
+            now,
+            self.attempt.deadline,
+        )
+        self.connections = _Connections()
+        self.sender = sending.make_sender(
+            self.view,
+            codec,
+            self.connections,
+            selecting.make_selector(self.view),
+            _Screen(),
+        )
+
+    @property
+    def backoffs(self):
+        """The backoffs known to the router."""
+        return self.view.limits.backoffs
+
+    def send(self):
+        """Send the request and return the result."""
+        return self.sender.send(self.job, self.attempt)
+
+
 def _send(on_answer):
-    """Send an idempotent request; return attempt, connections and result."""
-    endpoint = build.endpoint('p1')
-    view = builders.make_view([endpoint])
-    route = build.route(kind=routing.RequestKind.IDEMPOTENT)
-    request = ports.CallerRequest(
-        id='a1', method='GET', host='h.example', target='/a/x', headers={}
-    )
-    attempt = attemptwatching.Attempt('a1', endpoint, (), view.clock() + 10.0)
-    job = jobs.Job(
-        _Exchange(lambda: on_answer(attempt)),
-        request,
-        routetable.Match(route, 'acme', 0),
-        None,
-        view.clock(),
-        attempt.deadline,
-    )
-    connections = _Connections()
-    sender = sending.make_sender(view, _Codec(), connections, None, _Screen())
-    return attempt, connections, sender.send(job, attempt)
+    """Send a request; return attempt, connections and result."""
+    made = _Attempt(_Codec(), on_answer)
+    result = made.send()
+    return made.attempt, made.connections, result
 
 
 def test_caller_that_leaves_with_its_answer_cuts_no_other_request():
@@ -111,3 +156,46 @@
     _, connections, result = _send(leave)
     assert result is None
     assert not connections.released
+
+
+def _refusing_codec(**changes):
+    return _Codec(**{'status': 503, 'refused': True, **changes})
+
+
+def test_backoff_that_an_endpoint_asks_for_is_recorded():
+    made = _Attempt(_refusing_codec(backoff=3.0))
+    assert made.send() is attempts.Result.REFUSED
+    assert made.backoffs.remaining('p1', made.view.clock()) == 3.0
+
+
+def test_backoff_counts_also_without_the_promise_not_to_run():
+    """Guards against ignoring an endpoint that only says how long."""
+    made = _Attempt(_Codec(status=503, signed=False, backoff=3.0))
+    made.send()
+    assert made.backoffs.remaining('p1', made.view.clock()) == 3.0
+    assert not made.view.estimates.get('p1').failure_rate
+
+
+def test_request_chosen_before_a_backoff_is_not_sent_after_it():
+    """Guards against requests in line reaching an endpoint that backs off."""
+    made = _Attempt(_Codec())
+    made.backoffs.record('p1', 0, 3.0, made.view.clock())
+    assert made.send() is attempts.Result.NOT_SENT
+    assert made.connections.sent == []
+    assert len(made.connections.released) == 1
+    assert made.job.progress.sent_to == 0
+
+
+def test_backoff_asked_by_an_ended_process_is_ignored():
+    """Guards against avoiding a new process for what the old one said."""
+    made = _Attempt(_refusing_codec(backoff=3.0), started=7)
+    made.send()
+    assert made.backoffs.remaining('p1', made.view.clock()) == 0.0
+
+
+def test_answer_to_a_request_sent_after_a_backoff_ends_its_trial():
+    made = _Attempt(_Codec())
+    made.backoffs.record('p1', 0, 3.0, made.view.clock())
+    made.view.clock.now += 3.0
+    assert made.send() is None
+    assert made.backoffs.get('p1', made.view.clock()) is None
--- a/packages/gateway/ibisring_gateway/throttling.py
+++ b/packages/gateway/ibisring_gateway/throttling.py
@@ -1,4 +1,4 @@
-"""Admission of requests under the rate limits that endpoints state."""
+"""Admission of requests under the limits and backoffs of endpoints."""
 
 __all__ = ['Throttle', 'make_throttle']
 
@@ -41,7 +41,7 @@
         rank, account = job.match.priority, job.match.account
         with self.view.lock:
             limits, fairness = self.view.limits, self.view.fairness
-            if limits.rate(endpoint_id) is None:
+            if not limits.is_limited(endpoint_id, now):
                 return 0.0
             if fairness.is_outranked(rank, account, now):
                 return None
@@ -58,14 +58,20 @@
         """
         with self.view.lock:
             fairness = self.view.fairness
-            fairness.refused(job.match.priority, job.match.account, now)
+            rank = job.match.priority
+            fairness.refused(rank, job.match.account, now)
             return self.view.limits.retry_after(
                 job.limited,
-                fairness.recent_refusals(now),
+                fairness.recent_refusals(rank, now),
                 now,
                 self.rng.random(),
             )
 
+    def backing_off(self, now, max_wait):
+        """Return the ids of endpoints whose backoffs last for longer."""
+        with self.view.lock:
+            return self.view.limits.backoffs.lasting(now, max_wait)
+
     def with_capacity_soon(self, endpoint_ids, now):
         """Return the endpoints whose limits allow a request soon."""
         with self.view.lock:
--- a/packages/policy/ibisring_policy/gateway/fairness.py
+++ b/packages/policy/ibisring_policy/gateway/fairness.py
@@ -52,9 +52,13 @@
             self.decisions.popleft()
         self.decisions.append(decision)
 
-    def recent_refusals(self, now):
-        """Return the number of recently refused requests."""
-        return len(self._recent_refusals(now))
+    def recent_refusals(self, rank, now):
+        """Return the number of recently refused requests.
+
+        Those that rank lower than `rank` are not counted.
+        """
+        refusals = self._recent_refusals(now)
+        return sum(1 for each in refusals if each.rank <= rank)
 
     def _recent_refusals(self, now):
         recent = itertools.takewhile(
--- a/packages/policy/ibisring_policy/gateway/ratelimits.py
+++ b/packages/policy/ibisring_policy/gateway/ratelimits.py
@@ -1,4 +1,4 @@
-"""How much of an endpoint's rate limit this router may use.
+"""How much of an endpoint this router may use, and when.
 
 An endpoint may declare the rate of requests that it accepts from all
 routers together.  The rate is divided equally among the failure domains with
@@ -7,6 +7,9 @@
 each router decides by the updates it has received recently.  What the fleet
 sends beyond the limit while views differ is bounded, since a share accumulates
 for a moment only.
+
+An endpoint may also ask a single router to send nothing for a time, whether
+or not it has declared a rate (`backoffs`).
 """
 
 __all__ = ['Limits', 'LimitUpdate', 'make_limits']
@@ -14,6 +17,7 @@
 import math
 import zlib
 
+from ibisring_policy.gateway import backoffs
 import msgspec
 
 # Fraction of a limit that is divided; the rest covers what is sent while
@@ -29,9 +33,11 @@
 MIN_RATE = 0.1
 # Seconds of a share that may accumulate while it is not used.
 MAX_UNUSED_SECONDS = 0.1
-# Bounds of the time after which a refused caller is told to retry.
+# Bounds of the time over which the retries of refused callers are spread, in
+# general and after the end of a backoff.
 MIN_RETRY_SECONDS = 0.1
 MAX_RETRY_SECONDS = 10.0
+MAX_BACKOFF_SPREAD_SECONDS = 1.0
 # How long the removal of a limit is sent to others.
 REMOVAL_TTL_SECONDS = 30.0
 # How long a changed limit is part of every update.
@@ -89,6 +95,7 @@
     ----------
     changes : int
         Counter of the changes of declared limits.
+    backoffs : backoffs.Backoffs
 
     Examples
     --------
@@ -107,6 +114,7 @@
         self.name = name
         self.domain = domain
         self.by_endpoint = {}
+        self.backoffs = backoffs.make_backoffs()
         self.changes = 0
 
     def record_rate(self, endpoint, started, rate, sent_at, now):
@@ -147,14 +155,19 @@
         return True
 
     def record_start(self, endpoint, started):
-        """Drop a limit that was declared before an endpoint's last start."""
+        """Drop what was declared before an endpoint's last start."""
+        self.backoffs.record_start(endpoint, started)
         limit = self.by_endpoint.get(endpoint)
         if limit is not None and limit.started != started:
             del self.by_endpoint[endpoint]
             self.changes += 1
 
     def keep_only(self, names):
-        """Drop the limits of all other endpoints."""
+        """Drop the limits of all other endpoints.
+
+        Their backoffs stay until they expire: the entry of an endpoint may be
+        missing for a moment, and its process still wants nothing then.
+        """
         for name in [n for n in self.by_endpoint if n not in names]:
             del self.by_endpoint[name]
 
@@ -163,6 +176,12 @@
         limit = self.by_endpoint.get(endpoint)
         return None if limit is None else limit.rate
 
+    def is_limited(self, endpoint, now):
+        """Return whether requests to an endpoint need to be admitted."""
+        if self.backoffs.get(endpoint, now) is not None:
+            return True
+        return self.rate(endpoint) is not None
+
     def wait(self, endpoint, now):
         """Return the seconds until this router may send to an endpoint.
 
@@ -171,13 +190,14 @@
         float
             0 without a limit, infinity if the router has no share in it.
         """
+        wait = self.backoffs.wait(endpoint, now)
         limit = self.by_endpoint.get(endpoint)
         if limit is None or limit.rate is None:
-            return 0.0
+            return wait
         self._update_share(endpoint, limit, now)
         if not limit.share:
             return math.inf
-        return max(0.0, limit.next_at - now)
+        return max(wait, limit.next_at - now)
 
     def acquire(self, endpoint, now, max_wait):
         """Reserve the sending of one request to an endpoint.
@@ -195,17 +215,18 @@
             Seconds to wait before sending it; None if it may not be sent.
         """
         limit = self.by_endpoint.get(endpoint)
-        if limit is None or limit.rate is None:
-            return 0.0
-        limit.demand_at = now
+        has_rate = limit is not None and limit.rate is not None
+        if has_rate:
+            limit.demand_at = now
         wait = self.wait(endpoint, now)
         if wait > max_wait:
             return None
-        # However long the share was unused, little of it accumulates, so that
-        # a router does not send a burst after a freeze.
-        limit.next_at = (
-            max(limit.next_at, now - MAX_UNUSED_SECONDS) + 1.0 / limit.share
-        )
+        self.backoffs.reserve(endpoint, now)
+        if has_rate:
+            # However long the share was unused, little of it accumulates, so
+            # that a router does not send a burst after a freeze.
+            since = max(limit.next_at, now - MAX_UNUSED_SECONDS)
+            limit.next_at = since + 1.0 / limit.share
         return wait
 
     def _update_share(self, endpoint, limit, now):
@@ -260,26 +281,25 @@
         draw : float
             Random number from the interval [0, 1).
         """
-        share = 0.0
-        min_wait = MAX_RETRY_SECONDS
-        for name in endpoints:
-            limit = self.by_endpoint.get(name)
-            if limit is None or limit.rate is None:
-                continue
-            wait = self.wait(name, now)
-            share += limit.share
-            min_wait = min(min_wait, wait)
-        if not share:
+        waits = [self.wait(name, now) for name in endpoints]
+        min_wait = min(waits, default=0.0)
+        if math.isinf(min_wait):
             # This router has no share; the retry may reach one that has.
-            rates = [self.rate(name) or 0.0 for name in endpoints]
-            share = max(MIN_RATE, sum(rates))
             min_wait = 0.0
-        spread = (1 + refused) / share
-        delay = min_wait + draw * spread
-        return (
-            min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, delay))
-            + draw * MIN_RETRY_SECONDS
-        )
+        delay = max(MIN_RETRY_SECONDS, draw * self._spread(endpoints, refused))
+        return min_wait + delay + draw * MIN_RETRY_SECONDS
+
+    def _spread(self, endpoints, refused):
+        """Return the seconds over which endpoints accept refused requests."""
+        rates = [self.rate(name) for name in endpoints]
+        if None in rates:
+            max_spread = MAX_BACKOFF_SPREAD_SECONDS
+            share = 1.0 / backoffs.TRIAL_INTERVAL_SECONDS
+        else:
+            max_spread = MAX_RETRY_SECONDS
+            share = sum(self.by_endpoint[name].share for name in endpoints)
+        share = share or max(MIN_RATE, sum(rates))
+        return min(max_spread, (1 + refused) / share)
 
     def updates_to_send(self, now, rng, old_share=1.0):
         """Return the updates to send to other routers, by endpoint.
--- a/packages/policy/ibisring_policy/gateway/tests/test_fairness.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_fairness.py
@@ -49,3 +49,13 @@
     for number in range(1000):
         fairness.refused(1, 'acme', float(number))
     assert len(fairness.decisions) <= fairness_module.COMPARISON_SECONDS
+
+
+def test_requests_of_a_lower_rank_do_not_delay_the_return_of_a_higher():
+    """Guards against urgent callers returning after the others."""
+    fairness = fairness_module.make_fairness()
+    for _ in range(8):
+        fairness.refused(3, 'bulletins', 12.0)
+    fairness.refused(0, 'alerts', 12.0)
+    assert fairness.recent_refusals(0, 12.5) == 1
+    assert fairness.recent_refusals(3, 12.5) == 9
