--- a/packages/gateway/ibisring_gateway/storecalls.py
+++ b/packages/gateway/ibisring_gateway/storecalls.py
@@ -50,8 +50,8 @@
 
         Returns
         -------
-        (int, bytes)
-            Status and body.
+        (int, urllib3.HTTPHeaderDict, bytes)
+            Status, headers and body.
 
         Raises
         ------
@@ -68,7 +68,7 @@
             self.conn.sock.settimeout(timeout)
             self.conn.request('GET', target)
             response = self.conn.getresponse()
-            return response.status, response.data
+            return response.status, response.headers, response.data
         except _FAILURES as error:
             self._close()
             self._check_cancelled()
