--- a/packages/soak/ibisring_soak/__main__.py
+++ b/packages/soak/ibisring_soak/__main__.py
@@ -29,6 +29,7 @@
         help='Route (safe, once, stream) of a request that crashes endpoints.',
     ),
     limits: bool = typer.Option(False, help='Endpoints declare rate limits.'),
+    backoffs: bool = typer.Option(False, help='Endpoints ask for backoff.'),
     folder: pathlib.Path = typer.Option(
         pathlib.Path('soak-runs'), help='Settings and logs, by seed.'
     ),
@@ -49,6 +50,7 @@
             callers,
             poison,
             limits,
+            backoffs,
         )
         failed_runs += bool(outcome.violations)
         print(
--- a/packages/soak/ibisring_soak/guarantees.py
+++ b/packages/soak/ibisring_soak/guarantees.py
@@ -19,6 +19,10 @@
 # often it may still run after all routers have been informed.
 MAX_CRASHES = 3
 MAX_LATE_RUNS = 3
+# Time after an endpoint asked for backoff in which requests may still be under
+# way, and how many of a router may reach it later.
+UNDER_WAY_SECONDS = 0.5
+MAX_DURING_BACKOFF = 2
 # Allowance beyond the grace time, for the operating system to reap a process.
 EXIT_SLACK_SECONDS = 1.0
 
@@ -58,6 +62,7 @@
     found.extend(_recovery(history))
     found.extend(_poison_requests(history))
     found.extend(_limits(history))
+    found.extend(_backoffs(history))
     found.extend(
         Violation('a process exits only on a signal', '', crash)
         for crash in history.crashes
@@ -234,6 +239,28 @@
             yield Violation('a limit is enforced', span.endpoint, detail)
 
 
+def _backoffs(history):
+    """An endpoint that asked a router for backoff gets hardly any requests."""
+    routers = {call.id: call.router for call in history.calls}
+    arrivals = {}
+    for each in history.arrivals:
+        key = each.endpoint, routers.get(each.request)
+        arrivals.setdefault(key, []).append(each)
+    for (endpoint, router), group in arrivals.items():
+        for asked in group:
+            late = [
+                each
+                for each in group
+                if asked.at + UNDER_WAY_SECONDS
+                < each.at
+                < asked.at + asked.backoff
+                and not _is_recently_started(history, router, each.at)
+            ]
+            if len(late) > MAX_DURING_BACKOFF:
+                detail = f'{len(late)} of {router} in {asked.backoff} s'
+                yield Violation('a backoff is kept', endpoint, detail)
+
+
 def _is_recently_started(history, router, now):
     """Return whether a router was disrupted or restarted recently."""
     target = (f'router {router}',)
--- a/packages/soak/ibisring_soak/records.py
+++ b/packages/soak/ibisring_soak/records.py
@@ -1,6 +1,6 @@
 """Records of what callers and endpoints observed during a run."""
 
-__all__ = ['Call', 'Run', 'StoreChange', 'LimitSpan', 'History']
+__all__ = ['Call', 'Run', 'Arrival', 'StoreChange', 'LimitSpan', 'History']
 
 import msgspec
 
@@ -47,6 +47,19 @@
     chain: tuple[tuple[int, int], ...] = ()
 
 
+class Arrival(msgspec.Struct, frozen=True):
+    """A request that reached an endpoint, whether or not it ran.
+
+    `backoff` is the seconds for which the endpoint asked to be spared as it
+    turned the request away, 0 if it did not.
+    """
+
+    request: str
+    endpoint: str
+    at: float
+    backoff: float = 0.0
+
+
 class StoreChange(msgspec.Struct, frozen=True):
     """A change in the store that routers must apply.
 
@@ -84,6 +97,7 @@
 
     calls: list[Call] = []
     runs: list[Run] = []
+    arrivals: list[Arrival] = []
     store_changes: list[StoreChange] = []
     disruptions: list[tuple[str, float, float]] = []
     terminations: list[tuple[str, float, float]] = []
--- a/packages/soak/ibisring_soak/soaking.py
+++ b/packages/soak/ibisring_soak/soaking.py
@@ -5,6 +5,7 @@
 import collections
 import time
 
+from ibisring_soak import backoffs as backoffs_module
 from ibisring_soak import callers as callers_module
 from ibisring_soak import guarantees
 from ibisring_soak import injecting
@@ -38,6 +39,7 @@
     callers=10,
     poison='',
     limits=False,
+    backoffs=False,
 ):
     """Run the soak once.
 
@@ -55,6 +57,8 @@
         none.
     limits : bool
         Whether endpoints declare rate limits from time to time.
+    backoffs : bool
+        Whether endpoints ask for backoff from time to time.
 
     Returns
     -------
@@ -71,6 +75,8 @@
             generators.append(poison_module.PoisonCaller(world, poison))
         if limits:
             generators.append(ratelimits.LimitChanger(world, seed))
+        if backoffs:
+            generators.append(backoffs_module.BackoffChanger(world, seed))
         for generator in generators:
             generator.start()
         injecting.make_injector(world).run(faults)
--- a/packages/soak/ibisring_soak/tests/test_guarantees.py
+++ b/packages/soak/ibisring_soak/tests/test_guarantees.py
@@ -186,3 +186,39 @@
     assert _check(_limited_history(11)) == []
     disruptions = [('router r1', 109.0, 112.0)]
     assert _check(_limited_history(12, disruptions=disruptions)) == []
+
+
+def _arrivals(*times, router='r1'):
+    """Return calls of a router, and their arrivals at p1 after a backoff."""
+    names = [f'{router}-{n}' for n in range(len(times) + 1)]
+    calls = [builders.call(name, router=router) for name in names]
+    asked = records.Arrival(names[0], 'p1', 100.0, 3.0)
+    late = [
+        records.Arrival(name, 'p1', at) for name, at in zip(names[1:], times)
+    ]
+    return calls, [asked, *late]
+
+
+@pytest.mark.parametrize(
+    ('times', 'is_found'),
+    [
+        ((100.1, 100.2, 100.3, 100.4), False),
+        ((101.0, 102.0, 103.5), False),
+        ((101.0, 102.0, 102.9), True),
+    ],
+)
+def test_a_backoff_that_is_not_kept_is_found(times, is_found):
+    calls, arrivals = _arrivals(*times)
+    history = builders.history(calls, [], arrivals=arrivals)
+    found = [each.guarantee for each in guarantees.check(history)]
+    assert ('a backoff is kept' in found) is is_found
+
+
+def test_arrivals_of_a_router_that_was_frozen_are_excused():
+    calls, arrivals = _arrivals(101.0, 102.0, 102.9)
+    frozen = [('router r1', 100.5, 100.9)]
+    history = builders.history(
+        calls, [], arrivals=arrivals, disruptions=frozen
+    )
+    found = [each.guarantee for each in guarantees.check(history)]
+    assert 'a backoff is kept' not in found
--- a/packages/soak/ibisring_soak/tests/test_soak.py
+++ b/packages/soak/ibisring_soak/tests/test_soak.py
@@ -33,6 +33,12 @@
     assert outcome.violations == []
 
 
+def test_guarantees_hold_with_backoffs(tmp_path):
+    """Guards against requests to endpoints that asked to be spared."""
+    outcome = soaking.soak(4, 8.0, tmp_path, backoffs=True)
+    assert outcome.violations == []
+
+
 def test_faults_overlap_and_affect_all_groups():
     faults = schedule.make_schedule(5, 200.0)
     assert {fault.group for fault in faults} == set(schedule.KINDS)
--- a/packages/soak/ibisring_soak/world.py
+++ b/packages/soak/ibisring_soak/world.py
@@ -9,6 +9,7 @@
 
 from ibisring_adapter.tests import running
 from ibisring_adapter.tests import standin
+from ibisring_soak import backoffs
 from ibisring_soak import proxy
 from ibisring_soak import records
 
@@ -235,6 +236,15 @@
     def collect(self):
         """Add the endpoints' observations, and return the history."""
         self.history.runs = [records.Run(*each) for each in self.site.runs()]
+        self.history.arrivals = [
+            records.Arrival(
+                each.request,
+                each.server,
+                each.at,
+                backoffs.parse(each.backoff or '0'),
+            )
+            for each in self.site.arrivals
+        ]
         self.history.overloaded = list(self.site.overfilled_engines)
         return self.history
 
