A store that came back from a copy is followed by its era

What callers and endpoints saw: the store was away for two to three seconds and came back from a copy two or three versions lower.

Cause: versions of the store were compared alone. After the copy they are lower, honestly, so every router dropped what it read as older than known (`old_state`, position 145, known 147) until the store had passed its old height; and a feed that asks from a version that has been passed again gets only what came after it. Class: a counter of another system taken for one that only grows.

Change: a position is era and version in one number, the era in the higher digits, so that it grows also where versions go back. Feeds, confirmations, changes and catching up compare positions; a feed whose answer names another era reads everything. Between routers era and version are sent separately: a release that knows of no eras would take a position for a version and drop all it reads. One that names an earlier era is no reader and confirms nothing. A new era counts as the end of an outage: each router reads for itself for three seconds, writes its own row again, and waits for entries that the copy lacks. What the copy revives is not used: an endpoint that has said that it leaves stays so for its life, an entry that had been removed counts once the store has kept it for longer than it would take to expire, and an earlier process of an endpoint replaces no later one.

--- a/packages/gateway/ibisring_gateway/changes.py
+++ b/packages/gateway/ibisring_gateway/changes.py
@@ -7,6 +7,7 @@
 import msgspec
 
 from ibisring_gateway import ports
+from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import tablechanges
 from ibisring_records import exceptions
 from ibisring_records import routing
@@ -28,8 +29,9 @@
 class Changes(msgspec.Struct, array_like=True):
     """Changes of one table after version `before`, up to `position`.
 
-    All versions are the store's; `newest_version` is that of the last change.
-    Encoded as an array, so the order of the fields is the format.
+    All versions are the store's, in its era `era`; `newest_version` is that of
+    the last change.  Encoded as an array, so the order of the fields is the
+    format.
     """
 
     is_table: bool
@@ -39,6 +41,13 @@
     endpoints: list[routing.Endpoint] = []
     removed: list[str] = []
     table: tablechanges.TableChange | None = None
+    era: int = 0
+
+    @property
+    def positions(self):
+        """The positions `before`, `position` and `newest_version`."""
+        versions = self.before, self.position, self.newest_version
+        return tuple(positions.make(self.era, each) for each in versions)
 
     def items(self, known):
         """Return the items that a page of the store would contain.
@@ -82,9 +91,7 @@
     change = tablechanges.compute_change(known, page.items[-1])
     if change is None:
         return None
-    return Changes(
-        True, before, page.position, page.newest_version, table=change
-    )
+    return _make_changes(page, before, True, table=change)
 
 
 def endpoint_changes(page, before):
@@ -96,8 +103,26 @@
     endpoints = [
         item for name, item in last_by_id.items() if name not in set(removed)
     ]
+    return _make_changes(
+        page, before, False, endpoints=endpoints, removed=removed
+    )
+
+
+def _make_changes(page, before, is_table, **items):
+    """Make changes after a position that may be of an earlier era.
+
+    Nothing changed from there to the page, so that the change follows all
+    versions of the page's era.
+    """
+    era = positions.era(page.position)
+    is_same_era = positions.era(before) == era
     return Changes(
-        False, before, page.position, page.newest_version, endpoints, removed
+        is_table,
+        positions.version(before) if is_same_era else 0,
+        positions.version(page.position),
+        positions.version(page.newest_version),
+        era=era,
+        **items,
     )
 
 
--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -13,6 +13,7 @@
 
 from ibisring_gateway import ports
 from ibisring_gateway import view as view_module
+from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import presence
 from ibisring_policy.gateway import routetable
 from ibisring_records import routing
@@ -28,9 +29,11 @@
 class ReadResult(msgspec.Struct):
     """Result of a read; `whole` if the items are the complete table.
 
-    `origin` names the store or a peer router; `position` is the store version
-    of the items, `newest_version` that of the newest one, `age` the seconds
-    since the store was read, `waited` the seconds that the call took.
+    `origin` names the store or a peer router; `position` (see `positions`) is
+    that of the items, `newest_version` that of the newest one, `age` the
+    seconds since the store was read, `waited` the seconds that the call took.
+    `unconfirmed` names the endpoints whose entries were missing there, but may
+    be written again.
     """
 
     items: list
@@ -41,15 +44,16 @@
     age: float = 0.0
     waited: float = 0.0
     newest_version: int = 0
+    unconfirmed: list[str] = []
 
 
 class Confirmed(msgspec.Struct):
     """Versions that a router which reads the store has confirmed as current.
 
-    `table_version` is that of the routing table, `table_position` the store
-    version up to which the table was read; `newest_version` is the store
-    version at which endpoints last changed, `position` the one up to which
-    they were read; `age` is the seconds since these reads.
+    `table_version` is that of the routing table, `table_position` the
+    position up to which the table was read; `newest_version` is the position
+    at which endpoints last changed, `position` the one up to which they were
+    read; `age` is the seconds since these reads.
     """
 
     table_version: int
@@ -243,10 +247,12 @@
                 LOG,
                 'old_state',
                 origin=message.origin,
-                position=message.position,
-                known=self.view.snapshot.position,
+                position=positions.text(message.position),
+                known=positions.text(self.view.snapshot.position),
             )
             return
+        if self._is_next_era(message):
+            self.presence.store_restored(now)
         if message.origin != STORE:
             self.presence.store_served_peer(now - message.age)
             if message.position <= self.view.snapshot.position:
@@ -256,7 +262,7 @@
             # have left.
             confirmed = message.origin != STORE
             changed = self.presence.replace(
-                message.items, now, confirmed=confirmed
+                message.items, now, confirmed, message.unconfirmed
             )
         else:
             changed = self._apply_each(message.items, now)
@@ -268,6 +274,12 @@
             return
         self._publish(now, message.origin, now - message.age, message)
 
+    def _is_next_era(self, message):
+        snapshot = self.view.snapshot
+        known_era = positions.era(snapshot.position)
+        is_later = positions.era(message.position) > known_era
+        return snapshot.endpoints_known and is_later
+
     def _apply_each(self, items, now):
         """Add or remove endpoints; True if anything changed."""
         changed = False
@@ -299,6 +311,7 @@
         self._replace(
             endpoints=usable,
             by_service=by_service,
+            unconfirmed=frozenset(self.presence.unconfirmed),
             endpoints_read_at=read_at,
             position=versions.position,
             newest_version=versions.newest_version or versions.position,
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -16,6 +16,7 @@
 from ibisring_policy.gateway import gossipschedule
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import peerreports
+from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway import suspects as suspects_module
@@ -72,6 +73,8 @@
         that domain reported the number.
     position, table_position : int
         Store versions up to which the sender knows endpoints and table.
+    endpoints_era, table_era : int
+        Eras of the store versions of endpoints and table.
     age_ms : int
         Milliseconds since the older of the two was read.
     changes : bytes
@@ -115,6 +118,28 @@
     recovered: list[str] = []
     suspects: list[suspects_module.SuspectUpdate] = []
     limits: dict[str, ratelimits.LimitUpdate] = {}
+    endpoints_era: int = 0
+    table_era: int = 0
+
+    @property
+    def era(self):
+        """The latest era known to the sender."""
+        return max(self.endpoints_era, self.table_era)
+
+    @property
+    def newest_endpoints(self):
+        """The position of `endpoints_version`."""
+        return positions.make(self.endpoints_era, self.endpoints_version)
+
+    @property
+    def read_endpoints(self):
+        """The position up to which the sender knows endpoints."""
+        return positions.make(self.endpoints_era, self.position)
+
+    @property
+    def read_table(self):
+        """The position up to which the sender knows the table."""
+        return positions.make(self.table_era, self.table_position)
 
 
 # Fields whose change others act upon at once, unlike load and router names.
@@ -125,6 +150,7 @@
     'refusing',
     'holdings',
     'endpoints_version',
+    'endpoints_era',
     'table_version',
     'store_status',
     'term',
@@ -228,11 +254,14 @@
         snapshot = self.view.snapshot
         read_at = min(snapshot.table_read_at, snapshot.endpoints_read_at)
         own = self.peers.own_store_access()
+        endpoints_era = positions.era(snapshot.position)
+        # Nothing may have changed in the present era yet.
+        newest = max(snapshot.newest_version, positions.make(endpoints_era, 0))
         return Message(
             self.settings.router_id,
             tokens,
             unreachable,
-            endpoints_version=snapshot.newest_version,
+            endpoints_version=positions.version(newest),
             table_version=snapshot.version,
             slowdowns=slowdowns,
             store_status=self.view.store_status,
@@ -245,8 +274,8 @@
             router_counts=self.peers.peer_reports.counts_to_send(now),
             # The version in force, not the one read: what was just read may
             # not be applied yet, and receivers would take it for known.
-            position=snapshot.position,
-            table_position=snapshot.table_position,
+            position=positions.version(snapshot.position),
+            table_position=positions.version(snapshot.table_position),
             age_ms=int((now - read_at) * SECOND_MS),
             link=own.link,
             reads_store=own.reads_store,
@@ -254,6 +283,8 @@
             recovered=recovered,
             suspects=suspects,
             limits=limits,
+            endpoints_era=endpoints_era,
+            table_era=positions.era(snapshot.table_position),
         )
 
     def _repeat_share(self):
@@ -404,6 +435,8 @@
             Address of the sender.
         """
         now = self.view.clock()
+        if message.era:
+            self.peers.followers.note_era(message.era)
         with self.view.lock:
             self.view.estimates.merge_gossip(
                 message.router,
@@ -429,13 +462,13 @@
                 directory.HoldingReport(name, started, holding)
             )
         snapshot = self.view.snapshot
-        is_behind = message.endpoints_version > max(
+        is_behind = message.newest_endpoints > max(
             snapshot.newest_version, snapshot.position
         )
         if is_behind or message.table_version > snapshot.version:
             versions = {
                 TABLE: message.table_version,
-                ENDPOINTS: message.endpoints_version,
+                ENDPOINTS: message.newest_endpoints,
             }
             self.peers.note_newer(message.router, now, versions)
 
@@ -476,7 +509,15 @@
             )
 
     def _record_peer(self, message, address, now):
-        """Record that a router runs, and the router counts that it sent."""
+        """Record that a router runs, and the router counts that it sent.
+
+        One that knows an earlier era only, or is of a release that knows of
+        none, sends no changes that could be applied here: it is no reader.
+        """
+        own_era = positions.era(self.view.snapshot.position)
+        store_access = message.store_access
+        if message.endpoints_era < own_era:
+            store_access = storereaders.StoreAccess.UNSURE
         report = peerreports.PeerReport(
             name=message.router,
             domain=message.domain,
@@ -484,7 +525,7 @@
             store_status=message.store_status,
             neighbour=storereaders.Neighbour(
                 message.router,
-                message.store_access,
+                store_access,
                 message.link,
                 message.reads_store,
             ),
@@ -512,37 +553,43 @@
             name, changes
         ):
             return
+        _, position, newest = changes.positions
         self.tell_directory(
             directory.ReadResult(
                 items,
                 False,
                 origin=f'router {message.router}',
                 is_table=changes.is_table,
-                position=changes.position,
-                newest_version=changes.newest_version,
+                position=position,
+                newest_version=newest,
             )
         )
 
     def _apply_confirmation(self, message):
         """Record the versions of a sender that the store answers.
 
-        Only routers of the same failure domain count.
+        Only routers of the same failure domain count, and no earlier eras:
+        what is current there says nothing of this one.
         """
         if not self.peers.is_local(message.router):
             return
         snapshot = self.view.snapshot
+        if message.endpoints_era < positions.era(snapshot.position):
+            return
+        if message.table_era < positions.era(snapshot.table_position):
+            return
         followers = self.peers.followers
         if message.table_version == snapshot.version:
-            followers.confirm(TABLE, message.table_position)
-        if message.endpoints_version <= followers.position(ENDPOINTS):
-            followers.confirm(ENDPOINTS, message.position)
+            followers.confirm(TABLE, message.read_table)
+        if message.newest_endpoints <= followers.position(ENDPOINTS):
+            followers.confirm(ENDPOINTS, message.read_endpoints)
         age = message.age_ms / SECOND_MS
         self.tell_directory(
             directory.Confirmed(
                 message.table_version,
-                message.table_position,
-                message.endpoints_version,
-                message.position,
+                message.read_table,
+                message.newest_endpoints,
+                message.read_endpoints,
                 age,
             )
         )
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -15,6 +15,7 @@
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import peerreports
 from ibisring_policy.gateway import polling
+from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import storereaders
 from ibisring_records import exceptions
 from ibisring_records import routing
@@ -36,6 +37,8 @@
 RELIST_SECONDS = 3.0
 ALONE_RELIST_SECONDS = 12.0
 TICK_SECONDS = 0.1
+# Time over which routers write their rows again after the store lost some.
+REWRITE_SPREAD_SECONDS = 1.0
 
 
 class State(msgspec.Struct):
@@ -43,7 +46,9 @@
 
     `table` is None if the requester has that version already.  `position`
     and `table_position` are the store versions up to which endpoints and
-    table are known; ages are in seconds.
+    table are known, in the eras `endpoints_era` and `table_era`; ages are in
+    seconds.  `unconfirmed` names the endpoints whose entries are missing but
+    may be written again.
     """
 
     version: int
@@ -53,6 +58,9 @@
     table: routing.RoutingTable | None = None
     endpoints: list[routing.Endpoint] = []
     table_position: int = 0
+    endpoints_era: int = 0
+    table_era: int = 0
+    unconfirmed: list[str] = []
 
 
 class Peers:
@@ -92,6 +100,7 @@
         )
         self.current_role = storereaders.Role.TOLD
         self.catchup = catchup.make_catchup()
+        followers.on_restore = self.store_restored
         self.thread = threading.Thread(target=self.run, daemon=True)
 
     def start(self):
@@ -103,6 +112,12 @@
         """Ask the thread to exit."""
         self.stopped.set()
 
+    def store_restored(self):
+        """Write this router's row again: the store may have lost it."""
+        spread = self.rng.random() * REWRITE_SPREAD_SECONDS
+        self.next_list_at = self.view.clock() + spread
+        self.is_row_written = False
+
     def state_for(self, version):
         """Return the state for a peer that has a version of the table."""
         now = self.view.clock()
@@ -114,10 +129,13 @@
             version=snapshot.version,
             table_age=now - snapshot.table_read_at,
             endpoints_age=now - snapshot.endpoints_read_at,
-            position=snapshot.position,
+            position=positions.version(snapshot.position),
             table=table,
             endpoints=list(snapshot.endpoints.values()),
-            table_position=snapshot.table_position,
+            table_position=positions.version(snapshot.table_position),
+            endpoints_era=positions.era(snapshot.position),
+            table_era=positions.era(snapshot.table_position),
+            unconfirmed=list(snapshot.unconfirmed),
         )
 
     def receive_report(self, report, address, lost_ms=None):
@@ -264,9 +282,9 @@
                 'catching_up',
                 asks='store' if queries_store else 'router',
                 ahead=progress.newest_peer,
-                wanted=progress.wanted_versions,
+                wanted=_wanted_texts(progress.wanted_versions),
                 table=snapshot.version,
-                endpoints=position,
+                endpoints=positions.text(position),
                 age_ms=round(self._age_seconds(now) * SECOND_MS),
             )
             if queries_store:
@@ -303,10 +321,12 @@
             now + ALONE_RELIST_SECONDS if self.rows else now + RELIST_SECONDS
         )
         self.next_list_at = next_list_at
-        names = {row.name for row in rows}
-        if names != set(self.rows):
-            logs.event(LOG, 'routers', known=sorted(names))
-        self.rows = {row.name: row for row in rows}
+        # Routers that were heard from stay known: the store may have lost
+        # their rows.
+        known = {**self.rows, **{row.name: row for row in rows}}
+        if set(known) != set(self.rows):
+            logs.event(LOG, 'routers', known=sorted(known))
+        self.rows = known
 
     def _own_row(self):
         settings = self.settings
@@ -343,6 +363,8 @@
 
     def _apply_state(self, name, state):
         origin = f'router {name}'
+        table_position = positions.make(state.table_era, state.table_position)
+        position = positions.make(state.endpoints_era, state.position)
         if state.table is not None:
             self.tell_directory(
                 directory_module.ReadResult(
@@ -350,22 +372,29 @@
                     True,
                     origin=origin,
                     is_table=True,
-                    position=state.table_position,
+                    position=table_position,
                     age=state.table_age,
                 )
             )
-            self.followers.confirm(TABLE, state.table_position, True)
-        if state.position > self.view.snapshot.position:
+            self.followers.confirm(TABLE, table_position, True)
+        if position > self.view.snapshot.position:
             self.tell_directory(
                 directory_module.ReadResult(
                     state.endpoints,
                     True,
                     origin=origin,
-                    position=state.position,
+                    position=position,
                     age=state.endpoints_age,
+                    unconfirmed=state.unconfirmed,
                 )
             )
-            self.followers.confirm(ENDPOINTS, state.position, True)
+            self.followers.confirm(ENDPOINTS, position, True)
+
+
+def _wanted_texts(versions):
+    """Return the wanted versions as texts for a log line."""
+    texts = {TABLE: str, ENDPOINTS: positions.text}
+    return {name: texts[name](each) for name, each in versions.items()}
 
 
 def make_peers(settings, view, lease_table, tell_directory, followers):
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -52,8 +52,8 @@
     """Items read from a source, and the position to continue from.
 
     Items are `routing.Endpoint`, `routing.RoutingTable` or `Removed`;
-    `newest_version` is the store's version of the newest item, 0 if there is
-    none.
+    `position` (see `positions`) is what was read up to, `newest_version` that
+    of the newest item, 0 if there is none.
     """
 
     position: int
--- a/packages/gateway/ibisring_gateway/storefollowing.py
+++ b/packages/gateway/ibisring_gateway/storefollowing.py
@@ -10,8 +10,10 @@
 from ibisring_gateway import directory as directory_module
 from ibisring_gateway import ports
 from ibisring_policy.gateway import polling as polling_module
+from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import storereaders
 from ibisring_records import exceptions
+from ibisring_router import logs
 
 LOG = logging.getLogger(__name__)
 # Seconds to pause after an unexpected exception.
@@ -37,9 +39,10 @@
     Attributes
     ----------
     position : int or None
-        Store version up to which this router knows the table.
+        Position in the store (see `positions`) up to which this router knows
+        the table.
     changed_by : int
-        Store version after which nothing changed up to `position`.
+        Position after which nothing changed up to `position`.
     """
 
     def __init__(self, name, source, is_table, followers, tell_directory):
@@ -83,6 +86,9 @@
             LOG.info('history_gone', extra={'facts': {'why': error.detail}})
             self.position = None
             self.followers.answered(self.name, True)
+            # Also if it relies on readers: what they send follows positions
+            # that this router doesn't have.
+            self.followers.read_now([self.name])
         except exceptions.IbisringError as error:
             waited = self.clock() - self.call_started_at
             self.tell_directory(
@@ -109,6 +115,7 @@
         else:
             page = self.source.changes(position, wait)
         changed = bool(page.items)
+        self.followers.note_era(positions.era(page.position))
         self.followers.record_read(self, page.position, whole or changed)
         self.followers.answered(self.name, changed)
         if changed and not whole:
@@ -150,6 +157,10 @@
     publish : callable
         Sends a page to the routers that rely on this one; takes the page,
         the version that it follows, and whether it is of routing tables.
+    on_restore : callable
+        Called when the store has come back from a copy.
+    era : int or None
+        Latest era of the store known, None before the first.
     requested : set of str
         Tables to read once although others read them.
     """
@@ -159,6 +170,8 @@
         self.role = role
         self.clock = clock
         self.publish = _discard
+        self.on_restore = lambda: None
+        self.era = None
         self.requested = set()
         self.members = {}
         self.polling = polling_module.make_polling((), random.random)
@@ -219,6 +232,29 @@
         with self.lock:
             follower.advance(position, changed)
 
+    def note_era(self, era):
+        """Note an era of the store, as it or another router named it.
+
+        A store that comes back from a copy lacks entries that were written
+        since, until they are written again.  Each router judges by its own
+        calls for a while, as after an outage.
+
+        Parameters
+        ----------
+        era : int
+        """
+        with self.lock:
+            if self.era is not None and era <= self.era:
+                return
+            before, self.era = self.era, era
+            if before is None:
+                return
+            to_cancel = self.polling.store_restored(self.clock())
+        logs.event(LOG, 'store_restored', era=era, before=before)
+        self._cancel(to_cancel)
+        self._wake(self.members)
+        self.on_restore()
+
     def role_changed(self, role):
         """Apply a new role of this router in reading the store.
 
@@ -263,21 +299,22 @@
         """
         follower = self.members[name]
         with self.lock:
-            if follower.position is None or changes.before > follower.position:
+            before, position, _ = changes.positions
+            if follower.position is None or before > follower.position:
                 return False
-            if changes.position > follower.position:
-                follower.advance(changes.position, True)
+            if position > follower.position:
+                follower.advance(position, True)
             return True
 
     def confirm(self, name, position, changed=False):
-        """Record that this router knows a table up to a version.
+        """Record that this router knows a table up to a position.
 
         Parameters
         ----------
         name : str
         position : int
         changed : bool
-            Whether something may have changed since the last version.
+            Whether something may have changed since the last position.
         """
         follower = self.members[name]
         with self.lock:
@@ -285,7 +322,7 @@
                 follower.advance(position, changed)
 
     def position(self, name):
-        """Return the store version up to which a table is known."""
+        """Return the position up to which a table is known."""
         return self.members[name].position or 0
 
     def store_access(self, is_lost):
--- a/packages/gateway/ibisring_gateway/tests/schedules.py
+++ b/packages/gateway/ibisring_gateway/tests/schedules.py
@@ -17,6 +17,9 @@
     'lossy',
 )
 KINDS = STORE_KINDS + ROUTER_KINDS
+# At the end of this failure the store, which answered nobody, comes back from
+# a copy.
+RESTORE = 'restore'
 TABLE = 'table'
 ENDPOINTS = 'endpoints'
 # Seconds that a run continues after the last change or failure.
--- a/packages/gateway/ibisring_gateway/tests/test_changes.py
+++ b/packages/gateway/ibisring_gateway/tests/test_changes.py
@@ -4,6 +4,7 @@
 
 from ibisring_gateway import changes
 from ibisring_gateway import ports
+from ibisring_policy.gateway import positions
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import exceptions
 
@@ -54,3 +55,18 @@
 def test_invalid_message_raises_an_error_with_a_remedy(data):
     with pytest.raises(exceptions.MalformedMessage, match='releases'):
         changes.unpack(data)
+
+
+def test_changes_are_sent_with_their_era():
+    at = [positions.make(2, version) for version in (141, 144, 143)]
+    page = ports.Page(at[1], [build.endpoint('x')], at[2])
+    received = _round_trip(changes.endpoint_changes(page, at[0]))
+    assert (received.before, received.position) == (141, 144)
+    assert received.positions == (at[0], at[1], at[2])
+
+
+def test_change_after_an_earlier_era_follows_all_of_its_own():
+    """Guards against comparing a version with one of another era."""
+    page = ports.Page(positions.make(2, 9), [build.endpoint('x')], 0)
+    sent = changes.endpoint_changes(page, positions.make(1, 147))
+    assert sent.positions[0] == positions.make(2, 0)
--- a/packages/gateway/ibisring_gateway/tests/test_directory.py
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -5,6 +5,7 @@
 from ibisring_gateway.tests import builders
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
+from ibisring_policy.gateway import positions
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
 import pytest
@@ -200,3 +201,55 @@
     after = build.endpoint('e1', started=2)
     actor.on_read(directory.ReadResult([after], False, position=2))
     assert view.suspects.verdict(digest, now).crashes == 1
+
+
+def test_a_lower_version_of_a_later_era_is_applied():
+    """Guards against dropping what a restored store says as outdated."""
+    actor, view, _ = _make_directory()
+    both = [build.endpoint('x'), build.endpoint('y')]
+    _read_endpoints(actor, both, position=positions.make(1, 147))
+    leaving = build.endpoint('x', state=routing.EndpointState.DRAINING)
+    _read_endpoints(actor, both, position=positions.make(2, 144))
+    _read_endpoints(
+        actor, [leaving], whole=False, position=positions.make(2, 145)
+    )
+    assert [e.id for e in view.snapshot.by_service['lookup']] == ['y']
+
+
+def test_a_higher_version_of_an_earlier_era_is_not_applied():
+    """Guards against an answer that was under way as the store came back."""
+    actor, view, _ = _make_directory()
+    leaving = build.endpoint('x', state=routing.EndpointState.DRAINING)
+    _read_endpoints(actor, [leaving], position=positions.make(2, 144))
+    _read_endpoints(actor, [], position=positions.make(1, 999))
+    assert set(view.snapshot.endpoints) == {'x'}
+
+
+@pytest.mark.parametrize('origin', ('store', 'router r2'))
+def test_a_short_outage_with_a_loss_empties_no_list(origin):
+    """Guards against refusing requests for entries that the store lost.
+
+    No call of this router failed; only the era shows the loss.
+    """
+    clock = builders.Clock()
+    actor, view, _ = _make_directory()
+    view.clock = clock
+    both = [build.endpoint('x'), build.endpoint('y')]
+    _read_endpoints(actor, both, position=positions.make(1, 147))
+    actor.on_read(
+        directory.ReadResult(
+            both,
+            True,
+            origin=origin,
+            position=positions.make(2, 144),
+            unconfirmed=['x'],
+        )
+        if origin != 'store'
+        else directory.ReadResult(
+            [both[1]], True, position=positions.make(2, 144)
+        )
+    )
+    assert set(view.snapshot.endpoints) == {'x', 'y'}
+    clock.now += 2.3
+    actor.on_tick(directory.Tick())
+    assert set(view.snapshot.endpoints) == {'y'}
--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -8,6 +8,7 @@
 from ibisring_gateway import storefollowing
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import polling
+from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway import suspects
 
@@ -105,3 +106,77 @@
     message = sender._message(view.clock())
     assert message.position == view.snapshot.position
     assert message.table_position == view.snapshot.table_position
+
+
+def test_versions_of_a_later_era_are_sent_with_it():
+    """Guards against an older release that takes a position for a version."""
+    view = builders.make_view(
+        [],
+        position=positions.make(2, 144),
+        newest_version=positions.make(1, 147),
+        table_position=positions.make(1, 146),
+    )
+    message = _make_gossip(view)._message(view.clock())
+    data = msgspec.msgpack.encode(message)
+    older = msgspec.msgpack.decode(data, type=_OlderMessage)
+    assert older.endpoints_version == 0
+    assert (message.position, message.table_position) == (144, 146)
+    assert message.read_endpoints == positions.make(2, 144)
+    assert message.newest_endpoints == positions.make(2, 0)
+    assert message.read_table == positions.make(1, 146)
+
+
+def _receive(view, **changes):
+    """Have a router receive a message; return it and what it was told."""
+    receiver = _make_gossip(view)
+    told = []
+    receiver.tell_directory = told.append
+    values = {
+        'domain': 'a',
+        'store_access': storereaders.StoreAccess.SERVED,
+        'reads_store': True,
+    }
+    message = gossip.Message('r1', {}, [], **{**values, **changes})
+    receiver.receive(message, ('127.0.0.1', 9))
+    return receiver, told
+
+
+def _view_in_era(era):
+    return builders.make_view(
+        [],
+        position=positions.make(era, 144),
+        table_position=positions.make(era, 144),
+    )
+
+
+def test_confirmations_of_an_earlier_era_are_ignored():
+    """Guards against taking old state for current after the store lost some.
+
+    The sender may also be of a release that knows of no eras.
+    """
+    view = _view_in_era(2)
+    for era in (0, 1):
+        _, told = _receive(
+            view, position=150, endpoints_era=era, table_era=era
+        )
+        assert told == []
+    _, told = _receive(view, position=150, endpoints_era=2, table_era=2)
+    assert told[0].position == positions.make(2, 150)
+
+
+def test_router_that_knows_an_earlier_era_is_no_reader():
+    """Guards against waiting for changes that can't be applied."""
+    for era, access in (
+        (1, storereaders.StoreAccess.UNSURE),
+        (2, storereaders.StoreAccess.SERVED),
+    ):
+        receiver, _ = _receive(_view_in_era(2), endpoints_era=era, table_era=2)
+        now = receiver.view.clock()
+        (neighbour,) = receiver.peers.peer_reports.neighbours(now)
+        assert neighbour.store_access is access
+
+
+def test_later_era_of_another_router_is_noted():
+    receiver, _ = _receive(_view_in_era(2), endpoints_era=3)
+    assert receiver.peers.followers.era == 3
+    assert receiver.peers.catchup.newest_peer == 'r1'
--- a/packages/gateway/ibisring_gateway/tests/test_store_outages.py
+++ b/packages/gateway/ibisring_gateway/tests/test_store_outages.py
@@ -115,3 +115,41 @@
 def test_random_schedules(seed):
     schedule = schedules.draw(seed)
     assert not _violations(schedule), schedule
+
+
+@pytest.mark.parametrize(
+    ('routers', 'seconds'),
+    [
+        (3, 0.05),
+        (3, 3.0),
+        (6, 0.05),
+        (6, 0.5),
+        (6, 3.0),
+        (91, 0.5),
+        (195, 0.5),
+    ],
+)
+def test_changes_after_the_store_lost_writes_are_known(routers, seconds):
+    """Guards against dropping what a restored store says as outdated."""
+    restore = Failure(schedules.RESTORE, 8.0, seconds)
+    end = restore.ends_at
+    lost = [Change(7.0 + 0.2 * n, ENDPOINTS) for n in range(4)]
+    lost += [Change(7.9, TABLE)]
+    changes = [Change(end + at, ENDPOINTS) for at in (0.1, 1.4, 3.2, 5.0)]
+    changes += [Change(end + at, TABLE) for at in (0.2, 3.1)]
+    schedule = schedules.Schedule(
+        routers,
+        tuple(lost + changes),
+        (restore,),
+        domains=5 if routers > 100 else 3,
+    )
+    assert not _violations(schedule)
+
+
+def test_store_that_loses_writes_twice_is_followed():
+    """Guards against a router that missed an era staying behind."""
+    restores = [Failure(schedules.RESTORE, at, 0.4) for at in (8.0, 11.0)]
+    frozen = Failure('frozen', 7.9, 4.5, (1,))
+    changes = (7.0, 7.5, 9.0, 10.5, 12.0, 13.0, 16.0)
+    schedule = _schedule(6, changes, *restores, frozen, source=ENDPOINTS)
+    assert not _violations(schedule)
--- a/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
@@ -142,3 +142,50 @@
     followers.role_changed(storereaders.Role.ASKS)
     assert [f.source.cancelled for f in followers.members.values()] == [1, 0]
     assert followers.start_call('endpoints') == 0.0
+
+
+def _told_role():
+    return storereaders.Role.TOLD
+
+
+def test_expired_history_is_read_again_also_by_a_router_that_is_told():
+    """Guards against a router that gets no changes for want of a position."""
+    followers, _ = _followers()
+    for follower in followers.members.values():
+        follower.read_once()
+    followers.clock.now += polling.STABLE_AFTER_SECONDS
+    followers.role = _told_role
+    table = followers.members['table']
+    assert followers.delay('table') > 0.0
+    table.source.errors = [ports.HistoryExpired('too old')]
+    table._follow()
+    assert followers.delay('table') == 0.0
+    table._follow()
+    assert table.source.calls[-1] == 'all'
+
+
+def test_routers_that_are_told_read_the_store_after_it_lost_writes():
+    """Guards against waiting for readers while entries may be missing."""
+    followers, _ = _followers()
+    for follower in followers.members.values():
+        follower.read_once()
+    followers.clock.now += polling.STABLE_AFTER_SECONDS
+    followers.role = _told_role
+    restored = []
+    followers.on_restore = lambda: restored.append(followers.era)
+    for era in (0, 1, 1, 0):
+        followers.note_era(era)
+    assert restored == [1]
+    jitter = polling.RECOVERY_JITTER_SECONDS
+    assert all(followers.delay(n) <= jitter for n in followers.members)
+    assert [f.source.cancelled for f in followers.members.values()] == [0, 0]
+
+
+def test_open_call_is_cancelled_as_the_store_lost_writes():
+    followers, _ = _followers()
+    for follower in followers.members.values():
+        follower.read_once()
+    followers.start_call('table')
+    followers.clock.now += 1.0
+    followers.note_era(1)
+    assert followers.members['table'].source.cancelled == 1
--- a/packages/gateway/ibisring_gateway/tests/virtualfleet.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualfleet.py
@@ -245,6 +245,10 @@
                 start + failure.at,
                 lambda each=failure: self._start_failure(each),
             )
+            if failure.kind == schedules.RESTORE:
+                self.scheduler.call_at(
+                    start + failure.ends_at, self.store.restore
+                )
             after = start + failure.ends_at + virtualstore.ANSWER_SECONDS
             self.scheduler.call_at(after, self.store.answer_waiting)
         self.scheduler.call_at(start, self._check)
@@ -309,10 +313,10 @@
         if elapsed < CALM_SECONDS:
             return False
         for failure in self.schedule.failures:
-            is_relevant = (
-                failure.kind in schedules.STORE_KINDS
-                or failure.affects(number)
-            )
+            is_relevant = failure.kind in (
+                *schedules.STORE_KINDS,
+                schedules.RESTORE,
+            ) or failure.affects(number)
             if (
                 is_relevant
                 and failure.at <= elapsed < failure.ends_at + CALM_SECONDS
--- a/packages/gateway/ibisring_gateway/tests/virtualstore.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualstore.py
@@ -5,6 +5,7 @@
 from ibisring_gateway import ports
 from ibisring_gateway.tests import schedules
 from ibisring_gateway.tests import virtualtime
+from ibisring_policy.gateway import positions
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import exceptions
 
@@ -18,6 +19,32 @@
 STALE_SECONDS = 4.0
 # Share of the answers lost during a 'lost' failure.
 LOST_SHARE = 0.5
+# Age in seconds of the copy from which a store comes back, and until what is
+# missing in it is written again.
+COPY_SECONDS = 2.0
+REWRITE_SECONDS = 0.3
+
+
+class _Entry:
+    """A write to a table.
+
+    `number` counts all writes, `version` those of the present state: after
+    the store has come back from a copy, versions are given out again.
+    """
+
+    __slots__ = ('at', 'version', 'source', 'number')
+
+    def __init__(self, at, version, source, number):
+        self.at = at
+        self.version = version
+        self.source = source
+        self.number = number
+
+    def item(self):
+        """Return the item that was written."""
+        if self.source == TABLE:
+            return build.table(self.number)
+        return build.endpoint('x', started=self.number)
 
 
 class _Call:
@@ -47,6 +74,8 @@
         Time and number of each acknowledged version, by source.
     calls : int
         Number of calls received.
+    era : int
+        How often it has come back from a copy, counted from 1.
     """
 
     def __init__(self, scheduler, failures, rng):
@@ -57,6 +86,8 @@
         self.waiting = []
         self.acknowledged = {TABLE: [], ENDPOINTS: []}
         self.calls = 0
+        self.era = 1
+        self.writes = 0
 
     def failure_kind(self, number):
         """Return the current failure between store and router, or None."""
@@ -68,6 +99,8 @@
                 continue
             if failure.kind in schedules.STORE_KINDS:
                 return failure.kind
+            if failure.kind == schedules.RESTORE:
+                return 'busy'
             if failure.kind in ('unreachable', 'isolated'):
                 return 'silent'
         return None
@@ -85,7 +118,12 @@
         """Write the next version, after the failure if there is one."""
         elapsed = self.scheduler.now - virtualtime.START
         for failure in self.failures:
-            is_refusing = failure.kind in ('silent', 'reset', 'busy')
+            is_refusing = failure.kind in (
+                'silent',
+                'reset',
+                'busy',
+                schedules.RESTORE,
+            )
             if is_refusing and not failure.affected:
                 if failure.at <= elapsed < failure.ends_at:
                     retry_at = virtualtime.START + failure.ends_at + 0.05
@@ -93,20 +131,37 @@
                         retry_at, lambda: self.write(source)
                     )
                     return
+        self.writes += 1
+        self._append(source, self.writes)
+        self.acknowledged[source].append((self.scheduler.now, self.writes))
+
+    def _append(self, source, number):
         version = len(self.log) + 1
-        if source == TABLE:
-            item = build.table(version)
-        else:
-            item = build.endpoint('x', started=version)
-        now = self.scheduler.now
-        self.log.append((now, version, source, item))
-        self.acknowledged[source].append((now, version))
+        entry = _Entry(self.scheduler.now, version, source, number)
+        self.log.append(entry)
         self.answer_waiting()
 
+    def restore(self):
+        """Come back from a copy; what it lacks is written again later."""
+        copied_at = self.scheduler.now - COPY_SECONDS
+        lost = [entry for entry in self.log if entry.at > copied_at]
+        self.log = [entry for entry in self.log if entry.at <= copied_at]
+        self.era += 1
+        for call in list(self.waiting):
+            self.waiting.remove(call)
+            call.fail(exceptions.PlatformAnswerLost('reset'))
+        rewrite_at = self.scheduler.now + REWRITE_SECONDS
+        for entry in lost:
+            self.scheduler.call_at(
+                rewrite_at,
+                lambda each=entry: self._append(each.source, each.number),
+            )
+
     def answer_waiting(self):
         """Answer the waiting calls whose table has changed."""
         for call in list(self.waiting):
-            if self._page(call).items:
+            page = self._page(call)
+            if page is None or page.items:
                 self._finish(call)
 
     def start_call(self, number, source, after, wait):
@@ -128,7 +183,7 @@
             call.fail(exceptions.PlatformUnavailable('429'))
             return
         page = self._page(call)
-        if call.after is None or page.items or wait <= 0.0:
+        if page is None or call.after is None or page.items or wait <= 0.0:
             self._finish(call)
             return
         self.waiting.append(call)
@@ -146,23 +201,33 @@
         if kind == 'lost' and self.rng.random() < LOST_SHARE:
             return
         call.page = self._page(call)
+        if call.page is None:
+            call.error = ports.HistoryExpired('the store went back to a copy')
         arrives_at = self.scheduler.now + ANSWER_SECONDS / 2
         self.scheduler.call_at(arrives_at, call.answered.set)
 
     def _page(self, call):
+        """Return the answer to a call, None if it follows another era."""
+        if call.after is not None and positions.era(call.after) != self.era:
+            return None
         visible = self.log
         if self.failure_kind(call.number) == 'old':
             limit = self.scheduler.now - STALE_SECONDS
-            visible = [entry for entry in visible if entry[0] <= limit]
-        position = visible[-1][1] if visible else 0
-        entries = [entry for entry in visible if entry[2] == call.source]
+            visible = [entry for entry in visible if entry.at <= limit]
+        entries = [entry for entry in visible if entry.source == call.source]
         if call.after is None:
-            items = [entry[3] for entry in entries[-1:]]
+            entries = entries[-1:]
         else:
-            entries = [entry for entry in entries if entry[1] > call.after]
-            items = [entry[3] for entry in entries]
-        changed = entries[-1][1] if items else 0
-        return ports.Page(position, items, changed)
+            after = positions.version(call.after)
+            entries = [entry for entry in entries if entry.version > after]
+        return ports.Page(
+            self._position(visible[-1].version if visible else 0),
+            [entry.item() for entry in entries],
+            self._position(entries[-1].version) if entries else 0,
+        )
+
+    def _position(self, version):
+        return positions.make(self.era, version)
 
 
 class Source(ports.Source):
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -40,12 +40,14 @@
         Whether endpoints have been read.
     known_since : float
         When endpoints were first read.
+    unconfirmed : frozenset of str
+        Usable endpoints without an entry, see `presence.Presence`.
     position : int
-        Store version of the endpoints.
+        Position in the store (see `positions`) of the endpoints.
     newest_version : int
-        Store version at which endpoints last changed.
+        Position at which endpoints last changed.
     table_position : int
-        Store version up to which the table is known.
+        Position up to which the table is known.
     store_lost_at : float or None
         Since when the store has not answered, None while it does.
     """
@@ -57,6 +59,7 @@
     endpoints_read_at: float = 0.0
     endpoints_known: bool = False
     known_since: float = 0.0
+    unconfirmed: frozenset = frozenset()
     position: int = 0
     newest_version: int = 0
     table_position: int = 0
--- a/packages/policy/ibisring_policy/gateway/layerorders.py
+++ b/packages/policy/ibisring_policy/gateway/layerorders.py
@@ -176,8 +176,8 @@
         now : float
         """
         if row is None:
-            self.term = 1
-            return LeaseRow(self.router_id, 1)
+            self.term += 1
+            return LeaseRow(self.router_id, self.term)
         if row.holder != self.router_id:
             if row.version != self.seen_version:
                 self.seen_version = row.version
@@ -186,8 +186,9 @@
             if now < takeover_at:
                 self.read_again_at = takeover_at
                 return None
-        self.term = row.term + 1
-        return LeaseRow(self.router_id, row.term + 1, row.version)
+        # A row from a copy may have a lower term than was used since.
+        self.term = max(self.term, row.term) + 1
+        return LeaseRow(self.router_id, self.term, row.version)
 
     def note_acquired(self, requested_at):
         """Note that a write, begun at `requested_at`, has succeeded."""
--- a/packages/policy/ibisring_policy/gateway/polling.py
+++ b/packages/policy/ibisring_policy/gateway/polling.py
@@ -300,6 +300,18 @@
                 ended.append(name)
         return ended
 
+    def store_restored(self, now):
+        """Record that the store has come back from a copy.
+
+        Returns
+        -------
+        list of str
+            Tables whose open calls should be ended.
+        """
+        self.recovered_at = now
+        self.next_try_at = now + RECOVERY_JITTER_SECONDS * self.draw()
+        return self.outage_reported(now)
+
     def recovery_reported(self, now):
         """Record that the store answers another router again.
 
--- a/packages/policy/ibisring_policy/gateway/presence.py
+++ b/packages/policy/ibisring_policy/gateway/presence.py
@@ -1,7 +1,8 @@
-"""Which endpoints exist, also when store entries expired in an outage."""
+"""Which endpoints exist, also when store entries expired or were lost."""
 
 __all__ = ['Presence', 'make_presence']
 
+from ibisring_records import routing
 import msgspec
 
 # Entries that expired in an outage of the store are registered again within
@@ -11,10 +12,27 @@
 # An entry has not expired while the store accepted heartbeats until less than
 # this time ago: it expires after three missed heartbeats.
 EXPIRY_SECONDS = 3.0
+# After this time a store that came back from a copy has dropped the entries of
+# endpoints that had left before.
+REVIVED_SECONDS = EXPIRY_SECONDS + 1.0
+# How long it is known that an endpoint left, and of how many.
+LEFT_SECONDS = 300.0
+MAX_LEFT = 1000
 # Bound on the changes in one log line.
 MAX_LOGGED_CHANGES = 20
 
 
+class _Left(msgspec.Struct):
+    """An endpoint that left, or only its entry if `is_draining` is not set.
+
+    `started` tells the processes apart that used the same endpoint id.
+    """
+
+    started: int
+    at: float
+    is_draining: bool
+
+
 class Presence:
     """Endpoints by id, with those that may be registered again.
 
@@ -24,11 +42,22 @@
     about the endpoint; removing all of these would leave no endpoint at all
     when the store recovers.
 
+    A store that comes back from a copy lacks entries of endpoints that run,
+    until they are written again, and has entries of some that have left.  The
+    former are treated as expired in an outage.  Of the latter, those that have
+    said that they are leaving never return; an entry that had been removed is
+    used only if the store still has it once it would have expired.
+
     Attributes
     ----------
     entries : dict of str to routing.Endpoint
     unconfirmed : dict of str to routing.Endpoint
         Entries that expired in an outage; used until `unconfirmed_until`.
+    left : dict of str to _Left
+        Endpoints that left.
+    revived : dict of str to routing.Endpoint
+        Entries that were removed before the store came back from a copy;
+        not used until `revived_until`.
     """
 
     __slots__ = (
@@ -37,6 +66,9 @@
         'failing_since',
         'peer_served_at',
         'unconfirmed_until',
+        'left',
+        'revived',
+        'revived_until',
         'changes',
     )
 
@@ -46,6 +78,9 @@
         self.failing_since = None
         self.peer_served_at = -EXPIRY_SECONDS
         self.unconfirmed_until = -1.0
+        self.left = {}
+        self.revived = {}
+        self.revived_until = -1.0
         self.changes = []
 
     def read_failed(self, now):
@@ -65,6 +100,11 @@
             self.unconfirmed_until = now + REREGISTER_SECONDS
         return True
 
+    def store_restored(self, now):
+        """Record that the store has come back from a copy."""
+        self.unconfirmed_until = now + REREGISTER_SECONDS
+        self.revived_until = now + REVIVED_SECONDS
+
     def store_served_peer(self, at):
         """Record when the store is known to have answered another router.
 
@@ -78,18 +118,58 @@
 
     def put(self, endpoint, now):
         """Add or replace an entry; return whether it changed."""
+        endpoint = self._without_revival(endpoint, now)
+        if endpoint is None:
+            return False
+        if endpoint.state is routing.EndpointState.DRAINING:
+            self._note_left(endpoint, now, is_draining=True)
         self.unconfirmed.pop(endpoint.id, None)
+        self.revived.pop(endpoint.id, None)
         if self.entries.get(endpoint.id) == endpoint:
             return False
         self.entries[endpoint.id] = endpoint
         self._add_change(f'{endpoint.id} {endpoint.state.value}')
         return True
 
+    def _without_revival(self, endpoint, now):
+        """Return an entry as it may be used, None if it may not be.
+
+        Entries written before an endpoint left, or by an earlier process, may
+        be read later: from a copy, or as told by another router.
+        """
+        known = self.usable().get(endpoint.id)
+        if known is not None and endpoint.started < known.started:
+            return None
+        left = self.left.get(endpoint.id)
+        if left is None or endpoint.started > left.started:
+            return endpoint
+        if left.is_draining:
+            draining = routing.EndpointState.DRAINING
+            return msgspec.structs.replace(endpoint, state=draining)
+        if now < self.revived_until:
+            self.revived[endpoint.id] = endpoint
+            return None
+        del self.left[endpoint.id]
+        return endpoint
+
+    def _note_left(self, endpoint, now, is_draining):
+        """Record that an endpoint, or its entry, has left."""
+        before = self.left.pop(endpoint.id, None)
+        if before is not None and before.started == endpoint.started:
+            is_draining = is_draining or before.is_draining
+        # In the order in which they left.
+        self.left[endpoint.id] = _Left(endpoint.started, now, is_draining)
+        oldest = next(iter(self.left))
+        is_old = now - self.left[oldest].at > LEFT_SECONDS
+        if is_old or len(self.left) > MAX_LEFT:
+            del self.left[oldest]
+
     def remove(self, name, now, confirmed=False):
         """Remove an entry; return whether there was one.
 
         `confirmed` says that the endpoint is known to have left.
         """
+        self.revived.pop(name, None)
         endpoint = self.entries.pop(name, None)
         if endpoint is None:
             return False
@@ -97,6 +177,7 @@
             self.unconfirmed[name] = endpoint
             self._add_change(f'{name} missing')
         else:
+            self._note_left(endpoint, now, is_draining=False)
             self._add_change(f'{name} gone')
         return True
 
@@ -116,10 +197,23 @@
         self._add_change(f'{name} holds {_format_holding(holding)}')
         return True
 
-    def replace(self, endpoints, now, confirmed=False):
-        """Replace all entries; return whether anything changed."""
+    def replace(self, endpoints, now, confirmed=False, unconfirmed=()):
+        """Replace all entries; return whether anything changed.
+
+        Parameters
+        ----------
+        endpoints : list of routing.Endpoint
+        now : float
+        confirmed : bool
+            Whether endpoints that are missing are known to have left.
+        unconfirmed : collection of str
+            Endpoints of the list without an entry, which may be written
+            again.
+        """
         changed = False
         names = {endpoint.id for endpoint in endpoints}
+        for name in [n for n in self.revived if n not in names]:
+            del self.revived[name]
         for name in [n for n in self.entries if n not in names]:
             changed |= self.remove(name, now, confirmed)
         for endpoint in endpoints:
@@ -127,17 +221,36 @@
         if confirmed and self.unconfirmed:
             self.unconfirmed.clear()
             changed = True
+        for name in unconfirmed:
+            self._unconfirm(name, now)
         return changed
 
+    def _unconfirm(self, name, now):
+        """Treat an entry as one that expired in an outage."""
+        endpoint = self.entries.pop(name, None)
+        if endpoint is not None:
+            self.unconfirmed[name] = endpoint
+            until = now + REREGISTER_SECONDS
+            self.unconfirmed_until = max(self.unconfirmed_until, until)
+
     def expire(self, now):
-        """Drop expired entries after the grace time; return if any were."""
+        """Drop or use entries after the grace times; return if any were."""
+        changed = self._use_revived(now)
         if not self.unconfirmed or self._may_have_expired(now):
-            return False
-        for name in self.unconfirmed:
+            return changed
+        for name, endpoint in self.unconfirmed.items():
+            self._note_left(endpoint, now, is_draining=False)
             self._add_change(f'{name} gone')
         self.unconfirmed.clear()
         return True
 
+    def _use_revived(self, now):
+        """Use the entries that the store still has; return if any were."""
+        if now < self.revived_until or not self.revived:
+            return False
+        entries = list(self.revived.values())
+        return any([self.put(each, now) for each in entries])
+
     def usable(self):
         """Return the endpoints by id, unconfirmed ones included."""
         return {**self.unconfirmed, **self.entries}
--- a/packages/policy/ibisring_policy/gateway/tests/test_layerorders.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_layerorders.py
@@ -7,6 +7,7 @@
 
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway.tests import builders as build
+import pytest
 
 
 def test_a_router_acts_after_its_delay_if_there_is_something_to_order():
@@ -39,6 +40,16 @@
     assert lease.next_row(renewed, takeover_at + 0.2) is None
 
 
+@pytest.mark.parametrize('row', [None, layerorders.LeaseRow('r2', 3, 8)])
+def test_a_term_is_not_used_again_after_the_store_lost_it(row):
+    """Guards against orders that engines refuse for their fencing token."""
+    lease = layerorders.make_lease('r1', 0.0)
+    lease.note_term(7)
+    lease.next_row(row, 10.0)
+    claimed = lease.next_row(row, 20.0)
+    assert claimed.term > 7
+
+
 def test_the_lease_of_a_killed_router_is_taken_over_soon():
     """Failure: a failure domain lacks layers for three more seconds.
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_presence.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_presence.py
@@ -4,6 +4,7 @@
 
 from ibisring_policy.gateway import presence
 from ibisring_policy.gateway.tests import builders as build
+from ibisring_records import routing
 
 
 def _presence(*names):
@@ -82,3 +83,102 @@
     accepted heartbeats all the time.
     """
     assert _after_an_outage(served_at=27.5).usable() == {}
+
+
+DRAINING = routing.EndpointState.DRAINING
+
+
+def _restored(*left, started=1):
+    """Return endpoints x, y and z as the store comes back from a copy."""
+    endpoints = presence.make_presence()
+    entries = [build.endpoint(name, started=started) for name in 'xyz']
+    endpoints.replace(entries, 0.0)
+    for name in left:
+        endpoints.remove(name, 10.0)
+    endpoints.store_restored(11.0)
+    return endpoints
+
+
+def _copy(names='xyz', **changes):
+    return [
+        build.endpoint(name, **{'started': 1, **changes}) for name in names
+    ]
+
+
+def test_an_entry_missing_in_the_copy_stays_in_use_until_written_again():
+    """Guards against refusing requests for entries that the store lost."""
+    endpoints = _restored()
+    endpoints.replace([], 11.0)
+    assert set(endpoints.usable()) == {'x', 'y', 'z'}
+    endpoints.put(build.endpoint('x', started=1), 12.0)
+    assert endpoints.expire(11.0 + presence.REREGISTER_SECONDS)
+    assert set(endpoints.usable()) == {'x'}
+
+
+def test_an_endpoint_that_left_is_not_revived_by_the_copy():
+    """Guards against requests to an endpoint that only a copy still has."""
+    endpoints = _restored('x')
+    endpoints.replace(_copy(), 11.0)
+    assert set(endpoints.usable()) == {'y', 'z'}
+    endpoints.remove('x', 14.0)
+    endpoints.expire(11.0 + presence.REVIVED_SECONDS)
+    assert set(endpoints.usable()) == {'y', 'z'}
+
+
+def test_an_endpoint_whose_entry_stays_in_the_store_is_used_again():
+    """Guards against losing an endpoint that had only been unreachable."""
+    endpoints = _restored('x')
+    endpoints.replace(_copy(), 11.0)
+    assert endpoints.expire(11.0 + presence.REVIVED_SECONDS)
+    assert set(endpoints.usable()) == {'x', 'y', 'z'}
+
+
+def test_an_entry_that_returns_in_the_same_era_is_used_at_once():
+    endpoints = presence.make_presence()
+    endpoints.put(build.endpoint('x', started=1), 0.0)
+    endpoints.remove('x', 10.0)
+    assert endpoints.put(build.endpoint('x', started=1), 15.0)
+
+
+def test_an_entry_from_before_a_leave_does_not_undo_it():
+    """Guards against a copy that takes back what an endpoint has said."""
+    endpoints = _restored()
+    endpoints.put(build.endpoint('x', started=1, state=DRAINING), 11.0)
+    for entries in (_copy(), _copy('yz'), _copy()):
+        endpoints.replace(entries, 20.0)
+        found = endpoints.usable().get('x')
+        assert found is None or found.state is DRAINING
+
+
+def test_a_later_start_is_used_after_a_leave():
+    endpoints = _restored('x')
+    endpoints.put(build.endpoint('y', started=1, state=DRAINING), 11.0)
+    endpoints.replace(_copy(started=2), 12.0)
+    states = {each.state for each in endpoints.usable().values()}
+    assert len(endpoints.usable()) == 3 and states == {
+        routing.EndpointState.READY
+    }
+
+
+def test_an_entry_of_an_earlier_process_is_ignored():
+    """Guards against returning to what a process before the present wrote."""
+    endpoints = _restored(started=5)
+    assert not endpoints.put(build.endpoint('x', started=4), 12.0)
+    assert endpoints.usable()['x'].started == 5
+
+
+def test_what_another_router_does_not_confirm_is_dropped_in_time():
+    """Guards against keeping a left endpoint that a peer still waits for."""
+    endpoints = presence.make_presence()
+    endpoints.replace(_copy(), 10.0, confirmed=True, unconfirmed=['x'])
+    assert set(endpoints.usable()) == {'x', 'y', 'z'}
+    assert endpoints.expire(10.0 + presence.REREGISTER_SECONDS)
+    assert set(endpoints.usable()) == {'y', 'z'}
+
+
+def test_the_number_of_left_endpoints_is_bounded():
+    endpoints = presence.make_presence()
+    for number in range(presence.MAX_LEFT + 50):
+        endpoints.put(build.endpoint(f'e{number}', started=1), 1.0)
+        endpoints.remove(f'e{number}', 1.0)
+    assert len(endpoints.left) == presence.MAX_LEFT
