A leave that an endpoint names in its answers is followed

What callers and endpoints saw: an endpoint that says in all its answers that it is leaving, while its row in the store stays ready, got requests as before until it was gone, from every router.

Cause: nothing read the header; only the row in the store made an endpoint leave. Class: what an endpoint says in an answer reaches no decision, as with the backoff.

Change: the header is read from answers to requests of any status, to status queries and to orders, but for a 421, which another server at the address may have written. The directory, which decides which endpoints are used, notes the leave for that life of the endpoint: no row, report or list of a peer undoes it, only a later start does. Requests chosen before are withdrawn before they are sent; those under way finish. Routers pass it on at once; a release that does not know the field ignores it.

In virtual time, a third of all datagrams lost: known to all of 3, 6, 91 and 195 routers within 2 s.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -5,6 +5,7 @@
     'ReadFailed',
     'Confirmed',
     'HoldingReport',
+    'LeavingReport',
     'Tick',
     'Directory',
 ]
@@ -79,6 +80,17 @@
     holding: routing.Holding | None
 
 
+class LeavingReport(msgspec.Struct):
+    """An endpoint says in an answer that it is leaving.
+
+    `origin` is the endpoint, or names the router that was answered.
+    """
+
+    id: str
+    started: int
+    origin: str = 'endpoint'
+
+
 class Tick(msgspec.Struct):
     """Periodic message: expires endpoints missing since an outage."""
 
@@ -113,6 +125,7 @@
             ReadFailed: self.on_read_failed,
             Confirmed: self.on_confirmed,
             HoldingReport: self.on_holding_report,
+            LeavingReport: self.on_leaving_report,
             Tick: self.on_tick,
         }
 
@@ -212,6 +225,19 @@
                 self.view.clock(), 'engine', before.endpoints_read_at, before
             )
 
+    def on_leaving_report(self, message):
+        """Stop using an endpoint that says that it leaves.
+
+        Its entry may say so later, or never: an endpoint that can't reach the
+        store still answers.
+        """
+        now = self.view.clock()
+        if self.presence.report_leaving(message.id, message.started, now):
+            before = self.view.snapshot
+            self._publish(
+                now, message.origin, before.endpoints_read_at, before
+            )
+
     def _apply_table(self, table, origin):
         """Put a table in force unless it is older than the current one.
 
@@ -312,6 +338,7 @@
             endpoints=usable,
             by_service=by_service,
             unconfirmed=frozenset(self.presence.unconfirmed),
+            leaving=self.presence.leaving(),
             endpoints_read_at=read_at,
             position=versions.position,
             newest_version=versions.newest_version or versions.position,
--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -93,7 +93,7 @@
         self.metrics.count('status_asked')
         started_at = self.clock()
         try:
-            status = self.engines.status(endpoint.address, timeout)
+            status = self.engines.status(endpoint, timeout)
         except exceptions.IbisringError as error:
             logs.event(
                 LOG, 'no_status', endpoint=endpoint.id, why=error.detail
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -75,6 +75,8 @@
         Store versions up to which the sender knows endpoints and table.
     endpoints_era, table_era : int
         Eras of the store versions of endpoints and table.
+    leaving : dict of str to int
+        Start times of endpoints that have said that they leave.
     age_ms : int
         Milliseconds since the older of the two was read.
     changes : bytes
@@ -120,6 +122,7 @@
     limits: dict[str, ratelimits.LimitUpdate] = {}
     endpoints_era: int = 0
     table_era: int = 0
+    leaving: dict[str, int] = {}
 
     @property
     def era(self):
@@ -149,6 +152,7 @@
     'slowdowns',
     'refusing',
     'holdings',
+    'leaving',
     'endpoints_version',
     'endpoints_era',
     'table_version',
@@ -163,6 +167,7 @@
     'slowdowns',
     'refusing',
     'holdings',
+    'leaving',
     'store_status',
     'store_access',
 )
@@ -285,6 +290,7 @@
             limits=limits,
             endpoints_era=endpoints_era,
             table_era=positions.era(snapshot.table_position),
+            leaving=self.view.leaving_to_send(now),
         )
 
     def _repeat_share(self):
@@ -450,6 +456,7 @@
             self.view.estimates.merge_recovered(message.recovered, now)
         self._apply_suspects(message, now)
         self._apply_limits(message, now)
+        self._apply_leaving(message)
         self._record_peer(message, f'{source[0]}:{source[1]}', now)
         if message.changes:
             self._apply_changes(message)
@@ -508,6 +515,15 @@
                 origin=f'router {message.router}',
             )
 
+    def _apply_leaving(self, message):
+        known = self.view.snapshot.leaving
+        origin = f'router {message.router}'
+        for name, started in message.leaving.items():
+            if name not in known or known[name][0] < started:
+                self.tell_directory(
+                    directory.LeavingReport(name, started, origin)
+                )
+
     def _record_peer(self, message, address, now):
         """Record that a router runs, and the router counts that it sent.
 
--- a/packages/gateway/ibisring_gateway/liveness.py
+++ b/packages/gateway/ibisring_gateway/liveness.py
@@ -60,7 +60,7 @@
         if endpoint.holding is None or not endpoint.started:
             return None
         try:
-            status = self.engines.status(endpoint.address, TIMEOUT_SECONDS)
+            status = self.engines.status(endpoint, TIMEOUT_SECONDS)
         except exceptions.IbisringError as error:
             LOG.debug('no status of %s: %s', endpoint.id, error.detail)
             return None
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -329,9 +329,7 @@
     def _query_status(self, endpoint):
         """Query an engine's status; None without an answer."""
         try:
-            return self.engines.status(
-                endpoint.address, STATUS_TIMEOUT_SECONDS
-            )
+            return self.engines.status(endpoint, STATUS_TIMEOUT_SECONDS)
         except exceptions.IbisringError as error:
             logs.event(
                 LOG, 'no_status', endpoint=endpoint.id, why=error.detail
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -172,12 +172,27 @@
 
 
 class EngineControl(abc.ABC):
-    """Reads the status of engines and sends them orders."""
+    """Reads the status of engines and sends them orders.
+
+    Attributes
+    ----------
+    on_leaving : callable
+        Called with an endpoint that says in an answer that it is leaving.
+    """
+
+    def __init__(self):
+        self.on_leaving = _ignore
 
     @abc.abstractmethod
-    def status(self, address, timeout):
+    def status(self, endpoint, timeout):
         """Return an `EngineStatus`.
 
+        Parameters
+        ----------
+        endpoint : routing.Endpoint
+        timeout : float
+            Seconds.
+
         Raises
         ------
         PlatformUnavailable
@@ -213,6 +228,10 @@
         """
 
 
+def _ignore(endpoint):
+    """Ignore an endpoint; the default of `EngineControl.on_leaving`."""
+
+
 class CallerRequest(msgspec.Struct, kw_only=True):
     """A caller's request, decoded from its headers.
 
@@ -254,6 +273,7 @@
     `backoff` is for how many seconds an endpoint that turns a request away
     wants no other from this router, None if it does not say;
     `backoff_invalid` means that what it says can't be parsed as seconds.
+    `leaving` means that the endpoint says that it is leaving.
     """
 
     status: int
@@ -271,6 +291,7 @@
     limit_invalid: bool = False
     backoff: float | None = None
     backoff_invalid: bool = False
+    leaving: bool = False
 
 
 class Codec(abc.ABC):
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -157,6 +157,8 @@
         self.gossip = gossip.make_gossip(settings, self.view, self.peers, tell)
         self.screen.on_update = self.gossip.request_send
         self.forwarder.sender.on_limit = self.gossip.request_send
+        self.forwarder.sender.on_leaving = self._report_leaving
+        self.installation.engines.on_leaving = self._report_leaving
         self.components.append(self.gossip.start())
         self.periodic_checks = periodic.start(
             CHECK_SECONDS, self._run_periodic_checks
@@ -199,6 +201,13 @@
             _serve(server)
             self.servers.append(server)
 
+    def _report_leaving(self, endpoint):
+        """Have the directory stop using an endpoint that says it leaves."""
+        if not self.view.snapshot.is_leaving(endpoint):
+            self.directory.tell(
+                directory.LeavingReport(endpoint.id, endpoint.started)
+            )
+
     def _apply_limits(self, table):
         exchange.apply_limits(self.caller_server, table.limits)
 
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -35,6 +35,8 @@
     ----------
     on_limit : callable
         Called when the rate limit that an endpoint states changes.
+    on_leaving : callable
+        Called with an endpoint that says that it is leaving.
     """
 
     def __init__(self, view, codec, connections, selector, screen):
@@ -44,6 +46,7 @@
         self.selector = selector
         self.screen = screen
         self.on_limit = lambda: None
+        self.on_leaving = lambda endpoint: None
         self.clock = view.clock
 
     def send(self, job, attempt):
@@ -70,8 +73,8 @@
         if attempt.result is not None:
             conn.close()
             return attempt.result
-        if self._is_backing_off(endpoint):
-            # It asked for that since it was chosen.
+        if not self._takes_requests(endpoint):
+            # It said so since it was chosen.
             return self._withdraw(attempt, conn)
         self._set_timeouts(job, attempt)
         if endpoint.id not in job.sent_to:
@@ -98,10 +101,13 @@
             conn.close()
         return attempt.result or attempts.Result.NOT_SENT
 
-    def _is_backing_off(self, endpoint):
+    def _takes_requests(self, endpoint):
+        """Return whether an endpoint neither leaves nor backs off."""
+        if self.view.snapshot.is_leaving(endpoint):
+            return False
         with self.view.lock:
-            limits = self.view.limits
-            return limits.backoffs.remaining(endpoint.id, self.clock()) > 0.0
+            remaining = self.view.limits.backoffs.remaining
+            return remaining(endpoint.id, self.clock()) <= 0.0
 
     def _metadata(self, job, attempt):
         return selecting.AttemptMetadata(
@@ -169,6 +175,8 @@
         answer = self.codec.decode_answer(response.status, response.headers)
         name = attempt.endpoint.id
         now = self.clock()
+        if answer.leaving and not answer.wrong_endpoint:
+            self.on_leaving(attempt.endpoint)
         if answer.request_id not in (None, job.request.id):
             # A late answer to an earlier request on this connection.
             conn.close()
--- a/packages/gateway/ibisring_gateway/tests/builders.py
+++ b/packages/gateway/ibisring_gateway/tests/builders.py
@@ -82,6 +82,7 @@
     """
 
     def __init__(self):
+        super().__init__()
         self.unreachable = set()
         self.delays = {}
         self.queried = []
@@ -93,7 +94,8 @@
         self.orders = 1
         self.holding = None
 
-    def status(self, address, timeout):
+    def status(self, endpoint, timeout):
+        address = endpoint.address
         self.queried.append(address)
         delay = self.delays.get(address, 0.0)
         if address in self.unreachable or delay > timeout:
--- a/packages/gateway/ibisring_gateway/tests/test_directory.py
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -253,3 +253,27 @@
     clock.now += 2.3
     actor.on_tick(directory.Tick())
     assert set(view.snapshot.endpoints) == {'y'}
+
+
+@pytest.mark.parametrize('origin', ('endpoint', 'router r2'))
+def test_endpoint_that_reports_its_leave_gets_no_requests(origin):
+    """Guards against requests to a leaving endpoint whose row says ready."""
+    actor, view, changes = _make_directory()
+    both = [build.endpoint('x', started=1), build.endpoint('y', started=1)]
+    _read_endpoints(actor, both)
+    actor.on_leaving_report(directory.LeavingReport('x', 1, origin))
+    assert [e.id for e in view.snapshot.by_service['lookup']] == ['y']
+    assert view.snapshot.is_leaving(both[0])
+    assert len(changes) == 2
+    _read_endpoints(actor, both, position=9)
+    assert view.snapshot.is_leaving(both[0])
+    assert view.leaving_to_send(view.clock()) == {'x': 1}
+
+
+def test_leave_of_an_earlier_process_is_ignored():
+    actor, view, changes = _make_directory()
+    endpoint = build.endpoint('x', started=2)
+    _read_endpoints(actor, [endpoint])
+    actor.on_leaving_report(directory.LeavingReport('x', 1))
+    assert not view.snapshot.is_leaving(endpoint)
+    assert len(changes) == 1
--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -2,6 +2,7 @@
 
 import msgspec
 
+from ibisring_gateway import directory
 from ibisring_gateway import gossip
 from ibisring_gateway import peers
 from ibisring_gateway import settings as settings_module
@@ -180,3 +181,11 @@
     receiver, _ = _receive(_view_in_era(2), endpoints_era=3)
     assert receiver.peers.followers.era == 3
     assert receiver.peers.catchup.newest_peer == 'r1'
+
+
+def test_leave_that_another_router_reports_is_passed_on_once():
+    """Guards against a leave known to the routers that were answered only."""
+    view = builders.make_view([], leaving={'y': (3, 1.0)})
+    _, told = _receive(view, leaving={'x': 5, 'y': 3}, endpoints_era=0)
+    reports = [e for e in told if isinstance(e, directory.LeavingReport)]
+    assert [(e.id, e.started) for e in reports] == [('x', 5)]
--- a/packages/gateway/ibisring_gateway/tests/test_large_fleets.py
+++ b/packages/gateway/ibisring_gateway/tests/test_large_fleets.py
@@ -7,6 +7,7 @@
 
 import pytest
 
+from ibisring_gateway import directory
 from ibisring_gateway.tests import schedules
 from ibisring_gateway.tests import virtualfleet
 from ibisring_gateway.tests import virtualtime
@@ -21,6 +22,8 @@
 SEEDS = 12
 # Seconds after its end within which a router no longer counts as running.
 STOPPED_WITHIN_SECONDS = 5.0
+# Seconds within which all routers know what an endpoint has told one of them.
+KNOWN_WITHIN_SECONDS = 2.0
 # Maximum relative error of the count of running routers.
 MAX_COUNT_ERROR = 0.02
 
@@ -187,3 +190,23 @@
     schedule = schedules.draw_large(seed)
     violations, _ = virtualfleet.simulate(schedule)
     assert not violations, schedule
+
+
+@pytest.mark.parametrize('routers', (3, 6, 91, 195))
+def test_leave_that_one_router_was_told_is_known_to_all(routers):
+    """Guards against requests to an endpoint that told one router it leaves.
+
+    A third of all datagrams is lost.
+    """
+    lossy = Failure('lossy', 0.0, 20.0, tuple(range(routers)))
+    fleet = _fleet(routers, failures=[lossy])
+    _run(fleet, 5.0)
+    told = fleet.routers[0]
+    endpoint = told.view.snapshot.endpoints['x']
+    told.directory.on_leaving_report(
+        directory.LeavingReport(endpoint.id, endpoint.started)
+    )
+    _run(fleet, 5.0 + KNOWN_WITHIN_SECONDS)
+    for router in fleet.routers.values():
+        assert router.view.snapshot.is_leaving(endpoint)
+    fleet.scheduler.kill()
--- a/packages/gateway/ibisring_gateway/tests/test_liveness.py
+++ b/packages/gateway/ibisring_gateway/tests/test_liveness.py
@@ -22,7 +22,7 @@
         super().__init__()
         self.started = started
 
-    def status(self, address, timeout):
+    def status(self, endpoint, timeout):
         return ports.EngineStatus(orders=0, busy=False, started=self.started)
 
 
--- a/packages/gateway/ibisring_gateway/tests/test_sending.py
+++ b/packages/gateway/ibisring_gateway/tests/test_sending.py
@@ -12,6 +12,8 @@
 from ibisring_policy.gateway import routetable
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
+import msgspec
+import pytest
 
 
 class _Codec:
@@ -77,6 +79,9 @@
     def record_answer(self, job, attempt):
         """Ignore an answer."""
 
+    def check_lost_answer(self, job, attempt):
+        """Check nothing."""
+
 
 class _Exchange:
     """A caller; `on_answer` is called when it gets its answer."""
@@ -199,3 +204,41 @@
     made.view.clock.now += 3.0
     assert made.send() is None
     assert made.backoffs.get('p1', made.view.clock()) is None
+
+
+def _leaves_reported(**changes):
+    made = _Attempt(_Codec(leaving=True, **changes))
+    reported = []
+    made.sender.on_leaving = lambda endpoint: reported.append(endpoint.id)
+    made.send()
+    return reported
+
+
+@pytest.mark.parametrize(
+    'changes',
+    [
+        {},
+        {'status': 503, 'refused': True},
+        {'status': 500},
+        {'request_id': 'another'},
+    ],
+)
+def test_leave_in_any_answer_is_reported(changes):
+    """Guards against a leave that is read from successes only."""
+    assert _leaves_reported(**changes) == ['p1']
+
+
+def test_leave_of_another_endpoint_at_the_address_is_not_reported():
+    changes = {'status': 421, 'refused': True, 'wrong_endpoint': True}
+    assert _leaves_reported(**changes) == []
+
+
+def test_request_chosen_before_a_leave_is_not_sent_after_it():
+    """Guards against requests in line reaching an endpoint that leaves."""
+    made = _Attempt(_Codec())
+    leaving = build.endpoint('p1', state=routing.EndpointState.DRAINING)
+    made.view.snapshot = msgspec.structs.replace(
+        made.view.snapshot, endpoints={'p1': leaving}
+    )
+    assert made.send() is attempts.Result.NOT_SENT
+    assert made.connections.sent == []
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -14,11 +14,16 @@
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import suspects
+from ibisring_records import routing
 import msgspec
 
 # Seconds for which an engine's report is included in gossip.  Of 83 routers,
 # each sending to six others four times a second, most receive it.
 REPORT_GOSSIP_SECONDS = 3.0
+# Seconds for which it is included in gossip that an endpoint leaves, and of
+# how many: by then it has left, or its entry says so.
+LEAVING_GOSSIP_SECONDS = 30.0
+MAX_LEAVING_SENT = 50
 
 
 class Snapshot(msgspec.Struct, frozen=True):
@@ -40,6 +45,9 @@
         Whether endpoints have been read.
     known_since : float
         When endpoints were first read.
+    leaving : dict of str to (int, float)
+        Endpoints that said that they leave: start time, and when it was first
+        noted here.
     unconfirmed : frozenset of str
         Usable endpoints without an entry, see `presence.Presence`.
     position : int
@@ -59,6 +67,7 @@
     endpoints_read_at: float = 0.0
     endpoints_known: bool = False
     known_since: float = 0.0
+    leaving: dict = {}
     unconfirmed: frozenset = frozenset()
     position: int = 0
     newest_version: int = 0
@@ -70,6 +79,15 @@
         """Version of the routing table, 0 if none has been read."""
         return self.index.table.version if self.index else 0
 
+    def is_leaving(self, endpoint):
+        """Return whether an endpoint has said that it leaves."""
+        known = self.endpoints.get(endpoint.id)
+        return (
+            known is not None
+            and known.started == endpoint.started
+            and known.state is routing.EndpointState.DRAINING
+        )
+
 
 class View:
     """Current `Snapshot` and the load and health estimates of endpoints.
@@ -100,6 +118,15 @@
         self.lease_lost_at = None
         self.reported_holdings = {}
 
+    def leaving_to_send(self, now):
+        """Return the start times of endpoints that said that they leave."""
+        latest = list(self.snapshot.leaving.items())[-MAX_LEAVING_SENT:]
+        return {
+            name: started
+            for name, (started, at) in latest
+            if now - at < LEAVING_GOSSIP_SECONDS
+        }
+
     def holdings_to_send(self, now):
         """Return recent reports: start time, first layer and end by engine."""
         found = {}
--- a/packages/policy/ibisring_policy/gateway/presence.py
+++ b/packages/policy/ibisring_policy/gateway/presence.py
@@ -25,7 +25,8 @@
 class _Left(msgspec.Struct):
     """An endpoint that left, or only its entry if `is_draining` is not set.
 
-    `started` tells the processes apart that used the same endpoint id.
+    `started` tells the processes apart that used the same endpoint id, `at`
+    is when it was first noted.
     """
 
     started: int
@@ -122,7 +123,9 @@
         if endpoint is None:
             return False
         if endpoint.state is routing.EndpointState.DRAINING:
-            self._note_left(endpoint, now, is_draining=True)
+            self._note_left(
+                endpoint.id, endpoint.started, now, is_draining=True
+            )
         self.unconfirmed.pop(endpoint.id, None)
         self.revived.pop(endpoint.id, None)
         if self.entries.get(endpoint.id) == endpoint:
@@ -137,28 +140,30 @@
         Entries written before an endpoint left, or by an earlier process, may
         be read later: from a copy, or as told by another router.
         """
-        known = self.usable().get(endpoint.id)
+        name = endpoint.id
+        known = self.entries.get(name) or self.unconfirmed.get(name)
         if known is not None and endpoint.started < known.started:
             return None
-        left = self.left.get(endpoint.id)
+        left = self.left.get(name)
         if left is None or endpoint.started > left.started:
             return endpoint
         if left.is_draining:
             draining = routing.EndpointState.DRAINING
             return msgspec.structs.replace(endpoint, state=draining)
         if now < self.revived_until:
-            self.revived[endpoint.id] = endpoint
+            self.revived[name] = endpoint
             return None
-        del self.left[endpoint.id]
+        del self.left[name]
         return endpoint
 
-    def _note_left(self, endpoint, now, is_draining):
+    def _note_left(self, name, started, now, is_draining):
         """Record that an endpoint, or its entry, has left."""
-        before = self.left.pop(endpoint.id, None)
-        if before is not None and before.started == endpoint.started:
-            is_draining = is_draining or before.is_draining
+        before = self.left.pop(name, None)
+        if before is not None and before.started == started:
+            if before.is_draining:
+                is_draining, now = True, before.at
         # In the order in which they left.
-        self.left[endpoint.id] = _Left(endpoint.started, now, is_draining)
+        self.left[name] = _Left(started, now, is_draining)
         oldest = next(iter(self.left))
         is_old = now - self.left[oldest].at > LEFT_SECONDS
         if is_old or len(self.left) > MAX_LEFT:
@@ -177,10 +182,57 @@
             self.unconfirmed[name] = endpoint
             self._add_change(f'{name} missing')
         else:
-            self._note_left(endpoint, now, is_draining=False)
+            self._note_left(name, endpoint.started, now, is_draining=False)
             self._add_change(f'{name} gone')
         return True
 
+    def report_leaving(self, name, started, now):
+        """Note that an endpoint itself says that it leaves.
+
+        Parameters
+        ----------
+        name : str
+        started : int
+            Distinguishes processes that used the same endpoint id.
+        now : float
+
+        Returns
+        -------
+        bool
+            Whether an entry changed.
+        """
+        table = self.entries if name in self.entries else self.unconfirmed
+        endpoint = table.get(name)
+        if endpoint is not None and started < endpoint.started:
+            return False
+        known = self.left.get(name)
+        if known is None or not known.is_draining or known.started < started:
+            self._note_left(name, started, now, is_draining=True)
+        draining = routing.EndpointState.DRAINING
+        if (
+            endpoint is None
+            or endpoint.started != started
+            or endpoint.state is draining
+        ):
+            return False
+        table[name] = msgspec.structs.replace(endpoint, state=draining)
+        self._add_change(f'{name} says it leaves')
+        return True
+
+    def leaving(self):
+        """Return the endpoints that said that they leave.
+
+        Returns
+        -------
+        dict of str to (int, float)
+            When each started, and when it was first noted here.
+        """
+        return {
+            name: (left.started, left.at)
+            for name, left in self.left.items()
+            if left.is_draining
+        }
+
     def update_holding(self, name, started, holding):
         """Set the layers that an engine itself reports; return if changed.
 
@@ -239,7 +291,7 @@
         if not self.unconfirmed or self._may_have_expired(now):
             return changed
         for name, endpoint in self.unconfirmed.items():
-            self._note_left(endpoint, now, is_draining=False)
+            self._note_left(name, endpoint.started, now, is_draining=False)
             self._add_change(f'{name} gone')
         self.unconfirmed.clear()
         return True
--- a/packages/policy/ibisring_policy/gateway/tests/test_presence.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_presence.py
@@ -182,3 +182,40 @@
         endpoints.put(build.endpoint(f'e{number}', started=1), 1.0)
         endpoints.remove(f'e{number}', 1.0)
     assert len(endpoints.left) == presence.MAX_LEFT
+
+
+def test_a_leave_that_an_endpoint_reports_holds_for_its_life():
+    """Guards against an entry or a peer's list that undoes a leave."""
+    endpoints = presence.make_presence()
+    endpoints.replace(_copy('xy'), 0.0)
+    assert endpoints.report_leaving('x', 1, 1.0)
+    assert not endpoints.report_leaving('x', 1, 2.0)
+    endpoints.put(build.endpoint('x', started=1, slots=9), 3.0)
+    endpoints.replace(_copy('xy'), 4.0, confirmed=True)
+    assert endpoints.usable()['x'].state is DRAINING
+    endpoints.put(build.endpoint('x', started=2), 5.0)
+    assert endpoints.usable()['x'].state is routing.EndpointState.READY
+
+
+def test_a_leave_reported_before_the_entry_is_known_holds():
+    """Guards against forgetting what a router was told as it started."""
+    endpoints = presence.make_presence()
+    assert not endpoints.report_leaving('x', 1, 1.0)
+    endpoints.replace(_copy('x'), 2.0)
+    assert endpoints.usable()['x'].state is DRAINING
+
+
+def test_a_leave_of_an_earlier_process_changes_nothing():
+    endpoints = presence.make_presence()
+    endpoints.replace(_copy('x', started=5), 0.0)
+    assert not endpoints.report_leaving('x', 4, 1.0)
+    assert endpoints.leaving() == {}
+
+
+def test_a_leave_is_noted_once():
+    """Guards against routers that tell each other of it without end."""
+    endpoints = presence.make_presence()
+    endpoints.replace(_copy('x'), 0.0)
+    endpoints.report_leaving('x', 1, 1.0)
+    endpoints.put(build.endpoint('x', started=1, state=DRAINING), 9.0)
+    assert endpoints.leaving() == {'x': (1, 1.0)}
