Routers that lose the store together do not all wait while it is back

Cause: all calls fail at once and every router draws its pause within a tenth of the same length, so that the whole fleet tries at 0.1, 0.5, 2.1 and 6 s. Class: retries in step.

Change: a pause is drawn from a fifth of its length to the whole; the longest one is 5.4 s in place of 4, so that the mean number of calls of a large fleet stays within the bound of test_polling.

Evidence: test_end_of_an_outage_is_noticed_by_a_large_fleet failed for a store that refuses, resets, or comes back from a copy (3 failed) and passes now; test_polling and test_store_outages passed.

--- a/packages/gateway/ibisring_gateway/tests/test_store_outages.py
+++ b/packages/gateway/ibisring_gateway/tests/test_store_outages.py
@@ -146,6 +146,17 @@
     assert not _violations(schedule)
 
 
+@pytest.mark.parametrize('kind', ('busy', 'reset', schedules.RESTORE))
+def test_end_of_an_outage_is_noticed_by_a_large_fleet(kind):
+    """Guards against routers that all wait for the same moment to retry."""
+    failure = Failure(kind, 8.0, 3.0)
+    changes = [Change(7.0 + 0.2 * n, ENDPOINTS) for n in range(4)]
+    changes += [Change(at, TABLE) for at in (7.9, 11.2, 14.1)]
+    changes += [Change(at, ENDPOINTS) for at in (11.1, 12.4, 14.2, 16.0)]
+    schedule = schedules.Schedule(91, tuple(changes), (failure,))
+    assert not _violations(schedule)
+
+
 def test_store_that_loses_writes_twice_is_followed():
     """Guards against a router that missed an era staying behind."""
     restores = [Failure(schedules.RESTORE, at, 0.4) for at in (8.0, 11.0)]
--- a/packages/policy/ibisring_policy/gateway/polling.py
+++ b/packages/policy/ibisring_policy/gateway/polling.py
@@ -38,7 +38,10 @@
 RETRY_GROWTH = 4.0
 MIN_RETRY_BOUND_SECONDS = 1.2
 RETRY_SECONDS_PER_ROUTER = 0.05
-MAX_RETRY_BOUND_SECONDS = 4.0
+MAX_RETRY_BOUND_SECONDS = 5.4
+# A pause is drawn between this share of it and the whole: routers that lost
+# the store together would otherwise all wait while it is back.
+MIN_PAUSE_SHARE = 0.2
 # A router that has read nothing yet serves no requests, so it retries sooner.
 MAX_INITIAL_RETRY_SECONDS = 0.3
 # Duration of a try, and the delay by which the table that was tried last lets
@@ -254,7 +257,9 @@
         table.is_waiting = False
         table.has_failed = True
         ended = self.outage_suspected(now)
-        pause = self.retry_seconds * (0.9 + 0.2 * self.draw())
+        pause = self.retry_seconds * (
+            MIN_PAUSE_SHARE + (1.0 - MIN_PAUSE_SHARE) * self.draw()
+        )
         table.next_try_at = now + min(pause, MAX_INITIAL_RETRY_SECONDS)
         # The duration of the call counts as part of the pause.
         self.next_try_at = max(
