Soak: leaves that only answers name, and a store that loses writes

`--leaves`: endpoints say in their answers that they leave, their rows stay ready, and they are gone four seconds later. `--restores`: the store is away for up to a second and comes back from a copy up to three seconds old; what it lost is written again after half a second, what it revived expires. Both run beside the faults of the schedule and overlap with them. Checked: a router that was told of a leave sends nothing there two seconds later.

--- a/packages/soak/ibisring_soak/__main__.py
+++ b/packages/soak/ibisring_soak/__main__.py
@@ -30,6 +30,12 @@
     ),
     limits: bool = typer.Option(False, help='Endpoints declare rate limits.'),
     backoffs: bool = typer.Option(False, help='Endpoints ask for backoff.'),
+    leaves: bool = typer.Option(
+        False, help='Endpoints leave that say so in answers only.'
+    ),
+    restores: bool = typer.Option(
+        False, help='The store comes back from copies that lack writes.'
+    ),
     folder: pathlib.Path = typer.Option(
         pathlib.Path('soak-runs'), help='Settings and logs, by seed.'
     ),
@@ -51,6 +57,8 @@
             poison,
             limits,
             backoffs,
+            leaves,
+            restores,
         )
         failed_runs += bool(outcome.violations)
         print(
--- a/packages/soak/ibisring_soak/guarantees.py
+++ b/packages/soak/ibisring_soak/guarantees.py
@@ -63,6 +63,7 @@
     found.extend(_poison_requests(history))
     found.extend(_limits(history))
     found.extend(_backoffs(history))
+    found.extend(_announced_leaves(history))
     found.extend(
         Violation('a process exits only on a signal', '', crash)
         for crash in history.crashes
@@ -261,6 +262,31 @@
                 yield Violation('a backoff is kept', endpoint, detail)
 
 
+def _announced_leaves(history):
+    """A router that was told of a leave sends no requests there later."""
+    routers = {call.id: call.router for call in history.calls}
+    for leave in history.leaves:
+        told = {}
+        arrivals = [
+            each
+            for each in history.arrivals
+            if each.endpoint == leave.endpoint and each.at > leave.at
+        ]
+        for each in sorted(arrivals, key=lambda arrival: arrival.at):
+            router = routers.get(each.request)
+            first = told.setdefault(router, each.at)
+            late = each.at - first
+            targets = ('endpoints', f'router {router}')
+            since = first - UNDISRUPTED_SECONDS
+            if late <= APPLY_SECONDS:
+                continue
+            if _is_disrupted(history, targets, since, each.at):
+                continue
+            if not _is_recently_started(history, router, each.at):
+                detail = f'{late:.2f} s after, from {router}'
+                yield Violation('a leave is applied', each.request, detail)
+
+
 def _is_recently_started(history, router, now):
     """Return whether a router was disrupted or restarted recently."""
     target = (f'router {router}',)
--- a/packages/soak/ibisring_soak/records.py
+++ b/packages/soak/ibisring_soak/records.py
@@ -1,6 +1,14 @@
 """Records of what callers and endpoints observed during a run."""
 
-__all__ = ['Call', 'Run', 'Arrival', 'StoreChange', 'LimitSpan', 'History']
+__all__ = [
+    'Call',
+    'Run',
+    'Arrival',
+    'StoreChange',
+    'LimitSpan',
+    'Leave',
+    'History',
+]
 
 import msgspec
 
@@ -84,6 +92,13 @@
     end: float
 
 
+class Leave(msgspec.Struct, frozen=True):
+    """An endpoint that says in its answers from `at` on that it leaves."""
+
+    endpoint: str
+    at: float
+
+
 class History(msgspec.Struct):
     """All observations of a run, and its disruptions.
 
@@ -103,6 +118,7 @@
     terminations: list[tuple[str, float, float]] = []
     endpoint_crashes: list[float] = []
     limits: list[LimitSpan] = []
+    leaves: list[Leave] = []
     overloaded: list[str] = []
     crashes: list[str] = []
     faults_ended_at: float = 0.0
--- a/packages/soak/ibisring_soak/soaking.py
+++ b/packages/soak/ibisring_soak/soaking.py
@@ -5,6 +5,7 @@
 import collections
 import time
 
+from ibisring_soak import announcements
 from ibisring_soak import backoffs as backoffs_module
 from ibisring_soak import callers as callers_module
 from ibisring_soak import guarantees
@@ -40,6 +41,8 @@
     poison='',
     limits=False,
     backoffs=False,
+    leaves=False,
+    restores=False,
 ):
     """Run the soak once.
 
@@ -59,6 +62,10 @@
         Whether endpoints declare rate limits from time to time.
     backoffs : bool
         Whether endpoints ask for backoff from time to time.
+    leaves : bool
+        Whether endpoints leave that say so in their answers only.
+    restores : bool
+        Whether the store comes back from copies that lack writes.
 
     Returns
     -------
@@ -77,6 +84,10 @@
             generators.append(ratelimits.LimitChanger(world, seed))
         if backoffs:
             generators.append(backoffs_module.BackoffChanger(world, seed))
+        if leaves:
+            generators.append(announcements.LeaveAnnouncer(world, seed))
+        if restores:
+            generators.append(announcements.StoreRestorer(world, seed))
         for generator in generators:
             generator.start()
         injecting.make_injector(world).run(faults)
--- a/packages/soak/ibisring_soak/tests/test_guarantees.py
+++ b/packages/soak/ibisring_soak/tests/test_guarantees.py
@@ -222,3 +222,16 @@
     )
     found = [each.guarantee for each in guarantees.check(history)]
     assert 'a backoff is kept' not in found
+
+
+@pytest.mark.parametrize(('at', 'is_found'), [(101.9, False), (102.6, True)])
+def test_request_after_a_leave_was_told_is_found(at, is_found):
+    calls = [builders.call('told'), builders.call('late')]
+    arrivals = [
+        records.Arrival('told', 'p1', 100.5),
+        records.Arrival('late', 'p1', at),
+    ]
+    leaves = [records.Leave('p1', 100.0)]
+    history = builders.history(calls, [], arrivals=arrivals, leaves=leaves)
+    found = [each.guarantee for each in guarantees.check(history)]
+    assert ('a leave is applied' in found) is is_found
--- a/packages/soak/ibisring_soak/tests/test_soak.py
+++ b/packages/soak/ibisring_soak/tests/test_soak.py
@@ -39,6 +39,12 @@
     assert outcome.violations == []
 
 
+def test_guarantees_hold_with_leaves_in_answers_and_lost_writes(tmp_path):
+    """Guards against using endpoints that left, and against stale state."""
+    outcome = soaking.soak(5, 12.0, tmp_path, leaves=True, restores=True)
+    assert outcome.violations == []
+
+
 def test_faults_overlap_and_affect_all_groups():
     faults = schedule.make_schedule(5, 200.0)
     assert {fault.group for fault in faults} == set(schedule.KINDS)
