Retry-After leaves out engines that get no requests directly

Found by reading the diff: with all first stages of a service backing off, an engine of later layers whose backoff ends sooner shortened what callers were told, though no stream can begin there. Only endpoints that requests are sent to count now. test_engine_that_backs_off_still_serves_later_layers covers it.

--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -92,12 +92,17 @@
     def _endpoints(self, job):
         return self.view.snapshot.by_service.get(job.service.name, ())
 
+    def _receivers(self, job):
+        """Return the ids of the endpoints that requests are sent to."""
+        endpoints = self._endpoints(job)
+        if job.service.model is None:
+            return {each.id for each in endpoints}
+        return set(self._first_stages(endpoints))
+
     def _backing_off(self, job, now, max_wait=0.0):
-        """Return the service's endpoints that want nothing for longer."""
+        """Return the receivers that want nothing for longer."""
         names = self.throttle.backing_off(now, max_wait)
-        if not names:
-            return names
-        return {each.id for each in self._endpoints(job) if each.id in names}
+        return names & self._receivers(job) if names else names
 
     def _choose_within(self, job, now, max_wait):
         endpoints = self._endpoints(job)
@@ -457,16 +462,8 @@
         if not job.limited:
             return capacity_after
         limited_for = self.throttle.refuse(job, now)
-        if self._has_unlimited_endpoint(job):
-            return capacity_after
-        return limited_for
-
-    def _has_unlimited_endpoint(self, job):
-        """Return whether a request was not kept from all by their limits."""
-        names = {each.id for each in self._endpoints(job)}
-        if job.service.model is not None:
-            names = set(self._first_stages(self._endpoints(job)))
-        return bool(names - job.limited)
+        has_unlimited = bool(self._receivers(job) - job.limited)
+        return capacity_after if has_unlimited else limited_for
 
     def _capacity_after(self, service):
         """Return the seconds after which capacity is likely to be free.
--- a/packages/gateway/ibisring_gateway/tests/test_selecting.py
+++ b/packages/gateway/ibisring_gateway/tests/test_selecting.py
@@ -165,10 +165,16 @@
     assert selector.refuse(_job(view, 'lookup'), view.clock()) < 0.5
 
 
-def test_first_stage_that_backs_off_still_serves_later_layers():
+def test_engine_that_backs_off_still_serves_later_layers():
+    """Guards against missing layers, and a return before streams can begin."""
     view = _chain_view('h1')
-    _ask_for_backoff(view, ['tail'])
-    assert _chosen(view, _job(view, 'model')) == {'h1'}
+    _ask_for_backoff(view, ['tail'], 1.0)
+    job = _job(view, 'model')
+    assert _chosen(view, job) == {'h1'}
+    view.limits.backoffs.record('h1', 0, 8.0, view.clock())
+    assert _chosen(view, job) == {None}
+    selector = selecting.make_selector(view)
+    assert selector.refuse(job, view.clock()) >= 8.0
 
 
 def test_endpoints_of_other_services_are_not_limited():
