A router that started after the store lost writes confirms no absence

Found by reading the diff: while a restored store waits for lost entries to be written again, a router that has just read it sends a list without them; a router that could not read the store itself took the missing endpoints for left. Until they are written again, what is missing in such a list counts as expired in an outage. test_a_loss_of_the_store_empties_no_list covers it.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -285,8 +285,11 @@
                 return
         if message.whole:
             # A peer has read the store, so endpoints missing from its list
-            # have left.
-            confirmed = message.origin != STORE
+            # have left, unless the store itself lacks some.
+            confirmed = (
+                message.origin != STORE
+                and not self.presence.awaits_rewrites(now)
+            )
             changed = self.presence.replace(
                 message.items, now, confirmed, message.unconfirmed
             )
--- a/packages/gateway/ibisring_gateway/tests/test_directory.py
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -226,29 +226,20 @@
 
 
 @pytest.mark.parametrize('origin', ('store', 'router r2'))
-def test_a_short_outage_with_a_loss_empties_no_list(origin):
+def test_a_loss_of_the_store_empties_no_list(origin):
     """Guards against refusing requests for entries that the store lost.
 
-    No call of this router failed; only the era shows the loss.
+    No call of this router failed; only the era shows the loss.  The other
+    router may have started since, and know of no endpoint that is missing.
     """
     clock = builders.Clock()
     actor, view, _ = _make_directory()
     view.clock = clock
     both = [build.endpoint('x'), build.endpoint('y')]
     _read_endpoints(actor, both, position=positions.make(1, 147))
-    actor.on_read(
-        directory.ReadResult(
-            both,
-            True,
-            origin=origin,
-            position=positions.make(2, 144),
-            unconfirmed=['x'],
-        )
-        if origin != 'store'
-        else directory.ReadResult(
-            [both[1]], True, position=positions.make(2, 144)
-        )
-    )
+    for version in (144, 145):
+        position = positions.make(2, version)
+        _read_endpoints(actor, [both[1]], position=position, origin=origin)
     assert set(view.snapshot.endpoints) == {'x', 'y'}
     clock.now += 2.3
     actor.on_tick(directory.Tick())
@@ -277,3 +268,19 @@
     actor.on_leaving_report(directory.LeavingReport('x', 1))
     assert not view.snapshot.is_leaving(endpoint)
     assert len(changes) == 1
+
+
+def test_what_another_router_does_not_confirm_is_dropped_in_time():
+    """Guards against keeping a left endpoint that a peer still waits for."""
+    actor, view, _ = _make_directory()
+    view.clock = builders.Clock()
+    both = [build.endpoint('x'), build.endpoint('y')]
+    actor.on_read(
+        directory.ReadResult(
+            both, True, 'router r2', position=5, unconfirmed=['x']
+        )
+    )
+    assert set(view.snapshot.endpoints) == {'x', 'y'}
+    view.clock.now += 2.3
+    actor.on_tick(directory.Tick())
+    assert set(view.snapshot.endpoints) == {'y'}
--- a/packages/policy/ibisring_policy/gateway/presence.py
+++ b/packages/policy/ibisring_policy/gateway/presence.py
@@ -70,6 +70,7 @@
         'left',
         'revived',
         'revived_until',
+        'rewritten_by',
         'changes',
     )
 
@@ -82,6 +83,7 @@
         self.left = {}
         self.revived = {}
         self.revived_until = -1.0
+        self.rewritten_by = -1.0
         self.changes = []
 
     def read_failed(self, now):
@@ -103,9 +105,14 @@
 
     def store_restored(self, now):
         """Record that the store has come back from a copy."""
-        self.unconfirmed_until = now + REREGISTER_SECONDS
+        self.rewritten_by = now + REREGISTER_SECONDS
+        self.unconfirmed_until = self.rewritten_by
         self.revived_until = now + REVIVED_SECONDS
 
+    def awaits_rewrites(self, now):
+        """Return whether a restored store may lack entries of endpoints."""
+        return now < self.rewritten_by
+
     def store_served_peer(self, at):
         """Record when the store is known to have answered another router.
 
