Soak: one base for the threads that disrupt a world

Four classes repeated how a thread is started, stopped and seeded. Seeds draw as before. Tests: those of limits, poison, leaves and backoffs in packages/soak passed.

--- a/packages/soak/ibisring_soak/announcements.py
+++ b/packages/soak/ibisring_soak/announcements.py
@@ -5,11 +5,9 @@
 
 __all__ = ['LeaveAnnouncer', 'StoreRestorer']
 
-import abc
-import random
-import threading
 import time
 
+from ibisring_soak import disruptions
 from ibisring_soak import records
 
 # Pause between two leaves, and how long an endpoint serves after it.
@@ -26,30 +24,7 @@
 EXPIRY_SECONDS = 3.0
 
 
-class _Disruption(abc.ABC):
-    """A thread that disrupts a world until it is stopped."""
-
-    def __init__(self, world, name):
-        self.world = world
-        self.rng = random.Random(name)
-        self.stopped = threading.Event()
-        self.thread = threading.Thread(target=self._loop, daemon=True)
-
-    def start(self):
-        """Start the thread."""
-        self.thread.start()
-
-    def stop(self):
-        """Stop the thread once it has undone what it did."""
-        self.stopped.set()
-        self.thread.join()
-
-    @abc.abstractmethod
-    def _loop(self):
-        """Disrupt the world until `stopped` is set."""
-
-
-class LeaveAnnouncer(_Disruption):
+class LeaveAnnouncer(disruptions.Disruption):
     """Has endpoints say in their answers only that they leave.
 
     Parameters
@@ -78,7 +53,7 @@
                 site.remove(name)
 
 
-class StoreRestorer(_Disruption):
+class StoreRestorer(disruptions.Disruption):
     """Has the store come back from a copy that lacks the last writes.
 
     Parameters
--- a/packages/soak/ibisring_soak/backoffs.py
+++ b/packages/soak/ibisring_soak/backoffs.py
@@ -3,8 +3,8 @@
 __all__ = ['BackoffChanger', 'parse']
 
 import math
-import random
-import threading
+
+from ibisring_soak import disruptions
 
 # What endpoints ask for, in seconds, and texts that are no valid time.
 BACKOFFS = ('1', '2', '3', '2.5')
@@ -33,7 +33,7 @@
     return seconds if math.isfinite(seconds) and seconds > 0.0 else 0.0
 
 
-class BackoffChanger:
+class BackoffChanger(disruptions.Disruption):
     """Has endpoints ask for backoff from time to time.
 
     Parameters
@@ -43,19 +43,7 @@
     """
 
     def __init__(self, world, seed):
-        self.world = world
-        self.rng = random.Random(f'backoffs {seed}')
-        self.stopped = threading.Event()
-        self.thread = threading.Thread(target=self._loop, daemon=True)
-
-    def start(self):
-        """Start the thread."""
-        self.thread.start()
-
-    def stop(self):
-        """Stop the thread; no endpoint asks for backoff afterwards."""
-        self.stopped.set()
-        self.thread.join()
+        super().__init__(world, f'backoffs {seed}')
 
     def _loop(self):
         while not self.stopped.wait(self.rng.uniform(*PAUSE_SECONDS)):
--- a/packages/soak/ibisring_soak/poison.py
+++ b/packages/soak/ibisring_soak/poison.py
@@ -12,6 +12,7 @@
 import time
 
 from ibisring_soak import asking
+from ibisring_soak import disruptions
 from ibisring_soak import records
 import msgspec
 
@@ -125,7 +126,7 @@
             server.restart()
 
 
-class PoisonCaller:
+class PoisonCaller(disruptions.Disruption):
     """A caller that sends the poison request repeatedly.
 
     Parameters
@@ -136,21 +137,14 @@
     """
 
     def __init__(self, world, kind):
-        self.world = world
+        super().__init__(world, f'poison {kind}')
         self.kind = kind
         self.crasher = Crasher(world)
-        self.stopped = threading.Event()
         self.threads = []
-        self.thread = threading.Thread(target=self._loop, daemon=True)
-
-    def start(self):
-        """Start sending."""
-        self.thread.start()
 
     def stop(self):
         """Stop sending, and add the crashes to the history."""
-        self.stopped.set()
-        self.thread.join()
+        super().stop()
         for thread in self.threads:
             thread.join(timeout=10.0)
         self.world.history.endpoint_crashes = sorted(self.crasher.crashes)
--- a/packages/soak/ibisring_soak/ratelimits.py
+++ b/packages/soak/ibisring_soak/ratelimits.py
@@ -16,12 +16,11 @@
 import concurrent.futures
 import itertools
 import math
-import random
-import threading
 import time
 
 from ibisring_policy.gateway.tests import limitload
 from ibisring_soak import asking
+from ibisring_soak import disruptions
 from ibisring_soak import records
 import msgspec
 
@@ -95,7 +94,7 @@
         return max(call.sent_at for call in self.calls) - self.since
 
 
-class LimitChanger:
+class LimitChanger(disruptions.Disruption):
     """Has endpoints declare limits from time to time, some of them invalid.
 
     Parameters
@@ -105,19 +104,7 @@
     """
 
     def __init__(self, world, seed):
-        self.world = world
-        self.rng = random.Random(f'limits {seed}')
-        self.stopped = threading.Event()
-        self.thread = threading.Thread(target=self._loop, daemon=True)
-
-    def start(self):
-        """Start the thread."""
-        self.thread.start()
-
-    def stop(self):
-        """Stop the thread; no endpoint declares a limit afterwards."""
-        self.stopped.set()
-        self.thread.join()
+        super().__init__(world, f'limits {seed}')
 
     def _loop(self):
         while not self.stopped.wait(self.rng.uniform(*PAUSE_SECONDS)):
--- a/packages/soak/ibisring_soak/soaking.py
+++ b/packages/soak/ibisring_soak/soaking.py
@@ -77,22 +77,22 @@
         world.start()
         caller_threads = callers_module.make_callers(world, seed, callers)
         caller_threads.start()
-        generators = []
+        disruptions = []
         if poison:
-            generators.append(poison_module.PoisonCaller(world, poison))
+            disruptions.append(poison_module.PoisonCaller(world, poison))
         if limits:
-            generators.append(ratelimits.LimitChanger(world, seed))
+            disruptions.append(ratelimits.LimitChanger(world, seed))
         if backoffs:
-            generators.append(backoffs_module.BackoffChanger(world, seed))
+            disruptions.append(backoffs_module.BackoffChanger(world, seed))
         if leaves:
-            generators.append(announcements.LeaveAnnouncer(world, seed))
+            disruptions.append(announcements.LeaveAnnouncer(world, seed))
         if restores:
-            generators.append(announcements.StoreRestorer(world, seed))
-        for generator in generators:
-            generator.start()
+            disruptions.append(announcements.StoreRestorer(world, seed))
+        for disruption in disruptions:
+            disruption.start()
         injecting.make_injector(world).run(faults)
-        for generator in generators:
-            generator.stop()
+        for disruption in disruptions:
+            disruption.stop()
         time.sleep(guarantees.RECOVERY_SECONDS + RECOVERY_SAMPLE_SECONDS)
         caller_threads.stop()
         history = world.collect()
