--- a/packages/soak/ibisring_soak/announcements.py
+++ b/packages/soak/ibisring_soak/announcements.py
@@ -41,17 +41,25 @@
             site = self.world.site
             if self.rng.random() < 0.5:
                 self.world.add_engine()
-                name = self.rng.choice(sorted(site.engines))
+                servers = site.engines
             else:
                 self.world.add_service()
-                name = self.rng.choice(sorted(site.services))
-            site.leaving = {*site.leaving, name}
-            leave = records.Leave(name, time.monotonic())
-            self.world.history.leaves.append(leave)
+                servers = site.services
+            name = self.rng.choice(sorted(servers))
+            self._announce(name)
             time.sleep(LEAVE_SECONDS)
-            if name in site.engines or name in site.services:
+            server = servers.get(name)
+            # One that also drains is removed by the injector.
+            if server is not None and server.state != 'draining':
+                server.state = 'draining'
                 site.remove(name)
 
+    def _announce(self, name):
+        site = self.world.site
+        site.leaving = {*site.leaving, name}
+        leave = records.Leave(name, time.monotonic())
+        self.world.history.leaves.append(leave)
+
 
 class StoreRestorer(disruptions.Disruption):
     """Has the store come back from a copy that lacks the last writes.
