Logs name the router whose report takes an engine out of use

Adds the line unreachable_reported, with the engines and the router that reported them, and the time that a failed connection took. Without them nothing tells an engine that ended from a broken link of one router.

--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -444,7 +444,7 @@
         if message.era:
             self.peers.followers.note_era(message.era)
         with self.view.lock:
-            self.view.estimates.merge_gossip(
+            newly_dead = self.view.estimates.merge_gossip(
                 message.router,
                 message.tokens,
                 message.unreachable,
@@ -454,6 +454,13 @@
             )
             self.view.estimates.merge_loads(message.loads, now)
             self.view.estimates.merge_recovered(message.recovered, now)
+        if newly_dead:
+            logs.event(
+                LOG,
+                'unreachable_reported',
+                endpoints=newly_dead,
+                origin=f'router {message.router}',
+            )
         self._apply_suspects(message, now)
         self._apply_limits(message, now)
         self._apply_leaving(message)
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -65,10 +65,11 @@
         endpoint = attempt.endpoint
         job.progress.tries += 1
         is_once = job.route.kind is routing.RequestKind.ONCE
+        started = self.clock()
         try:
             conn = self.connections.acquire(endpoint, fresh=is_once)
         except upstream.ConnectionFailed as error:
-            return self._handle_unreachable(job, attempt, error)
+            return self._handle_unreachable(job, attempt, error, started)
         attempt.socket = conn.sock
         if attempt.result is not None:
             conn.close()
@@ -132,7 +133,7 @@
             # timeout: without it the caller would get no answer at all.
             attempt.check_at = now + TIMEOUT_OBJECTIVES * job.route.objective
 
-    def _handle_unreachable(self, job, attempt, error):
+    def _handle_unreachable(self, job, attempt, error, started):
         name = attempt.endpoint.id
         job.avoid.add(name)
         with self.view.lock:
@@ -143,6 +144,7 @@
             id=job.request.id,
             endpoint=name,
             address=attempt.endpoint.address,
+            ms=round((self.clock() - started) * MS_PER_SECOND),
             why=str(error),
         )
         return attempt.result or attempts.Result.NOT_SENT
--- a/packages/policy/ibisring_policy/gateway/estimates.py
+++ b/packages/policy/ibisring_policy/gateway/estimates.py
@@ -410,6 +410,11 @@
             Slowdowns of engines that it found slow.
         refusing : list of str
             Engines that refuse its requests despite free memory.
+
+        Returns
+        -------
+        list of str
+            Engines that get no requests now because of this report.
         """
         for name in refusing:
             estimate = self.by_endpoint.get(name)
@@ -423,6 +428,7 @@
             ):
                 self.note_slowdown(name, slowdown, now, from_peer=True)
         self.peer_tokens[router] = now, tokens
+        newly_dead = []
         for name in dead:
             estimate = self.by_endpoint.get(name)
             if estimate is None or estimate.dead:
@@ -434,6 +440,8 @@
                 and not has_recovered
             ):
                 self.note_unreachable(name, now, from_peer=True)
+                newly_dead.append(name)
+        return newly_dead
 
     def peer_token_totals(self, now):
         """Return the tokens times layers of other routers, by engine."""
