Failing tests: a router that loses its links to all endpoints

Stand-ins give each router links of its own, which are cut for one of three routers in four ways: silent, reset, only new connections refused, one way.

--- a/packages/soak/ibisring_soak/asking.py
+++ b/packages/soak/ibisring_soak/asking.py
@@ -14,7 +14,7 @@
 
 
 class Call(msgspec.Struct):
-    """A request and the response to it.
+    """A request, by its id, and the response to it.
 
     `sent_at` is in monotonic seconds, `seconds` the time until the response.
     `status` is 0 if no complete response arrived.
@@ -22,6 +22,7 @@
 
     sent_at: float
     body: bytes
+    name: str = ''
     status: int = 0
     seconds: float = 0.0
     retry_after: float | None = None
@@ -43,7 +44,7 @@
     -------
     Call
     """
-    call = Call(time.monotonic(), body)
+    call = Call(time.monotonic(), body, name)
     headers = running.headers(name, Credential=KEY)
     port = router.process.caller_port
     try:
--- a/packages/soak/ibisring_soak/proxy.py
+++ b/packages/soak/ibisring_soak/proxy.py
@@ -13,6 +13,9 @@
 CHUNK_BYTES = 65536
 CONNECT_TIMEOUT_SECONDS = 1.0
 BACKLOG = 512
+# With no backlog the kernel keeps one connection that nobody accepts; the next
+# ones get no answer.
+HANG_CONNECTIONS = 3
 # SO_LINGER on, with a timeout of 0: closing the socket sends a reset.
 _LINGER_ZERO = struct.pack('ii', 1, 0)
 
@@ -71,6 +74,7 @@
         self.refusing = False
         self.dropped_directions = set()
         self.closed_port = None
+        self.hanging = []
         self.connections = set()
         self.lock = threading.Lock()
         self.listener = socket.create_server(('127.0.0.1', 0), backlog=BACKLOG)
@@ -100,22 +104,49 @@
 
     def crash(self):
         """Close the port and reset all connections, as a crash does."""
+        self.close_port()
+        self.reset_all()
+
+    def close_port(self):
+        """Close the port, so that new connections are refused."""
+        if self.closed_port is not None:
+            return
         port = self.port
         with contextlib.suppress(OSError):
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
-        self.reset_all()
         self.closed_port = port
 
+    def hang(self):
+        """Let new connections hang, as packets that are dropped do."""
+        self.close_port()
+        address = '127.0.0.1', self.closed_port
+        self.hanging.append(socket.create_server(address, backlog=0))
+        for _ in range(HANG_CONNECTIONS):
+            filler = socket.socket()
+            filler.setblocking(False)
+            filler.connect_ex(address)
+            self.hanging.append(filler)
+
+    def reopen(self):
+        """Listen again if the port is closed or hangs."""
+        if self.closed_port is not None:
+            self.restart()
+
     def restart(self):
         """Listen on the same port after a crash."""
+        for sock in self.hanging:
+            sock.close()
+        self.hanging = []
         address = '127.0.0.1', self.closed_port
         self.listener = socket.create_server(address, backlog=BACKLOG)
+        self.closed_port = None
         threading.Thread(target=self._accept, daemon=True).start()
 
     def stop(self):
         """Close the port and all connections."""
-        self.listener.close()
+        for sock in [self.listener, *self.hanging]:
+            sock.close()
         for connection in self._open_connections():
             connection.close()
 
--- a/packages/soak/ibisring_soak/world.py
+++ b/packages/soak/ibisring_soak/world.py
@@ -10,6 +10,7 @@
 from ibisring_adapter.tests import running
 from ibisring_adapter.tests import standin
 from ibisring_soak import backoffs
+from ibisring_soak import endpointlinks
 from ibisring_soak import proxy
 from ibisring_soak import records
 
@@ -36,14 +37,24 @@
         Between callers and the router.
     store_link : proxy.Proxy
         Between the router and the store.
+    endpoint_links : endpointlinks.EndpointLinks or None
+        Between the router and endpoints, None if it has no own ones.
     in_rotation : bool
         Whether the load balancer sends it new connections.
     """
 
-    def __init__(self, name, domain, store, folder, history):
+    def __init__(
+        self, name, domain, store, folder, history, endpoint_links=None
+    ):
         self.name = name
         self.history = history
-        self.store_link = proxy.make_proxy(store)
+        self.endpoint_links = endpoint_links
+        self.store_view = None
+        store_address = store.address
+        if endpoint_links is not None:
+            self.store_view = endpointlinks.StoreView(store, endpoint_links)
+            store_address = self.store_view.address
+        self.store_link = proxy.make_proxy(store_address)
         self.process = running.Gateway(
             self.store_link.address,
             folder,
@@ -130,6 +141,9 @@
         self.process.stop()
         self.caller_link.stop()
         self.store_link.stop()
+        if self.endpoint_links is not None:
+            self.store_view.stop()
+            self.endpoint_links.stop()
 
 
 class World:
@@ -140,9 +154,11 @@
     folder : pathlib.Path
         Settings and logs of the processes.
     routers, engines, services : int
+    own_links : bool
+        Whether each router has links of its own to endpoints.
     """
 
-    def __init__(self, folder, routers, engines, services):
+    def __init__(self, folder, routers, engines, services, own_links=False):
         self.site = standin.Site()
         self.history = records.History(
             layers=standin.LAYERS, grace_seconds=GRACE_SECONDS
@@ -161,13 +177,17 @@
             Router(
                 f'r{number}',
                 DOMAINS[number % len(DOMAINS)],
-                self.site.store.address,
+                self.site.store,
                 folder,
                 self.history,
+                self._make_links() if own_links else None,
             )
             for number in range(routers)
         ]
 
+    def _make_links(self):
+        return endpointlinks.make_endpoint_links(self.site.aliases)
+
     def start(self):
         """Wait until all engines have layers and all routers serve."""
         for router in self.routers:
@@ -257,6 +277,6 @@
         self.site.stop()
 
 
-def make_world(folder, routers=3, engines=8, services=3):
+def make_world(folder, routers=3, engines=8, services=3, own_links=False):
     """Make a `World`; ``start()`` starts it."""
-    return World(folder, routers, engines, services)
+    return World(folder, routers, engines, services, own_links)
