--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -5,6 +5,7 @@
 import logging
 
 from ibisring_gateway import events
+from ibisring_gateway import relaying
 from ibisring_gateway import selecting
 from ibisring_gateway import upstream
 from ibisring_policy.gateway import attempts
@@ -15,8 +16,6 @@
 # Multiple of the objective for which a repeatable plain request waits for one
 # endpoint.
 TIMEOUT_OBJECTIVES = 2.0
-# Plain answers up to this size in bytes are buffered until complete.
-MAX_BUFFERED_BYTES = 1 << 20
 MS_PER_SECOND = 1000.0
 
 
@@ -196,7 +195,7 @@
             conn.close()
             return self._handle_refusal(job, attempt, answer)
         job.progress.may_have_run = True
-        fault = _answer_fault(answer)
+        fault = relaying.answer_fault(answer)
         if job.exchange.headers_sent and answer.status != 200:
             # The caller has received part of a stream.  An answer with another
             # status doesn't continue it, and relaying it would terminate the
@@ -303,29 +302,10 @@
 
     def _relay_plain(self, job, attempt, response, answer):
         """Relay a plain answer once it is complete."""
-        chunks = []
-        size = 0
         try:
-            while True:
-                chunk = upstream.read_chunk(response)
-                if not chunk:
-                    break
-                chunks.append(chunk)
-                size += len(chunk)
-                if size > MAX_BUFFERED_BYTES:
-                    raise upstream.ConnectionFailed(
-                        'the answer exceeds the buffer limit', True
-                    )
+            body = relaying.read_plain(attempt, response, answer)
         except upstream.ConnectionFailed as error:
             return self._handle_lost_answer(job, attempt, error)
-        if attempt.result is not None:
-            return self._handle_lost_answer(
-                job, attempt, 'the attempt was aborted'
-            )
-        if answer.length is not None and answer.length != size:
-            return self._handle_lost_answer(
-                job, attempt, 'the body does not match its Content-Length'
-            )
         self.screen.record_answer(job, attempt)
         failed = answer.status >= 500
         with self.view.lock:
@@ -339,7 +319,7 @@
             return attempts.Result.LOST
         job.answer = answer
         job.record_chunk(self.clock())
-        job.exchange.answer(answer.status, answer.headers, b''.join(chunks))
+        job.exchange.answer(answer.status, answer.headers, body)
         return None
 
     def _may_retry(self, job):
@@ -355,60 +335,26 @@
 
     def _relay_stream(self, job, attempt, response, answer):
         """Relay events as they arrive."""
-        exchange = job.exchange
-        job.splitter.restart()
+
+        def on_event():
+            now = self.clock()
+            self.selector.record_event(attempt, now)
+            job.record_chunk(now)
+            if attempt.events == 1:
+                self.screen.record_answer(job, attempt)
+
         try:
-            while True:
-                chunk = upstream.read_chunk(response)
-                if not chunk:
-                    break
-                complete = job.splitter.feed(chunk)
-                if not complete:
-                    continue
-                now = self.clock()
-                self.selector.record_event(attempt, now)
-                job.record_chunk(now)
-                if attempt.events == 1:
-                    self.screen.record_answer(job, attempt)
-                if not exchange.headers_sent:
-                    exchange.begin(
-                        answer.status, _stream_headers(answer.headers)
-                    )
-                exchange.write(complete)
+            relaying.relay_stream(job, attempt, response, answer, on_event)
         except (upstream.ConnectionFailed, events.StreamGap) as error:
             return self._handle_lost_answer(job, attempt, error)
-        if attempt.result is not None:
-            return self._handle_lost_answer(
-                job, attempt, 'the attempt was aborted'
-            )
         with self.view.lock:
             self.view.estimates.note_response(
                 attempt.endpoint.id, False, self.clock()
             )
-        if not exchange.headers_sent:
-            exchange.begin(answer.status, _stream_headers(answer.headers))
-        exchange.write(job.splitter.partial)
         job.answer = answer
         return None
 
 
-def _answer_fault(answer):
-    """Return why an answer is not valid, None if it is.
-
-    An endpoint that crashes may have written the headers of a success, which
-    the caller would take for an empty but complete answer.
-    """
-    if answer.encoded:
-        return 'answer with a content encoding'
-    if answer.status < 300 and not answer.signed:
-        return 'success answer without a signature'
-    return None
-
-
-def _stream_headers(headers):
-    return [h for h in headers if h[0].lower() != 'content-length']
-
-
 def make_sender(view, codec, connections, selector, screen):
     """Make a `Sender`."""
     return Sender(view, codec, connections, selector, screen)
