Reports of a router that reaches no endpoint take none from the others

Callers of routers that reach every engine were refused, since a router that had lost its own links reported engine after engine as unreachable, and the others believed it: they left the engines out, and one of them replaced their layers.

A router now reports an endpoint, and leaves it out of its plan, only if it has opened a connection to some endpoint since the attempt that failed began; a router that reaches nothing is no witness. Opened connections are what counts, as open ones may outlive the path. A router that hears a report ignores it for engines of which it has just had an event.

--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -34,6 +34,11 @@
     view : view.View
     engines : ports.EngineControl
     metrics : metrics.Metrics
+
+    Attributes
+    ----------
+    on_answer : callable
+        Called with an endpoint that has answered, and when the query began.
     """
 
     def __init__(self, view, engines, metrics):
@@ -50,6 +55,7 @@
         # would seem lost.
         self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
         self.recent_queries = {}
+        self.on_answer = lambda endpoint, started: None
 
     def stop(self):
         """Shut the thread pool down without waiting."""
@@ -99,6 +105,7 @@
                 LOG, 'no_status', endpoint=endpoint.id, why=error.detail
             )
             return None
+        self.on_answer(endpoint, started_at)
         with self.view.lock:
             self.timeout.answered(self.clock() - started_at)
         self._record_slowdown(endpoint, status)
@@ -114,6 +121,7 @@
             logs.event(LOG, 'pace', endpoint=endpoint.id, pace=status.pace)
 
     def _probe(self, endpoint):
+        started_at = self.clock()
         alive = self._status(endpoint, PROBE_TIMEOUT_SECONDS) is not None
         now = self.clock()
         with self.view.lock:
@@ -121,7 +129,9 @@
                 self.timeout.false_timeout()
                 self.view.estimates.note_reachable(endpoint.id, now)
             else:
-                self.view.estimates.note_unreachable(endpoint.id, now)
+                self.view.estimates.note_unreachable(
+                    endpoint.id, now, tried_at=started_at
+                )
         logs.event(LOG, 'asked_again', endpoint=endpoint.id, alive=alive)
 
 
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -193,6 +193,8 @@
     ----------
     bytes_sent, bytes_received : int
         Payload bytes of the datagrams, without headers.
+    alive_engines : callable
+        Returns the engines that have just sent this router an event.
     """
 
     def __init__(self, settings, view, peers, tell_directory, sock):
@@ -201,6 +203,7 @@
         self.peers = peers
         self.tell_directory = tell_directory
         self.rng = random.Random()
+        self.alive_engines = frozenset
         self.bytes_sent = 0
         self.bytes_received = 0
         self.schedule = gossipschedule.make_send_schedule()
@@ -248,7 +251,9 @@
         with self.view.lock:
             book = self.view.estimates
             tokens = {n: int(each) for n, each in book.own_tokens().items()}
-            unreachable = book.recently_dead(now)
+            unreachable = book.recently_dead(
+                now, self.view.links.connected_at()
+            )
             slowdowns = book.recently_slow(now)
             refusing = book.refusing(now)
             loads = book.loads_to_send(now)
@@ -447,7 +452,7 @@
             newly_dead = self.view.estimates.merge_gossip(
                 message.router,
                 message.tokens,
-                message.unreachable,
+                self._credible(message.unreachable),
                 now,
                 message.slowdowns,
                 message.refusing,
@@ -486,6 +491,13 @@
             }
             self.peers.note_newer(message.router, now, versions)
 
+    def _credible(self, unreachable):
+        """Leave out engines of which this router has just had an event."""
+        if not unreachable:
+            return unreachable
+        alive = self.alive_engines()
+        return [name for name in unreachable if name not in alive]
+
     def _apply_suspects(self, message, now):
         suspects = self.view.suspects
         with self.view.lock:
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -91,8 +91,18 @@
         if snapshot.index is None or not snapshot.endpoints_known:
             return
         for service in snapshot.index.table.services:
-            if service.model is not None:
-                self._check_service(service, snapshot)
+            if service.model is None or self._is_cut_from(service):
+                continue
+            self._check_service(service, snapshot)
+
+    def _is_cut_from(self, service):
+        """Return whether this router reaches no engine of a service.
+
+        Its plan would replace engines that run, and its orders reach none;
+        without it, another router takes the lease.
+        """
+        with self.view.lock:
+            return self.view.links.is_cut(service.name)
 
     def _check_service(self, service, snapshot):
         now = time.monotonic()
@@ -198,10 +208,10 @@
         return found
 
     def _is_lost(self, name, now):
-        estimate = self.view.estimates.by_endpoint.get(name)
-        if estimate is None or not estimate.dead:
-            return False
-        return now - estimate.dead_at >= LOST_AFTER_SECONDS
+        with self.view.lock:
+            return self.view.estimates.is_lost(
+                name, now, LOST_AFTER_SECONDS, self.view.links.connected_at()
+            )
 
     def _is_too_slow(self, endpoint, now):
         """Return whether an engine's layers should be held by others too.
@@ -346,7 +356,10 @@
 
     def _record_unreachable(self, endpoint):
         with self.view.lock:
-            self.view.estimates.note_unreachable(endpoint.id, time.monotonic())
+            now = time.monotonic()
+            self.view.estimates.note_unreachable(
+                endpoint.id, now, tried_at=now - STATUS_TIMEOUT_SECONDS
+            )
 
 
 def _load_seconds(endpoint, holding, model):
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -16,6 +16,7 @@
 from ibisring_gateway import exchange
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossip
+from ibisring_gateway import linkmonitor
 from ibisring_gateway import liveness
 from ibisring_gateway import logwriter
 from ibisring_gateway import peers
@@ -98,6 +99,12 @@
             self.watcher,
             self.metrics,
         )
+        self.link_monitor = linkmonitor.make_link_monitor(
+            self.view, self.connections, self.metrics
+        )
+        self.connections.on_connect = self.link_monitor.record
+        self.stall_handler.querier.on_answer = self.link_monitor.answered
+        self.stall_handler.on_all_silent = self.link_monitor.verify
         self.followers = storefollowing.make_followers(
             self._polling_slot, self._role
         )
@@ -155,6 +162,8 @@
         followers.add('endpoints', self.installation.endpoints, False, tell)
         self.components = [followers.start(), self.peers.start()]
         self.gossip = gossip.make_gossip(settings, self.view, self.peers, tell)
+        self.gossip.alive_engines = self.stall_handler.engines_with_events
+        self.link_monitor.on_change = self.gossip.request_send
         self.screen.on_update = self.gossip.request_send
         self.forwarder.sender.on_limit = self.gossip.request_send
         self.forwarder.sender.on_leaving = self._report_leaving
@@ -218,6 +227,7 @@
         self._check_placement()
         self.directory.tell(directory.Tick())
         self.stall_handler.run_checks()
+        self.link_monitor.run_checks()
 
     def serve_ready(self, call):
         """Answer a readiness check: 200 if new connections are accepted."""
@@ -329,6 +339,7 @@
         periodic.stop_all([self.periodic_checks])
         self.watcher.stop()
         self.stall_handler.stop()
+        self.link_monitor.stop()
         for server in self.servers:
             server.stop()
         pykka.ActorRegistry.stop_all(timeout=1.0)
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -422,9 +422,13 @@
         """
         is_own_refusal = refusing_endpoint == attempt.endpoint.id
         if answer.wrong_endpoint and not attempt.stages:
-            self.view.estimates.note_unreachable(refusing_endpoint, now)
+            self.view.estimates.note_unreachable(
+                refusing_endpoint, now, tried_at=attempt.sent_at
+            )
         elif attempt.stages and now - attempt.last_event_at > STALL_SECONDS:
-            self.view.estimates.note_unreachable(refusing_endpoint, now)
+            self.view.estimates.note_unreachable(
+                refusing_endpoint, now, tried_at=attempt.sent_at
+            )
         elif answer.backoff is None or not is_own_refusal:
             has_memory = (
                 self._memory_share(attempt, refusing_endpoint)
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -136,7 +136,9 @@
         name = attempt.endpoint.id
         job.avoid.add(name)
         with self.view.lock:
-            self.view.estimates.note_unreachable(name, self.clock())
+            self.view.estimates.note_unreachable(
+                name, self.clock(), tried_at=started
+            )
         logs.event(
             LOG,
             'endpoint_unreachable',
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -39,6 +39,11 @@
     selector : selecting.Selector
     watcher : attemptwatching.Watcher
     metrics : metrics.Metrics
+
+    Attributes
+    ----------
+    on_all_silent : callable
+        Called with a service whose engines all seem silent.
     """
 
     def __init__(self, view, engines, selector, watcher, metrics):
@@ -50,6 +55,7 @@
         self.clock = view.clock
         self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
         self.querier = enginestatus.make_status_querier(view, engines, metrics)
+        self.on_all_silent = lambda service: None
 
     def stop(self):
         """Shut the thread pools down without waiting."""
@@ -129,6 +135,7 @@
             unavailable |= {n for n in names if self.view.estimates.is_dead(n)}
         alive = self._proven_alive(attempt)
         queried = [by_id[n] for n in names if n not in unavailable | alive]
+        tried_at = self.clock() - enginestatus.SHARED_SECONDS
         queries = [self.querier.query(endpoint) for endpoint in queried]
         lost = {
             endpoint.id
@@ -139,12 +146,15 @@
             logs.event(
                 LOG, 'all_silent', id=attempt.request_id, asked=len(queried)
             )
+            self.on_all_silent(attempt.endpoint.service)
             return set()
         now = self.clock()
         with self.view.lock:
             for endpoint in queried:
                 if endpoint.id in lost:
-                    self.view.estimates.note_unreachable(endpoint.id, now)
+                    self.view.estimates.note_unreachable(
+                        endpoint.id, now, tried_at=tried_at
+                    )
                 else:
                     self.view.estimates.note_reachable(endpoint.id, now)
         return lost | unavailable
@@ -171,6 +181,16 @@
                 found.update(stage.endpoint for stage in other.stages)
         return found
 
+    def engines_with_events(self):
+        """Return the engines that run streams with an event just now."""
+        since = self.clock() - PROOF_SECONDS
+        return {
+            stage.endpoint
+            for attempt in self.watcher.attempts()
+            if attempt.events and attempt.last_event_at > since
+            for stage in attempt.stages
+        }
+
     def run_checks(self):
         """Move requests off leaving stages; probe unreachable engines.
 
@@ -191,8 +211,10 @@
             now = self.clock()
             names = self.view.estimates.dead_to_probe(snapshot.endpoints, now)
             slow = self.view.estimates.slow_to_probe(now)
+            cut_services = self.view.links.cut_services()
         for name in names:
-            self.querier.probe(snapshot.endpoints[name])
+            if snapshot.endpoints[name].service not in cut_services:
+                self.querier.probe(snapshot.endpoints[name])
         for name in slow:
             if name in snapshot.endpoints:
                 self.querier.refresh_slowdown(snapshot.endpoints[name])
--- a/packages/gateway/ibisring_gateway/tests/test_placing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -214,6 +214,7 @@
     view.estimates.get(LOST).dead = True
     view.estimates.get(LOST).dead_at = -100.0
     view.estimates.get(LOST).ejected_until = 1e12
+    view.links.connected('s', time.monotonic())
     _check(placer)
     assert engines.placed
     assert LOST not in [name for name, _, _ in engines.placed]
--- a/packages/gateway/ibisring_gateway/upstream.py
+++ b/packages/gateway/ibisring_gateway/upstream.py
@@ -58,14 +58,21 @@
     Parameters
     ----------
     clock : callable
+
+    Attributes
+    ----------
+    on_connect : callable
+        Called with the endpoint, when the attempt began and whether it
+        succeeded, after each attempt to open a connection.
     """
 
     def __init__(self, clock=time.monotonic):
         self.clock = clock
+        self.on_connect = lambda endpoint, started, connected: None
         self.lock = threading.Lock()
         self.idle = {}
 
-    def acquire(self, endpoint, fresh):
+    def acquire(self, endpoint, fresh, timeout=CONNECT_TIMEOUT_SECONDS):
         """Return a connection to an endpoint.
 
         Parameters
@@ -74,6 +81,8 @@
         fresh : bool
             Open a new connection.  A reused one may be dead without notice,
             and it is then unknown whether a request sent on it ran.
+        timeout : float
+            Seconds to open a new connection.
 
         Raises
         ------
@@ -87,14 +96,17 @@
         conn = urllib3_connection.HTTPConnection(
             host,
             int(port),
-            timeout=CONNECT_TIMEOUT_SECONDS,
+            timeout=timeout,
             socket_options=_SOCKET_OPTIONS,
         )
+        started = self.clock()
         try:
             conn.connect()
         except (urllib3_exceptions.HTTPError, OSError) as error:
             conn.close()
+            self.on_connect(endpoint, started, False)
             raise ConnectionFailed(str(error), False) from error
+        self.on_connect(endpoint, started, True)
         conn.reused = False
         return conn
 
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -12,6 +12,7 @@
 from ibisring_policy.gateway import estimates
 from ibisring_policy.gateway import fairness
 from ibisring_policy.gateway import layerorders
+from ibisring_policy.gateway import links
 from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import suspects
 from ibisring_records import routing
@@ -95,7 +96,7 @@
     Attributes
     ----------
     lock : threading.Lock
-        Guards `estimates`, `suspects`, `limits` and `fairness`.
+        Guards `estimates`, `suspects`, `limits`, `fairness` and `links`.
     term : int
         Highest lease term known to this router.
     lease_lost_at : float or None
@@ -114,6 +115,7 @@
         self.suspects = suspects.make_suspects()
         self.fairness = fairness.make_fairness()
         self.limits = ratelimits.make_limits(name, domain)
+        self.links = links.make_links()
         self.term = 0
         self.lease_lost_at = None
         self.reported_holdings = {}
--- a/packages/policy/ibisring_policy/gateway/estimates.py
+++ b/packages/policy/ibisring_policy/gateway/estimates.py
@@ -2,6 +2,8 @@
 
 __all__ = ['EstimateTable', 'Estimate', 'make_estimate_table']
 
+import math
+
 from ibisring_policy.gateway import chains
 from ibisring_policy.gateway import shortage
 import msgspec
@@ -60,6 +62,7 @@
 
     `active`, `tokens` and `first_stage_requests` count this router's own
     requests; `tokens` are multiplied by the layers that the engine runs.
+    `tried_at` is when the attempt to reach it began that showed it dead;
     `started` is the start time of the endpoint's present process.  Fields
     `*_from_peer` are set if another router reported the state.
     """
@@ -79,6 +82,7 @@
     answered_at: float = -1e9
     dead: bool = False
     dead_at: float = -1e9
+    tried_at: float = -1e9
     dead_from_peer: bool = False
     recovered_at: float = -1e9
     recovery_from_peer: bool = False
@@ -170,10 +174,20 @@
             if estimate is not None and estimate.dead:
                 self._mark_recovered(estimate, now, from_peer=True)
 
-    def note_unreachable(self, name, now, from_peer=False):
+    def revive(self, names, now):
+        """Use endpoints again that this router itself could not reach."""
+        for name in names:
+            estimate = self.by_endpoint.get(name)
+            if estimate is None or not estimate.dead:
+                continue
+            if not estimate.dead_from_peer:
+                self._mark_recovered(estimate, now, from_peer=True)
+
+    def note_unreachable(self, name, now, from_peer=False, tried_at=None):
         """Note that an endpoint could not be reached, or did not respond.
 
-        `from_peer` is set if another router reported it.
+        `from_peer` is set if another router reported it, `tried_at` is when
+        the attempt to reach it began.
 
         An engine gets no requests until it has responded again: one that
         has gone for good may keep its entry for seconds, and each request
@@ -183,6 +197,7 @@
         if not estimate.dead:
             estimate.dead = True
             estimate.dead_at = now
+            estimate.tried_at = now if tried_at is None else tried_at
         estimate.dead_from_peer = from_peer
         if estimate.ejected_until <= now:
             estimate.ejected_until = now + estimate.eject_seconds
@@ -460,9 +475,29 @@
             if estimate.tokens > 0
         }
 
-    def recently_dead(self, now):
+    def is_lost(self, name, now, seconds, connected_at):
+        """Return whether an endpoint has been dead for some seconds.
+
+        Parameters
+        ----------
+        name : str
+        now, seconds : float
+        connected_at : float
+            When this router last opened a connection to any endpoint.
+            Without one since, it may have lost its own links.
+        """
+        estimate = self.by_endpoint.get(name)
+        if estimate is None or not estimate.dead:
+            return False
+        if not estimate.dead_from_peer and estimate.tried_at >= connected_at:
+            return False
+        return now - estimate.dead_at >= seconds
+
+    def recently_dead(self, now, connected_at=math.inf):
         """Return the engines that this router itself recently found dead.
 
+        `connected_at` is when it last opened a connection to any endpoint: a
+        router that has reached none since may have lost its own links.
         Reports of peers are not forwarded: two routers would keep sending
         each other the loss of an engine that has long recovered.
         """
@@ -472,6 +507,7 @@
             if estimate.dead
             and not estimate.dead_from_peer
             and now - estimate.dead_at < DEAD_GOSSIP_SECONDS
+            and estimate.tried_at < connected_at
         ]
 
     def queue_length(self, name, now):
--- a/packages/policy/ibisring_policy/gateway/tests/test_estimates.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_estimates.py
@@ -265,3 +265,29 @@
     assert not table.is_probably_leaving('y', 11.1)
     table.note_accepted(['x'], sent_at=11.1)
     assert not table.is_probably_leaving('x', 11.2)
+
+
+def test_a_router_that_reached_nothing_since_reports_no_loss():
+    """Guards against reports of a router that lost its own links."""
+    table = estimates.make_estimate_table()
+    table.note_unreachable('x', 10.2, tried_at=10.0)
+    assert table.recently_dead(10.3, connected_at=9.9) == []
+    assert table.recently_dead(10.3, connected_at=10.1) == ['x']
+
+
+def test_a_router_that_reached_nothing_since_plans_with_the_engine():
+    """Guards against plans of a router that lost its own links."""
+    table = estimates.make_estimate_table()
+    table.note_unreachable('x', 10.2, tried_at=10.0)
+    assert not table.is_lost('x', 11.0, 0.4, connected_at=9.9)
+    assert table.is_lost('x', 11.0, 0.4, connected_at=10.1)
+
+
+def test_endpoints_are_used_again_when_the_own_links_are_back():
+    """Guards against avoiding endpoints that only the own links failed."""
+    table = estimates.make_estimate_table()
+    for name, is_reported in (('x', False), ('y', True)):
+        table.note_unreachable(name, 10.0, from_peer=is_reported)
+    table.revive(['x', 'y', 'z'], 11.0)
+    assert not table.is_dead('x') and not table.is_ejected('x', 11.0)
+    assert table.is_dead('y')
