Requests of a router without links to endpoints go by way of another

Callers of a router that lost its links to all endpoints were refused, at once or after 0.8 s, though the other routers served theirs. No request could reach an endpoint by way of another router.

Such a router now hands each request, with the caller's key, to one that reaches endpoints and serves it as if a caller had sent it: by its own table, limits and budgets. It says so in three headers, and a request that carries them is never handed on. What was not sent yet needs no verdict: after a connection that was not made, and none made since, the next try goes by another router. From three endpoints that fail in a row on, requests go there at once.

At most once: the last part of a request is held back until the other router has answered its headers (100 Continue), so that a frozen router has not been handed it; what breaks after that is unknown. Errors of the other router are marked: not_ready, unreachable and table_behind are tried elsewhere, others are final. Endpoints already used travel both ways, the time left shrinks, retries are counted at the router that makes them. Streams go on at the event reached.

--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -58,11 +58,17 @@
     ----------
     headers_sent : bool
         Whether the status line and headers of an answer were written.
+    is_from_router : bool
+        Whether another router handed the request over.
+    list_extra_headers : callable
+        Returns headers to add to the answer, as (name, value) pairs.
     """
 
     def __init__(self, request):
         self.request = request
         self.headers_sent = False
+        self.is_from_router = False
+        self.list_extra_headers = list
         self.status = 0
         self.sent = 0
 
@@ -122,7 +128,7 @@
         request.status = f'{status} {phrase}'.encode('latin-1')
         request.outheaders = [
             (name.encode('latin-1'), value.encode('latin-1'))
-            for name, value in headers
+            for name, value in [*headers, *self.list_extra_headers()]
             if name.lower() not in HOP_BY_HOP
         ]
         self.headers_sent = True
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -9,6 +9,8 @@
 from ibisring_gateway import attemptwatching
 from ibisring_gateway import exchange as exchange_module
 from ibisring_gateway import jobs
+from ibisring_gateway import relaymarks
+from ibisring_gateway import relayrouting
 from ibisring_gateway import selecting
 from ibisring_gateway import sending
 from ibisring_policy.gateway import attempts
@@ -29,6 +31,9 @@
 # interval at which the choice is repeated.
 RESUME_WAIT_SECONDS = 1.3
 RESUME_POLL_SECONDS = 0.05
+# Where no endpoint is in reach: by then one has been tried again, and a caller
+# that comes back reaches another router.
+NOBODY_RETRY_SECONDS = 0.4
 
 
 class Forwarder:
@@ -45,6 +50,7 @@
         Returns the number of routers that share the limit on retries.
     metrics : metrics.Metrics
     screen : screening.Screen
+    relay_sender : relaysending.RelaySender
     """
 
     def __init__(
@@ -57,6 +63,7 @@
         count_routers,
         metrics,
         screen,
+        relay_sender,
     ):
         self.view = view
         self.codec = codec
@@ -66,6 +73,8 @@
         self.metrics = metrics
         self.screen = screen
         self.selector = selecting.make_selector(view)
+        self.relay_sender = relay_sender
+        self.relay_routing = relayrouting.RelayRouting(view, relay_sender)
         self.sender = sending.make_sender(
             view, codec, connections, self.selector, screen
         )
@@ -86,8 +95,9 @@
                 exchange.method, exchange.target, exchange.headers()
             )
             request_id = request.id
+            mark = relayrouting.accept_mark(exchange, request, self.view.name)
             request.body = exchange.read_body()
-            self._serve(exchange, request, started)
+            self._serve(exchange, request, started, mark)
         except exceptions.IbisringError as error:
             self._send_error(exchange, request_id, error, started)
         except exchange_module.CallerDisconnected as error:
@@ -116,6 +126,8 @@
             return
         if self.stopping_at is not None:
             exchange.close_after()
+        if exchange.is_from_router:
+            relayrouting.mark_error(exchange, error)
         status, headers, body = self.codec.encode_error(request_id, error)
         try:
             exchange.answer(status, headers, body)
@@ -152,12 +164,16 @@
             **facts,
         )
 
-    def _serve(self, exchange, request, started):
+    def _serve(self, exchange, request, started, mark):
         snapshot = self.view.snapshot
         if not self.view.is_ready:
             raise exceptions.NotReady(
                 'no configuration yet', NOT_READY_RETRY_SECONDS
             )
+        if mark is not None and mark.table_version > snapshot.version:
+            raise exceptions.TableBehind(
+                f'{mark.sender} has table {mark.table_version}'
+            )
         match = snapshot.index.find(request.host, request.path, request.key)
         if self.refuse_after is not None and started > self.refuse_after:
             raise exceptions.NotReady('this router is ending', 0.0)
@@ -172,8 +188,14 @@
         job = jobs.Job(
             exchange, request, match, service, started, started + time_limit
         )
-        with self.view.lock:
-            self.retry_budget.count_request(started)
+        if mark is None:
+            with self.view.lock:
+                self.retry_budget.count_request(started)
+        else:
+            job.use_mark(mark)
+            exchange.list_extra_headers = lambda: [
+                (relaymarks.SENT_TO, ','.join(job.sent_to))
+            ]
         self._run_attempts(job)
         self._finish(job)
 
@@ -192,6 +214,8 @@
             account=job.match.account,
             tries=job.progress.tries,
             endpoints=job.sent_to,
+            relayed_by=job.relayed_by,
+            relayed_to=job.relayed_to,
             limit=answer.limit if answer else None,
             events=job.splitter.count,
             first_ms=_rounded_ms(job.first_seconds),
@@ -263,6 +287,14 @@
             job.answer = None
             return
         detail = f'the last attempt ended as {result.value}'
+        is_refused = step is attempts.NextStep.REFUSE
+        if is_refused and result is attempts.Result.TURNED_AWAY:
+            answer, body = job.relayed_refusal
+            job.answer = answer
+            job.exchange.answer(answer.status, answer.headers, body)
+            return
+        if is_refused and job.relayed_by and not job.sent_to:
+            raise exceptions.Unreachable(detail)
         if (
             step is attempts.NextStep.REFUSE
             and result is attempts.Result.SUSPECTED
@@ -276,6 +308,7 @@
         retry_after = max(
             self.selector.refuse(job, self.clock()),
             self.screen.retry_after(job),
+            NOBODY_RETRY_SECONDS if job.is_cut_off else 0.0,
         )
         if step is attempts.NextStep.REFUSE:
             raise exceptions.NoEndpoint(detail, retry_after)
@@ -293,13 +326,19 @@
         """
         if not self.screen.wait_until_allowed(job):
             return attempts.Result.SUSPECTED
+        try:
+            peer = self.relay_routing.choose(job)
+        except relayrouting.NobodyInReach:
+            job.is_cut_off = True
+            return self._use_up_tries(job)
+        if peer is not None:
+            self.metrics.count('relayed')
+            return self.relay_sender.send(job, peer)
         choice = self.selector.choose(job, self.clock())
         if choice is None and job.exchange.headers_sent:
             choice = self._wait_for_choice(job)
         if choice is None and job.progress.tries:
-            job.progress.refusals = attempts.MAX_REFUSALS
-            job.progress.tries = attempts.MAX_TRIES
-            return attempts.Result.NOT_SENT
+            return self._use_up_tries(job)
         if choice is None and job.limited:
             raise exceptions.Overloaded(
                 'endpoints take no more requests for now',
@@ -332,6 +371,12 @@
             self.selector.release(attempt)
             self.screen.record_end(job)
 
+    def _use_up_tries(self, job):
+        """End a request for which there is nothing left to try."""
+        job.progress.refusals = attempts.MAX_REFUSALS
+        job.progress.tries = attempts.MAX_TRIES
+        return attempts.Result.NOT_SENT
+
     def _may_change_endpoint(self, job, endpoint):
         """Return whether the route allows another endpoint after this one."""
         sent_to = {*job.sent_to, endpoint.id}
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -18,6 +18,7 @@
 from ibisring_policy.gateway import peerreports
 from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import ratelimits
+from ibisring_policy.gateway import relays
 from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway import suspects as suspects_module
 from ibisring_records import exceptions
@@ -94,6 +95,12 @@
         Requests during which endpoints have crashed.
     limits : dict of str to ratelimits.LimitUpdate
         Request rates that endpoints accept from all routers together.
+    takes_requests : bool
+        Whether the sender serves requests that other routers hand over.
+    active : int
+        Requests that the sender runs.
+    cut_from : list of str
+        Services whose endpoints the sender can't reach.
     """
 
     router: str
@@ -123,6 +130,9 @@
     endpoints_era: int = 0
     table_era: int = 0
     leaving: dict[str, int] = {}
+    takes_requests: bool = False
+    active: int = 0
+    cut_from: list[str] = []
 
     @property
     def era(self):
@@ -153,6 +163,8 @@
     'refusing',
     'holdings',
     'leaving',
+    'takes_requests',
+    'cut_from',
     'endpoints_version',
     'endpoints_era',
     'table_version',
@@ -168,6 +180,8 @@
     'refusing',
     'holdings',
     'leaving',
+    'takes_requests',
+    'cut_from',
     'store_status',
     'store_access',
 )
@@ -195,6 +209,8 @@
         Payload bytes of the datagrams, without headers.
     alive_engines : callable
         Returns the engines that have just sent this router an event.
+    own_service : callable
+        Returns whether this router takes requests, and how many it runs.
     """
 
     def __init__(self, settings, view, peers, tell_directory, sock):
@@ -204,6 +220,7 @@
         self.tell_directory = tell_directory
         self.rng = random.Random()
         self.alive_engines = frozenset
+        self.own_service = lambda: (False, 0)
         self.bytes_sent = 0
         self.bytes_received = 0
         self.schedule = gossipschedule.make_send_schedule()
@@ -261,10 +278,12 @@
             share = self._repeat_share()
             suspects = self.view.suspects.updates_to_send(now, self.rng, share)
             limits = self.view.limits.updates_to_send(now, self.rng, share)
+            cut_from = self.view.links.cut_services()
         snapshot = self.view.snapshot
         read_at = min(snapshot.table_read_at, snapshot.endpoints_read_at)
         own = self.peers.own_store_access()
         endpoints_era = positions.era(snapshot.position)
+        takes_requests, active = self.own_service()
         # Nothing may have changed in the present era yet.
         newest = max(snapshot.newest_version, positions.make(endpoints_era, 0))
         return Message(
@@ -296,6 +315,9 @@
             endpoints_era=endpoints_era,
             table_era=positions.era(snapshot.table_position),
             leaving=self.view.leaving_to_send(now),
+            takes_requests=takes_requests,
+            active=active,
+            cut_from=cut_from,
         )
 
     def _repeat_share(self):
@@ -564,6 +586,11 @@
                 message.link,
                 message.reads_store,
             ),
+            relay_state=relays.PeerState(
+                message.takes_requests,
+                message.active,
+                frozenset(message.cut_from),
+            ),
         )
         self.peers.receive_report(report, address, message.store_lost_ms)
         self.peers.peer_reports.receive_counts(
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -32,6 +32,18 @@
         Whether it may have crashed an endpoint.
     avoid : set of str
         Endpoints that failed this request.
+    relayed_by : str or None
+        Router that handed the request over, None if a caller sent it.
+    relayed_to : list of str
+        Routers that the request was handed to.
+    relays_failed : set of str
+        Those that did not take it, or broke it off.
+    relayed_refusal : (ports.Answer, bytes) or None
+        The last router's own answer that the request has not run.
+    unreached_at : float or None
+        When the last attempt to reach an endpoint began that failed.
+    is_cut_off : bool
+        Whether neither an endpoint nor another router can be reached.
     limited : set of str
         Endpoints that were skipped for their rate limits in the last choice.
     first_chunk_at, last_chunk_at : float or None
@@ -58,6 +70,12 @@
         self.splitter = events.make_event_splitter(request.after_event)
         self.is_suspect = False
         self.avoid = set()
+        self.relayed_by = None
+        self.relayed_to = []
+        self.relays_failed = set()
+        self.relayed_refusal = None
+        self.unreached_at = None
+        self.is_cut_off = False
         self.limited = set()
         self.sent_to = []
         self.answer = None
@@ -71,6 +89,17 @@
             max_endpoints=max(1, match.route.most_endpoints),
         )
 
+    def use_mark(self, mark):
+        """Take over what another router has done for this request.
+
+        Parameters
+        ----------
+        mark : relaymarks.Mark
+        """
+        self.relayed_by = mark.sender
+        self.sent_to = list(mark.sent_to)
+        self.progress.sent_to = len(self.sent_to)
+
     def record_chunk(self, now):
         """Record a chunk of the answer; pauses span all attempts."""
         if self.first_chunk_at is None:
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -16,6 +16,7 @@
 from ibisring_policy.gateway import peerreports
 from ibisring_policy.gateway import polling
 from ibisring_policy.gateway import positions
+from ibisring_policy.gateway import relays
 from ibisring_policy.gateway import storereaders
 from ibisring_records import exceptions
 from ibisring_records import routing
@@ -179,6 +180,27 @@
         """Return the estimated number of running routers, including this."""
         return sum(self.peer_reports.router_counts(now).values())
 
+    def relay_candidates(self):
+        """Return the routers heard from that may take requests.
+
+        Returns
+        -------
+        list of relays.Candidate
+        """
+        now = self.view.clock()
+        rows = self.rows
+        return [
+            relays.Candidate(
+                each.name,
+                rows[each.name].address,
+                each.domain,
+                each.received_at,
+                each.relay_state,
+            )
+            for each in self.peer_reports.recent(now, relays.HEARD_SECONDS)
+            if each.relay_state is not None and each.name in rows
+        ]
+
     def own_store_access(self):
         """Return this router's store access as sent to other routers.
 
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -321,6 +321,25 @@
         dict
         """
 
+    @abc.abstractmethod
+    def encode_relayed(self, request, time_left, after_event):
+        """Return the headers of a request to another router.
+
+        They are those of the caller, its key among them, but for the time
+        that is left and the event after which a stream goes on.
+
+        Parameters
+        ----------
+        request : CallerRequest
+        time_left : float
+            Seconds.
+        after_event : int or None
+
+        Returns
+        -------
+        dict
+        """
+
     @abc.abstractmethod
     def decode_answer(self, status, headers):
         """Decode the head of an endpoint's answer to an `Answer`.
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -21,6 +21,8 @@
 from ibisring_gateway import logwriter
 from ibisring_gateway import peers
 from ibisring_gateway import placing
+from ibisring_gateway import relaymarks
+from ibisring_gateway import relaysending
 from ibisring_gateway import screening
 from ibisring_gateway import settings as settings_module
 from ibisring_gateway import stalls
@@ -40,6 +42,8 @@
 METRICS_PATH = '/metrics'
 CALLER_THREADS = (16, 1200)
 READY_THREADS = (2, 8)
+# A request that another router hands over occupies a thread until it ends.
+PEER_THREADS = (2, 1200)
 # Interval of the periodic placement check, in addition to the one after each
 # change: finds orders without effect and engines that died silently.
 CHECK_SECONDS = 0.25
@@ -82,6 +86,14 @@
             liveness.make_prober(installation.engines),
             self.metrics,
         )
+        self.relay_sender = relaysending.make_relay_sender(
+            self.view,
+            installation.codec,
+            self.watcher,
+            upstream.make_connection_pool(),
+            self._relay_candidates,
+            settings.router_id,
+        )
         self.forwarder = forwarding.make_forwarder(
             self.view,
             installation.codec,
@@ -91,6 +103,7 @@
             self._count_routers,
             self.metrics,
             self.screen,
+            self.relay_sender,
         )
         self.stall_handler = stalls.make_stall_handler(
             self.view,
@@ -104,6 +117,7 @@
         )
         self.connections.on_connect = self.link_monitor.record
         self.stall_handler.querier.on_answer = self.link_monitor.answered
+        self.stall_handler.can_relay = self.relay_sender.is_possible
         self.stall_handler.on_all_silent = self.link_monitor.verify
         self.followers = storefollowing.make_followers(
             self._polling_slot, self._role
@@ -123,6 +137,14 @@
     def _count_routers(self):
         return self.peers.max_routers(time.monotonic())
 
+    def _relay_candidates(self):
+        return self.peers.relay_candidates()
+
+    def _own_service(self):
+        """Return whether requests are taken, and how many run."""
+        takes_requests = self.view.is_ready and not self.is_shutting_down
+        return takes_requests, self.forwarder.active
+
     def _polling_slot(self):
         return self.peers.polling_slot()
 
@@ -163,6 +185,7 @@
         self.components = [followers.start(), self.peers.start()]
         self.gossip = gossip.make_gossip(settings, self.view, self.peers, tell)
         self.gossip.alive_engines = self.stall_handler.engines_with_events
+        self.gossip.own_service = self._own_service
         self.link_monitor.on_change = self.gossip.request_send
         self.screen.on_update = self.gossip.request_send
         self.forwarder.sender.on_limit = self.gossip.request_send
@@ -201,11 +224,13 @@
         host = settings.host
         listeners = (
             (settings.ready_listen, READY_THREADS, self.serve_ready),
-            (f'{host}:{settings.peer_port}', READY_THREADS, self.serve_peer),
+            (f'{host}:{settings.peer_port}', PEER_THREADS, self.serve_peer),
             (f'{host}:{settings.metrics_port}', (1, 4), self.serve_metrics),
         )
         for address, threads, handler in listeners:
             server = exchange.make_server(address, threads, handler, limits)
+            if handler == self.serve_peer:
+                self.peer_server = server
             server.prepare()
             _serve(server)
             self.servers.append(server)
@@ -218,7 +243,8 @@
             )
 
     def _apply_limits(self, table):
-        exchange.apply_limits(self.caller_server, table.limits)
+        for server in (self.caller_server, self.peer_server):
+            exchange.apply_limits(server, table.limits)
 
     def _check_placement(self):
         self.placer.tell(placing.CheckPlacement())
@@ -235,7 +261,11 @@
         call.answer(200 if ready else 503, [], b'')
 
     def serve_peer(self, call):
-        """Serve this router's state to another router."""
+        """Serve state, or a request that it hands over, to a router."""
+        if relaymarks.SENDER in call.headers():
+            call.is_from_router = True
+            self.forwarder.serve(call)
+            return
         path, _, query = call.target.partition('?')
         version = query.partition('=')[2]
         if path != peers.STATE_PATH or not version.isdigit():
@@ -310,6 +340,7 @@
         """Drain running requests, then exit."""
         started_at = time.monotonic()
         self.is_shutting_down = True
+        self.gossip.request_send()
         self.forwarder.stopping_at = started_at
         self.forwarder.refuse_after = started_at + shutdown.ACCEPT_SECONDS
         logs.event(LOG, 'ending', active=self.forwarder.active)
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -0,0 +1,343 @@
+"""Hands a request to another router, and relays that router's answer.
+
+The router that is asked serves the request as if a caller had sent it: by its
+own table, limits and budgets.  It begins only after it has received the whole
+request, and the last part of that is held back until it has answered the
+headers: a request that waits in a frozen router has not been handed over.
+"""
+
+__all__ = ['RelaySender', 'make_relay_sender']
+
+import logging
+import random
+
+from ibisring_gateway import attemptwatching
+from ibisring_gateway import events
+from ibisring_gateway import relaying
+from ibisring_gateway import relaymarks
+from ibisring_gateway import upstream
+from ibisring_policy.gateway import attempts
+from ibisring_records import exceptions
+from ibisring_router import logs
+import msgspec
+
+LOG = logging.getLogger(__name__)
+CONNECT_TIMEOUT_SECONDS = 0.15
+# Time for the answer to the headers.
+CONTINUE_TIMEOUT_SECONDS = 0.2
+# Silence after which a repeatable request is handed to another router: longer
+# than that router itself waits for an endpoint, shorter than callers wait.
+FIRST_EVENT_SECONDS = 1.2
+NEXT_EVENT_SECONDS = 1.0
+PLAIN_OBJECTIVES = 5.0
+MS_PER_SECOND = 1000.0
+# Statuses of other routers' errors that state that a request has not run.
+NOT_RUN_STATUSES = frozenset((400, 401, 403, 404, 408, 413, 421, 429, 503))
+# Errors that say nothing of the request: another router may serve it.
+_RETRY_CODES = frozenset(
+    (
+        exceptions.NotReady.code,
+        exceptions.Unreachable.code,
+        exceptions.TableBehind.code,
+    )
+)
+_INTERIM_HEAD = b'HTTP/1.1 100'
+_EXPECT = {'Expect': '100-continue'}
+
+
+class _Peer(msgspec.Struct):
+    """A router in the place of an endpoint; the pool goes by its id."""
+
+    id: str
+    address: str
+
+
+class _HandedOver(msgspec.Struct):
+    """A request as it is written to another router."""
+
+    method: str
+    target: str
+    body: object
+
+
+class RelaySender:
+    """Hands requests to other routers.
+
+    Parameters
+    ----------
+    view : view.View
+    codec : ports.Codec
+    watcher : attemptwatching.Watcher
+    connections : upstream.ConnectionPool
+        Connections to routers.
+    list_candidates : callable
+        Returns the `relays.Candidate` of each router heard from.
+    own_name : str
+    """
+
+    def __init__(
+        self, view, codec, watcher, connections, list_candidates, own_name
+    ):
+        self.view = view
+        self.codec = codec
+        self.watcher = watcher
+        self.connections = connections
+        self.list_candidates = list_candidates
+        self.own_name = own_name
+        self.clock = view.clock
+        self.rng = random.Random()
+
+    def choose(self, job):
+        """Return the router to hand a request to, None if there is none.
+
+        Returns
+        -------
+        relays.Candidate or None
+        """
+        now = self.clock()
+        with self.view.lock:
+            return self.view.relays.choose(
+                self.list_candidates(),
+                job.service.name,
+                now,
+                self.rng,
+                job.relays_failed,
+            )
+
+    def is_possible(self, service):
+        """Return whether some router may take requests for a service."""
+        now = self.clock()
+        with self.view.lock:
+            return bool(
+                self.view.relays.usable(self.list_candidates(), service, now)
+            )
+
+    def send(self, job, peer):
+        """Hand a request to a router and relay the answer.
+
+        Parameters
+        ----------
+        job : jobs.Job
+        peer : relays.Candidate
+
+        Returns
+        -------
+        attempts.Result or None
+            None if the caller has its final answer.
+        """
+        job.progress.tries += 1
+        job.relayed_to.append(peer.name)
+        attempt = attemptwatching.Attempt(
+            job.request.id, _Peer(peer.name, peer.address), (), job.deadline
+        )
+        logs.event(
+            LOG,
+            'relayed',
+            id=job.request.id,
+            router=peer.name,
+            service=job.service.name,
+            after_ms=round((self.clock() - job.started) * MS_PER_SECOND),
+            after_event=job.splitter.last_position,
+        )
+        with self.view.lock:
+            self.view.relays.started(peer.name)
+        self.watcher.add(job.exchange.socket, attempt)
+        try:
+            return self._send(job, attempt)
+        finally:
+            self.watcher.remove(job.exchange.socket)
+            with self.view.lock:
+                self.view.relays.ended(peer.name)
+
+    def _send(self, job, attempt):
+        try:
+            conn = self.connections.acquire(
+                attempt.endpoint, fresh=False, timeout=CONNECT_TIMEOUT_SECONDS
+            )
+        except upstream.ConnectionFailed as error:
+            return self._not_taken(job, attempt, str(error))
+        attempt.socket = conn.sock
+        if attempt.result is not None:
+            conn.close()
+            return attempt.result
+        self._set_timeout(job, attempt)
+        time_left = max(0.01, job.deadline - self.clock())
+        body = _Body(conn, job.request.body, time_left + 1.0)
+        handed_over = _HandedOver(job.request.method, job.request.target, body)
+        try:
+            response = self.connections.send(
+                conn, handed_over, self._headers(job, time_left), time_left + 1
+            )
+        except upstream.ConnectionFailed as error:
+            conn.close()
+            if body.is_begun:
+                return self._lost(job, attempt, error)
+            return self._not_taken(job, attempt, str(error))
+        return self._receive(job, attempt, conn, response)
+
+    def _headers(self, job, time_left):
+        headers = self.codec.encode_relayed(
+            job.request, time_left, job.splitter.last_position
+        )
+        mark = relaymarks.Mark(
+            self.own_name, self.view.snapshot.version, tuple(job.sent_to)
+        )
+        return {**headers, **_EXPECT, **relaymarks.encode(mark)}
+
+    def _set_timeout(self, job, attempt):
+        now = self.clock()
+        attempt.sent_at = now
+        attempt.last_event_at = now
+        if job.progress.stream:
+            attempt.check_at = now + FIRST_EVENT_SECONDS
+        elif job.route.repeatable:
+            attempt.check_at = now + max(
+                FIRST_EVENT_SECONDS, PLAIN_OBJECTIVES * job.route.objective
+            )
+
+    def _not_taken(self, job, attempt, why):
+        """Record that a router did not take a request."""
+        name = attempt.endpoint.id
+        job.relays_failed.add(name)
+        with self.view.lock:
+            self.view.relays.not_taken(name, job.service.name, self.clock())
+        logs.event(
+            LOG, 'relay_not_taken', id=job.request.id, router=name, why=why
+        )
+        return attempt.result or attempts.Result.NOT_SENT
+
+    def _lost(self, job, attempt, error):
+        """Handle a failure after a request was handed over."""
+        job.progress.may_have_run = True
+        job.relays_failed.add(attempt.endpoint.id)
+        logs.event(
+            LOG,
+            'relay_lost',
+            id=job.request.id,
+            router=attempt.endpoint.id,
+            end=attempt.result.value if attempt.result else None,
+            ran_ms=round((self.clock() - attempt.sent_at) * MS_PER_SECOND),
+            events=attempt.events,
+            why=str(error),
+        )
+        return attempt.result or attempts.Result.LOST
+
+    def _receive(self, job, attempt, conn, response):
+        answer = self.codec.decode_answer(response.status, response.headers)
+        answer.headers = relaymarks.strip(answer.headers)
+        self._record_endpoints(job, response)
+        try:
+            if relaymarks.REFUSAL in response.headers:
+                result = self._refused(job, attempt, response, answer)
+            else:
+                result = self._relay(job, attempt, response, answer)
+        except (upstream.ConnectionFailed, events.StreamGap) as error:
+            conn.close()
+            return self._lost(job, attempt, error)
+        if attempt.detach() and answer.delimited:
+            self.connections.release(attempt.endpoint, conn)
+        else:
+            conn.close()
+        return result
+
+    def _record_endpoints(self, job, response):
+        """Record the endpoints that the other router sent the request to."""
+        try:
+            names = relaymarks.decode_endpoints(
+                response.headers.get(relaymarks.SENT_TO, '')
+            )
+        except exceptions.InvalidRelay as error:
+            LOG.warning('endpoints of a relayed request: %s', error.detail)
+            return
+        job.sent_to += [name for name in names if name not in job.sent_to]
+        job.progress.sent_to = len(job.sent_to)
+
+    def _refused(self, job, attempt, response, answer):
+        """Handle an error of the other router itself."""
+        body = relaying.read_plain(attempt, response, answer)
+        code = response.headers[relaymarks.REFUSAL]
+        if code in _RETRY_CODES:
+            return self._not_taken(job, attempt, code)
+        if answer.status not in NOT_RUN_STATUSES:
+            return self._lost(job, attempt, f'{answer.status} {code}')
+        if job.exchange.headers_sent:
+            job.progress.refusals += 1
+            return attempts.Result.REFUSED
+        job.relayed_refusal = answer, body
+        return attempts.Result.TURNED_AWAY
+
+    def _relay(self, job, attempt, response, answer):
+        """Relay an endpoint's answer."""
+        job.progress.may_have_run = True
+        fault = relaying.answer_fault(answer)
+        if job.exchange.headers_sent and answer.status != 200:
+            fault = f'status {answer.status} instead of the rest of a stream'
+        if answer.request_id not in (None, job.request.id):
+            fault = 'answer to another request'
+        if fault:
+            raise upstream.ConnectionFailed(fault, True)
+        attempt.last_event_at = self.clock()
+        if job.progress.stream and answer.status == 200:
+            relaying.relay_stream(
+                job,
+                attempt,
+                response,
+                answer,
+                lambda: self._record_event(job, attempt),
+            )
+        else:
+            body = relaying.read_plain(attempt, response, answer)
+            job.record_chunk(self.clock())
+            job.exchange.answer(answer.status, answer.headers, body)
+        job.answer = answer
+        return None
+
+    def _record_event(self, job, attempt):
+        now = self.clock()
+        attempt.events += 1
+        attempt.last_event_at = now
+        attempt.check_at = now + NEXT_EVENT_SECONDS
+        job.record_chunk(now)
+
+
+class _Body:
+    """A body that is sent once the other side has answered the headers.
+
+    Attributes
+    ----------
+    is_begun : bool
+        Whether it was; until then the request is incomplete and can't run.
+    """
+
+    def __init__(self, conn, body, timeout):
+        self.conn = conn
+        self.body = body
+        self.timeout = timeout
+        self.is_begun = False
+
+    def __iter__(self):
+        self.conn.sock.settimeout(CONTINUE_TIMEOUT_SECONDS)
+        head = _read_interim(self.conn.sock)
+        if not head.startswith(_INTERIM_HEAD):
+            raise ConnectionResetError(f'refused with {head[:40]!r}')
+        self.conn.sock.settimeout(self.timeout)
+        self.is_begun = True
+        yield self.body
+
+
+def _read_interim(sock):
+    """Read an interim response, byte by byte: nothing follows it yet."""
+    head = b''
+    while not head.endswith(b'\r\n\r\n'):
+        byte = sock.recv(1)
+        if not byte:
+            raise ConnectionResetError('closed by the other router')
+        head += byte
+        if len(head) == len(_INTERIM_HEAD) and head != _INTERIM_HEAD:
+            break
+    return head
+
+
+def make_relay_sender(*parts):
+    """Make a `RelaySender`."""
+    return RelaySender(*parts)
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -135,6 +135,7 @@
     def _handle_unreachable(self, job, attempt, error, started):
         name = attempt.endpoint.id
         job.avoid.add(name)
+        job.unreached_at = started
         with self.view.lock:
             self.view.estimates.note_unreachable(
                 name, self.clock(), tried_at=started
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -24,6 +24,9 @@
 # Checks without a finding before the request is sent elsewhere: a stage that
 # has lost its own links to other stages still answers status queries.
 MAX_CHECKS = 4
+# Silence after which a request goes on by another router if this one has lost
+# its links to engines; an open connection may still work.
+CUT_SILENCE_SECONDS = 0.25
 WORKERS = 24
 # Limit of the times that a request is moved off engines that leave.
 MAX_REROUTES = 3
@@ -44,6 +47,8 @@
     ----------
     on_all_silent : callable
         Called with a service whose engines all seem silent.
+    can_relay : callable
+        Returns whether another router may take requests for a service.
     """
 
     def __init__(self, view, engines, selector, watcher, metrics):
@@ -56,6 +61,7 @@
         self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
         self.querier = enginestatus.make_status_querier(view, engines, metrics)
         self.on_all_silent = lambda service: None
+        self.can_relay = lambda service: False
 
     def stop(self):
         """Shut the thread pools down without waiting."""
@@ -112,15 +118,29 @@
         Otherwise the attempt stays: the lost layers may be loaded elsewhere
         before the caller gives up.
         """
-        if self.selector.has_alternative(attempt, now):
+        if self._has_alternative(attempt, now):
             attempt.abort(attempts.Result.SILENT)
         else:
             attempt.check_at = now + RECHECK_SECONDS
 
+    def _has_alternative(self, attempt, now):
+        """Return whether an attempt may go on over other engines."""
+        service = attempt.endpoint.service
+        if self._is_cut(service):
+            return self.can_relay(service)
+        return self.selector.has_alternative(attempt, now)
+
+    def _is_cut(self, service):
+        with self.view.lock:
+            return self.view.links.is_cut(service)
+
     def _recheck_or_restart(self, attempt, now):
-        if attempt.checks > MAX_CHECKS and self.selector.has_alternative(
-            attempt, now
-        ):
+        silence = now - attempt.last_event_at
+        is_cut = silence > CUT_SILENCE_SECONDS and self._is_cut(
+            attempt.endpoint.service
+        )
+        has_waited = is_cut or attempt.checks > MAX_CHECKS
+        if has_waited and self._has_alternative(attempt, now):
             attempt.abort(attempts.Result.SILENT)
             return
         checks = min(MAX_CHECKS, attempt.checks)
--- a/packages/gateway/ibisring_gateway/tests/test_forwarding.py
+++ b/packages/gateway/ibisring_gateway/tests/test_forwarding.py
@@ -15,6 +15,7 @@
 
     def __init__(self, headers_sent):
         self.headers_sent = headers_sent
+        self.is_from_router = False
         self.written = []
         self.aborted = False
 
@@ -33,7 +34,15 @@
 def _send_error(headers_sent):
     view = builders.make_view([])
     forwarder = forwarding.make_forwarder(
-        view, _Codec(), None, None, None, lambda: 1, builders.Metrics(), None
+        view,
+        _Codec(),
+        None,
+        None,
+        None,
+        lambda: 1,
+        builders.Metrics(),
+        None,
+        None,
     )
     exchange = _Exchange(headers_sent)
     error = exceptions.Interrupted('the last attempt ended', 1.0)
@@ -66,8 +75,16 @@
     table = build.table(accounts=(routing.Account('acme', ('k1',)),))
     view = builders.make_view([], table, store_lost_at=10.0)
     forwarder = forwarding.make_forwarder(
-        view, _Codec(), None, None, None, lambda: 1, builders.Metrics(), None
+        view,
+        _Codec(),
+        None,
+        None,
+        None,
+        lambda: 1,
+        builders.Metrics(),
+        None,
+        None,
     )
     request = types.SimpleNamespace(host='h.example', path='/a/x', key='k2')
     with pytest.raises(exceptions.Unauthorized):
-        forwarder._serve(None, request, view.clock())
+        forwarder._serve(None, request, view.clock(), None)
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -14,6 +14,7 @@
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import links
 from ibisring_policy.gateway import ratelimits
+from ibisring_policy.gateway import relays
 from ibisring_policy.gateway import suspects
 from ibisring_records import routing
 import msgspec
@@ -96,7 +97,8 @@
     Attributes
     ----------
     lock : threading.Lock
-        Guards `estimates`, `suspects`, `limits`, `fairness` and `links`.
+        Guards `estimates`, `suspects`, `limits`, `fairness`, `links` and
+        `relays`.
     term : int
         Highest lease term known to this router.
     lease_lost_at : float or None
@@ -107,6 +109,7 @@
     """
 
     def __init__(self, domain='', clock=time.monotonic, name=''):
+        self.name = name
         self.domain = domain
         self.clock = clock
         self.snapshot = Snapshot()
@@ -116,6 +119,7 @@
         self.fairness = fairness.make_fairness()
         self.limits = ratelimits.make_limits(name, domain)
         self.links = links.make_links()
+        self.relays = relays.make_relays(domain)
         self.term = 0
         self.lease_lost_at = None
         self.reported_holdings = {}
--- a/packages/policy/ibisring_policy/gateway/attempts.py
+++ b/packages/policy/ibisring_policy/gateway/attempts.py
@@ -19,7 +19,8 @@
     """How an attempt failed, by what is known about the request's execution.
 
     `SUSPECTED` stands for an attempt that was not made, since the request is
-    suspected of crashing endpoints.
+    suspected of crashing endpoints.  `TURNED_AWAY` means that another router
+    refused the request, for a reason that holds for this one too.
     """
 
     NOT_SENT = 'not_sent'
@@ -31,6 +32,7 @@
     DEADLINE = 'deadline'
     CALLER_GONE = 'caller_gone'
     SUSPECTED = 'suspected'
+    TURNED_AWAY = 'turned_away'
 
 
 class NextStep(enum.StrEnum):
@@ -106,7 +108,7 @@
     """
     if result is Result.CALLER_GONE:
         return NextStep.DROP
-    if result in (Result.DEADLINE, Result.SUSPECTED):
+    if result in _FINAL_RESULTS:
         return _give_up(progress)
     if progress.may_have_run and not progress.repeatable:
         return _give_up(progress)
@@ -117,6 +119,9 @@
     return NextStep.RETRY
 
 
+_FINAL_RESULTS = (Result.DEADLINE, Result.SUSPECTED, Result.TURNED_AWAY)
+
+
 def _may_retry(result, progress):
     if _has_used_tries(progress) or progress.time_left < MIN_TIME_LEFT_SECONDS:
         return False
--- a/packages/policy/ibisring_policy/gateway/peerreports.py
+++ b/packages/policy/ibisring_policy/gateway/peerreports.py
@@ -9,6 +9,7 @@
 import math
 
 from ibisring_policy.gateway import layerorders
+from ibisring_policy.gateway import relays
 from ibisring_policy.gateway import storereaders
 import msgspec
 
@@ -30,7 +31,8 @@
 class PeerReport(msgspec.Struct, kw_only=True):
     """What another router last sent; `received_at` is in seconds.
 
-    `neighbour` is None for a release that does not send it.
+    `neighbour` and `relay_state` are None for a release that does not send
+    them.
     """
 
     name: str
@@ -38,6 +40,12 @@
     received_at: float
     store_status: layerorders.StoreStatus
     neighbour: storereaders.Neighbour | None = None
+    relay_state: relays.PeerState | None = None
+
+    @property
+    def is_cut_off(self):
+        """Whether it reaches no endpoint of some service."""
+        return self.relay_state is not None and bool(self.relay_state.cut_from)
 
     @property
     def has_seen_store(self):
@@ -142,14 +150,19 @@
         """Return what other routers recently saw of the store, by name.
 
         A router that relies on readers and has seen no outage is left out,
-        since it does not call the store itself.
+        since it does not call the store itself; so is one that reaches no
+        endpoint of some service, since its orders may reach none.
 
         Returns
         -------
         dict of str to layerorders.StoreStatus
         """
         recent = self.recent(now, STORE_STATUS_SECONDS)
-        return {r.name: r.store_status for r in recent if r.has_seen_store}
+        return {
+            report.name: report.store_status
+            for report in recent
+            if report.has_seen_store and not report.is_cut_off
+        }
 
     def router_counts(self, now):
         """Return the running routers by failure domain, this one included.
--- a/packages/records/ibisring_records/exceptions.py
+++ b/packages/records/ibisring_records/exceptions.py
@@ -18,6 +18,9 @@
     'IdempotencyKeyReused',
     'NotReady',
     'NoEndpoint',
+    'Unreachable',
+    'TableBehind',
+    'InvalidRelay',
     'Overloaded',
     'AccountLimited',
     'DeadlineUnreachable',
@@ -156,6 +159,25 @@
     remedy = 'retry after the time given'
 
 
+class Unreachable(NoEndpoint):
+    """The router that another one handed a request to reaches no endpoint."""
+
+    code = 'unreachable'
+
+
+class TableBehind(NotReady):
+    """The router that was handed a request has an older routing table."""
+
+    code = 'table_behind'
+
+
+class InvalidRelay(InvalidRequest):
+    """Headers between routers are malformed, or not from a router."""
+
+    code = 'invalid_relay'
+    remedy = 'send the request without headers that begin with Ibisring-'
+
+
 class Overloaded(IbisringError):
     code = 'overloaded'
     status = 503
