--- a/packages/soak/ibisring_soak/tests/test_cuts.py
+++ b/packages/soak/ibisring_soak/tests/test_cuts.py
@@ -1,8 +1,10 @@
 """Routers that lose their own links to endpoints, as real processes."""
 
 import collections
+import concurrent.futures
 import time
 
+from ibisring_soak import asking
 from ibisring_soak import cutload
 from ibisring_soak import endpointlinks
 from ibisring_soak import world as world_module
@@ -80,3 +82,27 @@
     """Guards against a second run by way of another router."""
     once = [call.name for _, kind, call in cut_run.calls if kind == 'once']
     assert [name for name in once if cut_run.runs[name] > 1] == []
+
+
+def test_links_that_fail_convict_no_request(tmp_path):
+    """Guards against taking an endpoint behind a cut for one that crashed."""
+    world = world_module.make_world(tmp_path, own_links=True)
+    try:
+        world.start()
+        router = world.routers[0]
+        for service in world.site.services.values():
+            service.seconds = 0.3
+        for number in range(6):
+            with concurrent.futures.ThreadPoolExecutor(1) as pool:
+                call = pool.submit(
+                    asking.send, router, f'c{number}', 'once', b'innocent'
+                )
+                time.sleep(0.15)
+                router.endpoint_links.cut(endpointlinks.Cut.RESET)
+                call.result()
+            router.endpoint_links.restore()
+            time.sleep(1.0)
+        last = asking.send(router, 'last', 'once', b'innocent')
+    finally:
+        world.stop()
+    assert last.status == 200
