A refused connection is a crash only if another endpoint is reached

Callers of a router whose links were reset for a moment got 503 for ten minutes for a request that crashed nothing: a refused connection was taken for the crash of the endpoint that had the request, and three of them for its conviction.

The router now tries up to three other endpoints after a refused connection; if none is reached either, the loss stays unresolved, and only a later start of the endpoint makes a crash of it.

--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -83,7 +83,7 @@
         )
         self.screen = screening.make_screen(
             self.view,
-            liveness.make_prober(installation.engines),
+            liveness.make_prober(installation.engines, self._endpoints),
             self.metrics,
         )
         self.relay_sender = relaysending.make_relay_sender(
@@ -137,6 +137,9 @@
     def _count_routers(self):
         return self.peers.max_routers(time.monotonic())
 
+    def _endpoints(self):
+        return list(self.view.snapshot.endpoints.values())
+
     def _relay_candidates(self):
         return self.peers.relay_candidates()
 
