--- /dev/null
+++ b/packages/gateway/ibisring_gateway/tests/test_relaysending.py
@@ -0,0 +1,182 @@
+"""Tests of handing a request to another router, over real sockets."""
+
+import random
+import socket
+import threading
+
+from ibisring_gateway import attemptwatching
+from ibisring_gateway import jobs
+from ibisring_gateway import ports
+from ibisring_gateway import relaymarks
+from ibisring_gateway import relaysending
+from ibisring_gateway.tests import builders
+from ibisring_gateway import upstream
+from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import relays
+from ibisring_policy.gateway import routetable
+from ibisring_policy.gateway.tests import builders as build
+from ibisring_records import routing
+import pytest
+
+CONTINUE = b'HTTP/1.1 100 Continue\r\n\r\n'
+
+
+class _Codec:
+    def encode_relayed(self, request, time_left, after_event):
+        return {'Host': request.host}
+
+    def decode_answer(self, status, headers):
+        return ports.Answer(
+            status=status,
+            headers=list(headers.items()),
+            request_id=None,
+            refused=False,
+            wrong_endpoint=False,
+            delimited=True,
+            signed='Signed' in headers,
+            length=int(headers.get('Content-Length', 0)),
+        )
+
+
+class _Exchange:
+    """A caller; records its answer."""
+
+    def __init__(self):
+        self.socket, self.caller = socket.socketpair()
+        self.headers_sent = False
+        self.answers = []
+
+    def answer(self, status, headers, body):
+        self.answers.append((status, body))
+
+
+class _Router:
+    """Another router, that writes given bytes before and after the body."""
+
+    def __init__(self, interim, answer):
+        self.listener = socket.create_server(('127.0.0.1', 0))
+        self.interim = interim
+        self.answer = answer
+        self.received = b''
+        self.thread = threading.Thread(target=self._serve, daemon=True)
+        self.thread.start()
+
+    def _serve(self):
+        conn, _ = self.listener.accept()
+        conn.settimeout(5.0)
+        while b'\r\n\r\n' not in self.received:
+            self.received += conn.recv(4096)
+        if self.interim:
+            conn.sendall(self.interim)
+            while not self.received.endswith(b'0\r\n\r\n'):
+                self.received += conn.recv(4096)
+            conn.sendall(self.answer)
+        else:
+            self.received += conn.recv(4096)
+        conn.close()
+
+    @property
+    def candidate(self):
+        """The router as a choice."""
+        return relays.Candidate(
+            'r2',
+            '127.0.0.1:%d' % self.listener.getsockname()[1],
+            'a',
+            0.0,
+            relays.PeerState(True),
+        )
+
+
+@pytest.fixture
+def watcher():
+    made = attemptwatching.make_watcher(lambda attempt: None)
+    yield made
+    made.stop()
+
+
+def send(watcher, router, kind=routing.RequestKind.ONCE):
+    """Hand a request to a router; return the job and the result."""
+    view = builders.make_view([])
+    sender = relaysending.make_relay_sender(
+        view, _Codec(), watcher, upstream.make_connection_pool(), list, 'r1'
+    )
+    sender.rng = random.Random(1)
+    request = ports.CallerRequest(
+        id='a1',
+        method='POST',
+        host='h.example',
+        target='/a/x',
+        headers={},
+        body=b'the body',
+    )
+    match = routetable.Match(build.route(kind=kind), 'acme', 0)
+    now = view.clock()
+    job = jobs.Job(
+        _Exchange(), request, match, build.service(), now, now + 5.0
+    )
+    result = sender.send(job, router.candidate)
+    router.thread.join(5.0)
+    return job, result
+
+
+def answer(status, headers=(), body=b''):
+    """Return an answer's bytes."""
+    lines = [f'HTTP/1.1 {status} x', f'Content-Length: {len(body)}']
+    lines += [f'{name}: {value}' for name, value in headers]
+    return '\r\n'.join([*lines, '', '']).encode() + body
+
+
+def test_an_answer_is_relayed(watcher):
+    router = _Router(CONTINUE, answer(200, [('Signed', '1')], b'done'))
+    job, result = send(watcher, router)
+    assert result is None and job.exchange.answers == [(200, b'done')]
+    assert b'the body' in router.received
+    assert b'Ibisring-Relayed-By: r1' in router.received
+
+
+def test_a_frozen_router_has_not_been_handed_the_request(watcher):
+    """Guards against a request that runs when a frozen router wakes up."""
+    router = _Router(b'', b'')
+    job, result = send(watcher, router)
+    assert result is attempts.Result.NOT_SENT
+    assert not job.progress.may_have_run
+    assert b'the body' not in router.received
+    assert b'0\r\n\r\n' not in router.received
+
+
+def test_a_router_that_dies_with_a_request_leaves_it_unknown(watcher):
+    """Guards against a second run after the first was lost on the way."""
+    job, result = send(watcher, _Router(CONTINUE, b''))
+    assert result is attempts.Result.LOST and job.progress.may_have_run
+
+
+@pytest.mark.parametrize('code', ['not_ready', 'unreachable', 'table_behind'])
+def test_another_router_is_asked_after_an_error_of_the_first(watcher, code):
+    refusal = answer(503, [(relaymarks.REFUSAL, code)], b'{}')
+    job, result = send(watcher, _Router(CONTINUE, refusal))
+    assert result is attempts.Result.NOT_SENT
+    assert job.relays_failed == {'r2'} and not job.progress.may_have_run
+
+
+@pytest.mark.parametrize('status', [401, 404, 429, 503])
+def test_a_refusal_that_holds_for_all_routers_is_final(watcher, status):
+    refusal = answer(status, [(relaymarks.REFUSAL, 'overloaded')], b'{}')
+    job, result = send(watcher, _Router(CONTINUE, refusal))
+    assert result is attempts.Result.TURNED_AWAY
+    assert not job.progress.may_have_run
+    assert attempts.decide(result, job.progress) is attempts.NextStep.REFUSE
+
+
+def test_an_unknown_outcome_stays_unknown_over_two_routers(watcher):
+    """Guards against "not run" for a request that may have run."""
+    lost = answer(504, [(relaymarks.REFUSAL, 'outcome_unknown')], b'{}')
+    job, result = send(watcher, _Router(CONTINUE, lost))
+    assert result is attempts.Result.LOST
+    assert attempts.decide(result, job.progress) is attempts.NextStep.UNKNOWN
+
+
+def test_endpoints_used_by_the_other_router_count(watcher):
+    """Guards against more endpoints per request than its route allows."""
+    headers = [('Signed', '1'), (relaymarks.SENT_TO, 'e1,e2')]
+    job, _ = send(watcher, _Router(CONTINUE, answer(200, headers, b'x')))
+    assert job.sent_to == ['e1', 'e2'] and job.progress.sent_to == 2
--- a/packages/policy/ibisring_policy/gateway/tests/builders.py
+++ b/packages/policy/ibisring_policy/gateway/tests/builders.py
@@ -148,6 +148,12 @@
     return routing.Route(**values)
 
 
+def service(**changes):
+    """Return a plain service."""
+    values = {'name': 'lookup', 'most_connections': 96, **changes}
+    return routing.Service(**values)
+
+
 def table(version=1, routes=None, accounts=None):
     """Make a routing table with a plain service and a model service."""
     return routing.RoutingTable(
--- a/packages/soak/ibisring_soak/__main__.py
+++ b/packages/soak/ibisring_soak/__main__.py
@@ -36,6 +36,9 @@
     restores: bool = typer.Option(
         False, help='The store comes back from copies that lack writes.'
     ),
+    cuts: bool = typer.Option(
+        False, help='Routers lose their links to endpoints.'
+    ),
     folder: pathlib.Path = typer.Option(
         pathlib.Path('soak-runs'), help='Settings and logs, by seed.'
     ),
@@ -59,6 +62,7 @@
             backoffs,
             leaves,
             restores,
+            cuts,
         )
         failed_runs += bool(outcome.violations)
         print(
--- a/packages/soak/ibisring_soak/soaking.py
+++ b/packages/soak/ibisring_soak/soaking.py
@@ -8,6 +8,7 @@
 from ibisring_soak import announcements
 from ibisring_soak import backoffs as backoffs_module
 from ibisring_soak import callers as callers_module
+from ibisring_soak import cuts as cuts_module
 from ibisring_soak import guarantees
 from ibisring_soak import injecting
 from ibisring_soak import poison as poison_module
@@ -43,6 +44,7 @@
     backoffs=False,
     leaves=False,
     restores=False,
+    cuts=False,
 ):
     """Run the soak once.
 
@@ -66,13 +68,15 @@
         Whether endpoints leave that say so in their answers only.
     restores : bool
         Whether the store comes back from copies that lack writes.
+    cuts : bool
+        Whether routers lose their links to endpoints.
 
     Returns
     -------
     Outcome
     """
     faults = schedule.make_schedule(seed, seconds)
-    world = world_module.make_world(folder, routers, engines)
+    world = world_module.make_world(folder, routers, engines, own_links=cuts)
     try:
         world.start()
         caller_threads = callers_module.make_callers(world, seed, callers)
@@ -88,6 +92,8 @@
             disruptions.append(announcements.LeaveAnnouncer(world, seed))
         if restores:
             disruptions.append(announcements.StoreRestorer(world, seed))
+        if cuts:
+            disruptions.append(cuts_module.LinkCutter(world, seed))
         for disruption in disruptions:
             disruption.start()
         injecting.make_injector(world).run(faults)
--- a/packages/soak/ibisring_soak/tests/test_soak.py
+++ b/packages/soak/ibisring_soak/tests/test_soak.py
@@ -45,6 +45,12 @@
     assert outcome.violations == []
 
 
+def test_guarantees_hold_while_routers_lose_their_links(tmp_path):
+    """Guards against lost or doubled requests on their way by two routers."""
+    outcome = soaking.soak(6, 12.0, tmp_path, cuts=True)
+    assert outcome.violations == []
+
+
 def test_faults_overlap_and_affect_all_groups():
     faults = schedule.make_schedule(5, 200.0)
     assert {fault.group for fault in faults} == set(schedule.KINDS)
