Links that may be back are used if nobody else is in reach

A stream was lost where the links of its router came back as those of all others went: after a relapse the router waited for four connections, 0.4 s apart. It tries again at the next check after one that succeeded, and requests for which nobody else is in reach go directly meanwhile.

--- a/packages/gateway/ibisring_gateway/linkmonitor.py
+++ b/packages/gateway/ibisring_gateway/linkmonitor.py
@@ -104,15 +104,19 @@
         with self.view.lock:
             services = self.view.links.cut_services()
         for service in services:
-            self._probe_some(service, 1, now)
+            with self.view.lock:
+                may_be_back = self.view.links.may_be_back(service)
+            pause = 0.0 if may_be_back else PROBE_SECONDS
+            self._probe_some(service, 1, now, pause)
 
     def verify(self, service):
         """Try a few endpoints of a service that all seem silent."""
-        self._probe_some(service, links.MIN_FAILED_ENDPOINTS, self.clock())
+        count = links.MIN_FAILED_ENDPOINTS
+        self._probe_some(service, count, self.clock(), PROBE_SECONDS)
 
-    def _probe_some(self, service, count, now):
+    def _probe_some(self, service, count, now, pause):
         """Try endpoints of a service, unless some were tried just now."""
-        if now - self.probed_at.get(service, -math.inf) < PROBE_SECONDS:
+        if now - self.probed_at.get(service, -math.inf) < pause:
             return
         self.probed_at[service] = now
         endpoints = self.view.snapshot.by_service.get(service, ())
--- a/packages/gateway/ibisring_gateway/relayrouting.py
+++ b/packages/gateway/ibisring_gateway/relayrouting.py
@@ -56,7 +56,7 @@
         if not is_cut and not self._is_unreached(job):
             return None
         peer = self.sender.choose(job)
-        if peer is not None or not is_cut:
+        if peer is not None or self._may_reach(job):
             return peer
         if job.exchange.headers_sent:
             return self._wait(job)
@@ -67,6 +67,10 @@
         with self.view.lock:
             return self.view.links.is_cut(job.service.name)
 
+    def _may_reach(self, job):
+        with self.view.lock:
+            return self.view.links.may_be_back(job.service.name)
+
     def _is_unreached(self, job):
         """Return whether an endpoint was not reached, and none was since.
 
@@ -94,7 +98,7 @@
                 raise exchange_module.CallerDisconnected(
                     'while its stream waited for a way'
                 )
-            if not self.is_cut(job):
+            if self._may_reach(job):
                 return None
             peer = self.sender.choose(job)
             if peer is not None:
--- a/packages/gateway/ibisring_gateway/tests/test_relayrouting.py
+++ b/packages/gateway/ibisring_gateway/tests/test_relayrouting.py
@@ -72,6 +72,16 @@
         routing.choose(job)
 
 
+def test_links_that_may_be_back_are_used_if_nobody_else_is_in_reach():
+    """Guards against refusals while the links are watched for a relapse."""
+    routing, job = make(peer=None, cut=True)
+    state = routing.view.links
+    state._get(job.service.name).successes_required = 2
+    state.connected(job.service.name, routing.clock())
+    assert state.is_cut(job.service.name)
+    assert routing.choose(job) is None
+
+
 def test_a_request_is_never_handed_on():
     """Guards against a loop of routers that are all cut off."""
     routing, job = make(cut=True)
--- a/packages/policy/ibisring_policy/gateway/links.py
+++ b/packages/policy/ibisring_policy/gateway/links.py
@@ -132,6 +132,13 @@
         known = self.by_service.get(service)
         return known is not None and known.cut_at is not None
 
+    def may_be_back(self, service):
+        """Return whether the last connection to a service succeeded."""
+        known = self.by_service.get(service)
+        if known is None:
+            return True
+        return known.cut_at is None or known.successes > 0
+
     def cut_services(self):
         """Return the services that can't be reached, sorted."""
         return sorted(
