--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -205,7 +205,7 @@
             self.metrics.count(f'late.{job.late}')
         self._log(
             job.request.id,
-            'answered' if answer and answer.status < 400 else 'failed',
+            _outcome(job),
             job.started,
             status=answer.status if answer else None,
             digest=job.digest.hex(),
@@ -402,6 +402,14 @@
         return None
 
 
+def _outcome(job):
+    """Return the outcome of a request that has its final answer."""
+    if job.relayed_refusal and job.answer is job.relayed_refusal[0]:
+        return attempts.Result.TURNED_AWAY.value
+    answer = job.answer
+    return 'answered' if answer and answer.status < 400 else 'failed'
+
+
 def _rounded_ms(seconds):
     return None if seconds is None else round(seconds * MS_PER_SECOND)
 
--- a/packages/operator/ibisring_operator/losses.py
+++ b/packages/operator/ibisring_operator/losses.py
@@ -28,6 +28,8 @@
     'endpoint_refused': 'refused by an engine',
     'endpoint_unreachable': 'not reached',
     'answer_lost': 'answer lost',
+    'relayed': 'own links cut',
+    'relay_lost': 'lost at another router',
 }
 # Outcomes due to the caller: forbidden requests, closed connections.
 CALLER_OUTCOMES = frozenset(('unauthorized', 'not_found', 'caller_gone'))
@@ -89,6 +91,9 @@
     def _add_request(self, line):
         causes = self.causes.pop((line.source, line.request), ())
         facts = line.facts
+        if facts.get('relayed_by'):
+            # The router that the caller asked has a line of its own.
+            return
         seconds = float(facts.get('ms') or 0.0) / 1000.0
         start = line.time - seconds - self.first_line_at
         if (
--- a/packages/operator/ibisring_operator/tests/test_losses.py
+++ b/packages/operator/ibisring_operator/tests/test_losses.py
@@ -26,9 +26,9 @@
     }
 
 
-def _request(seconds, request, outcome='answered', **facts):
+def _request(seconds, request, outcome='answered', source='vm-1', **facts):
     return _line(
-        seconds, 'request', request, outcome=outcome, ms=100.0, **facts
+        seconds, 'request', request, source, outcome=outcome, ms=100.0, **facts
     )
 
 
@@ -126,3 +126,13 @@
     assert bad.exit_code == 2
     missing = runner.invoke(main.app, ['losses', str(log) + 'x'])
     assert missing.exit_code == 2
+
+
+def test_a_request_that_two_routers_served_is_counted_once():
+    """Guards against counting a request that was handed over twice."""
+    figures = _count(
+        _line(1.0, 'relayed', 'a', router='r2'),
+        _request(2.0, 'a', late='first'),
+        _request(2.0, 'a', source='vm-2', relayed_by='r1'),
+    )
+    assert _results(figures) == {('late', 'first: own links cut'): 1}
--- a/packages/soak/ibisring_soak/endpointlinks.py
+++ b/packages/soak/ibisring_soak/endpointlinks.py
@@ -63,6 +63,9 @@
         for link in list(self.by_address.values()):
             link.reopen()
             link.restore()
+            # Their endpoints would wait for the dropped bytes, each with a
+            # thread of its own.
+            link.reset_silenced()
 
     def stop(self):
         """Close all links."""
--- a/packages/soak/ibisring_soak/proxy.py
+++ b/packages/soak/ibisring_soak/proxy.py
@@ -96,6 +96,12 @@
         for connection in self._open_connections():
             connection.dropped_directions |= set(directions)
 
+    def reset_silenced(self):
+        """Reset the connections of which bytes were dropped."""
+        for connection in self._open_connections():
+            if connection.dropped_directions:
+                connection.close(reset=True)
+
     def restore(self):
         """Forward new connections without faults again."""
         self.delay = 0.0
