--- a/packages/gateway/ibisring_gateway/linkmonitor.py
+++ b/packages/gateway/ibisring_gateway/linkmonitor.py
@@ -101,7 +101,10 @@
         Called periodically.
         """
         now = self.clock()
+        index = self.view.snapshot.index
         with self.view.lock:
+            if index is not None:
+                self.view.links.retain(index.services)
             services = self.view.links.cut_services()
         for service in services:
             with self.view.lock:
--- a/packages/policy/ibisring_policy/gateway/tests/test_relays.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_relays.py
@@ -86,3 +86,30 @@
     table.started('r1')
     table.ended('r1')
     assert table.outstanding == {}
+
+
+@pytest.mark.parametrize('size', [6, 91, 195])
+def test_half_of_a_fleet_does_not_flood_a_few_of_the_others(size):
+    """Guards against all cut routers choosing the same ones.
+
+    Each cut router learns the others' load once a second.
+    """
+    rng = random.Random(size)
+    domains = 'abc'
+    cut = [f'r{n}' for n in range(size // 2)]
+    rest = {f'r{n}': domains[n % 3] for n in range(size // 2, size)}
+    tables = {
+        name: relays.make_relays(domains[int(name[1:]) % 3]) for name in cut
+    }
+    active = collections.Counter()
+    for second in range(5):
+        known = [
+            candidate(name, domain, active=active[name])
+            for name, domain in rest.items()
+        ]
+        active.clear()
+        for name in cut * 8:
+            found = tables[name].choose(known, 's', NOW, rng)
+            active[found.name] += 1
+    mean = sum(active.values()) / len(rest)
+    assert max(active[name] for name in rest) <= 3.0 * mean
