A refusal for a crashing request is not taken for a lack of links

A router that was handed a request which crashes endpoints would have answered that it reaches none.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -293,7 +293,8 @@
             job.answer = answer
             job.exchange.answer(answer.status, answer.headers, body)
             return
-        if is_refused and job.relayed_by and not job.sent_to:
+        is_unsent = result is attempts.Result.NOT_SENT and not job.sent_to
+        if is_refused and job.relayed_by and is_unsent:
             raise exceptions.Unreachable(detail)
         if (
             step is attempts.NextStep.REFUSE
