--- a/packages/soak/ibisring_soak/world.py
+++ b/packages/soak/ibisring_soak/world.py
@@ -3,7 +3,9 @@
 __all__ = ['Router', 'World', 'make_world']
 
 import logging
+import math
 import signal
+import string
 import threading
 import time
 
@@ -176,7 +178,7 @@
         self.routers = [
             Router(
                 f'r{number}',
-                DOMAINS[number % len(DOMAINS)],
+                _domain(number, routers, own_links),
                 self.site.store,
                 folder,
                 self.history,
@@ -277,6 +279,18 @@
         self.site.stop()
 
 
+def _domain(number, routers, own_links):
+    """Return the failure domain of a router.
+
+    With links of their own at most two routers share a domain: of more, some
+    get endpoints from the others, with the addresses of their links.
+    """
+    if not own_links:
+        return DOMAINS[number % len(DOMAINS)]
+    count = max(len(DOMAINS), math.ceil(routers / 2))
+    return string.ascii_lowercase[number % count]
+
+
 def make_world(folder, routers=3, engines=8, services=3, own_links=False):
     """Make a `World`; ``start()`` starts it."""
     return World(folder, routers, engines, services, own_links)
