--- a/packages/soak/ibisring_soak/tests/test_relayed.py
+++ b/packages/soak/ibisring_soak/tests/test_relayed.py
@@ -39,17 +39,20 @@
 
 def all_served(world):
     """Return whether each router serves by links of its own again."""
-    names = [f'w{time.monotonic()}-{r.name}' for r in world.routers]
     calls = [
-        asking.send(router, name, 'safe', b'x')
-        for router, name in zip(world.routers, names)
+        (f'w{time.monotonic()}-{router.name}-{kind}', router, kind)
+        for router in world.routers
+        for kind in ('safe', 'stream')
+    ]
+    statuses = [
+        asking.send(router, name, kind, b'x').status
+        for name, router, kind in calls
     ]
     relayed = {
         line['id'] for r in world.routers for line in lines(r, 'relayed')
     }
-    return all(call.status == 200 for call in calls) and not (
-        relayed & set(names)
-    )
+    names = {name for name, _, _ in calls}
+    return set(statuses) == {200} and not relayed & names
 
 
 def lines(router, event):
