World of a soak starts once each router knows the layers of all engines

Cause, from the routers' logs of a trial: the world counted as started when the engines held their layers; the routers read that from the store 60 to 150 ms later. The stream was sent in between, and all three routers would have refused it ('0-4 missing, 10-16 missing', also at the routers with links). It was refused with 503 in 0.7 ms, and the test waited for a request that nobody was to send again.

--- a/packages/soak/ibisring_soak/world.py
+++ b/packages/soak/ibisring_soak/world.py
@@ -191,13 +191,16 @@
         return endpointlinks.make_endpoint_links(self.site.aliases)
 
     def start(self):
-        """Wait until all engines have layers and all routers serve."""
+        """Wait until all routers serve and know the layers of all engines."""
         for router in self.routers:
             router.process.wait_ready()
-        running.wait_for(
-            lambda: all(e.layers for e in self.site.engines.values()),
-            'not all engines have layers',
-        )
+        # An engine holds its layers a while before each router knows of it;
+        # until then a router refuses streams, with its links or without.
+        for router in self.routers:
+            running.wait_for(
+                lambda process=router.process: self._knows_layers(process),
+                f'{router.name} does not know all layers',
+            )
         for router in self.routers:
             router.start()
         running.wait_for(
@@ -205,6 +208,9 @@
             'not all routers are in rotation',
         )
 
+    def _knows_layers(self, process):
+        return process.loaded_engine_count() == len(self.site.engines)
+
     def _proxy_wrapper(self, name):
         def wrap(address):
             self.proxies[name] = proxy.make_proxy(address)
