Losses over cut links no longer refuse an innocent body for five seconds

Cause: a loss where the router reached no other endpoint was 'unresolved', like one behind an open port, and three of these refuse a request for 5 s.

Change: the check gives a liveness.Finding; with CUT_OFF (nothing reached, refused or silent) the loss counts only once a later start shows that the endpoint crashed, and is told to no other router.

The log fact 'ended' of answer_lost is now 'finding'.

--- a/packages/gateway/ibisring_gateway/liveness.py
+++ b/packages/gateway/ibisring_gateway/liveness.py
@@ -3,12 +3,14 @@
 Answers are also lost when a running endpoint drops them, when a link fails or
 when an endpoint is frozen.  Only a closed port, or a later start time, shows
 that the process that had the request has exited.  An open port shows that
-something listens, which need not be that process.  A closed port shows nothing
-to a router that reaches no other endpoint: its own link may refuse.
+something listens, which need not be that process.  A port that is closed or
+silent shows nothing to a router that reaches no other endpoint either: its own
+links may be cut.
 """
 
-__all__ = ['Prober', 'make_prober']
+__all__ = ['Finding', 'Prober', 'make_prober']
 
+import enum
 import logging
 import random
 import socket
@@ -19,10 +21,24 @@
 # A closed port is refused within a network round trip, and the caller waits
 # in the meantime.
 TIMEOUT_SECONDS = 0.05
-# Other endpoints tried after a refused connection.
+# Other endpoints tried if one is not reached.
 MAX_WITNESSES = 3
 
 
+class Finding(enum.Enum):
+    """What a check of an endpoint showed.
+
+    With `UNKNOWN` the endpoint may have crashed, since nothing answers or its
+    port is open and it reports no start time.  With `CUT_OFF` neither it nor
+    another endpoint is reached.
+    """
+
+    CRASHED = 'crashed'
+    RUNNING = 'running'
+    UNKNOWN = 'unknown'
+    CUT_OFF = 'cut_off'
+
+
 class Prober:
     """Checks whether endpoints have crashed or restarted.
 
@@ -38,8 +54,8 @@
         self.list_endpoints = list_endpoints
         self.rng = random.Random()
 
-    def has_crashed(self, endpoint):
-        """Return whether an endpoint has crashed, or restarted since.
+    def check(self, endpoint):
+        """Check whether an endpoint has crashed, or restarted since.
 
         Parameters
         ----------
@@ -47,19 +63,17 @@
 
         Returns
         -------
-        bool or None
-            None if it is unknown: nothing answers at all, the port is open
-            and the endpoint reports no start time, or it is closed and no
-            other endpoint is reached.
+        Finding
         """
         try:
             _connect(endpoint)
-        except ConnectionRefusedError:
-            return True if self._reaches_another(endpoint) else None
         except OSError as error:
-            LOG.debug('liveness of %s unknown: %s', endpoint.id, error)
-            return None
-        return self._has_restarted(endpoint)
+            LOG.debug('%s is not reached: %s', endpoint.id, error)
+            if not self._reaches_another(endpoint):
+                return Finding.CUT_OFF
+            is_closed = isinstance(error, ConnectionRefusedError)
+            return Finding.CRASHED if is_closed else Finding.UNKNOWN
+        return self._compare_start(endpoint)
 
     def _reaches_another(self, endpoint):
         """Return whether a connection to some other endpoint opens."""
@@ -73,16 +87,18 @@
                 LOG.debug('%s is not reached either: %s', other.id, error)
         return False
 
-    def _has_restarted(self, endpoint):
+    def _compare_start(self, endpoint):
         """Compare start times; a plain endpoint reports none."""
         if endpoint.holding is None or not endpoint.started:
-            return None
+            return Finding.UNKNOWN
         try:
             status = self.engines.status(endpoint, TIMEOUT_SECONDS)
         except exceptions.IbisringError as error:
             LOG.debug('no status of %s: %s', endpoint.id, error.detail)
-            return None
-        return status.started not in (0, endpoint.started)
+            return Finding.UNKNOWN
+        if status.started in (0, endpoint.started):
+            return Finding.RUNNING
+        return Finding.CRASHED
 
 
 def _connect(endpoint):
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -6,6 +6,7 @@
 import time
 
 from ibisring_gateway import exchange as exchange_module
+from ibisring_gateway import liveness
 from ibisring_policy.gateway import suspects
 from ibisring_router import logs
 from ibisring_web import serving
@@ -115,27 +116,32 @@
 
         Returns
         -------
-        bool or None
-            Whether the endpoint has crashed; None if that was not checked or
-            is unknown.
+        liveness.Finding or None
+            None if it was not checked.
         """
         if attempt.result is not None or attempt.events:
             return None
-        has_crashed = self.prober.has_crashed(attempt.endpoint)
+        finding = self.prober.check(attempt.endpoint)
         if self._may_be_cause(job, attempt):
-            if has_crashed:
+            if finding is liveness.Finding.CRASHED:
                 self._record_crash(job, attempt.endpoint)
-            elif has_crashed is None:
-                self._record_unresolved(job, attempt.endpoint)
-        return has_crashed
+            elif finding is not liveness.Finding.RUNNING:
+                is_cut_off = finding is liveness.Finding.CUT_OFF
+                self._record_unresolved(job, attempt.endpoint, is_cut_off)
+        return finding
 
-    def _record_unresolved(self, job, endpoint):
+    def _record_unresolved(self, job, endpoint, is_cut_off):
         """Record a loss that a later start of the endpoint may explain."""
         with self.view.lock:
             self.view.suspects.answer_lost(
-                job.digest, endpoint.id, endpoint.started, self.clock()
+                job.digest,
+                endpoint.id,
+                endpoint.started,
+                self.clock(),
+                counts=not is_cut_off,
             )
-        self.on_update()
+        if not is_cut_off:
+            self.on_update()
 
     def _may_be_cause(self, job, attempt):
         """Return whether the request may have caused a crash.
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -154,7 +154,7 @@
     def _handle_lost_answer(self, job, attempt, error):
         """Handle a failure after the request was written."""
         job.progress.may_have_run = True
-        has_crashed = self.screen.check_lost_answer(job, attempt)
+        finding = self.screen.check_lost_answer(job, attempt)
         if attempt.result is None or attempt.result is attempts.Result.SILENT:
             job.avoid.add(attempt.endpoint.id)
             with self.view.lock:
@@ -168,7 +168,7 @@
             digest=job.digest.hex(),
             endpoint=attempt.endpoint.id,
             end=attempt.result.value if attempt.result else None,
-            ended=has_crashed,
+            finding=finding.value if finding else None,
             ran_ms=round((self.clock() - attempt.sent_at) * MS_PER_SECOND),
             events=attempt.events,
             why=str(error),
--- a/packages/policy/ibisring_policy/gateway/suspects.py
+++ b/packages/policy/ibisring_policy/gateway/suspects.py
@@ -9,7 +9,8 @@
 An answer may be lost without a sign whether the endpoint crashed, for example
 where something else keeps its port open.  Such a loss is unresolved: it counts
 for a moment, until the same process answers another request, or until a later
-start shows that it crashed.
+start shows that it crashed.  A loss at a router that reaches no endpoint at all
+is most likely due to its own links: it counts only after such a later start.
 
 The evidence of all routers is combined: each sends the crashes that it has
 seen to others, which forward what is new to them.
@@ -22,6 +23,7 @@
 
 __all__ = ['Suspects', 'Verdict', 'SuspectUpdate', 'make_suspects']
 
+import math
 import zlib
 
 import msgspec
@@ -91,22 +93,42 @@
 
 
 class _Suspect(msgspec.Struct):
-    """`crashes` gives the monotonic time of each crash by its id."""
+    """`crashes` gives the monotonic time of each crash by its id.
+
+    `unresolved` and `cut_off` do so for unresolved losses, the latter for
+    those at a router that reached no endpoint.
+    """
 
     changed_at: float
     crashes: dict[int, float] = {}
     cleared_at: float = -1e9
     unresolved: dict[int, float] = {}
+    cut_off: dict[int, float] = {}
 
     @property
     def has_evidence(self):
         """Whether it has crashed an endpoint, or may have."""
-        return bool(self.crashes or self.unresolved)
+        return bool(self.crashes or self.unresolved or self.cut_off)
 
     def clear(self, before):
         """Drop the evidence up to a time."""
         self.crashes = _later(self.crashes, before)
         self.unresolved = _later(self.unresolved, before)
+        self.cut_off = _later(self.cut_off, before)
+
+    def forget_loss(self, crash_id, until):
+        """Drop a loss up to a time, since its cause is known."""
+        for losses in (self.unresolved, self.cut_off):
+            if losses.get(crash_id, math.inf) <= until:
+                del losses[crash_id]
+
+    def losses_elsewhere(self, processes):
+        """Remove the losses at other processes, and return them by id."""
+        found = {}
+        for losses in (self.unresolved, self.cut_off):
+            for crash_id in losses.keys() - processes:
+                found[crash_id] = losses.pop(crash_id)
+        return found
 
 
 def _later(times, than):
@@ -161,7 +183,7 @@
         """
         suspect = self._get_or_add(digest, now)
         crash_id = _crash_id(endpoint, started)
-        suspect.unresolved.pop(crash_id, None)
+        suspect.forget_loss(crash_id, now)
         self._add_crash(suspect, crash_id, now, now)
 
     def _add_crash(self, suspect, crash_id, at, now):
@@ -173,16 +195,27 @@
             self._mark_changed(suspect, now)
             self.local_changes += 1
 
-    def answer_lost(self, digest, endpoint, started, now):
+    def answer_lost(self, digest, endpoint, started, now, counts=True):
         """Record a lost answer of an endpoint that may have crashed.
 
-        Takes the same parameters as `crashed`.
+        Parameters
+        ----------
+        digest : bytes
+        endpoint : str
+        started : int
+        now : float
+        counts : bool
+            False if this router reached no endpoint: the loss restricts the
+            request only if a later start shows that the endpoint crashed.
         """
         suspect = self._get_or_add(digest, now)
         crash_id = _crash_id(endpoint, started)
         if crash_id in suspect.crashes:
             return
-        if len(suspect.unresolved) < MAX_KEPT_CRASHES:
+        if not counts:
+            if len(suspect.cut_off) < MAX_KEPT_CRASHES:
+                suspect.cut_off[crash_id] = now
+        elif len(suspect.unresolved) < MAX_KEPT_CRASHES:
             suspect.unresolved[crash_id] = now
             self._mark_changed(suspect, now)
             self.local_changes += 1
@@ -192,15 +225,15 @@
 
         The losses at the same process before that were no crashes.
         """
-        if not any(each.unresolved for each in self.by_digest.values()):
+        if not any(
+            each.unresolved or each.cut_off for each in self.by_digest.values()
+        ):
             return
         crash_id = _crash_id(endpoint, started)
         self.answered_at = _later(self.answered_at, now - RESTART_SECONDS)
         self.answered_at[crash_id] = now
         for suspect in self.by_digest.values():
-            lost_at = suspect.unresolved.get(crash_id)
-            if lost_at is not None and lost_at <= sent_at:
-                del suspect.unresolved[crash_id]
+            suspect.forget_loss(crash_id, sent_at)
 
     def processes_known(self, processes, now):
         """Turn losses at processes that have ended into crashes.
@@ -219,8 +252,8 @@
         charged = []
         current = {_crash_id(*process) for process in processes.items()}
         for digest, suspect in self.by_digest.items():
-            for crash_id in suspect.unresolved.keys() - current:
-                lost_at = suspect.unresolved.pop(crash_id)
+            found = suspect.losses_elsewhere(current)
+            for crash_id, lost_at in found.items():
                 if now - lost_at < RESTART_SECONDS:
                     self._add_crash(suspect, crash_id, lost_at, now)
                     charged.append(digest)
@@ -264,9 +297,9 @@
     def expire(self, now):
         """Drop suspects that have not changed for their time to live."""
         for digest, suspect in list(self.by_digest.items()):
-            suspect.unresolved = _later(
-                suspect.unresolved, now - RESTART_SECONDS
-            )
+            since = now - RESTART_SECONDS
+            suspect.unresolved = _later(suspect.unresolved, since)
+            suspect.cut_off = _later(suspect.cut_off, since)
             ttl = (
                 SUSPECT_TTL_SECONDS if suspect.crashes else CLEARED_TTL_SECONDS
             )
--- a/packages/policy/ibisring_policy/gateway/tests/test_suspects.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_suspects.py
@@ -156,6 +156,28 @@
     assert not suspects.verdict(POISON, until).refused_until
 
 
+def test_losses_at_a_router_that_is_cut_off_refuse_nothing():
+    """Guards against refusing an innocent body after three cuts."""
+    suspects = suspects_module.make_suspects()
+    for number in range(3):
+        suspects.answer_lost(
+            POISON, f'e{number}', 1, 100.0 + number, counts=False
+        )
+    assert suspects.verdict(POISON, 102.0) == suspects_module.Verdict()
+    updates = suspects.updates_to_send(102.0, random.Random(1))
+    assert not any(each.unresolved for each in updates)
+
+
+def test_a_later_start_charges_losses_at_a_router_that_was_cut_off():
+    """Guards against a crash that a cut of the same time hides."""
+    suspects = suspects_module.make_suspects()
+    for number in range(3):
+        suspects.answer_lost(POISON, f'e{number}', 1, 100.0, counts=False)
+    suspects.process_answered('e2', 1, 100.1, 100.2)
+    suspects.processes_known({f'e{n}': 2 for n in range(3)}, 106.0)
+    assert suspects.verdict(POISON, 106.0).crashes == 2
+
+
 def test_an_endpoint_that_still_answers_did_not_crash():
     """Failure: requests on a lossy link are taken for poison."""
     suspects = suspects_module.make_suspects()
