A crash is confirmed a moment later, since links are cut one by one

Cause: a refused port counted as a crash if another endpoint was reached in the same instant.

Change: the check waits 30 ms before it tries other endpoints, and then tries the endpoint again. The pause is injected.

The test replaces its timer of 10 ms by the pause itself, so it depends on no time; a second one covers links that come back.

--- a/packages/gateway/ibisring_gateway/liveness.py
+++ b/packages/gateway/ibisring_gateway/liveness.py
@@ -14,6 +14,7 @@
 import logging
 import random
 import socket
+import time
 
 from ibisring_records import exceptions
 
@@ -21,6 +22,8 @@
 # A closed port is refused within a network round trip, and the caller waits
 # in the meantime.
 TIMEOUT_SECONDS = 0.05
+# Pause before the result is confirmed; the caller waits for it, too.
+CONFIRM_SECONDS = 0.03
 # Other endpoints tried if one is not reached.
 MAX_WITNESSES = 3
 
@@ -47,11 +50,14 @@
     engines : ports.EngineControl
     list_endpoints : callable
         Returns all usable endpoints.
+    sleep : callable
+        Waits for some seconds.
     """
 
-    def __init__(self, engines, list_endpoints):
+    def __init__(self, engines, list_endpoints, sleep):
         self.engines = engines
         self.list_endpoints = list_endpoints
+        self.sleep = sleep
         self.rng = random.Random()
 
     def check(self, endpoint):
@@ -65,27 +71,29 @@
         -------
         Finding
         """
+        if _is_reached(endpoint):
+            return self._compare_start(endpoint)
+        # A router's links may be cut one after another, and come back so.
+        # Just after the first is cut the next endpoint is still reached, and
+        # the refused one would seem to have crashed.
+        self.sleep(CONFIRM_SECONDS)
+        if not self._reaches_another(endpoint):
+            return Finding.CUT_OFF
         try:
             _connect(endpoint)
+        except ConnectionRefusedError:
+            return Finding.CRASHED
         except OSError as error:
-            LOG.debug('%s is not reached: %s', endpoint.id, error)
-            if not self._reaches_another(endpoint):
-                return Finding.CUT_OFF
-            is_closed = isinstance(error, ConnectionRefusedError)
-            return Finding.CRASHED if is_closed else Finding.UNKNOWN
+            LOG.debug('liveness of %s unknown: %s', endpoint.id, error)
+            return Finding.UNKNOWN
         return self._compare_start(endpoint)
 
     def _reaches_another(self, endpoint):
         """Return whether a connection to some other endpoint opens."""
         others = [e for e in self.list_endpoints() if e.id != endpoint.id]
         count = min(MAX_WITNESSES, len(others))
-        for other in self.rng.sample(others, count):
-            try:
-                _connect(other)
-                return True
-            except OSError as error:
-                LOG.debug('%s is not reached either: %s', other.id, error)
-        return False
+        witnesses = self.rng.sample(others, count)
+        return any(_is_reached(each) for each in witnesses)
 
     def _compare_start(self, endpoint):
         """Compare start times; a plain endpoint reports none."""
@@ -101,12 +109,21 @@
         return Finding.CRASHED
 
 
+def _is_reached(endpoint):
+    try:
+        _connect(endpoint)
+    except OSError as error:
+        LOG.debug('%s is not reached: %s', endpoint.id, error)
+        return False
+    return True
+
+
 def _connect(endpoint):
     """Open a connection and close it; raises `OSError` if that fails."""
     host, _, port = endpoint.address.rpartition(':')
     socket.create_connection((host, int(port)), TIMEOUT_SECONDS).close()
 
 
-def make_prober(engines, list_endpoints):
+def make_prober(engines, list_endpoints, sleep=time.sleep):
     """Make a `Prober`."""
-    return Prober(engines, list_endpoints)
+    return Prober(engines, list_endpoints, sleep)
--- a/packages/gateway/ibisring_gateway/tests/test_liveness.py
+++ b/packages/gateway/ibisring_gateway/tests/test_liveness.py
@@ -1,7 +1,6 @@
 """Tests of detecting crashed endpoints."""
 
 import socket
-import threading
 
 from ibisring_gateway import liveness
 from ibisring_gateway import ports
@@ -34,8 +33,8 @@
     return f'127.0.0.1:{listener.getsockname()[1]}'
 
 
-def _prober(engines, others=()):
-    return liveness.make_prober(engines, lambda: list(others))
+def _prober(engines, others=(), sleep=lambda seconds: None):
+    return liveness.make_prober(engines, lambda: list(others), sleep)
 
 
 def _closed_endpoint(name):
@@ -74,11 +73,27 @@
     """Guards against a crash seen while links are cut one after another."""
     endpoint = _closed_endpoint('x')
     other = build.endpoint('y', address=_address(listener))
-    prober = _prober(builders.Engines(), [endpoint, other])
-    threading.Timer(0.01, listener.close).start()
+    prober = _prober(
+        builders.Engines(), [endpoint, other], lambda seconds: listener.close()
+    )
     assert prober.check(endpoint) is Finding.CUT_OFF
 
 
+def test_an_endpoint_whose_link_is_back_a_moment_later_did_not_crash(listener):
+    """Guards against a crash seen while links come back one after another."""
+    endpoint = _closed_endpoint('x')
+    other = build.endpoint('y', address=_address(listener))
+    host, _, port = endpoint.address.rpartition(':')
+    opened = []
+
+    def reopen(seconds):
+        opened.append(socket.create_server((host, int(port))))
+
+    prober = _prober(builders.Engines(), [endpoint, other], reopen)
+    assert prober.check(endpoint) is Finding.UNKNOWN
+    opened[0].close()
+
+
 def test_open_port_alone_does_not_show_whether_there_was_a_crash(listener):
     """Failure: a crash behind an open port is charged to no request."""
     endpoint = build.endpoint(address=_address(listener))
--- a/packages/policy/ibisring_policy/gateway/suspects.py
+++ b/packages/policy/ibisring_policy/gateway/suspects.py
@@ -9,8 +9,8 @@
 An answer may be lost without a sign whether the endpoint crashed, for example
 where something else keeps its port open.  Such a loss is unresolved: it counts
 for a moment, until the same process answers another request, or until a later
-start shows that it crashed.  A loss at a router that reaches no endpoint at all
-is most likely due to its own links: it counts only after such a later start.
+start shows that it crashed.  A loss at a router that reaches no endpoint at
+all is most likely due to its own links: it counts only after such a start.
 
 The evidence of all routers is combined: each sends the crashes that it has
 seen to others, which forward what is new to them.
