A reload signal during a start no longer ends the process

Until run() installs the handlers, the signal's default action ends the process; its libraries take a fifth of a second to import.

--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -292,21 +292,22 @@
         body = self.metrics.text().encode()
         call.answer(200, [('Content-Type', 'text/plain')], body)
 
-    def run(self, path):
+    def run(self, path, early_signals=()):
         """Run until a signal to stop.
 
         Parameters
         ----------
         path : str
             Settings file, reloaded at SIGHUP.
+        early_signals : sequence of int
+            Arrived before this call; handled first.
         """
         self.log_writer = logwriter.configure(self.settings.log_level)
         for signal_number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(signal_number, self._on_signal)
+        self.signals[:0] = early_signals
         self.start()
         while True:
-            self.signalled.wait()
-            self.signalled.clear()
             while self.signals:
                 signal_number = self.signals.pop(0)
                 if signal_number == signal.SIGHUP:
@@ -314,6 +315,8 @@
                 else:
                     self.shut_down()
                     return
+            self.signalled.wait()
+            self.signalled.clear()
 
     def _on_signal(self, signal_number, frame):
         self.signals.append(signal_number)
