A link that is cut keeps its port in the stand-ins

Cause: a closed port is free, and the kernel gives it to another listener or to an outgoing connection, of which a run has thousands.

Change: a bound socket that does not listen keeps the port; connections to it are refused as before. Tests: test_proxy.

--- a/packages/soak/ibisring_soak/proxy.py
+++ b/packages/soak/ibisring_soak/proxy.py
@@ -75,6 +75,7 @@
         self.dropped_directions = set()
         self.closed_port = None
         self.hanging = []
+        self.keeper = None
         self.connections = set()
         self.lock = threading.Lock()
         self.listener = socket.create_server(('127.0.0.1', 0), backlog=BACKLOG)
@@ -122,6 +123,14 @@
             self.listener.shutdown(socket.SHUT_RDWR)
         self.listener.close()
         self.closed_port = port
+        self._keep_port()
+
+    def _keep_port(self):
+        """Bind the closed port; the kernel would give it to a connection."""
+        keeper = socket.socket()
+        keeper.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        keeper.bind(('127.0.0.1', self.closed_port))
+        self.keeper = keeper
 
     def hang(self):
         """Let new connections hang, as packets that are dropped do."""
@@ -141,11 +150,12 @@
 
     def restart(self):
         """Listen on the same port after a crash."""
+        address = '127.0.0.1', self.closed_port
         for sock in self.hanging:
             sock.close()
         self.hanging = []
-        address = '127.0.0.1', self.closed_port
         self.listener = socket.create_server(address, backlog=BACKLOG)
+        self.keeper.close()
         self.closed_port = None
         threading.Thread(target=self._accept, daemon=True).start()
 
@@ -156,6 +166,8 @@
             self.listener.shutdown(socket.SHUT_RDWR)
         for sock in [self.listener, *self.hanging]:
             sock.close()
+        if self.keeper is not None:
+            self.keeper.close()
         for connection in self._open_connections():
             connection.close()
 
