Gossip in three modules: the message, receiving it, sending it

The message goes to gossipmessages, what a received one changes to gossipreceiving; building one is split by what it tells, receiving by what it changes, and process.__init__ by parts.

--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -1,6 +1,6 @@
 """UDP gossip in which routers exchange their load and endpoint health."""
 
-__all__ = ['Message', 'Gossip', 'make_gossip']
+__all__ = ['Gossip', 'make_gossip']
 
 import logging
 import math
@@ -11,184 +11,18 @@
 import msgspec
 
 from ibisring_gateway import changes as changes_module
-from ibisring_gateway import directory
-from ibisring_gateway import peers as peers_module
+from ibisring_gateway import gossipmessages
+from ibisring_gateway import gossipreceiving
 from ibisring_policy.gateway import gossipschedule
-from ibisring_policy.gateway import layerorders
-from ibisring_policy.gateway import peerreports
 from ibisring_policy.gateway import positions
-from ibisring_policy.gateway import ratelimits
-from ibisring_policy.gateway import relays
 from ibisring_policy.gateway import storereaders
-from ibisring_policy.gateway import suspects as suspects_module
-from ibisring_records import exceptions
-from ibisring_records import routing
-from ibisring_router import logs
 
 LOG = logging.getLogger(__name__)
 MAX_DATAGRAM_BYTES = 60000
-SECOND_MS = 1000.0
-TABLE = peers_module.TABLE
-ENDPOINTS = peers_module.ENDPOINTS
-
-
-class Message(msgspec.Struct, array_like=True):
-    """Gossip message of one router.
-
-    Messages are encoded as arrays, so the order of the fields is the format.
-    An older release ignores the fields that it does not know.  Fields that
-    it does not send have their defaults, which describe a router that reads
-    the store for itself only.
-
-    Attributes
-    ----------
-    router : str
-        Id of the sender.
-    tokens : dict of str to int
-        Tokens times layers that the sender has in flight, by engine.
-    unreachable : list of str
-        Engines that the sender has recently found unreachable.
-    endpoints_version : int
-        Store version of the last change of endpoints known to the sender.
-    table_version : int
-        Version of the routing table in force at the sender.
-    slowdowns : dict of str to float
-        Slowdown factors of the engines that the sender found slow.
-    store_status : layerorders.StoreStatus
-        What the sender has seen of the store: unknown, following or lost.
-    term : int
-        Highest lease term known to the sender.
-    holdings : dict of str to (int, int, int)
-        Start time, first layer and end of the layers that engines reported
-        to the sender during a store outage.
-    refusing : list of str
-        Engines that refuse the sender's requests.
-    domain : str
-        The sender's failure domain.
-    store_lost_ms : int or None
-        Milliseconds since the sender last lost the store, None if never.
-    store_access : storereaders.StoreAccess
-        Whether the store serves the sender; decides which routers read it.
-    router_counts : dict of str to (int, int)
-        Running routers by failure domain, and milliseconds since a router of
-        that domain reported the number.
-    position, table_position : int
-        Store versions up to which the sender knows endpoints and table.
-    endpoints_era, table_era : int
-        Eras of the store versions of endpoints and table.
-    leaving : dict of str to int
-        Start times of endpoints that have said that they leave.
-    age_ms : int
-        Milliseconds since the older of the two was read.
-    changes : bytes
-        Packed `changes.Changes` that the sender has just read.
-    link : float
-        Speed of the link of the sender's VM in Mbit/s, 0 if unknown.
-    reads_store : bool
-        Whether the sender calls the store.
-    loads : dict of str to (int, int)
-        Outstanding requests that endpoints reported to the sender, and
-        milliseconds since.
-    recovered : list of str
-        Engines found unreachable that have answered the sender again.
-    suspects : list of suspects.SuspectUpdate
-        Requests during which endpoints have crashed.
-    limits : dict of str to ratelimits.LimitUpdate
-        Request rates that endpoints accept from all routers together.
-    takes_requests : bool
-        Whether the sender serves requests that other routers hand over.
-    active : int
-        Requests that the sender runs.
-    cut_from : list of str
-        Services whose endpoints the sender can't reach.
-    """
-
-    router: str
-    tokens: dict[str, int]
-    unreachable: list[str]
-    endpoints_version: int = 0
-    table_version: int = 0
-    slowdowns: dict[str, float] = {}
-    store_status: layerorders.StoreStatus = layerorders.StoreStatus.FOLLOWING
-    term: int = 0
-    holdings: dict[str, tuple[int, int, int]] = {}
-    refusing: list[str] = []
-    domain: str = ''
-    store_lost_ms: int | None = None
-    store_access: storereaders.StoreAccess = storereaders.StoreAccess.UNSURE
-    router_counts: dict[str, tuple[int, int]] = {}
-    position: int = 0
-    table_position: int = 0
-    age_ms: int = 0
-    changes: bytes = b''
-    link: float = 0.0
-    reads_store: bool = False
-    loads: dict[str, tuple[int, int]] = {}
-    recovered: list[str] = []
-    suspects: list[suspects_module.SuspectUpdate] = []
-    limits: dict[str, ratelimits.LimitUpdate] = {}
-    endpoints_era: int = 0
-    table_era: int = 0
-    leaving: dict[str, int] = {}
-    takes_requests: bool = False
-    active: int = 0
-    cut_from: list[str] = []
-
-    @property
-    def era(self):
-        """The latest era known to the sender."""
-        return max(self.endpoints_era, self.table_era)
-
-    @property
-    def newest_endpoints(self):
-        """The position of `endpoints_version`."""
-        return positions.make(self.endpoints_era, self.endpoints_version)
-
-    @property
-    def read_endpoints(self):
-        """The position up to which the sender knows endpoints."""
-        return positions.make(self.endpoints_era, self.position)
-
-    @property
-    def read_table(self):
-        """The position up to which the sender knows the table."""
-        return positions.make(self.table_era, self.table_position)
-
-
-# Fields whose change others act upon at once, unlike load and router names.
-_PROMPT_FIELDS = (
-    'unreachable',
-    'recovered',
-    'slowdowns',
-    'refusing',
-    'holdings',
-    'leaving',
-    'takes_requests',
-    'cut_from',
-    'endpoints_version',
-    'endpoints_era',
-    'table_version',
-    'store_status',
-    'term',
-)
-# Fields whose change is sent to the whole failure domain at once.  Changes of
-# the tables are not among them: `send_changes` sends them as they are read.
-_URGENT_FIELDS = (
-    'unreachable',
-    'recovered',
-    'slowdowns',
-    'refusing',
-    'holdings',
-    'leaving',
-    'takes_requests',
-    'cut_from',
-    'store_status',
-    'store_access',
-)
 
 
 class Gossip:
-    """Sends and receives `Message` datagrams.
+    """Sends and receives `gossipmessages.Message` datagrams.
 
     Each datagram holds the whole state, so the next one makes up for a lost
     one.  No decision depends on delivery.
@@ -205,10 +39,9 @@
 
     Attributes
     ----------
+    receiver : gossipreceiving.Receiver
     bytes_sent, bytes_received : int
         Payload bytes of the datagrams, without headers.
-    alive_engines : callable
-        Returns the engines that have just sent this router an event.
     own_service : callable
         Returns whether this router takes requests, and how many it runs.
     """
@@ -217,9 +50,10 @@
         self.settings = settings
         self.view = view
         self.peers = peers
-        self.tell_directory = tell_directory
+        self.receiver = gossipreceiving.make_receiver(
+            view, peers, tell_directory
+        )
         self.rng = random.Random()
-        self.alive_engines = frozenset
         self.own_service = lambda: (False, 0)
         self.bytes_sent = 0
         self.bytes_received = 0
@@ -265,60 +99,66 @@
 
     def _message(self, now):
         """Build the message that describes this router now."""
+        message = gossipmessages.Message(self.settings.router_id, {}, [])
+        message.domain = self.settings.failure_domain
+        message.takes_requests, message.active = self.own_service()
+        message.term = self.view.term
+        message.holdings = self.view.holdings_to_send(now)
+        message.leaving = self.view.leaving_to_send(now)
+        message.router_counts = self.peers.peer_reports.counts_to_send(now)
+        self._add_engines(message, now)
+        self._add_store_access(message, now)
+        self._add_positions(message, now)
+        return message
+
+    def _add_engines(self, message, now):
+        """Add what this router has seen of endpoints and their requests."""
+        share = self._repeat_share()
         with self.view.lock:
-            book = self.view.estimates
-            tokens = {n: int(each) for n, each in book.own_tokens().items()}
-            unreachable = book.recently_dead(
-                now, self.view.links.connected_at()
+            estimates = self.view.estimates
+            tokens = estimates.own_tokens()
+            message.tokens = {n: int(each) for n, each in tokens.items()}
+            connected_at = self.view.links.connected_at()
+            message.unreachable = estimates.recently_dead(now, connected_at)
+            message.recovered = estimates.recently_recovered(now)
+            message.slowdowns = estimates.recently_slow(now)
+            message.refusing = estimates.refusing(now)
+            message.loads = estimates.loads_to_send(now)
+            message.cut_from = self.view.links.cut_services()
+            message.suspects = self.view.suspects.updates_to_send(
+                now, self.rng, share
             )
-            slowdowns = book.recently_slow(now)
-            refusing = book.refusing(now)
-            loads = book.loads_to_send(now)
-            recovered = book.recently_recovered(now)
-            share = self._repeat_share()
-            suspects = self.view.suspects.updates_to_send(now, self.rng, share)
-            limits = self.view.limits.updates_to_send(now, self.rng, share)
-            cut_from = self.view.links.cut_services()
+            message.limits = self.view.limits.updates_to_send(
+                now, self.rng, share
+            )
+
+    def _add_store_access(self, message, now):
+        """Add how well this router reaches the store."""
+        own = self.peers.own_store_access()
+        message.store_access = own.store_access
+        message.link = own.link
+        message.reads_store = own.reads_store
+        message.store_status = self.view.store_status
+        message.store_lost_ms = self._store_lost_ms(now)
+
+    def _add_positions(self, message, now):
+        """Add the versions of table and endpoints that are in force.
+
+        Those only read are left out: they may not be applied yet, and
+        receivers would take them for known.
+        """
         snapshot = self.view.snapshot
         read_at = min(snapshot.table_read_at, snapshot.endpoints_read_at)
-        own = self.peers.own_store_access()
-        endpoints_era = positions.era(snapshot.position)
-        takes_requests, active = self.own_service()
+        message.age_ms = int((now - read_at) * gossipmessages.SECOND_MS)
+        message.table_version = snapshot.version
+        message.table_era = positions.era(snapshot.table_position)
+        message.table_position = positions.version(snapshot.table_position)
+        message.endpoints_era = positions.era(snapshot.position)
+        message.position = positions.version(snapshot.position)
         # Nothing may have changed in the present era yet.
-        newest = max(snapshot.newest_version, positions.make(endpoints_era, 0))
-        return Message(
-            self.settings.router_id,
-            tokens,
-            unreachable,
-            endpoints_version=positions.version(newest),
-            table_version=snapshot.version,
-            slowdowns=slowdowns,
-            store_status=self.view.store_status,
-            term=self.view.term,
-            holdings=self.view.holdings_to_send(now),
-            refusing=refusing,
-            domain=self.settings.failure_domain,
-            store_lost_ms=self._store_lost_ms(now),
-            store_access=own.store_access,
-            router_counts=self.peers.peer_reports.counts_to_send(now),
-            # The version in force, not the one read: what was just read may
-            # not be applied yet, and receivers would take it for known.
-            position=positions.version(snapshot.position),
-            table_position=positions.version(snapshot.table_position),
-            age_ms=int((now - read_at) * SECOND_MS),
-            link=own.link,
-            reads_store=own.reads_store,
-            loads=loads,
-            recovered=recovered,
-            suspects=suspects,
-            limits=limits,
-            endpoints_era=endpoints_era,
-            table_era=positions.era(snapshot.table_position),
-            leaving=self.view.leaving_to_send(now),
-            takes_requests=takes_requests,
-            active=active,
-            cut_from=cut_from,
-        )
+        era_start = positions.make(message.endpoints_era, 0)
+        newest = max(snapshot.newest_version, era_start)
+        message.endpoints_version = positions.version(newest)
 
     def _repeat_share(self):
         """Return the share of messages that repeat old suspects and limits.
@@ -335,27 +175,21 @@
         )
 
     def _send(self):
+        """Send a message, if one is due, to some of the other routers."""
         now = self.view.clock()
         message = self._message(now)
-        lost_at = self.peers.followers.lost_at
-        suspects, limits = self.view.suspects, self.view.limits
-        prompt_state = [getattr(message, name) for name in _PROMPT_FIELDS]
-        prompt_state += [
-            lost_at,
-            suspects.changes,
-            limits.changes,
-            limits.endpoints_in_demand(now),
-        ]
         rows = {row.name: row for row in self.peers.others()}
         reach_share = min(
             1.0, gossipschedule.MAX_BROADCAST_PEERS / max(1, len(rows))
         )
-        memory_use = self.view.estimates.max_memory_use
-        urgent_state = [getattr(message, name) for name in _URGENT_FIELDS]
-        urgent_state += [lost_at, suspects.local_changes, limits.changes]
-        is_urgent = self.urgent_schedule.has_recent_change(now, urgent_state)
+        is_urgent = self.urgent_schedule.has_recent_change(
+            now, self._urgent_state(message)
+        )
         if not self.schedule.is_due(
-            now, prompt_state, memory_use, reach_share
+            now,
+            self._prompt_state(message, now),
+            self.view.estimates.max_memory_use,
+            reach_share,
         ):
             return
         local_names = [name for name in rows if self.peers.is_local(name)]
@@ -368,6 +202,25 @@
         )
         self._send_to([rows[name] for name in names], message)
 
+    def _prompt_state(self, message, now):
+        """Return what makes a message due at once when it changes."""
+        return [
+            *(getattr(message, n) for n in gossipmessages.PROMPT_FIELDS),
+            self.peers.followers.lost_at,
+            self.view.suspects.changes,
+            self.view.limits.changes,
+            self.view.limits.endpoints_in_demand(now),
+        ]
+
+    def _urgent_state(self, message):
+        """Return what is sent to the whole domain when it changes."""
+        return [
+            *(getattr(message, n) for n in gossipmessages.URGENT_FIELDS),
+            self.peers.followers.lost_at,
+            self.view.suspects.local_changes,
+            self.view.limits.changes,
+        ]
+
     def _in_domains_of_engines(self, engines, remote_names, rows):
         """Return the routers in the domains of the engines given.
 
@@ -388,7 +241,7 @@
         return [name for name in remote_names if rows[name].domain in domains]
 
     def _send_to(self, rows, message):
-        data = msgspec.msgpack.encode(message)
+        data = gossipmessages.encode(message)
         if len(data) > MAX_DATAGRAM_BYTES:
             LOG.warning('gossip message too large: %s bytes', len(data))
             return
@@ -440,7 +293,9 @@
     def _store_lost_ms(self, now):
         lost_at = self.peers.followers.lost_at
         return (
-            None if math.isinf(lost_at) else int((now - lost_at) * SECOND_MS)
+            None
+            if math.isinf(lost_at)
+            else int((now - lost_at) * gossipmessages.SECOND_MS)
         )
 
     def _receive_loop(self):
@@ -448,7 +303,7 @@
             try:
                 data, source = self.socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
                 self.bytes_received += len(data)
-                message = msgspec.msgpack.decode(data, type=Message)
+                message = gossipmessages.decode(data)
             except OSError as error:
                 LOG.debug('receiving gossip failed: %s', error)
                 self.stopped.wait(gossipschedule.CHECK_SECONDS)
@@ -456,205 +311,7 @@
             except msgspec.MsgspecError as error:
                 LOG.warning('unreadable gossip message: %s', error)
                 continue
-            self.receive(message, source)
-
-    def receive(self, message, source):
-        """Apply a message of another router.
-
-        Parameters
-        ----------
-        message : Message
-        source : (str, int)
-            Address of the sender.
-        """
-        now = self.view.clock()
-        if message.era:
-            self.peers.followers.note_era(message.era)
-        with self.view.lock:
-            newly_dead = self.view.estimates.merge_gossip(
-                message.router,
-                message.tokens,
-                self._credible(message.unreachable),
-                now,
-                message.slowdowns,
-                message.refusing,
-            )
-            self.view.estimates.merge_loads(message.loads, now)
-            self.view.estimates.merge_recovered(message.recovered, now)
-        if newly_dead:
-            logs.event(
-                LOG,
-                'unreachable_reported',
-                endpoints=newly_dead,
-                origin=f'router {message.router}',
-            )
-        self._apply_suspects(message, now)
-        self._apply_limits(message, now)
-        self._apply_leaving(message)
-        self._record_peer(message, f'{source[0]}:{source[1]}', now)
-        if message.changes:
-            self._apply_changes(message)
-        elif message.store_access is storereaders.StoreAccess.SERVED:
-            self._apply_confirmation(message)
-        self.view.term = max(self.view.term, message.term)
-        for name, (started, first, end) in message.holdings.items():
-            holding = routing.Holding(first, end) if end > first else None
-            self.tell_directory(
-                directory.HoldingReport(name, started, holding)
-            )
-        snapshot = self.view.snapshot
-        is_behind = message.newest_endpoints > max(
-            snapshot.newest_version, snapshot.position
-        )
-        if is_behind or message.table_version > snapshot.version:
-            versions = {
-                TABLE: message.table_version,
-                ENDPOINTS: message.newest_endpoints,
-            }
-            self.peers.note_newer(message.router, now, versions)
-
-    def _credible(self, unreachable):
-        """Leave out engines of which this router has just had an event."""
-        if not unreachable:
-            return unreachable
-        alive = self.alive_engines()
-        return [name for name in unreachable if name not in alive]
-
-    def _apply_suspects(self, message, now):
-        suspects = self.view.suspects
-        with self.view.lock:
-            added = suspects.receive_updates(message.suspects, now)
-            crashes = [
-                suspects.verdict(digest, now).crashes for digest in added
-            ]
-        for digest, count in zip(added, crashes):
-            logs.event(
-                LOG,
-                'suspect',
-                digest=digest.hex(),
-                ends=count,
-                origin=f'router {message.router}',
-            )
-
-    def _apply_limits(self, message, now):
-        endpoints = self.view.snapshot.endpoints
-        starts = {
-            name: endpoints[name].started
-            for name in message.limits
-            if name in endpoints
-        }
-        with self.view.lock:
-            updated = self.view.limits.receive_updates(
-                message.router, message.domain, message.limits, now, starts
-            )
-        for name in updated:
-            logs.event(
-                LOG,
-                'endpoint_limit',
-                endpoint=name,
-                rate=message.limits[name].rate,
-                origin=f'router {message.router}',
-            )
-
-    def _apply_leaving(self, message):
-        known = self.view.snapshot.leaving
-        origin = f'router {message.router}'
-        for name, started in message.leaving.items():
-            if name not in known or known[name][0] < started:
-                self.tell_directory(
-                    directory.LeavingReport(name, started, origin)
-                )
-
-    def _record_peer(self, message, address, now):
-        """Record that a router runs, and the router counts that it sent.
-
-        One that knows an earlier era only, or is of a release that knows of
-        none, sends no changes that could be applied here: it is no reader.
-        """
-        own_era = positions.era(self.view.snapshot.position)
-        store_access = message.store_access
-        if message.endpoints_era < own_era:
-            store_access = storereaders.StoreAccess.UNSURE
-        report = peerreports.PeerReport(
-            name=message.router,
-            domain=message.domain,
-            received_at=now,
-            store_status=message.store_status,
-            neighbour=storereaders.Neighbour(
-                message.router,
-                store_access,
-                message.link,
-                message.reads_store,
-            ),
-            relay_state=relays.PeerState(
-                message.takes_requests,
-                message.active,
-                frozenset(message.cut_from),
-            ),
-        )
-        self.peers.receive_report(report, address, message.store_lost_ms)
-        self.peers.peer_reports.receive_counts(
-            message.router_counts, message.domain, now
-        )
-
-    def _apply_changes(self, message):
-        """Apply changes that the sender has just read from the store.
-
-        They are dropped if this router has missed earlier ones, which it
-        detects from the versions in others' messages.
-        """
-        try:
-            changes = changes_module.unpack(message.changes)
-        except exceptions.MalformedMessage as error:
-            LOG.warning('unreadable changes in gossip: %s', error.detail)
-            return
-        name = TABLE if changes.is_table else ENDPOINTS
-        index = self.view.snapshot.index
-        items = changes.items(index.table if index else None)
-        if items is None or not self.peers.followers.apply_changes(
-            name, changes
-        ):
-            return
-        _, position, newest = changes.positions
-        self.tell_directory(
-            directory.ReadResult(
-                items,
-                False,
-                origin=f'router {message.router}',
-                is_table=changes.is_table,
-                position=position,
-                newest_version=newest,
-            )
-        )
-
-    def _apply_confirmation(self, message):
-        """Record the versions of a sender that the store answers.
-
-        Only routers of the same failure domain count, and no earlier eras:
-        what is current there says nothing of this one.
-        """
-        if not self.peers.is_local(message.router):
-            return
-        snapshot = self.view.snapshot
-        if message.endpoints_era < positions.era(snapshot.position):
-            return
-        if message.table_era < positions.era(snapshot.table_position):
-            return
-        followers = self.peers.followers
-        if message.table_version == snapshot.version:
-            followers.confirm(TABLE, message.read_table)
-        if message.newest_endpoints <= followers.position(ENDPOINTS):
-            followers.confirm(ENDPOINTS, message.read_endpoints)
-        age = message.age_ms / SECOND_MS
-        self.tell_directory(
-            directory.Confirmed(
-                message.table_version,
-                message.read_table,
-                message.newest_endpoints,
-                message.read_endpoints,
-                age,
-            )
-        )
+            self.receiver.receive(message, source)
 
 
 def make_gossip(settings, view, peers, tell_directory):
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/gossipmessages.py
@@ -0,0 +1,183 @@
+"""The message in which a router tells others its state."""
+
+__all__ = ['Message', 'decode', 'encode']
+
+import msgspec
+
+from ibisring_policy.gateway import layerorders
+from ibisring_policy.gateway import positions
+from ibisring_policy.gateway import ratelimits
+from ibisring_policy.gateway import storereaders
+from ibisring_policy.gateway import suspects as suspects_module
+
+SECOND_MS = 1000.0
+
+
+class Message(msgspec.Struct, array_like=True):
+    """Gossip message of one router.
+
+    Messages are encoded as arrays, so the order of the fields is the format.
+    An older release ignores the fields that it does not know.  Fields that
+    it does not send have their defaults, which describe a router that reads
+    the store for itself only.
+
+    Attributes
+    ----------
+    router : str
+        Id of the sender.
+    tokens : dict of str to int
+        Tokens times layers that the sender has in flight, by engine.
+    unreachable : list of str
+        Engines that the sender has recently found unreachable.
+    endpoints_version : int
+        Store version of the last change of endpoints known to the sender.
+    table_version : int
+        Version of the routing table in force at the sender.
+    slowdowns : dict of str to float
+        Slowdown factors of the engines that the sender found slow.
+    store_status : layerorders.StoreStatus
+        What the sender has seen of the store: unknown, following or lost.
+    term : int
+        Highest lease term known to the sender.
+    holdings : dict of str to (int, int, int)
+        Start time, first layer and end of the layers that engines reported
+        to the sender during a store outage.
+    refusing : list of str
+        Engines that refuse the sender's requests.
+    domain : str
+        The sender's failure domain.
+    store_lost_ms : int or None
+        Milliseconds since the sender last lost the store, None if never.
+    store_access : storereaders.StoreAccess
+        Whether the store serves the sender; decides which routers read it.
+    router_counts : dict of str to (int, int)
+        Running routers by failure domain, and milliseconds since a router of
+        that domain reported the number.
+    position, table_position : int
+        Store versions up to which the sender knows endpoints and table.
+    endpoints_era, table_era : int
+        Eras of the store versions of endpoints and table.
+    leaving : dict of str to int
+        Start times of endpoints that have said that they leave.
+    age_ms : int
+        Milliseconds since the older of the two was read.
+    changes : bytes
+        Packed `changes.Changes` that the sender has just read.
+    link : float
+        Speed of the link of the sender's VM in Mbit/s, 0 if unknown.
+    reads_store : bool
+        Whether the sender calls the store.
+    loads : dict of str to (int, int)
+        Outstanding requests that endpoints reported to the sender, and
+        milliseconds since.
+    recovered : list of str
+        Engines found unreachable that have answered the sender again.
+    suspects : list of suspects.SuspectUpdate
+        Requests during which endpoints have crashed.
+    limits : dict of str to ratelimits.LimitUpdate
+        Request rates that endpoints accept from all routers together.
+    takes_requests : bool
+        Whether the sender serves requests that other routers hand over.
+    active : int
+        Requests that the sender runs.
+    cut_from : list of str
+        Services whose endpoints the sender can't reach.
+    """
+
+    router: str
+    tokens: dict[str, int]
+    unreachable: list[str]
+    endpoints_version: int = 0
+    table_version: int = 0
+    slowdowns: dict[str, float] = {}
+    store_status: layerorders.StoreStatus = layerorders.StoreStatus.FOLLOWING
+    term: int = 0
+    holdings: dict[str, tuple[int, int, int]] = {}
+    refusing: list[str] = []
+    domain: str = ''
+    store_lost_ms: int | None = None
+    store_access: storereaders.StoreAccess = storereaders.StoreAccess.UNSURE
+    router_counts: dict[str, tuple[int, int]] = {}
+    position: int = 0
+    table_position: int = 0
+    age_ms: int = 0
+    changes: bytes = b''
+    link: float = 0.0
+    reads_store: bool = False
+    loads: dict[str, tuple[int, int]] = {}
+    recovered: list[str] = []
+    suspects: list[suspects_module.SuspectUpdate] = []
+    limits: dict[str, ratelimits.LimitUpdate] = {}
+    endpoints_era: int = 0
+    table_era: int = 0
+    leaving: dict[str, int] = {}
+    takes_requests: bool = False
+    active: int = 0
+    cut_from: list[str] = []
+
+    @property
+    def era(self):
+        """The latest era known to the sender."""
+        return max(self.endpoints_era, self.table_era)
+
+    @property
+    def newest_endpoints(self):
+        """The position of `endpoints_version`."""
+        return positions.make(self.endpoints_era, self.endpoints_version)
+
+    @property
+    def read_endpoints(self):
+        """The position up to which the sender knows endpoints."""
+        return positions.make(self.endpoints_era, self.position)
+
+    @property
+    def read_table(self):
+        """The position up to which the sender knows the table."""
+        return positions.make(self.table_era, self.table_position)
+
+
+# Fields whose change others act upon at once, unlike load and router names.
+PROMPT_FIELDS = (
+    'unreachable',
+    'recovered',
+    'slowdowns',
+    'refusing',
+    'holdings',
+    'leaving',
+    'takes_requests',
+    'cut_from',
+    'endpoints_version',
+    'endpoints_era',
+    'table_version',
+    'store_status',
+    'term',
+)
+# Fields whose change is sent to the whole failure domain at once.  Changes of
+# the tables are not among them: `send_changes` sends them as they are read.
+URGENT_FIELDS = (
+    'unreachable',
+    'recovered',
+    'slowdowns',
+    'refusing',
+    'holdings',
+    'leaving',
+    'takes_requests',
+    'cut_from',
+    'store_status',
+    'store_access',
+)
+
+
+def encode(message):
+    """Return the bytes of a message."""
+    return msgspec.msgpack.encode(message)
+
+
+def decode(data):
+    """Return the message of some bytes.
+
+    Raises
+    ------
+    msgspec.MsgspecError
+    """
+    return msgspec.msgpack.decode(data, type=Message)
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -0,0 +1,258 @@
+"""Applies the gossip messages of other routers."""
+
+__all__ = ['Receiver', 'make_receiver']
+
+import logging
+
+from ibisring_gateway import changes as changes_module
+from ibisring_gateway import directory
+from ibisring_gateway import gossipmessages
+from ibisring_gateway import peers as peers_module
+from ibisring_policy.gateway import peerreports
+from ibisring_policy.gateway import positions
+from ibisring_policy.gateway import relays
+from ibisring_policy.gateway import storereaders
+from ibisring_records import exceptions
+from ibisring_records import routing
+from ibisring_router import logs
+
+LOG = logging.getLogger(__name__)
+TABLE = peers_module.TABLE
+ENDPOINTS = peers_module.ENDPOINTS
+
+
+class Receiver:
+    """Applies messages to the view, the peers and the directory.
+
+    Parameters
+    ----------
+    view : view.View
+    peers : peers.Peers
+    tell_directory : callable
+        Takes messages for the `directory.Directory`.
+
+    Attributes
+    ----------
+    alive_engines : callable
+        Returns the engines that have just sent this router an event.
+    """
+
+    def __init__(self, view, peers, tell_directory):
+        self.view = view
+        self.peers = peers
+        self.tell_directory = tell_directory
+        self.alive_engines = frozenset
+
+    def receive(self, message, source):
+        """Apply a message of another router.
+
+        Parameters
+        ----------
+        message : gossipmessages.Message
+        source : (str, int)
+            Address of the sender.
+        """
+        now = self.view.clock()
+        if message.era:
+            self.peers.followers.note_era(message.era)
+        self._apply_estimates(message, now)
+        self._apply_suspects(message, now)
+        self._apply_limits(message, now)
+        self._apply_leaving(message)
+        self._record_peer(message, f'{source[0]}:{source[1]}', now)
+        if message.changes:
+            self._apply_changes(message)
+        elif message.store_access is storereaders.StoreAccess.SERVED:
+            self._apply_confirmation(message)
+        self.view.term = max(self.view.term, message.term)
+        self._apply_holdings(message)
+        self._note_newer(message, now)
+
+    def _apply_estimates(self, message, now):
+        estimates = self.view.estimates
+        with self.view.lock:
+            newly_dead = estimates.merge_gossip(
+                message.router,
+                message.tokens,
+                self._credible(message.unreachable),
+                now,
+                message.slowdowns,
+                message.refusing,
+            )
+            estimates.merge_loads(message.loads, now)
+            estimates.merge_recovered(message.recovered, now)
+        if newly_dead:
+            logs.event(
+                LOG,
+                'unreachable_reported',
+                endpoints=newly_dead,
+                origin=f'router {message.router}',
+            )
+
+    def _apply_holdings(self, message):
+        for name, (started, first, end) in message.holdings.items():
+            holding = routing.Holding(first, end) if end > first else None
+            self.tell_directory(
+                directory.HoldingReport(name, started, holding)
+            )
+
+    def _note_newer(self, message, now):
+        """Record that the sender knows more than this router, if it does."""
+        snapshot = self.view.snapshot
+        is_behind = message.newest_endpoints > max(
+            snapshot.newest_version, snapshot.position
+        )
+        if is_behind or message.table_version > snapshot.version:
+            versions = {
+                TABLE: message.table_version,
+                ENDPOINTS: message.newest_endpoints,
+            }
+            self.peers.note_newer(message.router, now, versions)
+
+    def _credible(self, unreachable):
+        """Leave out engines of which this router has just had an event."""
+        if not unreachable:
+            return unreachable
+        alive = self.alive_engines()
+        return [name for name in unreachable if name not in alive]
+
+    def _apply_suspects(self, message, now):
+        suspects = self.view.suspects
+        with self.view.lock:
+            added = suspects.receive_updates(message.suspects, now)
+            crashes = [
+                suspects.verdict(digest, now).crashes for digest in added
+            ]
+        for digest, count in zip(added, crashes):
+            logs.event(
+                LOG,
+                'suspect',
+                digest=digest.hex(),
+                ends=count,
+                origin=f'router {message.router}',
+            )
+
+    def _apply_limits(self, message, now):
+        endpoints = self.view.snapshot.endpoints
+        starts = {
+            name: endpoints[name].started
+            for name in message.limits
+            if name in endpoints
+        }
+        with self.view.lock:
+            updated = self.view.limits.receive_updates(
+                message.router, message.domain, message.limits, now, starts
+            )
+        for name in updated:
+            logs.event(
+                LOG,
+                'endpoint_limit',
+                endpoint=name,
+                rate=message.limits[name].rate,
+                origin=f'router {message.router}',
+            )
+
+    def _apply_leaving(self, message):
+        known = self.view.snapshot.leaving
+        origin = f'router {message.router}'
+        for name, started in message.leaving.items():
+            if name not in known or known[name][0] < started:
+                self.tell_directory(
+                    directory.LeavingReport(name, started, origin)
+                )
+
+    def _record_peer(self, message, address, now):
+        """Record that a router runs, and the router counts that it sent.
+
+        One that knows an earlier era only, or is of a release that knows of
+        none, sends no changes that could be applied here: it is no reader.
+        """
+        own_era = positions.era(self.view.snapshot.position)
+        store_access = message.store_access
+        if message.endpoints_era < own_era:
+            store_access = storereaders.StoreAccess.UNSURE
+        report = peerreports.PeerReport(
+            name=message.router,
+            domain=message.domain,
+            received_at=now,
+            store_status=message.store_status,
+            neighbour=storereaders.Neighbour(
+                message.router,
+                store_access,
+                message.link,
+                message.reads_store,
+            ),
+            relay_state=relays.PeerState(
+                message.takes_requests,
+                message.active,
+                frozenset(message.cut_from),
+            ),
+        )
+        self.peers.receive_report(report, address, message.store_lost_ms)
+        self.peers.peer_reports.receive_counts(
+            message.router_counts, message.domain, now
+        )
+
+    def _apply_changes(self, message):
+        """Apply changes that the sender has just read from the store.
+
+        They are dropped if this router has missed earlier ones, which it
+        detects from the versions in others' messages.
+        """
+        try:
+            changes = changes_module.unpack(message.changes)
+        except exceptions.MalformedMessage as error:
+            LOG.warning('unreadable changes in gossip: %s', error.detail)
+            return
+        name = TABLE if changes.is_table else ENDPOINTS
+        index = self.view.snapshot.index
+        items = changes.items(index.table if index else None)
+        if items is None or not self.peers.followers.apply_changes(
+            name, changes
+        ):
+            return
+        _, position, newest = changes.positions
+        self.tell_directory(
+            directory.ReadResult(
+                items,
+                False,
+                origin=f'router {message.router}',
+                is_table=changes.is_table,
+                position=position,
+                newest_version=newest,
+            )
+        )
+
+    def _apply_confirmation(self, message):
+        """Record the versions of a sender that the store answers.
+
+        Only routers of the same failure domain count, and no earlier eras:
+        what is current there says nothing of this one.
+        """
+        if not self.peers.is_local(message.router):
+            return
+        snapshot = self.view.snapshot
+        if message.endpoints_era < positions.era(snapshot.position):
+            return
+        if message.table_era < positions.era(snapshot.table_position):
+            return
+        followers = self.peers.followers
+        if message.table_version == snapshot.version:
+            followers.confirm(TABLE, message.read_table)
+        if message.newest_endpoints <= followers.position(ENDPOINTS):
+            followers.confirm(ENDPOINTS, message.read_endpoints)
+        age = message.age_ms / gossipmessages.SECOND_MS
+        self.tell_directory(
+            directory.Confirmed(
+                message.table_version,
+                message.read_table,
+                message.newest_endpoints,
+                message.read_endpoints,
+                age,
+            )
+        )
+
+
+def make_receiver(view, peers, tell_directory):
+    """Make a `Receiver`."""
+    return Receiver(view, peers, tell_directory)
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -81,22 +81,38 @@
             settings.repeat_ratio * attempts.RATIO_SHARE,
             settings.repeat_slack * attempts.SLACK_SHARE,
         )
+        self._make_forwarder()
+        self._make_link_monitor()
+        self.followers = storefollowing.make_followers(
+            self._polling_slot, self._role
+        )
+        self.signals = []
+        self.signalled = threading.Event()
+        self.servers = []
+        self.components = []
+        self.placer = None
+        self.directory = None
+        self.log_writer = None
+        self.is_shutting_down = False
+
+    def _make_forwarder(self):
+        """Make what sends requests to endpoints and to other routers."""
         self.screen = screening.make_screen(
             self.view,
-            liveness.make_prober(installation.engines, self._endpoints),
+            liveness.make_prober(self.installation.engines, self._endpoints),
             self.metrics,
         )
         self.relay_sender = relaysending.make_relay_sender(
             self.view,
-            installation.codec,
+            self.installation.codec,
             self.watcher,
             upstream.make_connection_pool(),
             self._relay_candidates,
-            settings.router_id,
+            self.settings.router_id,
         )
         self.forwarder = forwarding.make_forwarder(
             self.view,
-            installation.codec,
+            self.installation.codec,
             self.connections,
             self.watcher,
             self.retry_budget,
@@ -105,9 +121,12 @@
             self.screen,
             self.relay_sender,
         )
+
+    def _make_link_monitor(self):
+        """Make what follows the links and the streams to endpoints."""
         self.stall_handler = stalls.make_stall_handler(
             self.view,
-            installation.engines,
+            self.installation.engines,
             self.forwarder.selector,
             self.watcher,
             self.metrics,
@@ -119,17 +138,6 @@
         self.stall_handler.querier.on_answer = self.link_monitor.answered
         self.stall_handler.can_relay = self.relay_sender.is_possible
         self.stall_handler.on_all_silent = self.link_monitor.verify
-        self.followers = storefollowing.make_followers(
-            self._polling_slot, self._role
-        )
-        self.signals = []
-        self.signalled = threading.Event()
-        self.servers = []
-        self.components = []
-        self.placer = None
-        self.directory = None
-        self.log_writer = None
-        self.is_shutting_down = False
 
     def _on_stall(self, attempt):
         self.stall_handler.handle(attempt)
@@ -187,7 +195,9 @@
         followers.add('endpoints', self.installation.endpoints, False, tell)
         self.components = [followers.start(), self.peers.start()]
         self.gossip = gossip.make_gossip(settings, self.view, self.peers, tell)
-        self.gossip.alive_engines = self.stall_handler.engines_with_events
+        self.gossip.receiver.alive_engines = (
+            self.stall_handler.engines_with_events
+        )
         self.gossip.own_service = self._own_service
         self.link_monitor.on_change = self.gossip.request_send
         self.screen.on_update = self.gossip.request_send
