--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -338,20 +338,8 @@
         choice = self.selector.choose(job, self.clock())
         if choice is None and job.exchange.headers_sent:
             choice = self._wait_for_choice(job)
-        if choice is None and job.progress.tries:
-            return self._use_up_tries(job)
-        if choice is None and job.limited:
-            raise exceptions.Overloaded(
-                'endpoints take no more requests for now',
-                self.selector.refuse(job, self.clock()),
-                limited=sorted(job.limited),
-            )
         if choice is None:
-            raise exceptions.Overloaded(
-                'no endpoint has room',
-                self.selector.refuse(job, self.clock()),
-                layers=self.selector.shortages(job, self.clock()),
-            )
+            return self._end_without_choice(job)
         if choice.wait:
             time.sleep(choice.wait)
         attempt = attemptwatching.Attempt(
@@ -372,6 +360,33 @@
             self.selector.release(attempt)
             self.screen.record_end(job)
 
+    def _end_without_choice(self, job):
+        """End a request for which there is no endpoint.
+
+        Returns
+        -------
+        attempts.Result
+            Of the last attempt, if there was one.
+
+        Raises
+        ------
+        exceptions.Overloaded
+        """
+        if job.progress.tries:
+            return self._use_up_tries(job)
+        now = self.clock()
+        if job.limited:
+            raise exceptions.Overloaded(
+                'endpoints take no more requests for now',
+                self.selector.refuse(job, now),
+                limited=sorted(job.limited),
+            )
+        raise exceptions.Overloaded(
+            'no endpoint has room',
+            self.selector.refuse(job, now),
+            layers=self.selector.shortages(job, now),
+        )
+
     def _use_up_tries(self, job):
         """End a request for which there is nothing left to try."""
         job.progress.refusals = attempts.MAX_REFUSALS
