bench/cuts.py in short functions; the gossip's field lists share their part

'refused ms' gives median and 99th percentile like the other times, in place of the median. The lists of fields keep the same fields (test_gossip).

--- a/bench/cuts.py
+++ b/bench/cuts.py
@@ -4,15 +4,16 @@
 each number of routers and way of cutting.
 """
 
+import itertools
 import json
 import pathlib
-import statistics
 import tempfile
 import time
 
 from ibisring_soak import cutload
 from ibisring_soak import endpointlinks
 from ibisring_soak import world as world_module
+import msgspec
 import typer
 
 APP = typer.Typer(add_completion=False)
@@ -43,59 +44,103 @@
     return {line['id'] for line in lines}, [line['time'] for line in lines]
 
 
+class Play(msgspec.Struct):
+    """One cut as played.
+
+    `cut_at` is in monotonic seconds, `back_at` in those of log lines; `calls`
+    are all requests, `during` those sent while the links were cut.
+    """
+
+    cut_names: set[str]
+    other_names: set[str]
+    cut_at: float
+    back_at: float
+    calls: list
+    during: list
+
+
 def measure(folder, routers, cut_count, how, rate):
     """Play one cut; return figures by name."""
     world = world_module.make_world(folder, routers, own_links=True)
     try:
         world.start()
-        load = cutload.make_load(world, rate=rate)
-        load.run(1.0)
-        chosen = world.routers[:cut_count]
-        started = time.monotonic()
-        for router in chosen:
-            router.endpoint_links.cut(how)
-        load.name = 'cut'
-        load.run(CUT_SECONDS)
-        back_at = time.time()
-        for router in chosen:
-            router.endpoint_links.restore()
-        load.name = 'back'
-        load.run(3.0)
-        load.wait()
-        relayed, relayed_at = _relayed(world)
-        runs = [run[0] for run in world.site.runs() if run[1][0] == 'p']
-        cut_names = {each.name for each in chosen}
-        others = {each.name for each in world.routers} - cut_names
-        during = [e for e in load.calls if e[2].name.startswith('cut')]
-        refusals = [c.seconds for _, _, c in during if c.status == 503]
-        figures = {'routers': routers, 'cut': cut_count, 'how': how.value}
-        for kind in KINDS:
-            for side, names in (('cut', cut_names), ('other', others)):
-                found = [
-                    cutload.served(during, names, started + since, kind)
-                    for since in (0.0, 3.0)
-                ]
-                figures[f'{kind} {side}'] = ', '.join(
-                    f'{each.served}/{each.sent}' for each in found
-                )
-        once = {c.name for _, kind, c in load.calls if kind == 'once'}
-        figures['ran twice'] = sum(runs.count(name) > 1 for name in once)
-        plain = {c.name for _, kind, c in during if kind != 'stream'}
-        figures['plain relayed ms'] = _milliseconds(during, plain & relayed)
-        figures['plain direct ms'] = _milliseconds(during, plain - relayed)
-        figures['refused ms'] = (
-            round(1000.0 * statistics.median(refusals), 1)
-            if refusals
-            else None
-        )
-        figures['direct after s'] = round(
-            max([0.0, *(at - back_at for at in relayed_at)]), 2
-        )
-        return figures
+        played = play(world, cut_count, how, rate)
+        return {
+            'routers': routers,
+            'cut': cut_count,
+            'how': how.value,
+            **_shares(played),
+            **_times(world, played),
+            'ran twice': _ran_twice(world, played),
+        }
     finally:
         world.stop()
 
 
+def play(world, cut_count, how, rate):
+    """Cut some routers off under a steady load; return a `Play`."""
+    load = cutload.make_load(world, rate=rate)
+    load.run(1.0)
+    chosen = world.routers[:cut_count]
+    cut_at = time.monotonic()
+    for router in chosen:
+        router.endpoint_links.cut(how)
+    load.name = 'cut'
+    load.run(CUT_SECONDS)
+    back_at = time.time()
+    for router in chosen:
+        router.endpoint_links.restore()
+    load.name = 'back'
+    load.run(3.0)
+    load.wait()
+    cut_names = {each.name for each in chosen}
+    return Play(
+        cut_names,
+        {each.name for each in world.routers} - cut_names,
+        cut_at,
+        back_at,
+        load.calls,
+        [each for each in load.calls if each[2].name.startswith('cut')],
+    )
+
+
+def _shares(played):
+    """Return how many were served, from the cut on and from 3 s after it."""
+    figures = {}
+    sides = (('cut', played.cut_names), ('other', played.other_names))
+    for kind, (side, names) in itertools.product(KINDS, sides):
+        found = [
+            cutload.served(played.during, names, played.cut_at + since, kind)
+            for since in (0.0, 3.0)
+        ]
+        figures[f'{kind} {side}'] = ', '.join(
+            f'{each.served}/{each.sent}' for each in found
+        )
+    return figures
+
+
+def _times(world, played):
+    """Return the times of plain requests, refusals and of the return."""
+    relayed, relayed_at = _relayed(world)
+    during = played.during
+    plain = {c.name for _, kind, c in during if kind != 'stream'}
+    refused = {c.name for _, _, c in during if c.status == 503}
+    direct_after = max([0.0, *(at - played.back_at for at in relayed_at)])
+    return {
+        'plain relayed ms': _milliseconds(during, plain & relayed),
+        'plain direct ms': _milliseconds(during, plain - relayed),
+        'refused ms': _milliseconds(during, refused),
+        'direct after s': round(direct_after, 2),
+    }
+
+
+def _ran_twice(world, played):
+    """Return how many requests that may run once ran more often."""
+    runs = [run[0] for run in world.site.runs() if run[1][0] == 'p']
+    once = {c.name for _, kind, c in played.calls if kind == 'once'}
+    return sum(runs.count(name) > 1 for name in once)
+
+
 @APP.command()
 def main(
     fleets: str = typer.Option(
--- a/packages/gateway/ibisring_gateway/gossipmessages.py
+++ b/packages/gateway/ibisring_gateway/gossipmessages.py
@@ -136,8 +136,7 @@
         return positions.make(self.table_era, self.table_position)
 
 
-# Fields whose change others act upon at once, unlike load and router names.
-PROMPT_FIELDS = (
+_STATE_FIELDS = (
     'unreachable',
     'recovered',
     'slowdowns',
@@ -146,26 +145,19 @@
     'leaving',
     'takes_requests',
     'cut_from',
+    'store_status',
+)
+# Fields whose change others act upon at once, unlike load and router names.
+PROMPT_FIELDS = (
+    *_STATE_FIELDS,
     'endpoints_version',
     'endpoints_era',
     'table_version',
-    'store_status',
     'term',
 )
 # Fields whose change is sent to the whole failure domain at once.  Changes of
 # the tables are not among them: `send_changes` sends them as they are read.
-URGENT_FIELDS = (
-    'unreachable',
-    'recovered',
-    'slowdowns',
-    'refusing',
-    'holdings',
-    'leaving',
-    'takes_requests',
-    'cut_from',
-    'store_status',
-    'store_access',
-)
+URGENT_FIELDS = (*_STATE_FIELDS, 'store_access')
 
 
 def encode(message):
