The soak counts requests for the router that sends them to endpoints

Cause, from the kept logs: the check takes a request for one of the router that the caller asked. r0 was cut off (12.75 to 15.37 s) and handed these requests over. p10 had asked r0 (11.61 s), the three later requests came from r1; p14 had asked r1 (13.90 s), the five later ones came from r2. An endpoint asks one router for backoff, and that one sent it nothing: the case is allowed.

Change: arrivals, of the checks of backoffs and of leaves alike, count for the router that a request was handed to last, by the routers' log. A new test finds the violation if the carrier itself was asked, and none if it was not. A request that goes back from its carrier to the own links is still counted for the carrier.

--- a/packages/soak/ibisring_soak/guarantees.py
+++ b/packages/soak/ibisring_soak/guarantees.py
@@ -240,13 +240,29 @@
             yield Violation('a limit is enforced', span.endpoint, detail)
 
 
+def _sent_arrivals(history):
+    """Return each arrival with the router that sent it, in order of time.
+
+    A request that was handed over is sent by the router that it was handed to
+    last.
+    """
+    routers = {call.id: call.router for call in history.calls}
+    relays = sorted(history.relays, key=lambda relay: relay.at)
+    sent = []
+    for each in sorted(history.arrivals, key=lambda arrival: arrival.at):
+        router = routers.get(each.request)
+        for relay in relays:
+            if relay.request == each.request and relay.at <= each.at:
+                router = relay.carrier
+        sent.append((router, each))
+    return sent
+
+
 def _backoffs(history):
     """An endpoint that asked a router for backoff gets hardly any requests."""
-    routers = {call.id: call.router for call in history.calls}
     arrivals = {}
-    for each in history.arrivals:
-        key = each.endpoint, routers.get(each.request)
-        arrivals.setdefault(key, []).append(each)
+    for router, each in _sent_arrivals(history):
+        arrivals.setdefault((each.endpoint, router), []).append(each)
     for (endpoint, router), group in arrivals.items():
         for asked in group:
             late = [
@@ -264,16 +280,15 @@
 
 def _announced_leaves(history):
     """A router that was told of a leave sends no requests there later."""
-    routers = {call.id: call.router for call in history.calls}
+    sent = _sent_arrivals(history)
     for leave in history.leaves:
         told = {}
         arrivals = [
-            each
-            for each in history.arrivals
+            (router, each)
+            for router, each in sent
             if each.endpoint == leave.endpoint and each.at > leave.at
         ]
-        for each in sorted(arrivals, key=lambda arrival: arrival.at):
-            router = routers.get(each.request)
+        for router, each in arrivals:
             first = told.setdefault(router, each.at)
             late = each.at - first
             targets = ('endpoints', f'router {router}')
--- a/packages/soak/ibisring_soak/records.py
+++ b/packages/soak/ibisring_soak/records.py
@@ -7,6 +7,7 @@
     'StoreChange',
     'LimitSpan',
     'Leave',
+    'Relay',
     'History',
 ]
 
@@ -68,6 +69,14 @@
     backoff: float = 0.0
 
 
+class Relay(msgspec.Struct, frozen=True):
+    """A request that a router handed over, to the router `carrier`."""
+
+    request: str
+    carrier: str
+    at: float
+
+
 class StoreChange(msgspec.Struct, frozen=True):
     """A change in the store that routers must apply.
 
@@ -113,6 +122,7 @@
     calls: list[Call] = []
     runs: list[Run] = []
     arrivals: list[Arrival] = []
+    relays: list[Relay] = []
     store_changes: list[StoreChange] = []
     disruptions: list[tuple[str, float, float]] = []
     terminations: list[tuple[str, float, float]] = []
--- a/packages/soak/ibisring_soak/tests/test_guarantees.py
+++ b/packages/soak/ibisring_soak/tests/test_guarantees.py
@@ -214,6 +214,18 @@
     assert ('a backoff is kept' in found) is is_found
 
 
+@pytest.mark.parametrize('asked_carrier', [True, False])
+def test_requests_count_for_the_router_that_sent_them(asked_carrier):
+    """Guards against blaming a router for what its peers send for it."""
+    calls, arrivals = _arrivals(101.0, 102.0, 102.9)
+    relays = [records.Relay(call.id, 'r2', 99.0) for call in calls]
+    if not asked_carrier:
+        del relays[0]
+    history = builders.history(calls, [], arrivals=arrivals, relays=relays)
+    found = [each.guarantee for each in guarantees.check(history)]
+    assert ('a backoff is kept' in found) is asked_carrier
+
+
 def test_arrivals_of_a_router_that_was_frozen_are_excused():
     calls, arrivals = _arrivals(101.0, 102.0, 102.9)
     frozen = [('router r1', 100.5, 100.9)]
--- a/packages/soak/ibisring_soak/world.py
+++ b/packages/soak/ibisring_soak/world.py
@@ -273,9 +273,19 @@
             )
             for each in self.site.arrivals
         ]
+        self.history.relays = self._relays()
         self.history.overloaded = list(self.site.overfilled_engines)
         return self.history
 
+    def _relays(self):
+        """Return the requests that routers say they handed over."""
+        started = time.time() - time.monotonic()
+        return [
+            records.Relay(line['id'], line['router'], line['time'] - started)
+            for router in self.routers
+            for line in router.process.log_lines('relayed')
+        ]
+
     def stop(self):
         """Stop all processes and listeners."""
         for router in self.routers:
