--- /dev/null
+++ b/packages/gateway/ibisring_gateway/framing.py
@@ -0,0 +1,47 @@
+"""How the end of an HTTP/1.1 body is marked.
+
+References
+----------
+RFC 9112, "HTTP/1.1", section 6.3, on the length of a message's body.
+"""
+
+__all__ = ['Framing', 'find']
+
+import enum
+
+
+class Framing(enum.StrEnum):
+    """What marks the end of a body.
+
+    With `CLOSE` the body ends with its connection.
+    """
+
+    CHUNKS = 'chunks'
+    LENGTH = 'length'
+    CLOSE = 'close'
+
+
+def find(headers):
+    """Return how a body with these headers is framed.
+
+    Parameters
+    ----------
+    headers : mapping
+        Of an answer; looked up by the names' usual spelling.
+
+    Returns
+    -------
+    Framing
+
+    Examples
+    --------
+    >>> find({'Content-Length': '12'}).value
+    'length'
+    >>> find({}).value
+    'close'
+    """
+    if 'chunked' in headers.get('Transfer-Encoding', '').lower():
+        return Framing.CHUNKS
+    if headers.get('Content-Length', '').strip().isdigit():
+        return Framing.LENGTH
+    return Framing.CLOSE
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -26,6 +26,7 @@
 
 import msgspec
 
+from ibisring_gateway import framing as framing_module
 from ibisring_records import exceptions
 
 
@@ -266,10 +267,11 @@
     `wrong_endpoint` that the address now belongs to another endpoint;
     `refusing_address` is the address of the stage that caused a refusal.
     `signed` means that the answer carries the endpoint's signature;
-    `delimited` that the end of its body can be distinguished from a lost
-    connection.  `limit` is the rate in requests per second that the endpoint
-    accepts from all routers together, None if it states none;
-    `limit_invalid` means that the stated limit can't be parsed as a rate.
+    `delimited` that its connection may be used again after it; `framing`
+    tells what marks the end of its body.  `limit` is the rate in requests per
+    second that the endpoint accepts from all routers together, None if it
+    states none; `limit_invalid` means that the stated limit can't be parsed
+    as a rate.
     `backoff` is for how many seconds an endpoint that turns a request away
     wants no other from this router, None if it does not say;
     `backoff_invalid` means that what it says can't be parsed as seconds.
@@ -292,6 +294,7 @@
     backoff: float | None = None
     backoff_invalid: bool = False
     leaving: bool = False
+    framing: framing_module.Framing = framing_module.Framing.LENGTH
 
 
 class Codec(abc.ABC):
