A stream that ends inside an event is broken off, not complete

Callers saw: an answer framed as complete with half an event at its end.

Cause: at the end of an answer's body, relay_stream wrote what was left of an event and ended the answer. Where only the connection's close marks the end (and before a last chunk that an endpoint sends all the same), nothing raised. A connection's end was taken for a message's.

Now the rest of a stream decides: blank lines and whole comment lines may follow the last event, anything else is a lost answer like any other: resumed at the last event with the first endpoint's headers, or aborted so that the caller can tell.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -219,7 +219,7 @@
             limit=answer.limit if answer else None,
             events=job.splitter.count,
             framing=answer.framing if answer else None,
-            rest_bytes=len(job.splitter.partial),
+            rest_bytes=len(job.splitter.rest),
             first_ms=_rounded_ms(job.first_seconds),
             longest_pause_ms=_rounded_ms(job.longest_pause),
             late=job.late,
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -100,6 +100,16 @@
         self.sent_to = list(mark.sent_to)
         self.progress.sent_to = len(self.sent_to)
 
+    def record_loss(self):
+        """Record that an answer was lost after the request may have run.
+
+        A stream whose last events have no position can't be resumed: they
+        would come twice.
+        """
+        self.progress.may_have_run = True
+        if self.splitter.has_unnumbered:
+            self.progress.repeatable = False
+
     def record_chunk(self, now):
         """Record a chunk of the answer; pauses span all attempts."""
         if self.first_chunk_at is None:
--- a/packages/gateway/ibisring_gateway/relaying.py
+++ b/packages/gateway/ibisring_gateway/relaying.py
@@ -2,6 +2,7 @@
 
 __all__ = ['read_plain', 'relay_stream', 'stream_headers', 'answer_fault']
 
+from ibisring_gateway import events
 from ibisring_gateway import upstream
 
 # Plain answers up to this size in bytes are buffered until complete.
@@ -60,7 +61,7 @@
 
     Raises
     ------
-    ConnectionFailed, StreamGap
+    ConnectionFailed, StreamBroken
         The stream is not complete.
     CallerDisconnected
     """
@@ -78,9 +79,11 @@
             exchange.begin(answer.status, stream_headers(answer.headers))
         exchange.write(complete)
     _check_not_aborted(attempt)
+    if job.splitter.is_inside_event:
+        raise events.StreamBroken('the stream ends inside an event')
     if not exchange.headers_sent:
         exchange.begin(answer.status, stream_headers(answer.headers))
-    exchange.write(job.splitter.partial)
+    exchange.write(job.splitter.take_rest())
 
 
 def _check_not_aborted(attempt):
--- a/packages/gateway/ibisring_gateway/relaysending.py
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -208,7 +208,7 @@
 
     def _lost(self, job, attempt, error):
         """Handle a failure after a request was handed over."""
-        job.progress.may_have_run = True
+        job.record_loss()
         job.relays_failed.add(attempt.endpoint.id)
         logs.event(
             LOG,
@@ -231,7 +231,7 @@
                 result = self._refused(job, attempt, response, answer)
             else:
                 result = self._relay(job, attempt, response, answer)
-        except (upstream.ConnectionFailed, events.StreamGap) as error:
+        except (upstream.ConnectionFailed, events.StreamBroken) as error:
             conn.close()
             return self._lost(job, attempt, error)
         if attempt.detach() and answer.delimited:
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -153,7 +153,7 @@
 
     def _handle_lost_answer(self, job, attempt, error):
         """Handle a failure after the request was written."""
-        job.progress.may_have_run = True
+        job.record_loss()
         finding = self.screen.check_lost_answer(job, attempt)
         if attempt.result is None or attempt.result is attempts.Result.SILENT:
             job.avoid.add(attempt.endpoint.id)
@@ -348,7 +348,7 @@
 
         try:
             relaying.relay_stream(job, attempt, response, answer, on_event)
-        except (upstream.ConnectionFailed, events.StreamGap) as error:
+        except (upstream.ConnectionFailed, events.StreamBroken) as error:
             return self._handle_lost_answer(job, attempt, error)
         with self.view.lock:
             self.view.estimates.note_response(
