A caller of HTTP/1.0 can tell a broken answer from a whole one

Callers saw, with HTTP/1.0: a stream that was aborted by the router looks complete. Cause: an abort leaves out the last chunk, but a caller that gets no chunks takes the connection's close for the end. Where neither a length nor chunks frame the answer, an abort now resets the connection.

--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -10,6 +10,8 @@
 
 import http
 import logging
+import socket
+import struct
 
 from cheroot import errors as cheroot_errors
 from cheroot import server as cheroot_server
@@ -24,6 +26,8 @@
 # By default cheroot keeps 10 connections alive and closes all others after
 # each answer, so callers would need a new connection for each request.
 MAX_IDLE_CONNECTIONS = 100000
+# Zero seconds: the connection is reset when it is closed.
+_RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 # Hop-by-hop headers apply to one connection only and are not forwarded.
 HOP_BY_HOP = frozenset(
     (
@@ -58,6 +62,8 @@
     ----------
     headers_sent : bool
         Whether the status line and headers of an answer were written.
+    ends_with_connection : bool
+        Whether nothing but the connection's close marks the answer's end.
     is_from_router : bool
         Whether another router handed the request over.
     list_extra_headers : callable
@@ -67,6 +73,7 @@
     def __init__(self, request):
         self.request = request
         self.headers_sent = False
+        self.ends_with_connection = False
         self.is_from_router = False
         self.list_extra_headers = list
         self.status = 0
@@ -126,7 +133,7 @@
         except ValueError:
             phrase = 'Unknown'
         request.status = f'{status} {phrase}'.encode('latin-1')
-        request.outheaders = [
+        sent = request.outheaders = [
             (name.encode('latin-1'), value.encode('latin-1'))
             for name, value in [*headers, *self.list_extra_headers()]
             if name.lower() not in HOP_BY_HOP
@@ -137,6 +144,8 @@
             request.ensure_headers_sent()
         except OSError as error:
             raise CallerDisconnected(str(error)) from error
+        has_length = any(n.lower() == b'content-length' for n, _ in sent)
+        self.ends_with_connection = not (has_length or request.chunked_write)
 
     def write(self, data):
         """Write a chunk of the body."""
@@ -160,10 +169,25 @@
 
         The final chunk (or the rest of the declared length) is missing when
         the connection closes, which tells the caller that the answer was
-        truncated.
+        truncated.  Where only the close marks the end, the connection is
+        reset instead.
         """
         self.request.chunked_write = False
         self.request.close_connection = True
+        if self.ends_with_connection:
+            self._reset()
+
+    def _reset(self):
+        """Reset the connection, which cheroot would close."""
+        conn = self.request.conn
+        conn.linger = True
+        try:
+            conn.socket.setsockopt(
+                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+            )
+            conn.socket.close()
+        except OSError as error:
+            LOG.debug('the connection is closed already: %s', error)
 
     def close_after(self):
         """Close the connection after this answer."""
