A request whose body is cut off reaches no endpoint

An endpoint saw: a request with half of its body. Cause: at the end of a connection cheroot returns a body with a length shorter than that, and no error; a caller that breaks off was noticed only if the watcher was faster than the thread that sends. read_body now compares what it read with the length.

Evidence: test_body_of_a_caller_that_breaks_off failed in 2 of 5 runs before (a race); test_exchange fails before without one. Both pass now.

--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -111,13 +111,18 @@
         RequestTooLarge
         CallerDisconnected
         """
+        rfile = self.request.rfile
         try:
-            return self.request.rfile.read()
+            body = rfile.read()
         except cheroot_errors.MaxSizeExceeded as error:
             self.request.close_connection = True
             raise BodyTooLarge('the body is too large') from error
         except (OSError, ValueError) as error:
             raise CallerDisconnected(str(error)) from error
+        # Read at a connection's end, a body with a length is cut in silence.
+        if getattr(rfile, 'remaining', 0):
+            raise CallerDisconnected('the body is shorter than its length')
+        return body
 
     def begin(self, status, headers):
         """Write status line and headers; `write` sends the body.
