An answer whose headers are cut off is lost, not empty

Callers saw: a success with no bytes. Cause: http.client takes the end of a connection for the blank line after the headers, so that an answer cut there, its signature already read, is one without length, chunks or body.

--- a/packages/gateway/ibisring_gateway/storecalls.py
+++ b/packages/gateway/ibisring_gateway/storecalls.py
@@ -6,6 +6,7 @@
 import socket
 
 from ibisring_gateway import ports
+from ibisring_gateway import responsehead
 from ibisring_records import exceptions
 from urllib3 import connection as urllib3_connection
 from urllib3 import exceptions as urllib3_exceptions
@@ -96,6 +97,7 @@
         self.conn = urllib3_connection.HTTPConnection(
             self.host, self.port, timeout=CONNECT_TIMEOUT_SECONDS
         )
+        self.conn.response_class = responsehead.CheckedResponse
         try:
             self.conn.connect()
         except _FAILURES as error:
--- a/packages/gateway/ibisring_gateway/upstream.py
+++ b/packages/gateway/ibisring_gateway/upstream.py
@@ -16,6 +16,7 @@
 import threading
 import time
 
+from ibisring_gateway import responsehead
 from urllib3 import connection as urllib3_connection
 from urllib3 import exceptions as urllib3_exceptions
 from urllib3 import util as urllib3_util
@@ -99,6 +100,7 @@
             timeout=timeout,
             socket_options=_SOCKET_OPTIONS,
         )
+        conn.response_class = responsehead.CheckedResponse
         started = self.clock()
         try:
             conn.connect()
