--- a/packages/gateway/ibisring_gateway/responsehead.py
+++ b/packages/gateway/ibisring_gateway/responsehead.py
@@ -23,9 +23,11 @@
         """Read the status line and the headers."""
         head = _HeadReader(self.fp)
         self.fp = head
-        super().begin()
-        if self.fp is head:
-            self.fp = head.reader
+        try:
+            super().begin()
+        finally:
+            if self.fp is head:
+                self.fp = head.reader
         if head.last_line not in _BLANK_LINES:
             raise HeadTruncated('the connection ended inside the headers')
 
