An endpoint that crashes with a bare answer has not ended it

Where nothing but the connection's close marks an answer's end, a crash between two events, or anywhere in a plain body, looks like a whole answer. The bytes can't tell, the endpoint's port can: one connection, refused while another endpoint is reached, makes the answer a lost one. What has been received is with the caller before; only the end waits for it, one round trip. An endpoint that leaves closes its port after its last answer and is not asked. Weighed and left out: asking again at the last event (a run for each bare stream), its next start (seconds later).

Evidence: test_sending, test_liveness, test_screening; the cases of CLOSE fail before.

--- a/packages/gateway/ibisring_gateway/liveness.py
+++ b/packages/gateway/ibisring_gateway/liveness.py
@@ -88,6 +88,29 @@
             return Finding.UNKNOWN
         return self._compare_start(endpoint)
 
+    def has_ended(self, endpoint):
+        """Return whether an endpoint's port is closed.
+
+        This is one connection and no pause: the end of an answer waits for
+        it.  A port that is silent or open shows nothing.
+
+        Parameters
+        ----------
+        endpoint : routing.Endpoint
+
+        Returns
+        -------
+        bool
+            False also if no other endpoint is reached.
+        """
+        try:
+            _connect(endpoint)
+        except ConnectionRefusedError:
+            return self._reaches_another(endpoint)
+        except OSError as error:
+            LOG.debug('whether %s has ended: %s', endpoint.id, error)
+        return False
+
     def _reaches_another(self, endpoint):
         """Return whether a connection to some other endpoint opens."""
         others = [e for e in self.list_endpoints() if e.id != endpoint.id]
--- a/packages/gateway/ibisring_gateway/relaying.py
+++ b/packages/gateway/ibisring_gateway/relaying.py
@@ -1,6 +1,12 @@
 """Relays an answer from a connection to the caller."""
 
-__all__ = ['read_plain', 'relay_stream', 'stream_headers', 'answer_fault']
+__all__ = [
+    'read_plain',
+    'relay_events',
+    'finish_stream',
+    'stream_headers',
+    'answer_fault',
+]
 
 from ibisring_gateway import events
 from ibisring_gateway import upstream
@@ -47,8 +53,10 @@
     return b''.join(chunks)
 
 
-def relay_stream(job, attempt, response, answer, on_event):
-    """Relay the events of a stream as they arrive.
+def relay_events(job, attempt, response, answer, on_event):
+    """Relay the events of a stream as they arrive, until it ends.
+
+    `finish_stream` ends it for the caller.
 
     Parameters
     ----------
@@ -81,6 +89,11 @@
     _check_not_aborted(attempt)
     if job.splitter.is_inside_event:
         raise events.StreamBroken('the stream ends inside an event')
+
+
+def finish_stream(job, answer):
+    """Write what follows the last event of a stream that is complete."""
+    exchange = job.exchange
     if not exchange.headers_sent:
         exchange.begin(answer.status, stream_headers(answer.headers))
     exchange.write(job.splitter.take_rest())
--- a/packages/gateway/ibisring_gateway/relaysending.py
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -278,13 +278,14 @@
             raise upstream.ConnectionFailed(fault, True)
         attempt.last_event_at = self.clock()
         if job.progress.stream and answer.status == 200:
-            relaying.relay_stream(
+            relaying.relay_events(
                 job,
                 attempt,
                 response,
                 answer,
                 lambda: self._record_event(job, attempt),
             )
+            relaying.finish_stream(job, answer)
         else:
             body = relaying.read_plain(attempt, response, answer)
             job.record_chunk(self.clock())
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -130,6 +130,16 @@
                 self._record_unresolved(job, attempt.endpoint, is_cut_off)
         return finding
 
+    def has_ended(self, endpoint):
+        """Return whether the process of an endpoint ended unexpectedly.
+
+        One that leaves closes its port after its last answer.
+        """
+        known = self.view.snapshot.endpoints.get(endpoint.id)
+        if known is None or self.view.snapshot.is_leaving(endpoint):
+            return False
+        return self.prober.has_ended(endpoint)
+
     def _record_unresolved(self, job, endpoint, is_cut_off):
         """Record a loss that a later start of the endpoint may explain."""
         with self.view.lock:
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -5,6 +5,7 @@
 import logging
 
 from ibisring_gateway import events
+from ibisring_gateway import framing
 from ibisring_gateway import relaying
 from ibisring_gateway import selecting
 from ibisring_gateway import upstream
@@ -307,6 +308,7 @@
         """Relay a plain answer once it is complete."""
         try:
             body = relaying.read_plain(attempt, response, answer)
+            self._check_end(attempt, answer)
         except upstream.ConnectionFailed as error:
             return self._handle_lost_answer(job, attempt, error)
         self.screen.record_answer(job, attempt)
@@ -325,6 +327,23 @@
         job.exchange.answer(answer.status, answer.headers, body)
         return None
 
+    def _check_end(self, attempt, answer):
+        """Check that an answer didn't end because its endpoint crashed.
+
+        Where only the connection's close marks the end, a crash between two
+        events, or anywhere in a plain body, looks like it.
+
+        Raises
+        ------
+        ConnectionFailed
+        """
+        if answer.framing is not framing.Framing.CLOSE:
+            return
+        if self.screen.has_ended(attempt.endpoint):
+            raise upstream.ConnectionFailed(
+                'the endpoint ended with its answer', True
+            )
+
     def _may_retry(self, job):
         """Return whether another endpoint may replace an error answer."""
         progress = job.progress
@@ -347,7 +366,9 @@
                 self.screen.record_answer(job, attempt)
 
         try:
-            relaying.relay_stream(job, attempt, response, answer, on_event)
+            relaying.relay_events(job, attempt, response, answer, on_event)
+            self._check_end(attempt, answer)
+            relaying.finish_stream(job, answer)
         except (upstream.ConnectionFailed, events.StreamBroken) as error:
             return self._handle_lost_answer(job, attempt, error)
         with self.view.lock:
--- a/packages/gateway/ibisring_gateway/tests/test_liveness.py
+++ b/packages/gateway/ibisring_gateway/tests/test_liveness.py
@@ -116,3 +116,16 @@
     engines = builders.Engines()
     engines.unreachable.add(engine.address)
     assert _prober(engines).check(engine) is Finding.UNKNOWN
+
+
+def test_endpoint_has_ended_if_its_port_is_closed(listener):
+    endpoint = _closed_endpoint('x')
+    other = build.endpoint('y', address=_address(listener))
+    assert _prober(builders.Engines(), [other]).has_ended(endpoint)
+    assert not _prober(builders.Engines(), [endpoint]).has_ended(other)
+
+
+def test_endpoint_has_not_ended_if_no_other_is_reached():
+    """Guards against own links that are taken for a crash."""
+    endpoint, other = _closed_endpoint('x'), _closed_endpoint('y')
+    assert not _prober(builders.Engines(), [other]).has_ended(endpoint)
--- a/packages/gateway/ibisring_gateway/tests/test_screening.py
+++ b/packages/gateway/ibisring_gateway/tests/test_screening.py
@@ -10,6 +10,7 @@
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway.tests import builders as build
+from ibisring_records import routing
 
 Finding = liveness.Finding
 DIGEST = b'12345678'
@@ -26,6 +27,9 @@
         self.checked += 1
         return self.finding
 
+    def has_ended(self, endpoint):
+        return True
+
 
 def _screen(finding=Finding.CRASHED):
     view = builders.make_view([])
@@ -160,3 +164,21 @@
     assert tracked.endpoints_at_risk(DIGEST) == set()
     screen.record_end(job)
     assert tracked.endpoints_at_risk(b'another!') == set()
+
+
+@pytest.mark.parametrize(
+    ('state', 'has_ended'),
+    [
+        (routing.EndpointState.READY, True),
+        (routing.EndpointState.DRAINING, False),
+        (None, False),
+    ],
+)
+def test_endpoint_that_leaves_has_not_crashed(state, has_ended):
+    """Guards against a last answer that is taken for a broken one."""
+    endpoint = build.endpoint('e1')
+    known = [build.endpoint('e1', state=state)] if state else []
+    view = builders.make_view(known)
+    prober = _Prober(Finding.CRASHED)
+    screen = screening.make_screen(view, prober, builders.Metrics())
+    assert screen.has_ended(endpoint) is has_ended
--- a/packages/gateway/ibisring_gateway/tests/test_sending.py
+++ b/packages/gateway/ibisring_gateway/tests/test_sending.py
@@ -3,6 +3,7 @@
 import socket
 
 from ibisring_gateway import attemptwatching
+from ibisring_gateway import framing
 from ibisring_gateway import jobs
 from ibisring_gateway import ports
 from ibisring_gateway import selecting
@@ -82,6 +83,9 @@
     def check_lost_answer(self, job, attempt):
         """Check nothing."""
 
+    def has_ended(self, endpoint):
+        return True
+
 
 class _Exchange:
     """A caller; `on_answer` is called when it gets its answer."""
@@ -154,6 +158,22 @@
     assert conn.endpoint_socket.recv(99) == b'the next request'
 
 
+@pytest.mark.parametrize(
+    ('framed_by', 'result'),
+    [
+        (framing.Framing.CLOSE, attempts.Result.LOST),
+        (framing.Framing.CHUNKS, None),
+        (framing.Framing.LENGTH, None),
+    ],
+)
+def test_endpoint_that_ends_with_its_answer(framed_by, result):
+    """Guards against a crash that is taken for the end of an answer."""
+    answers = []
+    made = _Attempt(_Codec(framing=framed_by), answers.append)
+    assert made.send() is result
+    assert bool(answers) is (result is None)
+
+
 def test_connection_of_an_aborted_attempt_is_not_reused():
     def leave(attempt):
         attempt.abort(attempts.Result.CALLER_GONE)
