Failing test: one part of the prompts crashes endpoint after endpoint

Three routers, 24 engines in two domains; from 3 s on 3.3 requests a second whose second part of three crashes what begins to answer it, no two alike; 13 sound ones a second, half of which share the first part. An engine is back after 3 s, empty.

The stand-ins learn parts that crash servers, the load and the checks are partload.

--- a/packages/soak/ibisring_soak/asking.py
+++ b/packages/soak/ibisring_soak/asking.py
@@ -28,7 +28,7 @@
     retry_after: float | None = None
 
 
-def send(router, name, kind, body):
+def send(router, name, kind, body, **changes):
     """Send a request to a router.
 
     Parameters
@@ -39,13 +39,15 @@
     kind : str
         Kind of the route.
     body : bytes
+    **changes
+        Headers in place of the usual ones.
 
     Returns
     -------
     Call
     """
     call = Call(time.monotonic(), body, name)
-    headers = running.headers(name, Credential=KEY)
+    headers = running.headers(name, **{'Credential': KEY, **changes})
     port = router.process.caller_port
     try:
         reply = running.fetch(port, 'POST', f'/{kind}/x', headers, body)
--- a/packages/soak/ibisring_soak/poison.py
+++ b/packages/soak/ibisring_soak/poison.py
@@ -93,11 +93,14 @@
     ----------
     crashes : list of float
         Times of the crashes, in monotonic seconds.
+    keeps_port : bool
+        Whether something keeps the port of a crashed endpoint open.
     """
 
     def __init__(self, world):
         self.world = world
         self.crashes = []
+        self.keeps_port = False
         self.lock = threading.Lock()
         self.down = set()
         world.site.poison = BODY
@@ -113,13 +116,22 @@
         self.crashes.append(now)
         disruption = 'endpoints', now, now + RESTART_SECONDS
         self.world.history.disruptions.append(disruption)
-        self.world.proxies[server.name].crash()
+        link = self.world.proxies[server.name]
+        if self.keeps_port:
+            link.refusing = True
+            link.reset_all()
+        else:
+            link.crash()
         timer = threading.Timer(RESTART_SECONDS, self._restart, (server,))
         timer.daemon = True
         timer.start()
 
     def _restart(self, server):
-        self.world.proxies[server.name].restart()
+        link = self.world.proxies[server.name]
+        if self.keeps_port:
+            link.restore()
+        else:
+            link.restart()
         self.down.discard(server.name)
         site = self.world.site
         if server.name in site.engines or server.name in site.services:
