Requests are refused by the part of their prompts that crashes endpoints

Callers saw: three in four sound requests fail while engines end one after the other, under requests that share one part of their prompts and nothing else.

Cause: evidence went by a digest of the whole request, so each new request began without any, and a loss after the first event was not looked at and its event cleared the suspect. A class of fault of its own: evidence kept by the instance where the cause is what instances have in common.

Now each request whose prompt has parts that others may share has features: these parts, and itself as a whole. A router that loses an answer as it begins (before its first event or within a second of it) records them with the crash; one that is answered counts for them; routers gossip both. crashcauses (pure) finds the fewest features that explain the crashes: the deadliest first, a crash that one explains counts for no other, features seen only together are one cause and refused only together. promptparts (pure) keeps and merges the evidence. In doubt, a request runs alone on an engine with few streams, as suspects did. Two accounts' crashes refuse for all accounts, one account's for itself. The digest's way stays for requests without such parts; no crash counts in both.

--- a/packages/gateway/ibisring_gateway/attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/attemptwatching.py
@@ -44,6 +44,10 @@
         Moving average of the seconds between events.
     events : int
         Events received.
+    first_event_at : float or None
+        Monotonic time.
+    is_counted : bool
+        Whether it counts as answered.
     tokens : float
         Size in tokens, as reserved at its stages.
     reroutes : int
@@ -68,6 +72,8 @@
         'is_checking',
         'mean_gap',
         'events',
+        'first_event_at',
+        'is_counted',
         'tokens',
         'reroutes',
         'unmovable_stages',
@@ -89,6 +95,8 @@
         self.is_checking = False
         self.mean_gap = 0.0
         self.events = 0
+        self.first_event_at = None
+        self.is_counted = False
         self.tokens = 0.0
         self.reroutes = 0
         self.unmovable_stages = None
--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -374,6 +374,14 @@
         processes = {each.id: each.started for each in usable.values()}
         with self.view.lock:
             charged = self.view.suspects.processes_known(processes, now)
+            parts = self.view.parts.processes_known(processes, now)
+        if parts:
+            logs.event(
+                LOG,
+                'part_suspects',
+                parts=[name.hex() for name in parts],
+                origin='later start',
+            )
         for digest in charged:
             self.metrics.count('endpoints_ended_by_requests')
             logs.event(
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -306,7 +306,8 @@
                 'endpoints have ended under this request',
                 self.screen.retry_after(job),
                 digest=job.digest.hex(),
-                ends=self.screen.verdict(job).crashes,
+                ends=self.screen.restriction(job).crashes,
+                **self.screen.parts.facts(job),
             )
         retry_after = max(
             self.selector.refuse(job, self.clock()),
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -128,6 +128,9 @@
             message.suspects = self.view.suspects.updates_to_send(
                 now, self.rng, share
             )
+            message.parts = self.view.parts.updates_to_send(
+                now, self.rng, share
+            )
             message.limits = self.view.limits.updates_to_send(
                 now, self.rng, share
             )
@@ -208,6 +211,7 @@
             *(getattr(message, n) for n in gossipmessages.PROMPT_FIELDS),
             self.peers.followers.lost_at,
             self.view.suspects.changes,
+            self.view.parts.changes,
             self.view.limits.changes,
             self.view.limits.endpoints_in_demand(now),
         ]
@@ -218,6 +222,7 @@
             *(getattr(message, n) for n in gossipmessages.URGENT_FIELDS),
             self.peers.followers.lost_at,
             self.view.suspects.local_changes,
+            self.view.parts.local_changes,
             self.view.limits.changes,
         ]
 
@@ -283,6 +288,7 @@
         message.tokens = {}
         message.loads = {}
         message.suspects = []
+        message.parts = []
         message.limits = {}
         message.changes = packed
         try:
--- a/packages/gateway/ibisring_gateway/gossipmessages.py
+++ b/packages/gateway/ibisring_gateway/gossipmessages.py
@@ -6,6 +6,7 @@
 
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import positions
+from ibisring_policy.gateway import promptparts
 from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway import suspects as suspects_module
@@ -82,6 +83,8 @@
         Requests that the sender runs.
     cut_from : list of str
         Services whose endpoints the sender can't reach.
+    parts : list of promptparts.PartUpdate
+        Parts of prompts under which endpoints have crashed.
     """
 
     router: str
@@ -114,6 +117,7 @@
     takes_requests: bool = False
     active: int = 0
     cut_from: list[str] = []
+    parts: list[promptparts.PartUpdate] = []
 
     @property
     def era(self):
--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -57,6 +57,7 @@
             self.peers.followers.note_era(message.era)
         self._apply_estimates(message, now)
         self._apply_suspects(message, now)
+        self._apply_parts(message, now)
         self._apply_limits(message, now)
         self._apply_leaving(message)
         self._record_peer(message, f'{source[0]}:{source[1]}', now)
@@ -132,6 +133,17 @@
                 origin=f'router {message.router}',
             )
 
+    def _apply_parts(self, message, now):
+        with self.view.lock:
+            added = self.view.parts.receive_updates(message.parts, now)
+        if added:
+            logs.event(
+                LOG,
+                'part_suspects',
+                parts=[name.hex() for name in added],
+                origin=f'router {message.router}',
+            )
+
     def _apply_limits(self, message, now):
         endpoints = self.view.snapshot.endpoints
         starts = {
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -238,7 +238,8 @@
 
     `headers` are those to forward.  `time_limit` is in seconds, None if the
     caller set none; `prompt_tokens` and `answer_tokens` are 0 for requests
-    to plain services.
+    to plain services.  `shared_parts` names the parts of its prompt that
+    other requests may have as well.
     """
 
     id: str
@@ -252,6 +253,7 @@
     prompt_tokens: int = 0
     answer_tokens: int = 0
     answer_hint: int | None = None
+    shared_parts: tuple[str, ...] = ()
     body: bytes = b''
 
     @property
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -295,6 +295,7 @@
         counters['gossip_bytes_heard'] = self.gossip.bytes_received
         with self.view.lock:
             counters['suspects'] = len(self.view.suspects.by_digest)
+            counters['part_suspects'] = len(self.view.parts.by_feature)
             counters['backoffs'] = len(self.view.limits.backoffs.by_endpoint)
         counters['routers_running'] = self.peers.running_count(
             time.monotonic()
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -1,15 +1,21 @@
-"""Stops requests that crash endpoints from being forwarded."""
+"""Stops requests that crash endpoints from being forwarded.
 
-__all__ = ['Screen', 'make_screen']
+Requests whose prompts have parts that others may share go by these parts, see
+`partscreening`; all others by a digest of the whole request.
+"""
+
+__all__ = ['Restriction', 'Screen', 'make_screen']
 
 import logging
 import time
 
 from ibisring_gateway import exchange as exchange_module
 from ibisring_gateway import liveness
+from ibisring_gateway import partscreening
 from ibisring_policy.gateway import suspects
 from ibisring_router import logs
 from ibisring_web import serving
+import msgspec
 
 LOG = logging.getLogger(__name__)
 # Interval at which a waiting suspect is checked again.
@@ -19,6 +25,20 @@
 MAX_WAIT_SECONDS = 1.2
 
 
+class Restriction(msgspec.Struct, frozen=True):
+    """How a request is restricted.
+
+    `refused_until` is in monotonic seconds, 0 if it is not refused; `crashes`
+    counts the endpoints that it, or what it has in common with others, is
+    suspected of having crashed.  With `must_wait` it should not start yet.
+    """
+
+    refused_until: float = 0.0
+    crashes: int = 0
+    is_suspect: bool = False
+    must_wait: bool = False
+
+
 class Screen:
     """Checks requests against the view's suspects, and reports crashes.
 
@@ -40,33 +60,51 @@
         self.metrics = metrics
         self.clock = view.clock
         self.on_update = lambda: None
+        self.parts = partscreening.make_part_screen(view, metrics)
 
     def verdict(self, job):
         """Return the `suspects.Verdict` on a request."""
         with self.view.lock:
             return self.view.suspects.verdict(job.digest, self.clock())
 
+    def restriction(self, job):
+        """Return the `Restriction` of a request."""
+        if job.features:
+            found = self.parts.verdict(job)
+            return Restriction(
+                found.refused_until,
+                found.crashes,
+                bool(found.doubtful),
+                found.must_wait,
+            )
+        found = self.verdict(job)
+        return Restriction(
+            found.refused_until,
+            found.crashes,
+            found.crashes > 0,
+            found.is_running or self.clock() < found.not_before,
+        )
+
     def wait_until_allowed(self, job):
         """Wait until a request may be forwarded; False if it is refused.
 
         A request whose caller has received part of an answer passes: an
-        endpoint has answered it without a crash.
+        endpoint has answered it without a crash.  Not so if a part of its
+        prompt crashes endpoints as they begin to answer.
 
         Raises
         ------
         CallerDisconnected
         """
         if job.exchange.headers_sent:
-            return True
+            return not (job.features and self.restriction(job).refused_until)
         end = min(job.deadline, self.clock() + MAX_WAIT_SECONDS)
         while True:
-            verdict = self.verdict(job)
-            job.is_suspect = verdict.crashes > 0
-            if verdict.refused_until:
+            restriction = self.restriction(job)
+            job.is_suspect = restriction.is_suspect
+            if restriction.refused_until:
                 return False
-            now = self.clock()
-            must_wait = verdict.is_running or now < verdict.not_before
-            if not must_wait or now >= end:
+            if not restriction.must_wait or self.clock() >= end:
                 return True
             time.sleep(POLL_SECONDS)
             if serving.is_gone(job.exchange.socket):
@@ -76,10 +114,12 @@
 
     def retry_after(self, job):
         """Return the seconds for which a request is refused, 0 if allowed."""
-        return max(0.0, self.verdict(job).refused_until - self.clock())
+        return max(0.0, self.restriction(job).refused_until - self.clock())
 
     def record_start(self, job, attempt):
         """Record that a suspect is being sent to an endpoint."""
+        if job.features:
+            self.parts.record_start(job)
         if job.is_suspect and not job.exchange.headers_sent:
             with self.view.lock:
                 self.view.suspects.mark_running(
@@ -88,6 +128,7 @@
 
     def record_end(self, job):
         """Record that an attempt is over."""
+        self.parts.record_end(job)
         if job.is_suspect:
             with self.view.lock:
                 self.view.suspects.mark_finished(job.digest)
@@ -99,27 +140,53 @@
         with self.view.lock:
             tracked = self.view.suspects
             changes_before = tracked.local_changes
-            tracked.mark_finished(job.digest)
-            tracked.answered(job.digest, now)
-            tracked.process_answered(
-                endpoint.id, endpoint.started, attempt.sent_at, now
-            )
+            if not job.features:
+                tracked.mark_finished(job.digest)
+                tracked.answered(job.digest, now)
+            for table in (tracked, self.view.parts):
+                table.process_answered(
+                    endpoint.id, endpoint.started, attempt.sent_at, now
+                )
             has_changed = tracked.local_changes > changes_before
         if has_changed:
             self._log_suspect(job.digest, 0)
             self.on_update()
 
+    def record_event(self, job, attempt, now):
+        """Record an event of a stream."""
+        if attempt.events == 1:
+            self.record_answer(job, attempt)
+        if job.features and not attempt.is_counted:
+            self.parts.record_event(job, attempt, now)
+            if attempt.is_counted:
+                self._finish(job)
+
+    def record_whole_answer(self, job, attempt):
+        """Record that a request was answered to the end."""
+        if job.features and not attempt.is_counted:
+            self.parts.record_answer(job, attempt)
+            self._finish(job)
+
+    def _finish(self, job):
+        with self.view.lock:
+            self.view.suspects.mark_finished(job.digest)
+
     def check_lost_answer(self, job, attempt):
         """Check whether an endpoint crashed, after its answer was lost.
 
-        Only answers that were lost before they began are checked.
+        Only answers that were lost as they began are checked: before the
+        first event, or soon after it if the prompt has parts.
 
         Returns
         -------
         liveness.Finding or None
             None if it was not checked.
         """
-        if attempt.result is not None or attempt.events:
+        if attempt.result is not None:
+            return None
+        if job.features:
+            return self._check_lost_parts(job, attempt)
+        if attempt.events:
             return None
         finding = self.prober.check(attempt.endpoint)
         if self._may_be_cause(job, attempt):
@@ -130,6 +197,15 @@
                 self._record_unresolved(job, attempt.endpoint, is_cut_off)
         return finding
 
+    def _check_lost_parts(self, job, attempt):
+        lost_at = self.clock()
+        if not self.parts.may_be_cause(job, attempt, lost_at):
+            return None
+        finding = self.prober.check(attempt.endpoint)
+        if self.parts.record_loss(job, attempt, finding, lost_at):
+            self.on_update()
+        return finding
+
     def has_ended(self, endpoint):
         """Return whether the process of an endpoint ended unexpectedly.
 
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -312,6 +312,7 @@
         except upstream.ConnectionFailed as error:
             return self._handle_lost_answer(job, attempt, error)
         self.screen.record_answer(job, attempt)
+        self.screen.record_whole_answer(job, attempt)
         failed = answer.status >= 500
         with self.view.lock:
             self.view.estimates.note_response(
@@ -362,8 +363,7 @@
             now = self.clock()
             self.selector.record_event(attempt, now)
             job.record_chunk(now)
-            if attempt.events == 1:
-                self.screen.record_answer(job, attempt)
+            self.screen.record_event(job, attempt, now)
 
         try:
             relaying.relay_events(job, attempt, response, answer, on_event)
@@ -371,6 +371,7 @@
             relaying.finish_stream(job, answer)
         except (upstream.ConnectionFailed, events.StreamBroken) as error:
             return self._handle_lost_answer(job, attempt, error)
+        self.screen.record_whole_answer(job, attempt)
         with self.view.lock:
             self.view.estimates.note_response(
                 attempt.endpoint.id, False, self.clock()
--- a/packages/gateway/ibisring_gateway/tests/test_screening.py
+++ b/packages/gateway/ibisring_gateway/tests/test_screening.py
@@ -39,6 +39,8 @@
 def _job(screen, headers_sent=False, after_event=None):
     return types.SimpleNamespace(
         digest=DIGEST,
+        features=(),
+        features_running=(),
         is_suspect=False,
         exchange=types.SimpleNamespace(headers_sent=headers_sent),
         request=types.SimpleNamespace(after_event=after_event),
--- a/packages/gateway/ibisring_gateway/tests/test_sending.py
+++ b/packages/gateway/ibisring_gateway/tests/test_sending.py
@@ -80,6 +80,9 @@
     def record_answer(self, job, attempt):
         """Ignore an answer."""
 
+    def record_whole_answer(self, job, attempt):
+        """Ignore an answer."""
+
     def check_lost_answer(self, job, attempt):
         """Check nothing."""
 
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -13,6 +13,7 @@
 from ibisring_policy.gateway import fairness
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import links
+from ibisring_policy.gateway import promptparts
 from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import relays
 from ibisring_policy.gateway import suspects
@@ -97,8 +98,8 @@
     Attributes
     ----------
     lock : threading.Lock
-        Guards `estimates`, `suspects`, `limits`, `fairness`, `links` and
-        `relays`.
+        Guards `estimates`, `suspects`, `parts`, `limits`, `fairness`, `links`
+        and `relays`.
     term : int
         Highest lease term known to this router.
     lease_lost_at : float or None
@@ -116,6 +117,7 @@
         self.lock = threading.Lock()
         self.estimates = estimates.make_estimate_table()
         self.suspects = suspects.make_suspects()
+        self.parts = promptparts.make_parts(name)
         self.fairness = fairness.make_fairness()
         self.limits = ratelimits.make_limits(name, domain)
         self.links = links.make_links()
--- /dev/null
+++ b/packages/policy/ibisring_policy/gateway/crashcauses.py
@@ -0,0 +1,137 @@
+"""Which features of requests explain the crashes of endpoints.
+
+A feature is what several requests may have in common: a part of their
+prompts, or all of a request that comes again.  Requests that only ran beside
+the cause have features, too, and see the same crashes.  They differ in that
+others with these features are answered, or that their crashes are all seen by
+a stronger feature.
+
+References
+----------
+V. Chvatal, "A greedy heuristic for the set-covering problem", Mathematics of
+Operations Research 4(3), 1979.
+"""
+
+__all__ = ['Evidence', 'Cause', 'find']
+
+import msgspec
+
+# Crashes that nothing else explains, from which on a feature is a cause.
+MIN_CRASHES = 3
+# A cause is answered at most so many times a crash: one that crashes every
+# other endpoint is a cause, one that is shared by sound requests is not.
+MAX_ANSWERS_PER_CRASH = 2
+# Endpoints that end within this time may have one cause that is no request.
+SAME_MOMENT_SECONDS = 0.05
+
+
+class Evidence(msgspec.Struct, frozen=True):
+    """What is known of a feature.
+
+    `crashes` gives the monotonic time in seconds of each crash by its id, one
+    at least;
+    `answers` counts the requests that were answered.
+    """
+
+    feature: bytes
+    crashes: dict[int, float]
+    answers: int = 0
+
+
+class Cause(msgspec.Struct, frozen=True):
+    """Features that explain crashes together.
+
+    More than one, if they have always been seen with each other: a request
+    that has only some of them may be sound.
+    """
+
+    features: frozenset[bytes]
+    crashes: int
+
+
+class _Candidate:
+    """A feature, with the moments of its crashes.
+
+    Attributes
+    ----------
+    unexplained : set of int
+        Moments that no cause found so far explains.
+    """
+
+    __slots__ = ('feature', 'moments', 'unexplained', 'share')
+
+    def __init__(self, evidence, moments):
+        self.feature = evidence.feature
+        self.moments = {moments[crash_id] for crash_id in evidence.crashes}
+        self.unexplained = set(self.moments)
+        count = len(self.moments)
+        self.share = count / (count + evidence.answers)
+
+    @property
+    def is_viable(self):
+        """Whether it may be a cause."""
+        is_deadly = self.share * (1 + MAX_ANSWERS_PER_CRASH) >= 1
+        return is_deadly and len(self.unexplained) >= MIN_CRASHES
+
+    @property
+    def strength(self):
+        """Sorts candidates."""
+        return self.share, len(self.unexplained)
+
+
+def find(evidence):
+    """Return the fewest causes that explain the crashes.
+
+    Parameters
+    ----------
+    evidence : list of Evidence
+
+    Returns
+    -------
+    list of Cause
+
+    Examples
+    --------
+    >>> crashes = {1: 10.0, 2: 10.3, 3: 10.6}
+    >>> found = find([Evidence(b'a', crashes, 40), Evidence(b'b', crashes)])
+    >>> [sorted(cause.features) for cause in found]
+    [[b'b']]
+    """
+    moments = _moments(evidence)
+    candidates = [_Candidate(each, moments) for each in evidence]
+    causes = []
+    while True:
+        viable = [each for each in candidates if each.is_viable]
+        if not viable:
+            return causes
+        strongest = max(viable, key=lambda each: each.strength)
+        equals = [
+            each
+            for each in viable
+            if each.moments == strongest.moments
+            and each.share == strongest.share
+        ]
+        causes.append(
+            Cause(
+                frozenset(each.feature for each in equals),
+                len(strongest.moments),
+            )
+        )
+        for each in candidates:
+            each.unexplained -= strongest.moments
+
+
+def _moments(evidence):
+    """Number the moments at which endpoints crashed, by crash."""
+    times = {}
+    for each in evidence:
+        for crash_id, at in each.crashes.items():
+            times[crash_id] = min(at, times.get(crash_id, at))
+    moments = {}
+    number, began = 0, None
+    for crash_id in sorted(times, key=times.get):
+        if began is None or times[crash_id] > began + SAME_MOMENT_SECONDS:
+            number += 1
+            began = times[crash_id]
+        moments[crash_id] = number
+    return moments
