Causes that all see are looked for before those of one account

Crashes that a cause for all explains now count for no account's own; between features that are alike for an account, the one that others are answered on is blamed last.

Evidence: test_account_beside_the_crashes_of_another, test_part_that_others_are_answered_on (fails before).

--- a/packages/policy/ibisring_policy/gateway/crashcauses.py
+++ b/packages/policy/ibisring_policy/gateway/crashcauses.py
@@ -30,12 +30,14 @@
 
     `crashes` gives the monotonic time in seconds of each crash by its id, one
     at least;
-    `answers` counts the requests that were answered.
+    `answers` counts the requests that were answered, `answers_elsewhere` those
+    that decide only between features that are alike otherwise.
     """
 
     feature: bytes
     crashes: dict[int, float]
     answers: int = 0
+    answers_elsewhere: int = 0
 
 
 class Cause(msgspec.Struct, frozen=True):
@@ -58,12 +60,19 @@
         Moments that no cause found so far explains.
     """
 
-    __slots__ = ('feature', 'moments', 'unexplained', 'share')
+    __slots__ = (
+        'feature',
+        'moments',
+        'unexplained',
+        'share',
+        'answers_elsewhere',
+    )
 
     def __init__(self, evidence, moments):
         self.feature = evidence.feature
         self.moments = {moments[crash_id] for crash_id in evidence.crashes}
         self.unexplained = set(self.moments)
+        self.answers_elsewhere = evidence.answers_elsewhere
         count = len(self.moments)
         self.share = count / (count + evidence.answers)
 
@@ -76,7 +85,7 @@
     @property
     def strength(self):
         """Sorts candidates."""
-        return self.share, len(self.unexplained)
+        return self.share, -self.answers_elsewhere, len(self.unexplained)
 
 
 def find(evidence):
@@ -109,7 +118,7 @@
             each
             for each in viable
             if each.moments == strongest.moments
-            and each.share == strongest.share
+            and each.strength == strongest.strength
         ]
         causes.append(
             Cause(
--- a/packages/policy/ibisring_policy/gateway/promptparts.py
+++ b/packages/policy/ibisring_policy/gateway/promptparts.py
@@ -399,45 +399,75 @@
         return causes
 
     def _find_causes(self, account, now):
-        everyone = {
+        """Find the causes for all, then those that an account adds to them.
+
+        A part that others are answered on is no cause for all, yet one
+        account's requests may crash endpoints under its name.
+        """
+        losses = {
             name: feature.losses(now)
             for name, feature in self.by_feature.items()
         }
+        causes = crashcauses.find(self._evidence(losses))
+        explained = set()
+        found = []
+        for cause in causes:
+            crashes = self._crashes_of(cause, losses)
+            explained |= crashes.keys()
+            accounts = {loss.account for loss in crashes.values()}
+            if len(accounts) > 1 or account in accounts:
+                found.append(cause)
         own = {
-            name: {n: e for n, e in losses.items() if e.account == account}
-            for name, losses in everyone.items()
-        }
-        found = crashcauses.find(self._evidence(own, account))
-        for cause in crashcauses.find(self._evidence(everyone)):
-            accounts = {
-                loss.account
-                for name in cause.features
-                for loss in everyone[name].values()
+            name: {
+                crash_id: loss
+                for crash_id, loss in each.items()
+                if loss.account == account and crash_id not in explained
             }
-            if len(accounts) > 1:
-                found.append(cause)
+            for name, each in losses.items()
+        }
+        return found + crashcauses.find(self._own_evidence(own, account))
+
+    def _crashes_of(self, cause, losses):
+        """Return the losses that a cause explains, by id."""
+        found = {}
+        for name in cause.features:
+            found |= losses[name]
         return found
 
-    def _evidence(self, losses_by_name, account=None):
-        """Return the evidence of an account, or of all."""
+    def _evidence(self, losses):
+        """Return the evidence of all accounts."""
+        return [
+            crashcauses.Evidence(name, _times(each), self._count_answers(name))
+            for name, each in losses.items()
+            if each
+        ]
+
+    def _own_evidence(self, losses, account):
+        """Return the evidence of one account."""
         return [
             crashcauses.Evidence(
                 name,
-                {n: e.at for n, e in losses.items()},
-                self._count_answers(name, account),
+                _times(each),
+                self._count_own_answers(name, account),
+                self._count_answers(name),
             )
-            for name, losses in losses_by_name.items()
-            if losses
+            for name, each in losses.items()
+            if each
         ]
 
-    def _count_answers(self, name, account):
+    def _count_answers(self, name):
+        prior = sum(self.remembered.get(name, {}).values())
+        counted = self.by_feature[name].answers
+        return min(MAX_PRIOR_ANSWERS, prior) + sum(counted.values())
+
+    def _count_own_answers(self, name, account):
+        prior = self.remembered.get(name, {}).get(account, 0)
         counted = self.by_feature[name].answers
-        prior = self.remembered.get(name, {})
-        if account is None:
-            before = min(MAX_PRIOR_ANSWERS, sum(prior.values()))
-            return before + sum(counted.values())
-        own = [n for k, n in counted.items() if k >> _ACCOUNT_BITS == account]
-        return prior.get(account, 0) + sum(own)
+        return prior + sum(
+            count
+            for key, count in counted.items()
+            if key >> _ACCOUNT_BITS == account
+        )
 
     def mark_running(self, features):
         """Record that this router sends a request in doubt."""
@@ -555,6 +585,10 @@
         return has_changed
 
 
+def _times(losses):
+    return {crash_id: loss.at for crash_id, loss in losses.items()}
+
+
 def _age_ms(at, now):
     return max(0, int((now - at) * MS_PER_SECOND))
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_promptparts.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_promptparts.py
@@ -113,6 +113,33 @@
     assert is_refused(parts, of(52, 'dead'), account=third)
 
 
+def test_account_may_not_crash_on_under_the_part_of_another():
+    parts = promptparts.make_parts('r1')
+    for number in range(20):
+        parts.answered(of(100 + number, 'a11e'), ACME, 0.5)
+    crash(parts, ['a11e'], [1, 2, 3], OTHER)
+    assert is_refused(parts, SHARED, account=OTHER)
+    assert not is_refused(parts, SHARED, account=ACME)
+
+
+def test_account_beside_the_crashes_of_another_is_not_refused():
+    """Guards against refusing the few sound requests of a small account."""
+    parts = deadly_known(numbers=[1, 2, 3, 4])
+    crash(parts, ['a11e'], [1, 2, 3], OTHER)
+    assert not is_refused(parts, SHARED, account=OTHER)
+
+
+def test_part_that_others_are_answered_on_is_the_last_to_be_blamed():
+    """Guards against refusing a shared part to an account that rarely asks."""
+    parts = promptparts.make_parts('r1')
+    for number in range(20):
+        parts.answered(of(100 + number, 'a11e'), OTHER, 0.5)
+    crash(parts, ['a11e', 'dead'], [1, 2, 3])
+    crash(parts, ['a11e'], [4])
+    assert is_refused(parts, of(7, 'a11e', 'dead'))
+    assert not is_refused(parts, of(8, 'a11e'))
+
+
 def test_part_that_was_answered_before_is_refused_if_it_turns_deadly():
     parts = promptparts.make_parts('r1')
     for number in range(50):
