No verdict before all routers have seen a crash; nothing refused beside two causes

Routers, and the requests of one router, see a crash at slightly different times; a part that ran beside the cause may have its third crash first. And a part beside the crashes of two deadly ones may see three before either has. Now a request whose third crash is younger than 0.2 s waits that long; and a candidate counts only if at least two of its crashes are not seen by deadlier parts.

--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -30,13 +30,15 @@
 
     `refused_until` is in monotonic seconds, 0 if it is not refused; `crashes`
     counts the endpoints that it, or what it has in common with others, is
-    suspected of having crashed.  With `must_wait` it should not start yet.
+    suspected of having crashed.  With `must_wait` it should not start yet;
+    with `is_settling` this concerns started streams, too.
     """
 
     refused_until: float = 0.0
     crashes: int = 0
     is_suspect: bool = False
     must_wait: bool = False
+    is_settling: bool = False
 
 
 class Screen:
@@ -76,6 +78,7 @@
                 found.crashes,
                 bool(found.doubtful),
                 found.must_wait,
+                found.is_settling,
             )
         found = self.verdict(job)
         return Restriction(
@@ -96,15 +99,19 @@
         ------
         CallerDisconnected
         """
-        if job.exchange.headers_sent:
-            return not (job.features and self.restriction(job).refused_until)
+        is_started = job.exchange.headers_sent
+        if is_started and not job.features:
+            return True
         end = min(job.deadline, self.clock() + MAX_WAIT_SECONDS)
         while True:
             restriction = self.restriction(job)
-            job.is_suspect = restriction.is_suspect
             if restriction.refused_until:
                 return False
-            if not restriction.must_wait or self.clock() >= end:
+            must_wait = restriction.is_settling
+            if not is_started:
+                job.is_suspect = restriction.is_suspect
+                must_wait = restriction.must_wait
+            if not must_wait or self.clock() >= end:
                 return True
             time.sleep(POLL_SECONDS)
             if serving.is_gone(job.exchange.socket):
--- a/packages/policy/ibisring_policy/gateway/crashcauses.py
+++ b/packages/policy/ibisring_policy/gateway/crashcauses.py
@@ -31,13 +31,15 @@
     `crashes` gives the monotonic time in seconds of each crash by its id, one
     at least;
     `answers` counts the requests that were answered, `answers_elsewhere` those
-    that decide only between features that are alike otherwise.
+    that decide only between features that are alike otherwise.  `is_whole`
+    marks a request as a whole, which has all that its parts have seen.
     """
 
     feature: bytes
     crashes: dict[int, float]
     answers: int = 0
     answers_elsewhere: int = 0
+    is_whole: bool = False
 
 
 class Cause(msgspec.Struct, frozen=True):
@@ -66,6 +68,7 @@
         'unexplained',
         'share',
         'answers_elsewhere',
+        'is_whole',
     )
 
     def __init__(self, evidence, moments):
@@ -73,6 +76,7 @@
         self.moments = {moments[crash_id] for crash_id in evidence.crashes}
         self.unexplained = set(self.moments)
         self.answers_elsewhere = evidence.answers_elsewhere
+        self.is_whole = evidence.is_whole
         count = len(self.moments)
         self.share = count / (count + evidence.answers)
 
@@ -110,7 +114,11 @@
     candidates = [_Candidate(each, moments) for each in evidence]
     causes = []
     while True:
-        viable = [each for each in candidates if each.is_viable]
+        viable = [
+            each
+            for each in candidates
+            if each.is_viable and not _is_covered(each, candidates)
+        ]
         if not viable:
             return causes
         strongest = max(viable, key=lambda each: each.strength)
@@ -130,6 +138,32 @@
             each.unexplained -= strongest.moments
 
 
+def _is_covered(candidate, candidates):
+    """Whether deadlier ones explain most of what a candidate has seen.
+
+    A sound part may run beside the crashes of two deadly ones, and so reach
+    `MIN_CRASHES` before either.
+    """
+    explained = set()
+    for each in candidates:
+        if len(each.moments) > 1 and _is_deadlier(each, candidate):
+            explained |= each.moments
+    return len(candidate.moments - explained) < MIN_CRASHES - 1
+
+
+def _is_deadlier(candidate, other):
+    """Whether a candidate may be the cause of what another one has seen.
+
+    As deadly a one that has seen no more is explained by the other.
+    """
+    if candidate.is_whole:
+        return False
+    if candidate.share > other.share:
+        return True
+    is_as_deadly = candidate.share == other.share
+    return is_as_deadly and not candidate.moments <= other.moments
+
+
 def _moments(evidence):
     """Number the moments at which endpoints crashed, by crash."""
     times = {}
--- a/packages/policy/ibisring_policy/gateway/promptparts.py
+++ b/packages/policy/ibisring_policy/gateway/promptparts.py
@@ -30,7 +30,9 @@
 
 # Bound on the parts of one prompt that are looked at.
 MAX_PARTS = 64
-FEATURE_BYTES = 8
+HASH_BYTES = 7
+# Features begin with one of these.
+_PART, _WHOLE = b'p', b'w'
 # For how long a cause is refused after its last crash, and after the last
 # request that was refused for it: a trial would cost an endpoint.
 REFUSAL_SECONDS = 600.0
@@ -38,6 +40,9 @@
 # until when its later start shows that it did.
 UNRESOLVED_SECONDS = 5.0
 RESTART_SECONDS = 30.0
+# Routers see the same crash at slightly different times.  Before all have, a
+# part that only ran beside the cause may seem to be it.
+SETTLE_SECONDS = 0.2
 # Evidence that is not a cause is dropped after this time without change.
 DOUBT_TTL_SECONDS = 120.0
 MAX_FEATURES = 1000
@@ -79,7 +84,8 @@
     `refused_until` is in monotonic seconds, 0 if it is not refused, and
     `causes` are the features for which it is.  Endpoints have crashed under
     requests with the `doubtful` ones, and none has answered; `must_wait` says
-    that this router already runs a request in the same doubt.
+    that this router already runs a request in the same doubt.  With
+    `is_settling` the request will soon be refused or allowed.
     """
 
     refused_until: float = 0.0
@@ -87,6 +93,7 @@
     causes: tuple[bytes, ...] = ()
     doubtful: tuple[bytes, ...] = ()
     must_wait: bool = False
+    is_settling: bool = False
 
 
 _NO_VERDICT = PartVerdict()
@@ -145,8 +152,8 @@
     names = names_of(parts)
     if not names:
         return ()
-    hashed = [_hash(b'part', name.encode()) for name in names]
-    return (*hashed, _hash(b'whole', digest))
+    hashed = [_PART + _hash(name.encode()) for name in names]
+    return (*hashed, _WHOLE + _hash(digest))
 
 
 def names_of(parts):
@@ -154,9 +161,8 @@
     return list(dict.fromkeys(part.lower() for part in parts[:MAX_PARTS]))
 
 
-def _hash(kind, value):
-    made = hashlib.blake2b(value, digest_size=FEATURE_BYTES, person=kind)
-    return made.digest()
+def _hash(value):
+    return hashlib.blake2b(value, digest_size=HASH_BYTES).digest()
 
 
 def account_id(name):
@@ -366,13 +372,24 @@
             return _NO_VERDICT
         for cause in self._causes(account, now):
             if cause.features.issubset(known):
-                return self._refuse(cause, now)
+                if self._is_settled(cause, now):
+                    return self._refuse(cause, now)
+                return PartVerdict(must_wait=True, is_settling=True)
         doubtful = [name for name in known if self._is_doubtful(name, now)]
         return PartVerdict(
             doubtful=tuple(doubtful),
             must_wait=any(self.running[name] for name in doubtful),
         )
 
+    def _is_settled(self, cause, now):
+        """Whether all routers have seen enough of its crashes."""
+        since = now - SETTLE_SECONDS
+        seen = set()
+        for name in cause.features:
+            losses = self.by_feature[name].losses(now).items()
+            seen |= {n for n, loss in losses if loss.at < since}
+        return len(seen) >= crashcauses.MIN_CRASHES
+
     def _refuse(self, cause, now):
         for name in cause.features:
             self.by_feature[name].asked_at = now
@@ -437,7 +454,12 @@
     def _evidence(self, losses):
         """Return the evidence of all accounts."""
         return [
-            crashcauses.Evidence(name, _times(each), self._count_answers(name))
+            crashcauses.Evidence(
+                name,
+                _times(each),
+                self._count_answers(name),
+                is_whole=name.startswith(_WHOLE),
+            )
             for name, each in losses.items()
             if each
         ]
@@ -450,6 +472,7 @@
                 _times(each),
                 self._count_own_answers(name, account),
                 self._count_answers(name),
+                is_whole=name.startswith(_WHOLE),
             )
             for name, each in losses.items()
             if each
--- a/packages/policy/ibisring_policy/gateway/tests/test_crashcauses.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_crashcauses.py
@@ -53,6 +53,15 @@
     assert causes(first, second) == [[b'first'], [b'second']]
 
 
+def test_part_beside_two_deadly_ones_is_no_cause():
+    """Guards against refusing what ran beside both, before either is known."""
+    beside = evidence(b'beside', [1, 2, 3], answers=1)
+    first, second = evidence(b'first', [1, 3]), evidence(b'second', [2, 5])
+    assert causes(beside, first, second) == []
+    known = evidence(b'first', [1, 3, 4])
+    assert causes(beside, known, second) == [[b'first']]
+
+
 def test_part_that_crashes_every_other_endpoint_is_a_cause():
     sometimes = evidence(b'sometimes', [1, 2, 3], answers=3)
     shared = evidence(b'shared', [1, 2, 3], answers=30)
