--- a/packages/soak/ibisring_soak/__main__.py
+++ b/packages/soak/ibisring_soak/__main__.py
@@ -26,7 +26,8 @@
     callers: int = typer.Option(10, min=1, max=200),
     poison: str = typer.Option(
         '',
-        help='Route (safe, once, stream) of a request that crashes endpoints.',
+        help='Route (safe, once, stream) of a request that crashes endpoints,'
+        ' or part: requests with such a part in their prompts.',
     ),
     limits: bool = typer.Option(False, help='Endpoints declare rate limits.'),
     backoffs: bool = typer.Option(False, help='Endpoints ask for backoff.'),
@@ -39,6 +40,9 @@
     cuts: bool = typer.Option(
         False, help='Routers lose their links to endpoints.'
     ),
+    breaks: bool = typer.Option(
+        False, help='Engines break off streams, and answer without a length.'
+    ),
     folder: pathlib.Path = typer.Option(
         pathlib.Path('soak-runs'), help='Settings and logs, by seed.'
     ),
@@ -63,6 +67,7 @@
             leaves,
             restores,
             cuts,
+            breaks,
         )
         failed_runs += bool(outcome.violations)
         print(
--- a/packages/soak/ibisring_soak/guarantees.py
+++ b/packages/soak/ibisring_soak/guarantees.py
@@ -15,9 +15,8 @@
 # share of them that must be.
 RECOVERY_SECONDS = 12.0
 SERVED_SHARE = 0.9
-# Crashes of endpoints after which a request must be known as poison, and how
-# often it may still run after all routers have been informed.
-MAX_CRASHES = 3
+# How often a poison request may still run after all routers have been
+# informed.
 MAX_LATE_RUNS = 3
 # Time after an endpoint asked for backoff in which requests may still be under
 # way, and how many of a router may reach it later.
@@ -191,10 +190,11 @@
 
 
 def _poison_requests(history):
-    """A request that crashed three endpoints reaches no more of them."""
-    if len(history.endpoint_crashes) < MAX_CRASHES:
+    """What has crashed a few endpoints reaches no more of them."""
+    known_after = history.crashes_until_known
+    if len(history.endpoint_crashes) < known_after:
         return
-    since = history.endpoint_crashes[MAX_CRASHES - 1] + UNDISRUPTED_SECONDS
+    since = history.endpoint_crashes[known_after - 1] + UNDISRUPTED_SECONDS
     routers = {c.id: c.router for c in history.calls if c.kind == 'bad'}
     late = [
         run
--- a/packages/soak/ibisring_soak/partload.py
+++ b/packages/soak/ibisring_soak/partload.py
@@ -5,7 +5,7 @@
 callers and endpoints observed.
 """
 
-__all__ = ['PartLoad', 'Observations', 'run_load']
+__all__ = ['PartCaller', 'PartLoad', 'Observations', 'run_load']
 
 import concurrent.futures
 import itertools
@@ -17,6 +17,8 @@
 
 DEADLY_PART = 'dead01'
 SHARED_PART = 'a11e01'
+# Part that all other streams of a soak have.
+SOAK_PART = '5c1e07a2'
 CRASHES = 5
 # Time that routers have to inform each other of the last of these crashes.
 CONTACT_SECONDS = 3.0
@@ -25,6 +27,34 @@
 OTHER_KEY = 'key-2'
 
 
+class PartCaller(poison.PoisonCaller):
+    """A caller of requests that share nothing but a deadly part.
+
+    Parameters
+    ----------
+    world : world.World
+    """
+
+    def __init__(self, world):
+        super().__init__(world, 'stream')
+        world.site.poison = None
+        world.site.poison_parts = {DEADLY_PART}
+        world.history.crashes_until_known = CRASHES
+
+    def _send(self, name, router):
+        return asking.send(
+            router,
+            name,
+            self.kind,
+            name.encode(),
+            **{'Prompt-Prefix': _prompt(SOAK_PART, DEADLY_PART, f'{name}0')},
+        )
+
+
+def _prompt(*parts):
+    return ','.join(f'{part}:{PART_TOKENS}' for part in parts)
+
+
 class PartLoad(msgspec.Struct, frozen=True):
     """Load on the route of streams; `*_every` are seconds between requests.
 
@@ -121,7 +151,7 @@
             f'q{number}',
             'stream',
             b'body %d' % number,
-            **{'Prompt-Prefix': ','.join(f'{p}:{PART_TOKENS}' for p in parts)},
+            **{'Prompt-Prefix': _prompt(*parts)},
         )
         self.calls[source].append(call)
 
--- a/packages/soak/ibisring_soak/poison.py
+++ b/packages/soak/ibisring_soak/poison.py
@@ -182,9 +182,12 @@
             sent_at=time.monotonic(),
         )
         self.world.history.calls.append(call)
-        call.status = asking.send(router, name, self.kind, BODY).status
+        call.status = self._send(name, router).status
         call.ended_at = time.monotonic()
 
+    def _send(self, name, router):
+        return asking.send(router, name, self.kind, BODY)
+
 
 class _LoadRun:
     """Sends poison and other requests to the routers in turn."""
--- a/packages/soak/ibisring_soak/records.py
+++ b/packages/soak/ibisring_soak/records.py
@@ -115,7 +115,8 @@
     are 'router NAME', 'store', 'callers' and 'endpoints'.  `terminations`
     holds, for each SIGTERM, the router, the time of the signal, and the
     seconds until the process had exited.  `endpoint_crashes` holds when
-    endpoints crashed on the poison request, `crashes` the processes that
+    endpoints crashed on the poison request, `crashes_until_known` how many
+    may do so until all routers refuse it.  `crashes` holds the processes that
     exited unexpectedly.  `layers` is the number of layers of the model.
     """
 
@@ -127,6 +128,7 @@
     disruptions: list[tuple[str, float, float]] = []
     terminations: list[tuple[str, float, float]] = []
     endpoint_crashes: list[float] = []
+    crashes_until_known: int = 3
     limits: list[LimitSpan] = []
     leaves: list[Leave] = []
     overloaded: list[str] = []
--- a/packages/soak/ibisring_soak/soaking.py
+++ b/packages/soak/ibisring_soak/soaking.py
@@ -7,10 +7,12 @@
 
 from ibisring_soak import announcements
 from ibisring_soak import backoffs as backoffs_module
+from ibisring_soak import brokenstreams
 from ibisring_soak import callers as callers_module
 from ibisring_soak import cuts as cuts_module
 from ibisring_soak import guarantees
 from ibisring_soak import injecting
+from ibisring_soak import partload
 from ibisring_soak import poison as poison_module
 from ibisring_soak import ratelimits
 from ibisring_soak import schedule
@@ -32,6 +34,15 @@
     runs: int
 
 
+PART = 'part'
+
+
+def _make_poison(world, kind):
+    if kind == PART:
+        return partload.PartCaller(world)
+    return poison_module.PoisonCaller(world, kind)
+
+
 def soak(
     seed,
     seconds,
@@ -45,6 +56,7 @@
     leaves=False,
     restores=False,
     cuts=False,
+    breaks=False,
 ):
     """Run the soak once.
 
@@ -58,8 +70,8 @@
         Settings and logs of the processes.
     routers, engines, callers : int
     poison : str
-        Kind of the route of a request that crashes its endpoints, '' for
-        none.
+        Kind of the route of a request that crashes its endpoints, 'part' for
+        requests that share nothing but a part that does so, '' for none.
     limits : bool
         Whether endpoints declare rate limits from time to time.
     backoffs : bool
@@ -70,6 +82,8 @@
         Whether the store comes back from copies that lack writes.
     cuts : bool
         Whether routers lose their links to endpoints.
+    breaks : bool
+        Whether engines answer without a length, and break off some streams.
 
     Returns
     -------
@@ -83,7 +97,7 @@
         caller_threads.start()
         disruptions = []
         if poison:
-            disruptions.append(poison_module.PoisonCaller(world, poison))
+            disruptions.append(_make_poison(world, poison))
         if limits:
             disruptions.append(ratelimits.LimitChanger(world, seed))
         if backoffs:
@@ -94,6 +108,8 @@
             disruptions.append(announcements.StoreRestorer(world, seed))
         if cuts:
             disruptions.append(cuts_module.LinkCutter(world, seed))
+        if breaks:
+            disruptions.append(brokenstreams.StreamBreaker(world, seed))
         for disruption in disruptions:
             disruption.start()
         injecting.make_injector(world).run(faults)
--- a/packages/soak/ibisring_soak/tests/test_soak.py
+++ b/packages/soak/ibisring_soak/tests/test_soak.py
@@ -51,6 +51,12 @@
     assert outcome.violations == []
 
 
+def test_guarantees_hold_with_broken_streams_and_a_deadly_part(tmp_path):
+    """Guards against half events, and against a part that crashes engines."""
+    outcome = soaking.soak(7, 12.0, tmp_path, poison='part', breaks=True)
+    assert outcome.violations == []
+
+
 def test_faults_overlap_and_affect_all_groups():
     faults = schedule.make_schedule(5, 200.0)
     assert {fault.group for fault in faults} == set(schedule.KINDS)
