--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -12,6 +12,7 @@
 from ibisring_policy.gateway import polling
 from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import storereaders
+from ibisring_policy.gateway import promptparts
 from ibisring_policy.gateway import suspects
 
 
@@ -34,6 +35,7 @@
 
 def test_older_release_decodes_a_newer_message():
     suspect = suspects.SuspectUpdate(b'12345678', {1: 5})
+    part = promptparts.PartUpdate(b'p1234567', {1: (5, 7)}, answers={9: 1})
     message = gossipmessages.Message(
         'r1',
         {'x': 5},
@@ -42,6 +44,7 @@
         changes=b'abc',
         recovered=['z'],
         suspects=[suspect],
+        parts=[part],
     )
     data = msgspec.msgpack.encode(message)
     decoded = msgspec.msgpack.decode(data, type=_OlderMessage)
@@ -52,6 +55,12 @@
     )
     assert decoded.endpoints_version == 7
     assert gossipmessages.decode(data).suspects == [suspect]
+    assert gossipmessages.decode(data).parts == [part]
+
+
+def test_message_of_an_older_release_tells_of_no_parts():
+    data = msgspec.msgpack.encode(_OlderMessage('a', {}, []))
+    assert gossipmessages.decode(data).parts == []
 
 
 def test_older_release_does_not_count_as_a_reader():
--- a/packages/operator/ibisring_operator/tests/test_tracing.py
+++ b/packages/operator/ibisring_operator/tests/test_tracing.py
@@ -48,6 +48,18 @@
     assert [line.time for line in traced] == [1.0, 2.0, 60.0]
 
 
+PARTS = '''{"time": 1.0, "event": "part_suspects", "id": "q1", "names": ["Dead"]}
+{"time": 2.0, "event": "part_suspects", "id": "q2", "names": ["a11e"]}
+{"time": 60.0, "event": "request", "id": "r1", "parts": ["dead"], "ms": 1}
+'''
+
+
+def test_trace_of_a_refused_request_shows_the_crashes_of_its_part():
+    """Guards against a refusal whose crashes were of other requests."""
+    traced = tracing.trace(_read('vm-1', PARTS), 'r1')
+    assert [line.time for line in traced] == [1.0, 60.0]
+
+
 def test_trace_of_an_unknown_request_is_empty():
     assert tracing.trace(_read('vm-1', FIRST), 'none') == []
 
--- a/packages/operator/ibisring_operator/tracing.py
+++ b/packages/operator/ibisring_operator/tracing.py
@@ -24,6 +24,8 @@
 )
 # An endpoint crashed while it ran a request, possibly in another attempt.
 SUSPECT_EVENT = 'suspect'
+# One crashed as it began to answer a request with some parts in its prompt.
+PART_EVENT = 'part_suspects'
 
 
 def trace(lines, request):
@@ -39,8 +41,9 @@
     list of loglines.Line
         By time.  Empty if no line has the request's id.  Changes of state
         are those of the VMs that served it, from `CONTEXT_SECONDS` before
-        its start to its last line.  Crashes recorded under its digest are
-        shown from all VMs, however long before.
+        its start to its last line.  Crashes recorded under its digest, or
+        under a part for which it was refused, are shown from all VMs,
+        however long before.
     """
     request_lines = [line for line in lines if line.request == request]
     if not request_lines:
@@ -58,19 +61,42 @@
         and line.source in sources
         and start <= line.time <= end
     ]
-    digests = {line.facts.get('digest') for line in request_lines} - {None}
     suspected = [
         line
-        for line in lines
-        if line.event == SUSPECT_EVENT
-        and line.facts.get('digest') in digests
-        and line.time <= end
+        for line in _suspected(lines, request_lines)
+        if line.time <= end and line not in request_lines
     ]
     return sorted(
         request_lines + state_changes + suspected, key=lambda line: line.time
     )
 
 
+def _suspected(lines, request_lines):
+    """Return the crashes recorded under what a request is known by."""
+    digests = {line.facts.get('digest') for line in request_lines} - {None}
+    parts = {
+        part
+        for line in request_lines
+        if line.event == 'request'
+        for part in line.facts.get('parts') or ()
+    }
+    return [
+        line
+        for line in lines
+        if (
+            line.event == SUSPECT_EVENT and line.facts.get('digest') in digests
+        )
+        or (
+            line.event == PART_EVENT
+            and not parts.isdisjoint(_names(line.facts))
+        )
+    ]
+
+
+def _names(facts):
+    return [name.lower() for name in facts.get('names') or ()]
+
+
 def _elapsed_seconds(line):
     """Return how long a request had run when the line was written."""
     return float(line.facts.get('ms', 0.0)) / 1000.0
--- a/packages/policy/ibisring_policy/gateway/tests/test_promptparts.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_promptparts.py
@@ -5,6 +5,7 @@
 import pytest
 
 from ibisring_policy.gateway import promptparts
+from ibisring_policy.gateway.tests import partsim
 
 ACME, OTHER = promptparts.account_id('acme'), promptparts.account_id('other')
 DEADLY = promptparts.features_of(['a11e', 'dead'], b'1')
@@ -230,3 +231,45 @@
     features = promptparts.features_of(names, b'1')
     expected = min(count, promptparts.MAX_PARTS)
     assert len(features) == (expected + 1 if count else 0)
+
+
+# A fleet for each way in which a part may be deadly, and what else happens.
+SITES = {
+    'one part': partsim.Site(),
+    'a second apart': partsim.Site(deadly_interval=1.0),
+    'with a companion': partsim.Site(has_companion=True),
+    'two parts': partsim.Site(has_second_part=True),
+    'one run of two': partsim.Site(lethality=0.5),
+    'ten accounts': partsim.Site(accounts=10),
+    'six routers, often': partsim.Site(routers=6, deadly_interval=0.1),
+    'many routers': partsim.Site(
+        routers=60, endpoints=60, rate=60.0, seconds=10.0
+    ),
+}
+MAX_LATE_RUNS = 3
+MIN_SERVED_SHARE = 0.97
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+@pytest.mark.parametrize('name', SITES)
+def test_fleet_refuses_what_is_deadly_and_nothing_else(name, seed):
+    """Guards against crash after crash, and against refused sound requests."""
+    outcome = partsim.simulate(SITES[name], seed)
+    assert len(outcome.late_runs()) <= MAX_LATE_RUNS
+    assert outcome.refused == 0
+    assert outcome.served >= MIN_SERVED_SHARE * outcome.ended
+
+
+def test_requests_a_second_apart_crash_three_endpoints():
+    outcome = partsim.simulate(SITES['a second apart'], 1)
+    assert len(outcome.crashes) <= 3
+
+
+@pytest.mark.parametrize('seed', [1, 2])
+def test_herds_of_crashes_refuse_nothing(seed):
+    """Guards against the prompt that all share being refused for a herd."""
+    site = partsim.Site(
+        deadly_after=99.0, mass_crashes=(1.0, 2.0, 3.0, 4.0, 5.0, 6.0)
+    )
+    outcome = partsim.simulate(site, seed)
+    assert len(outcome.crashes) >= 8 and outcome.refused == 0
