--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -298,17 +298,8 @@
         is_unsent = result is attempts.Result.NOT_SENT and not job.sent_to
         if is_refused and job.relayed_by and is_unsent:
             raise exceptions.Unreachable(detail)
-        if (
-            step is attempts.NextStep.REFUSE
-            and result is attempts.Result.SUSPECTED
-        ):
-            raise exceptions.CrashingRequest(
-                'endpoints have ended under this request',
-                self.screen.retry_after(job),
-                digest=job.digest.hex(),
-                ends=self.screen.restriction(job).crashes,
-                **self.screen.parts.facts(job),
-            )
+        if is_refused and result is attempts.Result.SUSPECTED:
+            raise self.screen.refusal(job)
         retry_after = max(
             self.selector.refuse(job, self.clock()),
             self.screen.retry_after(job),
--- a/packages/gateway/ibisring_gateway/partscreening.py
+++ b/packages/gateway/ibisring_gateway/partscreening.py
@@ -35,15 +35,15 @@
                 job.features, job.account_id, self.clock()
             )
 
-    def facts(self, job):
-        """Return the parts for which a request is refused, by name."""
+    def refused_parts(self, job):
+        """Return the names of the parts for which a request is refused."""
         if not job.features:
-            return {}
+            return []
         causes = self.verdict(job).causes
-        named = zip(
-            promptparts.names_of(job.request.shared_parts), job.features
-        )
-        return {'parts': [name for name, each in named if each in causes]}
+        names = promptparts.names_of(job.request.shared_parts)
+        return [
+            name for name, each in zip(names, job.features) if each in causes
+        ]
 
     def record_start(self, job):
         """Record that a request, doubtful or not, is being sent."""
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -13,6 +13,7 @@
 from ibisring_gateway import liveness
 from ibisring_gateway import partscreening
 from ibisring_policy.gateway import suspects
+from ibisring_records import exceptions
 from ibisring_router import logs
 from ibisring_web import serving
 import msgspec
@@ -123,6 +124,21 @@
         """Return the seconds for which a request is refused, 0 if allowed."""
         return max(0.0, self.restriction(job).refused_until - self.clock())
 
+    def refusal(self, job):
+        """Return the error for a request that is refused."""
+        restriction = self.restriction(job)
+        parts = self.parts.refused_parts(job)
+        detail = 'endpoints have ended under this request'
+        if parts:
+            detail = f'endpoints have ended under {", ".join(parts)}'
+        return exceptions.CrashingRequest(
+            detail,
+            max(0.0, restriction.refused_until - self.clock()),
+            digest=job.digest.hex(),
+            ends=restriction.crashes,
+            parts=parts,
+        )
+
     def record_start(self, job, attempt):
         """Record that a suspect is being sent to an endpoint."""
         if job.features:
--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -11,8 +11,8 @@
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import polling
 from ibisring_policy.gateway import positions
-from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway import promptparts
+from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway import suspects
 
 
--- a/packages/gateway/ibisring_gateway/tests/test_partscreening.py
+++ b/packages/gateway/ibisring_gateway/tests/test_partscreening.py
@@ -189,6 +189,6 @@
 def test_refusal_names_the_part_and_when_to_come_back():
     router = _Router()
     router.lose_three()
-    job = router.job('a11e', 'DEAD')
-    assert router.screen.retry_after(job) > 500.0
-    assert router.screen.parts.facts(job) == {'parts': ['dead']}
+    refusal = router.screen.refusal(router.job('a11e', 'DEAD'))
+    assert refusal.retry_after > 500.0
+    assert refusal.facts['parts'] == ['dead'] and 'dead' in refusal.detail
--- a/packages/operator/ibisring_operator/tests/test_tracing.py
+++ b/packages/operator/ibisring_operator/tests/test_tracing.py
@@ -48,8 +48,8 @@
     assert [line.time for line in traced] == [1.0, 2.0, 60.0]
 
 
-PARTS = '''{"time": 1.0, "event": "part_suspects", "id": "q1", "names": ["Dead"]}
-{"time": 2.0, "event": "part_suspects", "id": "q2", "names": ["a11e"]}
+PARTS = '''{"time": 1.0, "event": "part_suspects", "names": ["Dead"]}
+{"time": 2.0, "event": "part_suspects", "names": ["a11e"]}
 {"time": 60.0, "event": "request", "id": "r1", "parts": ["dead"], "ms": 1}
 '''
 
--- a/packages/policy/ibisring_policy/gateway/crashcauses.py
+++ b/packages/policy/ibisring_policy/gateway/crashcauses.py
@@ -23,16 +23,18 @@
 MAX_ANSWERS_PER_CRASH = 2
 # Endpoints that end within this time may have one cause that is no request.
 SAME_MOMENT_SECONDS = 0.05
+# Bound on the candidates that are compared, those with most crashes first.
+MAX_CANDIDATES = 100
 
 
 class Evidence(msgspec.Struct, frozen=True):
     """What is known of a feature.
 
     `crashes` gives the monotonic time in seconds of each crash by its id, one
-    at least;
-    `answers` counts the requests that were answered, `answers_elsewhere` those
-    that decide only between features that are alike otherwise.  `is_whole`
-    marks a request as a whole, which has all that its parts have seen.
+    at least; `answers` counts the requests that were answered,
+    `answers_elsewhere` those that decide only between features that are alike
+    otherwise.  `is_whole` marks a request as a whole, which has all that its
+    parts have seen.
     """
 
     feature: bytes
@@ -54,16 +56,24 @@
 
 
 class _Candidate:
-    """A feature, with the moments of its crashes.
+    """Features that are alike in all that is known of them.
 
     Attributes
     ----------
+    features : set of bytes
+    moments : frozenset of int
+        Moments at which endpoints crashed.
     unexplained : set of int
-        Moments that no cause found so far explains.
+        Those that no cause found so far explains.
+    share : float
+        Share of the requests that crashed an endpoint.
+    answers_elsewhere : int
+    is_whole : bool
+        Whether all features are requests as a whole.
     """
 
     __slots__ = (
-        'feature',
+        'features',
         'moments',
         'unexplained',
         'share',
@@ -71,14 +81,18 @@
         'is_whole',
     )
 
-    def __init__(self, evidence, moments):
-        self.feature = evidence.feature
-        self.moments = {moments[crash_id] for crash_id in evidence.crashes}
-        self.unexplained = set(self.moments)
-        self.answers_elsewhere = evidence.answers_elsewhere
-        self.is_whole = evidence.is_whole
-        count = len(self.moments)
-        self.share = count / (count + evidence.answers)
+    def __init__(self, moments, share, answers_elsewhere):
+        self.features = set()
+        self.moments = moments
+        self.unexplained = set(moments)
+        self.share = share
+        self.answers_elsewhere = answers_elsewhere
+        self.is_whole = True
+
+    def add(self, evidence):
+        """Add a feature."""
+        self.features.add(evidence.feature)
+        self.is_whole &= evidence.is_whole
 
     @property
     def is_viable(self):
@@ -110,8 +124,7 @@
     >>> [sorted(cause.features) for cause in found]
     [[b'b']]
     """
-    moments = _moments(evidence)
-    candidates = [_Candidate(each, moments) for each in evidence]
+    candidates = _candidates(evidence)
     causes = []
     while True:
         viable = [
@@ -122,22 +135,33 @@
         if not viable:
             return causes
         strongest = max(viable, key=lambda each: each.strength)
-        equals = [
-            each
-            for each in viable
-            if each.moments == strongest.moments
-            and each.strength == strongest.strength
-        ]
         causes.append(
-            Cause(
-                frozenset(each.feature for each in equals),
-                len(strongest.moments),
-            )
+            Cause(frozenset(strongest.features), len(strongest.moments))
         )
         for each in candidates:
             each.unexplained -= strongest.moments
 
 
+def _candidates(evidence):
+    """Return what has crashed more than one endpoint, most crashes first."""
+    moments_by_crash = _moments(evidence)
+    found = {}
+    for each in evidence:
+        moments = frozenset(moments_by_crash[name] for name in each.crashes)
+        count = len(moments)
+        if count < MIN_CRASHES - 1:
+            continue
+        share = count / (count + each.answers)
+        key = moments, share, each.answers_elsewhere
+        if key not in found:
+            found[key] = _Candidate(*key)
+        found[key].add(each)
+    ordered = sorted(
+        found.values(), key=lambda each: len(each.moments), reverse=True
+    )
+    return ordered[:MAX_CANDIDATES]
+
+
 def _is_covered(candidate, candidates):
     """Whether deadlier ones explain most of what a candidate has seen.
 
@@ -146,7 +170,7 @@
     """
     explained = set()
     for each in candidates:
-        if len(each.moments) > 1 and _is_deadlier(each, candidate):
+        if _is_deadlier(each, candidate):
             explained |= each.moments
     return len(candidate.moments - explained) < MIN_CRASHES - 1
 
