--- a/packages/gateway/ibisring_gateway/gossipmessages.py
+++ b/packages/gateway/ibisring_gateway/gossipmessages.py
@@ -5,8 +5,8 @@
 import msgspec
 
 from ibisring_policy.gateway import layerorders
+from ibisring_policy.gateway import partupdates
 from ibisring_policy.gateway import positions
-from ibisring_policy.gateway import promptparts
 from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway import suspects as suspects_module
@@ -83,7 +83,7 @@
         Requests that the sender runs.
     cut_from : list of str
         Services whose endpoints the sender can't reach.
-    parts : list of promptparts.PartUpdate
+    parts : list of partupdates.PartUpdate
         Parts of prompts under which endpoints have crashed.
     """
 
@@ -117,7 +117,7 @@
     takes_requests: bool = False
     active: int = 0
     cut_from: list[str] = []
-    parts: list[promptparts.PartUpdate] = []
+    parts: list[partupdates.PartUpdate] = []
 
     @property
     def era(self):
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -6,7 +6,7 @@
 
 from ibisring_gateway import events
 from ibisring_policy.gateway import attempts
-from ibisring_policy.gateway import promptparts
+from ibisring_policy.gateway import promptfeatures
 from ibisring_policy.gateway import requestdigest
 from ibisring_records import routing
 
@@ -30,7 +30,7 @@
     digest : bytes
         The same for each attempt of a request, see `requestdigest`.
     features : tuple of bytes
-        What it may share with other requests, see `promptparts`.
+        What it may share with other requests, see `promptfeatures`.
     account_id : int
     features_running : tuple of bytes
         Those in doubt with which it is being sent.
@@ -73,10 +73,10 @@
             request.target,
             request.body,
         )
-        self.features = promptparts.features_of(
+        self.features = promptfeatures.features_of(
             request.shared_parts, self.digest
         )
-        self.account_id = promptparts.account_id(match.account)
+        self.account_id = promptfeatures.account_id(match.account)
         self.features_running = ()
         self.splitter = events.make_event_splitter(request.after_event)
         self.is_suspect = False
--- a/packages/gateway/ibisring_gateway/partscreening.py
+++ b/packages/gateway/ibisring_gateway/partscreening.py
@@ -5,7 +5,7 @@
 import logging
 
 from ibisring_gateway import liveness
-from ibisring_policy.gateway import promptparts
+from ibisring_policy.gateway import promptfeatures
 from ibisring_router import logs
 
 LOG = logging.getLogger(__name__)
@@ -40,7 +40,7 @@
         if not job.features:
             return []
         causes = self.verdict(job).causes
-        names = promptparts.names_of(job.request.shared_parts)
+        names = promptfeatures.names_of(job.request.shared_parts)
         return [
             name for name, each in zip(names, job.features) if each in causes
         ]
--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -9,9 +9,9 @@
 from ibisring_gateway import settings as settings_module
 from ibisring_gateway import storefollowing
 from ibisring_gateway.tests import builders
+from ibisring_policy.gateway import partupdates
 from ibisring_policy.gateway import polling
 from ibisring_policy.gateway import positions
-from ibisring_policy.gateway import promptparts
 from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway import suspects
 
@@ -35,7 +35,7 @@
 
 def test_older_release_decodes_a_newer_message():
     suspect = suspects.SuspectUpdate(b'12345678', {1: 5})
-    part = promptparts.PartUpdate(b'p1234567', {1: (5, 7)}, answers={9: 1})
+    part = partupdates.PartUpdate(b'p1234567', {1: (5, 7)}, answers={9: 1})
     message = gossipmessages.Message(
         'r1',
         {'x': 5},
--- a/packages/gateway/ibisring_gateway/tests/test_partscreening.py
+++ b/packages/gateway/ibisring_gateway/tests/test_partscreening.py
@@ -9,7 +9,7 @@
 from ibisring_gateway import screening
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import attempts
-from ibisring_policy.gateway import promptparts
+from ibisring_policy.gateway import promptfeatures
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
 
@@ -60,9 +60,9 @@
         digest = b'%08d' % self.jobs
         return types.SimpleNamespace(
             digest=digest,
-            features=promptparts.features_of(parts, digest),
+            features=promptfeatures.features_of(parts, digest),
             features_running=(),
-            account_id=promptparts.account_id('acme'),
+            account_id=promptfeatures.account_id('acme'),
             is_suspect=False,
             exchange=types.SimpleNamespace(headers_sent=headers_sent),
             match=types.SimpleNamespace(account='acme'),
--- a/packages/policy/ibisring_policy/gateway/tests/partsim.py
+++ b/packages/policy/ibisring_policy/gateway/tests/partsim.py
@@ -11,6 +11,7 @@
 import itertools
 import random
 
+from ibisring_policy.gateway import promptfeatures
 from ibisring_policy.gateway import promptparts
 import msgspec
 
@@ -82,8 +83,8 @@
     """A request, and the attempt that runs."""
 
     def __init__(self, number, parts, account, router, is_sound):
-        self.features = promptparts.features_of(parts, b'%d' % number)
-        self.account = promptparts.account_id(account)
+        self.features = promptfeatures.features_of(parts, b'%d' % number)
+        self.account = promptfeatures.account_id(account)
         self.router = router
         self.is_sound = is_sound
         self.attempts = 0
--- a/packages/policy/ibisring_policy/gateway/tests/test_promptparts.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_promptparts.py
@@ -4,17 +4,21 @@
 
 import pytest
 
+from ibisring_policy.gateway import prioranswers
+from ibisring_policy.gateway import promptfeatures
 from ibisring_policy.gateway import promptparts
 from ibisring_policy.gateway.tests import partsim
 
-ACME, OTHER = promptparts.account_id('acme'), promptparts.account_id('other')
-DEADLY = promptparts.features_of(['a11e', 'dead'], b'1')
-SHARED = promptparts.features_of(['a11e'], b'2')
+ACME, OTHER = promptfeatures.account_id('acme'), promptfeatures.account_id(
+    'other'
+)
+DEADLY = promptfeatures.features_of(['a11e', 'dead'], b'1')
+SHARED = promptfeatures.features_of(['a11e'], b'2')
 
 
 def of(number, *names):
     """Return the features of a request that no other equals."""
-    return promptparts.features_of(names, b'%d' % number)
+    return promptfeatures.features_of(names, b'%d' % number)
 
 
 def crash(parts, names, numbers, account=ACME, certain=True):
@@ -110,7 +114,7 @@
     assert not is_refused(parts, DEADLY, account=OTHER)
     crash(parts, ['dead'], [4], OTHER)
     assert is_refused(parts, of(51, 'dead'), account=OTHER)
-    third = promptparts.account_id('third')
+    third = promptfeatures.account_id('third')
     assert is_refused(parts, of(52, 'dead'), account=third)
 
 
@@ -215,12 +219,12 @@
 def test_memory_is_bounded_against_invented_parts():
     """Guards against a caller that invents parts."""
     parts = deadly_known()
-    for number in range(promptparts.MAX_REMEMBERED + 500):
+    for number in range(prioranswers.MAX_REMEMBERED + 500):
         parts.answered(of(number, f'{number:x}'), ACME, 5.0)
         if number < 2 * promptparts.MAX_FEATURES:
             crash(parts, [f'{number:x}'], [4 + number / 1e4])
     assert len(parts.by_feature) <= promptparts.MAX_FEATURES
-    assert len(parts.remembered) <= promptparts.MAX_REMEMBERED
+    assert len(parts.priors.by_feature) <= prioranswers.MAX_REMEMBERED
     assert is_refused(parts, of(7, 'dead'))
     assert len(parts.updates_to_send(6.0, random.Random(1))) <= 40
 
@@ -228,8 +232,8 @@
 @pytest.mark.parametrize('count', [0, 1, 100, 10_000])
 def test_any_number_of_parts_is_taken(count):
     names = [f'{number:x}' for number in range(count)]
-    features = promptparts.features_of(names, b'1')
-    expected = min(count, promptparts.MAX_PARTS)
+    features = promptfeatures.features_of(names, b'1')
+    expected = min(count, promptfeatures.MAX_PARTS)
     assert len(features) == (expected + 1 if count else 0)
 
 
