Placement is planned only when the engines differ from the last check

Cause: each of 133 routers planned the layers of 99 engines four times a second although only the holder of the lease orders; by profile of one router this took about as long as all else together. Change: the planner's input is compared with the last one; how full engines are is looked at only by the router that orders. Confirmations that make the known state younger by less than 0.2 s don't go to the directory.

--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -19,6 +19,9 @@
 LOG = logging.getLogger(__name__)
 TABLE = peers_module.TABLE
 ENDPOINTS = peers_module.ENDPOINTS
+# A confirmation that makes the state known here younger by less than this is
+# not passed on to the directory.
+CONFIRMATION_SECONDS = 0.2
 
 
 class Receiver:
@@ -254,6 +257,8 @@
         if message.newest_endpoints <= followers.position(ENDPOINTS):
             followers.confirm(ENDPOINTS, message.read_endpoints)
         age = message.age_ms / gossipmessages.SECOND_MS
+        if self._is_confirmed(message, age):
+            return
         self.tell_directory(
             directory.Confirmed(
                 message.table_version,
@@ -264,6 +269,22 @@
             )
         )
 
+    def _is_confirmed(self, message, age):
+        """Return whether a confirmation would change next to nothing.
+
+        In a large failure domain they come many times more often than the
+        age of what is known matters, and each occupies the directory.
+        """
+        snapshot = self.view.snapshot
+        known_age = self.view.clock() - min(
+            snapshot.table_read_at, snapshot.endpoints_read_at
+        )
+        return (
+            message.read_table <= snapshot.table_position
+            and message.read_endpoints <= snapshot.position
+            and known_age < age + CONFIRMATION_SECONDS
+        )
+
 
 def make_receiver(view, peers, tell_directory):
     """Make a `Receiver`."""
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -81,6 +81,7 @@
         self.orders = layerorders.make_order_tracker()
         self.registrations = layerorders.Registrations()
         self.missing_layers = {}
+        self.last_plans = {}
 
     def handlers(self):
         return {CheckPlacement: self.on_check}
@@ -111,7 +112,6 @@
             return
         self.orders.update(usable, now)
         engines = self._planner_engines(usable, service.model, now)
-        self._log_missing_layers(service, usable)
         if self.view.store_lost_at is not None:
             self._query_ordered_engines(usable)
         if now - snapshot.known_since < presence.REREGISTER_SECONDS:
@@ -119,22 +119,46 @@
             # router that has just started can't distinguish their engines
             # from lost ones, and would reassign all engines that it sees.
             return
-        changes = layers.plan(engines, service.model)
-        if not self.lease.may_act(bool(changes), now):
+        needs_changes = self._needs_changes(service, engines, usable)
+        if not self.lease.may_act(needs_changes, now):
             return
         if not self._acquire_lease(now):
             return
+        engines = self._with_memory_use(engines, usable, service.model, now)
+        changes = layers.plan(engines, service.model)
         by_id = {e.id: e for e in usable}
         planned = [(by_id[c.id], c.holding) for c in changes]
         self._send_orders(planned, service.model)
 
+    def _needs_changes(self, service, engines, usable):
+        """Return whether any engine of a service should hold other layers.
+
+        Every router checks several times a second, while the engines seldom
+        differ from the last check.  How full they are is left out: it decides
+        only which of them are changed.
+        """
+        key = service.model, engines
+        known = self.last_plans.get(service.name)
+        if known is None or known[0] != key:
+            self._log_missing_layers(service, usable)
+            known = key, bool(layers.plan(engines, service.model))
+            self.last_plans[service.name] = known
+        return known[1]
+
+    def _with_memory_use(self, engines, usable, model, now):
+        """Return the engines with the share of their memory in use."""
+        with self.view.lock:
+            holders = self.view.estimates.holders(usable, model, now)
+        loads = {h.id: h.used / h.capacity for h in holders if h.capacity > 0}
+        return [
+            msgspec.structs.replace(e, memory_use=loads.get(e.id, 0.0))
+            for e in engines
+        ]
+
     def _planner_engines(self, usable, model, now):
         """Return the engines that may be ordered, as the planner's input."""
         # On a site that is starting up, no engine replaces another.
         is_running_site = any(e.holding is not None for e in usable)
-        with self.view.lock:
-            holders = self.view.estimates.holders(usable, model, now)
-        loads = {h.id: h.used / h.capacity for h in holders if h.capacity > 0}
         found = []
         for each in usable:
             if self.orders.is_unloading(each, now):
@@ -150,7 +174,6 @@
                     is_running_site
                     and self.registrations.has_just_registered(each, now),
                     card.step_factor,
-                    loads.get(each.id, 0.0),
                 )
             )
         return found
@@ -196,22 +219,23 @@
             )
 
     def _usable_engines(self, service, snapshot, now):
-        found = []
-        for each in snapshot.by_service.get(service.name, ()):
-            if service.model.card(each.card) is None:
-                continue
-            if self._is_lost(each.id, now) or self._is_too_slow(each, now):
-                continue
-            if self.view.estimates.is_probably_leaving(each.id, now):
-                continue
-            found.append(each)
-        return found
-
-    def _is_lost(self, name, now):
+        estimates = self.view.estimates
+        known = [
+            each
+            for each in snapshot.by_service.get(service.name, ())
+            if service.model.card(each.card) is not None
+        ]
         with self.view.lock:
-            return self.view.estimates.is_lost(
-                name, now, LOST_AFTER_SECONDS, self.view.links.connected_at()
-            )
+            connected_at = self.view.links.connected_at()
+            return [
+                each
+                for each in known
+                if not estimates.is_lost(
+                    each.id, now, LOST_AFTER_SECONDS, connected_at
+                )
+                and not self._is_too_slow(each, now)
+                and not estimates.is_probably_leaving(each.id, now)
+            ]
 
     def _is_too_slow(self, endpoint, now):
         """Return whether an engine's layers should be held by others too.
