Routers don't read the lease that another one has just renewed

Cause: while layers are missing for seconds, every router read the lease each second, although gossip tells it the term of the router that holds it. Change: a higher term postpones the next read until the lease could be taken over.

--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -120,6 +120,7 @@
             # from lost ones, and would reassign all engines that it sees.
             return
         needs_changes = self._needs_changes(service, engines, usable)
+        self.lease.note_holder(self.view.term, now)
         if not self.lease.may_act(needs_changes, now):
             return
         if not self._acquire_lease(now):
--- a/packages/policy/ibisring_policy/gateway/layerorders.py
+++ b/packages/policy/ibisring_policy/gateway/layerorders.py
@@ -210,6 +210,19 @@
         """
         self.term = max(self.term, term)
 
+    def note_holder(self, term, now):
+        """Note a term that gossip reports; a higher one is a new holder's.
+
+        That router has just taken the lease, so reading it before it can be
+        taken over is of no use.  While layers are missing for seconds, each
+        router of a fleet would otherwise read it every second.
+        """
+        if term <= self.term:
+            return
+        self.note_term(term)
+        if not self.is_held(now):
+            self.read_again_at = now + LEASE_TAKEOVER_SECONDS + self.delay
+
 
 class Registrations:
     """Tracks the registration of engines, on a starting site and later."""
--- a/packages/policy/ibisring_policy/gateway/tests/test_layerorders.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_layerorders.py
@@ -28,6 +28,28 @@
     assert sum(acts) <= 6
 
 
+def test_a_lease_that_others_renew_is_not_read():
+    """Failure: a call to the store by each router in each second.
+
+    Layers are missing for ten seconds, and one router holds the lease and
+    renews it for its orders.
+    """
+    lease = layerorders.make_lease('r1', 0.5)
+    reads = 0
+    for tick in range(40):
+        now = 10.0 + 0.25 * tick
+        lease.note_holder(tick // 4, now)
+        reads += lease.may_act(True, now)
+    assert reads <= 1
+
+
+def test_a_lease_that_is_no_longer_renewed_is_read_again():
+    lease = layerorders.make_lease('r1', 0.0)
+    lease.note_holder(3, 10.0)
+    ticks = [10.0 + 0.25 * n for n in range(8)]
+    assert any(lease.may_act(True, now) for now in ticks)
+
+
 def test_a_lease_is_taken_over_by_the_own_clock():
     lease = layerorders.make_lease('r1', 0.0)
     row = layerorders.LeaseRow('r2', 4, 77)
