Pools of layers by capacity, and repairs in order

A loss in one domain could dissolve the pools of all.

Each domain that can hold the model with room for min_pool_requests typical requests is now a pool of its own, sized by its room; only the others are combined, and those that can't hold the model keep their layers. Changes are sent in the order in which they make pools complete, and no more than loads_at_once engines load while a pool is incomplete; engines that first have to give up layers aren't counted.

Tests: policy/gateway and test_placing pass.

--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -52,6 +52,8 @@
         Takes `directory.HoldingReport` messages.
     on_outage_suspected : callable
         Called when the store does not answer.
+    min_pool_requests : int
+        See `layers.pools`.
     """
 
     def __init__(
@@ -64,12 +66,14 @@
         store_statuses,
         send_to_directory,
         on_outage_suspected,
+        min_pool_requests=layers.MIN_REQUESTS,
     ):
         super().__init__()
         self.router_id = router_id
         self.store_statuses = store_statuses
         self.send_to_directory = send_to_directory
         self.on_outage_suspected = on_outage_suspected
+        self.min_pool_requests = min_pool_requests
         self.pool = concurrent.futures.ThreadPoolExecutor(MAX_CONCURRENT_CALLS)
         self.view = view
         self.engines = engines
@@ -81,6 +85,7 @@
         self.orders = layerorders.make_order_tracker()
         self.registrations = layerorders.Registrations()
         self.missing_layers = {}
+        self.pool_rooms = {}
 
     def handlers(self):
         return {CheckPlacement: self.on_check}
@@ -119,14 +124,46 @@
             # router that has just started can't distinguish their engines
             # from lost ones, and would reassign all engines that it sees.
             return
-        changes = layers.plan(engines, service.model)
+        pools = layers.pools(engines, service.model, self.min_pool_requests)
+        self._report_pools(service, pools)
+        changes = layers.plan_pools(pools, service.model)
         if not self.lease.may_act(bool(changes), now):
             return
         if not self._acquire_lease(now):
             return
         by_id = {e.id: e for e in usable}
         planned = [(by_id[c.id], c.holding) for c in changes]
-        self._send_orders(planned, service.model)
+        self._send_orders(planned, pools, service.model)
+
+    def _report_pools(self, service, pools):
+        """Log changed pools, and set the metric of the smallest room."""
+        found = [
+            (
+                pool.domains,
+                round(layers.room_requests(pool, service.model)),
+                pool.is_complete(service.model.layers),
+            )
+            for pool in pools
+        ]
+        if found == self.pool_rooms.get(service.name):
+            return
+        self.pool_rooms[service.name] = found
+        rooms = [
+            room
+            for entries in self.pool_rooms.values()
+            for _, room, is_complete in entries
+            if is_complete
+        ]
+        self.view.pool_room_requests = min(rooms, default=0)
+        logs.event(
+            LOG,
+            'layer_pools',
+            service=service.name,
+            pools=[
+                {'domains': domains, 'room': room, 'complete': is_complete}
+                for domains, room, is_complete in found
+            ],
+        )
 
     def _planner_engines(self, usable, model, now):
         """Return the engines that may be ordered, as the planner's input."""
@@ -151,6 +188,7 @@
                     and self.registrations.has_just_registered(each, now),
                     card.step_factor,
                     loads.get(each.id, 0.0),
+                    self.orders.gives_up_layers(each),
                 )
             )
         return found
@@ -274,12 +312,13 @@
         )
         return True
 
-    def _send_orders(self, planned, model):
-        """Send orders concurrently.
+    def _send_orders(self, planned, pools, model):
+        """Send orders concurrently, as many as may load at once.
 
         Parameters
         ----------
         planned : list of (routing.Endpoint, routing.Holding)
+        pools : list of layers.Pool
         model : routing.Model
         """
         unknown = [
@@ -296,6 +335,7 @@
             if self.orders.accepted_orders(endpoint) is not None
             and not self.orders.is_blocked(endpoint, now)
         ]
+        ready = _due_orders(ready, pools, model)
         results = list(self.pool.map(self._send_order, ready))
         for (endpoint, holding), result in zip(ready, results):
             if result is not None:
@@ -362,6 +402,16 @@
             )
 
 
+def _due_orders(ready, pools, model):
+    """Return the orders to send now, see `layers.due`."""
+    by_id = {endpoint.id: endpoint for endpoint, _ in ready}
+    changes = [layers.Change(e.id, holding) for e, holding in ready]
+    return [
+        (by_id[change.id], change.holding)
+        for change in layers.due(changes, pools, model)
+    ]
+
+
 def _load_seconds(endpoint, holding, model):
     """Return the seconds to load the layers that an engine lacks."""
     held = endpoint.holding
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -177,6 +177,7 @@
             self._store_statuses,
             lambda message: self.directory.tell(message),
             self.followers.suspect_outage,
+            settings.min_pool_requests,
         )
         self._listen()
         self.directory = directory.Directory.start(
@@ -297,6 +298,7 @@
             counters['suspects'] = len(self.view.suspects.by_digest)
             counters['part_suspects'] = len(self.view.parts.by_feature)
             counters['backoffs'] = len(self.view.limits.backoffs.by_endpoint)
+        counters['pool_room_requests'] = self.view.pool_room_requests
         counters['routers_running'] = self.peers.running_count(
             time.monotonic()
         )
--- a/packages/gateway/ibisring_gateway/settings.py
+++ b/packages/gateway/ibisring_gateway/settings.py
@@ -41,6 +41,9 @@
     repeat_slack: float = 64.0
     # Timeout of a long poll for changes, in addition to its waiting time.
     feed_margin_s: float = 0.6
+    # Typical requests for which a failure domain must have memory to hold the
+    # whole model by itself, if it does not have memory to spare.
+    min_pool_requests: int = 8
     log_level: str = 'INFO'
 
 
@@ -81,7 +84,7 @@
             )
     for name in settings.__struct_fields__:
         value = getattr(settings, name)
-        if isinstance(value, float) and value < 0:
+        if isinstance(value, int | float) and value < 0:
             raise exceptions.InvalidSetting(
                 f'{name} is {value!r}, but must not be negative'
             )
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -125,6 +125,7 @@
         self.term = 0
         self.lease_lost_at = None
         self.reported_holdings = {}
+        self.pool_room_requests = 0
 
     def leaving_to_send(self, now):
         """Return the start times of endpoints that said that they leave."""
--- a/packages/policy/ibisring_policy/gateway/layerorders.py
+++ b/packages/policy/ibisring_policy/gateway/layerorders.py
@@ -315,6 +315,15 @@
         started, until = self.unloading.get(endpoint.id, (None, -1.0))
         return started == endpoint.started and now < until
 
+    def gives_up_layers(self, endpoint):
+        """Return whether an engine gave up layers for an order it executes."""
+        order = self.pending.get(endpoint.id)
+        return (
+            order is not None
+            and order.previous is not None
+            and endpoint.holding is None
+        )
+
     def expected_holding(self, endpoint, now):
         """Return the range that an engine holds or was ordered to hold."""
         order = self.pending.get(endpoint.id)
--- a/packages/policy/ibisring_policy/gateway/layers.py
+++ b/packages/policy/ibisring_policy/gateway/layers.py
@@ -1,34 +1,78 @@
 """Planner of the layers that each engine holds.
 
 Engines of one failure domain form a pool, since a prompt's activations are
-too large to be sent between domains for every request.  Using the same share
-of each card for weights gives each held layer the same memory for prompts.
-An engine without layers is assigned the window of its size that most needs
-another holder.  Engines that hold a window keep it; only where a layer has no
-holder left are others moved or their ranges extended.
+too large to be sent between domains for every request.  In a pool with memory
+to spare, using the same share of each card for weights gives each held layer
+the same memory for prompts; in a smaller one, ranges follow from the largest
+room for which all layers fit, see `poolsize`.  An engine without layers is
+assigned the window of its size that most needs another holder.  Engines that
+hold a window keep it; only where a layer has no holder left are others moved
+or their ranges extended.
 """
 
-__all__ = ['Change', 'plan', 'missing', 'pools']
+__all__ = [
+    'Change',
+    'Pool',
+    'Sizing',
+    'due',
+    'plan',
+    'plan_pools',
+    'missing',
+    'pools',
+    'room_requests',
+]
+
+import enum
 
 from ibisring_policy.gateway import poolplan
+from ibisring_policy.gateway import poolsize
+from ibisring_policy.gateway import repairs
 from ibisring_policy.gateway import windows
-from ibisring_records import routing
 import msgspec
 
 # Share of a card's memory used for weights.  More shortens chains and leaves
 # less room for prompts, which binds first on the fast cards.
 WEIGHT_SHARE = 0.68
-# If a pool can't hold this many copies of the model, all pools are merged.
+# A pool that can hold this many copies of the model is sized by share.
 MIN_COPIES = 1.05
 # Upper bound of the share used for weights, for small pools.
 MAX_WEIGHT_SHARE = 0.88
+# Requests for which a failure domain must have room to be a pool of its own;
+# the default of the setting `min_pool_requests`.
+MIN_REQUESTS = 8
+# Part of the largest room that a repair may leave, and the share of all
+# layers that it must then save to load: with the largest room hardly any
+# layer is spare, and the loss of one engine moves the ranges of all others.
+REPAIR_ROOM_SHARE = 0.75
+REPAIR_SAVING_SHARE = 0.1
+
+
+Change = repairs.Change
+
+
+class Sizing(enum.Enum):
+    """How the ranges of a pool are sized."""
+
+    BY_SHARE = 'share'
+    BY_ROOM = 'room'
+    # The engines can't hold the model, and keep the layers that they hold.
+    KEPT = 'kept'
 
 
-class Change(msgspec.Struct, frozen=True):
-    """A new range of layers for an engine."""
+class Pool(msgspec.Struct, frozen=True):
+    """Engines that are planned together."""
 
-    id: str
-    holding: routing.Holding
+    engines: list[windows.Engine]
+    sizing: Sizing
+
+    @property
+    def domains(self):
+        """The failure domains of the engines, sorted."""
+        return sorted({engine.domain for engine in self.engines})
+
+    def is_complete(self, layers):
+        """Return whether each layer is loaded by an engine."""
+        return repairs.has_all_loaded(self.engines, layers)
 
 
 def missing(engines, layers):
@@ -50,35 +94,69 @@
     return found
 
 
-def pools(engines, model):
+def pools(engines, model, min_requests=MIN_REQUESTS):
     """Group engines so that each group can hold the whole model.
 
+    A failure domain that can hold the model, or does, is a pool of its own,
+    whatever happens in the others.  The other domains are combined if they
+    can hold the model together.  If no domain can hold it, all engines form
+    one pool.
+
+    Parameters
+    ----------
+    engines : list of windows.Engine
+    model : routing.Model
+    min_requests : int
+        Typical requests for which a pool must have room, unless it is sized
+        by share.
+
     Returns
     -------
-    list of list of windows.Engine
-        One group for each failure domain, or a single one if some domain
-        is too small to hold the model with room for prompts.
+    list of Pool
     """
     by_domain = {}
-    for engine in engines:
+    for engine in sorted(engines, key=_engine_id):
         by_domain.setdefault(engine.domain, []).append(engine)
-    needed_layers = model.layers * MIN_COPIES
-    for group in by_domain.values():
-        available_layers = sum(
-            e.max_layers(model.layer_mb, MAX_WEIGHT_SHARE) for e in group
-        )
-        if available_layers < needed_layers:
-            return [sorted(engines, key=_engine_id)]
-    return [
-        sorted(by_domain[name], key=_engine_id) for name in sorted(by_domain)
-    ]
+    found, small = [], []
+    for _, group in sorted(by_domain.items()):
+        if _has_spare_memory(group, model):
+            found.append(Pool(group, Sizing.BY_SHARE))
+        elif _has_room(group, model, min_requests):
+            found.append(Pool(group, Sizing.BY_ROOM))
+        else:
+            small.append(group)
+    if not found:
+        return [Pool(sorted(engines, key=_engine_id), Sizing.BY_SHARE)]
+    combined = [engine for group in small for engine in group]
+    if len(small) > 1 and _has_room(combined, model, min_requests):
+        return [*found, Pool(combined, Sizing.BY_ROOM)]
+    return [*found, *(Pool(group, Sizing.KEPT) for group in small)]
+
+
+def _has_spare_memory(group, model):
+    available_layers = sum(
+        e.max_layers(model.layer_mb, MAX_WEIGHT_SHARE) for e in group
+    )
+    return available_layers >= model.layers * MIN_COPIES
+
+
+def _has_room(group, model, min_requests):
+    """Return whether engines hold the model, or can with enough room.
+
+    Engines that hold it are left as they are after a loss that reduces their
+    room: loading other ranges would interrupt them.
+    """
+    if not windows.gaps(windows.coverage(group, model.layers)):
+        return True
+    needed = min_requests * poolsize.request_tokens(model)
+    return poolsize.room(group, model) >= needed
 
 
 def _engine_id(engine):
     return engine.id
 
 
-def plan(engines, model):
+def plan(engines, model, min_requests=MIN_REQUESTS):
     """Return the changes of ranges that the engines need.
 
     Parameters
@@ -86,16 +164,45 @@
     engines : list of windows.Engine
         Engines that stay, without those that are draining or lost.
     model : routing.Model
+    min_requests : int
+        See `pools`.
 
     Returns
     -------
     list of Change
-        No range exceeds the memory of its engine.
+        In the order in which to send them, see `repairs.ordered`.  No range
+        exceeds the memory of its engine.
     """
-    changes = []
-    for group in pools(engines, model):
-        changes.extend(_plan_pool(group, model))
-    return changes
+    return plan_pools(pools(engines, model, min_requests), model)
+
+
+def plan_pools(found, model):
+    """Return the changes that engines grouped by `pools` need."""
+    planned = []
+    for pool in found:
+        changes = _PLANNERS[pool.sizing](pool.engines, model)
+        planned.append((pool.engines, changes))
+    return repairs.ordered(planned, model.layers)
+
+
+def due(changes, found, model):
+    """Return the changes to send now, see `repairs.limited`.
+
+    Parameters
+    ----------
+    changes : list of Change
+    found : list of Pool
+    model : routing.Model
+    """
+    engines = [engine for pool in found for engine in pool.engines]
+    groups = [p.engines for p in found if p.sizing is not Sizing.KEPT]
+    return repairs.limited(changes, engines, groups, model)
+
+
+def room_requests(pool, model):
+    """Return the typical requests for which a pool's loaded layers suffice."""
+    tokens = poolsize.held_room(pool.engines, model)
+    return tokens / max(1.0, poolsize.request_tokens(model))
 
 
 def _weight_share(group, model):
@@ -107,9 +214,66 @@
     return min(MAX_WEIGHT_SHARE, max(WEIGHT_SHARE, needed))
 
 
-def _plan_pool(group, model):
+def _plan_by_share(group, model):
     pool = poolplan.make_pool_plan(group, model, _weight_share(group, model))
     pool.assign_empty()
     pool.close_gaps()
     pool.extend_one()
+    is_stuck = not pool.changes and pool.has_gaps()
+    if is_stuck and not any(e.is_loading for e in group):
+        tiling = pool.tiling(_limits_by_share(group, model))
+        if tiling is not None:
+            pool.apply(tiling)
+    return _changes(pool)
+
+
+def _limits_by_share(group, model):
+    return {
+        e.id: e.max_layers(model.layer_mb, MAX_WEIGHT_SHARE) for e in group
+    }
+
+
+def _plan_by_room(group, model):
+    tokens = poolsize.room(group, model)
+    pool = poolplan.make_room_plan(group, model, tokens)
+    if any(engine.holding is not None for engine in group):
+        pool.assign_empty()
+    if pool.has_gaps():
+        tiling = _cheapest_tiling(pool, tokens)
+        if tiling is not None:
+            pool.apply(tiling)
+    pool.extend_one()
+    return _changes(pool)
+
+
+def _cheapest_tiling(pool, tokens):
+    """Return a tiling with the largest room, or one with far fewer loads."""
+    largest = pool.tiling(pool.sizes)
+    limits = {
+        e.id: poolsize.size(
+            e.memory_mb, tokens * REPAIR_ROOM_SHARE, pool.model
+        )
+        for e in pool.group
+    }
+    smaller = pool.tiling(limits)
+    if largest is None or smaller is None:
+        return largest or smaller
+    saving = largest.cost - smaller.cost
+    if saving >= REPAIR_SAVING_SHARE * pool.model.layers:
+        return smaller
+    return largest
+
+
+def _changes(pool):
     return [Change(name, held) for name, held in pool.changes.items()]
+
+
+def _keep(group, model):
+    return []
+
+
+_PLANNERS = {
+    Sizing.BY_SHARE: _plan_by_share,
+    Sizing.BY_ROOM: _plan_by_room,
+    Sizing.KEPT: _keep,
+}
--- a/packages/policy/ibisring_policy/gateway/poolplan.py
+++ b/packages/policy/ibisring_policy/gateway/poolplan.py
@@ -5,9 +5,11 @@
 extended.
 """
 
-__all__ = ['PoolPlan', 'make_pool_plan']
+__all__ = ['PoolPlan', 'make_pool_plan', 'make_room_plan']
 
 from ibisring_policy.gateway import chains
+from ibisring_policy.gateway import poolsize
+from ibisring_policy.gateway import tilings
 from ibisring_policy.gateway import windows
 from ibisring_records import routing
 
@@ -20,7 +22,7 @@
 
 
 def _size(engine, model, weight_share):
-    """Return the number of layers that an engine should hold."""
+    """Return the number of layers for a share of an engine's memory."""
     max_layers = engine.max_layers(model.layer_mb)
     wanted = round(engine.memory_mb * weight_share / model.layer_mb)
     return min(
@@ -33,6 +35,8 @@
 
     Attributes
     ----------
+    sizes : dict of str to int
+        Number of layers that each engine should hold.
     current : dict of str to routing.Holding or None
         Range of each engine, with the changes planned so far.
     layer_holders : list of windows.LayerHolders
@@ -45,17 +49,17 @@
     __slots__ = (
         'group',
         'model',
-        'weight_share',
+        'sizes',
         'current',
         'layer_holders',
         'changes',
         'reserve_share',
     )
 
-    def __init__(self, group, model, weight_share):
+    def __init__(self, group, model, sizes):
         self.group = group
         self.model = model
-        self.weight_share = weight_share
+        self.sizes = sizes
         self.current = {engine.id: engine.holding for engine in group}
         self.layer_holders = [
             windows.LayerHolders() for _ in range(model.layers)
@@ -91,7 +95,7 @@
         for engine in sorted(self.group, key=self._cost):
             if engine.may_replace and not self._gaps():
                 continue
-            size = _size(engine, self.model, self.weight_share)
+            size = self.sizes[engine.id]
             if engine.holding is None and size > 0:
                 window = windows.best_window(
                     self.layer_holders, size, engine, self.model
@@ -128,7 +132,7 @@
             return
         for engine in sorted(self.group, key=self._cost):
             held = self.current[engine.id]
-            size = _size(engine, self.model, self.weight_share)
+            size = self.sizes[engine.id]
             if held is not None and held.count < size:
                 window = windows.best_window(
                     self.layer_holders, size, engine, self.model, around=held
@@ -138,9 +142,53 @@
 
     def _cost(self, engine):
         """Return cost per layer on an engine, including that of the stage."""
-        size = max(1, _size(engine, self.model, self.weight_share))
+        size = max(1, self.sizes[engine.id])
         return engine.step_factor + chains.STAGE_COST / size, engine.id
 
+    def tiling(self, limits):
+        """Return the division of all layers that loads the fewest.
+
+        Parameters
+        ----------
+        limits : dict of str to int
+            The most layers that each engine may hold.
+
+        Returns
+        -------
+        tilings.Tiling or None
+        """
+        domains = sorted({engine.domain for engine in self.group})
+        parts = []
+        for engine in self.group:
+            planned = self.current[engine.id]
+            if planned is not None:
+                position = planned.first, 0
+            else:
+                # By domain, so that a chain leaves each domain once; small
+                # ranges first, as in `windows.best_window`.
+                index = domains.index(engine.domain) - len(domains)
+                position = index, limits[engine.id]
+            parts.append(
+                tilings.Part(
+                    engine.id,
+                    position,
+                    engine.holding,
+                    limits[engine.id],
+                    engine.holding is None or not engine.is_loading,
+                )
+            )
+        return tilings.tile(parts, self.model.layers)
+
+    def apply(self, tiling):
+        """Assign the ranges of a tiling, that of the last layers first."""
+        by_id = {engine.id: engine for engine in self.group}
+        for name, holding in tiling.ranges.items():
+            self.assign(by_id[name], holding)
+
+    def has_gaps(self):
+        """Return whether a layer has no holder, as far as planned."""
+        return bool(self._gaps())
+
     def _gaps(self):
         return windows.gaps(
             [len(layer.holders) for layer in self.layer_holders]
@@ -175,9 +223,7 @@
             if redundant is None:
                 return gap
             # Loading no more than is missing closes the gap soonest.
-            size = min(
-                gap.count, _size(redundant, self.model, self.weight_share)
-            )
+            size = min(gap.count, self.sizes[redundant.id])
             first = max(0, min(gap.first, self.model.layers - size))
             self.assign(redundant, routing.Holding(first, first + size))
             gap = _range_or_none(first + size, gap.end)
@@ -320,7 +366,7 @@
 
 
 def make_pool_plan(group, model, weight_share):
-    """Make a `PoolPlan` for engines that together hold a model.
+    """Make a `PoolPlan` with the same share of each card for weights.
 
     Parameters
     ----------
@@ -329,4 +375,17 @@
     weight_share : float
         Share of a card's memory for weights.
     """
-    return PoolPlan(group, model, weight_share)
+    sizes = {e.id: _size(e, model, weight_share) for e in group}
+    return PoolPlan(group, model, sizes)
+
+
+def make_room_plan(group, model, tokens):
+    """Make a `PoolPlan` in which each layer has room for as many tokens.
+
+    Parameters
+    ----------
+    group : list of windows.Engine
+    model : routing.Model
+    tokens : float
+    """
+    return PoolPlan(group, model, poolsize.sizes(group, tokens, model))
--- /dev/null
+++ b/packages/policy/ibisring_policy/gateway/repairs.py
@@ -0,0 +1,167 @@
+"""Order of changed ranges, and how many engines load at once.
+
+All engines load from one weight store.  Beyond a number of concurrent loads,
+each further one slows down the others, so a pool that lacks little waits for
+those that lack much unless its loads come first.
+"""
+
+__all__ = ['Change', 'ordered', 'limited', 'has_all_loaded', 'layers_to_load']
+
+from ibisring_policy.gateway import windows
+from ibisring_records import routing
+import msgspec
+
+
+class Change(msgspec.Struct, frozen=True):
+    """A new range of layers for an engine."""
+
+    id: str
+    holding: routing.Holding
+
+
+def layers_to_load(held, holding):
+    """Return the number of layers of a range that are not held yet.
+
+    Examples
+    --------
+    >>> layers_to_load(routing.Holding(0, 8), routing.Holding(4, 10))
+    2
+    """
+    if held is None:
+        return holding.count
+    kept = min(held.end, holding.end) - max(held.first, holding.first)
+    return holding.count - max(0, kept)
+
+
+def has_all_loaded(engines, layers):
+    """Return whether each layer is loaded by one of the engines."""
+    return 0 not in _loaded_counts(engines, layers)
+
+
+def _loaded_counts(engines, layers):
+    counts = [0] * layers
+    for engine in engines:
+        if engine.loaded is not None:
+            for layer in range(engine.loaded.first, engine.loaded.end):
+                counts[layer] += 1
+    return counts
+
+
+def ordered(planned, layers):
+    """Return the changes of all pools in the order in which to send them.
+
+    First come those that load layers which no engine of any pool has, as no
+    request can be served without them.  Then pools follow by the number of
+    layers that they have to load until they are complete, then changes
+    of complete pools.  In a pool, changes that close a gap come first; of
+    these, small extensions of engines that keep their layers, then engines
+    without layers, in the order of the plan: the plan for the rest is then
+    the same while the first ones load.  Engines that give up layers are last.
+
+    Parameters
+    ----------
+    planned : list of (list of windows.Engine, list of Change)
+        The engines of each pool, and their changes.
+    layers : int
+
+    Returns
+    -------
+    list of Change
+    """
+    entries = []
+    for engines, changes in planned:
+        if changes:
+            entries.extend(_ranked(engines, changes, layers))
+    entries.sort(key=lambda entry: entry[0])
+    changes = [change for _, change in entries]
+    if not changes or any(has_all_loaded(e, layers) for e, _ in planned):
+        return changes
+    everywhere = [engine for engines, _ in planned for engine in engines]
+    return _unheld_first(changes, windows.coverage(everywhere, layers))
+
+
+def _ranked(engines, changes, layers):
+    """Return changes of a pool with their rank among those of all pools."""
+    by_id = {engine.id: engine for engine in engines}
+    counts = windows.coverage(engines, layers)
+    is_complete = has_all_loaded(engines, layers)
+    entries = []
+    missing = 0
+    for index, change in enumerate(changes):
+        held = by_id[change.id].holding
+        closes = 0 in counts[change.holding.first : change.holding.end]
+        loads = layers_to_load(held, change.holding)
+        missing += loads if closes else 0
+        rank = (
+            not closes,
+            _gives_up(held, change.holding),
+            held is None,
+            loads if held is not None else index,
+            change.id,
+        )
+        entries.append((rank, change))
+    return [((is_complete, missing, *rank), c) for rank, c in entries]
+
+
+def _gives_up(held, holding):
+    """Return whether an engine gives up layers, once its requests end."""
+    if held is None:
+        return False
+    return held.first < holding.first or holding.end < held.end
+
+
+def _unheld_first(changes, counts):
+    """Move changes with layers that no engine holds to the front."""
+    first, rest = [], []
+    counts = list(counts)
+    for change in changes:
+        span = range(change.holding.first, change.holding.end)
+        if any(counts[layer] == 0 for layer in span):
+            first.append(change)
+        else:
+            rest.append(change)
+        for layer in span:
+            counts[layer] += 1
+    return first + rest
+
+
+def limited(changes, engines, groups, model):
+    """Return the changes to send now, so that few engines load at once.
+
+    Engines that have to give up layers are not counted: they wait for their
+    requests for up to 15 s, in which others can load.
+
+    Parameters
+    ----------
+    changes : list of Change
+        In the order in which to send them, without those for engines that
+        refuse them now.
+    engines : list of windows.Engine
+        All engines of the service, loading ones included.
+    groups : list of list of windows.Engine
+        The pools that are planned.  If all are complete, all changes are
+        sent.
+    model : routing.Model
+
+    Returns
+    -------
+    list of Change
+    """
+    if all(has_all_loaded(group, model.layers) for group in groups):
+        return changes
+    by_id = {engine.id: engine for engine in engines}
+    free = max(1, model.loads_at_once) - sum(map(_is_counted, engines))
+    sent = []
+    for change in changes:
+        if _gives_up(by_id[change.id].holding, change.holding):
+            sent.append(change)
+        elif free > 0:
+            sent.append(change)
+            free -= 1
+    return sent
+
+
+def _is_counted(engine):
+    """Return whether an engine loads, or soon will."""
+    is_ordered = engine.holding is not None and engine.is_loading
+    return is_ordered and not engine.is_unloading
--- a/packages/policy/ibisring_policy/gateway/windows.py
+++ b/packages/policy/ibisring_policy/gateway/windows.py
@@ -18,6 +18,8 @@
     engine: it may replace one that is about to leave, see `assign_empty`.
     `step_factor` is its time per layer relative to the fastest kind of card;
     `memory_use` is the share of its memory for prompts that is in use.
+    `is_unloading` is set for one that has given up its layers for others,
+    which it loads once the requests that use them have ended.
     """
 
     id: str
@@ -28,6 +30,7 @@
     may_replace: bool = False
     step_factor: float = 1.0
     memory_use: float = 0.0
+    is_unloading: bool = False
 
     @property
     def is_loading(self):
