--- a/packages/gateway/ibisring_gateway/tests/test_placing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -2,6 +2,7 @@
 
 import time
 
+import msgspec
 import pytest
 
 from ibisring_gateway import placing
@@ -10,7 +11,9 @@
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import presence
 from ibisring_policy.gateway.tests import builders as build
+from ibisring_policy.gateway.tests import fleets
 from ibisring_records import exceptions
+from ibisring_records import routing
 
 # The only engine that holds its layers in its failure domain.
 LOST = 'b-wide-0'
@@ -272,3 +275,89 @@
     placer.lease_table.error = exceptions.PlatformUnavailable('503')
     _check(placer)
     assert len(engines.tokens) == sent
+
+
+def _small_view(without=(), empty=()):
+    """Make a view of the small copy of deployment B."""
+    engines, model = fleets.deployment('b')
+    model = msgspec.structs.replace(
+        model,
+        cards=tuple(
+            routing.Card(f'card{n}', memory_mb, fleets.STEP_FACTORS[n], 1.0)
+            for n, memory_mb in enumerate(fleets.B_CARDS)
+        ),
+    )
+    services = (routing.Service('model', 1000, model),)
+    table = msgspec.structs.replace(build.table(), services=services)
+    endpoints = [
+        build.endpoint(
+            engine.id,
+            'model',
+            engine.domain,
+            card=f"card{engine.id.split('-')[1]}",
+            address=f'{engine.id}:1',
+            holding=None if engine.id in empty else engine.holding,
+        )
+        for engine in fleets.settled(engines, model)
+        if engine.id not in without
+    ]
+    return builders.make_view(endpoints, table)
+
+
+def _pools_logged(caplog):
+    return [
+        record.facts['pools']
+        for record in caplog.records
+        if record.getMessage() == 'layer_pools'
+    ]
+
+
+def test_pools_are_logged_when_they_change(caplog):
+    caplog.set_level('INFO')
+    placer = _placer(_small_view())
+    _check(placer)
+    (pools,) = _pools_logged(caplog)
+    assert [pool['domains'] for pool in pools] == [['a'], ['b'], ['c']]
+    assert all(pool['complete'] for pool in pools)
+    rooms = [pool['room'] for pool in pools]
+    assert placer.view.pool_room_requests == min(rooms) >= 15
+
+
+def test_loss_in_a_small_domain_leaves_all_engines_as_they_are(caplog):
+    """Guards against loading all domains anew when one loses an engine.
+
+    Domain a can't hold the model without one of its largest cards.  When the
+    engine is back, it is ordered to load what it held.
+    """
+    caplog.set_level('INFO')
+    engines = builders.Engines()
+    placer = _placer(_small_view(without=('a-0-0',)), engines=engines)
+    _check(placer)
+    assert engines.placed == []
+    assert [pool['complete'] for pool in _pools_logged(caplog)[-1]] == [
+        True,
+        True,
+        False,
+    ]
+    placer.view.snapshot = _small_view(empty=('a-0-0',)).snapshot
+    placer.registrations.registered_at = {'a-0-0': -100.0}
+    _check(placer)
+    assert {name for name, _, _ in engines.placed} == {'a-0-0'}
+
+
+def test_engine_that_refuses_orders_does_not_hold_up_others():
+    """Guards against repairs that wait until a busy engine's streams end.
+
+    Few engines may load at once; one that refuses orders is none of them.
+    """
+    engines = builders.Engines()
+    empty = ('a-2-0', 'b-2-0', 'c-2-0', 'c-2-1')
+    placer = _placer(_small_view(empty=empty), engines=engines)
+    placer.registrations.registered_at = {name: -100.0 for name in empty}
+    busy = 'c-2-0'
+    placer.orders.blocked[busy] = time.monotonic() + 100.0
+    _check(placer, times=1)
+    assert {name for name, _, _ in engines.placed} == set(empty) - {busy}
+    placer.orders.blocked.clear()
+    _check(placer)
+    assert len(engines.placed) == 3
--- a/packages/policy/ibisring_policy/gateway/repairs.py
+++ b/packages/policy/ibisring_policy/gateway/repairs.py
@@ -52,11 +52,11 @@
 
     First come those that load layers which no engine of any pool has, as no
     request can be served without them.  Then pools follow by the number of
-    layers that they have to load until they are complete, then changes
-    of complete pools.  In a pool, changes that close a gap come first; of
-    these, small extensions of engines that keep their layers, then engines
-    without layers, in the order of the plan: the plan for the rest is then
-    the same while the first ones load.  Engines that give up layers are last.
+    layers that they have to load until they are complete, and last the
+    changes that no pool needs to be complete.  In a pool, small extensions of
+    engines that keep their layers come first, then engines without layers, in
+    the order of the plan: the plan for the rest is then the same while the
+    first ones load.  Engines that give up layers are last.
 
     Parameters
     ----------
@@ -82,25 +82,38 @@
 
 def _ranked(engines, changes, layers):
     """Return changes of a pool with their rank among those of all pools."""
-    by_id = {engine.id: engine for engine in engines}
-    counts = windows.coverage(engines, layers)
-    is_complete = has_all_loaded(engines, layers)
+    held = {engine.id: engine.holding for engine in engines}
+    is_repair = _repairs(engines, changes, layers)
+    loads = [layers_to_load(held[c.id], c.holding) for c in changes]
+    missing = sum(load for load, needed in zip(loads, is_repair) if needed)
     entries = []
-    missing = 0
     for index, change in enumerate(changes):
-        held = by_id[change.id].holding
-        closes = 0 in counts[change.holding.first : change.holding.end]
-        loads = layers_to_load(held, change.holding)
-        missing += loads if closes else 0
+        is_empty = held[change.id] is None
         rank = (
-            not closes,
-            _gives_up(held, change.holding),
-            held is None,
-            loads if held is not None else index,
+            not is_repair[index],
+            missing,
+            engines[0].id,
+            _gives_up(held[change.id], change.holding),
+            is_empty,
+            index if is_empty else loads[index],
             change.id,
         )
         entries.append((rank, change))
-    return [((is_complete, missing, *rank), c) for rank, c in entries]
+    return entries
+
+
+def _repairs(engines, changes, layers):
+    """Return for each change whether the pool needs it to be complete.
+
+    If some gap stays open, the other changes prepare to close it.
+    """
+    counts = windows.coverage(engines, layers)
+    found = []
+    for change in changes:
+        span = slice(change.holding.first, change.holding.end)
+        found.append(0 in counts[span])
+        counts[span] = [count + 1 for count in counts[span]]
+    return [True] * len(found) if 0 in counts else found
 
 
 def _gives_up(held, holding):
