Layer loads: bound only in repairs, and a wait before ranges are given up

The bound of concurrent loads also held at an empty start, for pools sized by share and, as one load, where it isn't configured. After a loss, engines were ordered at once to give up ranges that no other engine holds, although the lost process is often back within seconds.

The bound now leaves out empty starts, absent values and, unless another pool has broken, pools sized by share. While no pool is complete, the last loaded copy of a layer is kept; in an incomplete pool only loads_at_once engines give up layers at a time. Divisions that give up ranges wait until a gap has stood for 4 s (PoolTracker). A token_mb of 0 raised in the planner; it doesn't now.

--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -84,6 +84,7 @@
         self.lease_table = lease_table
         self.orders = layerorders.make_order_tracker()
         self.registrations = layerorders.Registrations()
+        self.pool_tracker = layerorders.PoolTracker()
         self.missing_layers = {}
         self.pool_rooms = {}
 
@@ -126,14 +127,25 @@
             return
         pools = layers.pools(engines, service.model, self.min_pool_requests)
         self._report_pools(service, pools)
-        changes = layers.plan_pools(pools, service.model)
+        gap_seconds = self._track_pools(service, pools, now)
+        changes = layers.plan_pools(pools, service.model, gap_seconds)
         if not self.lease.may_act(bool(changes), now):
             return
         if not self._acquire_lease(now):
             return
         by_id = {e.id: e for e in usable}
         planned = [(by_id[c.id], c.holding) for c in changes]
-        self._send_orders(planned, pools, service.model)
+        self._send_orders(planned, pools, service)
+
+    def _track_pools(self, service, pools, now):
+        """Return for how long layers have lacked a holder, by domains."""
+        count = service.model.layers
+        found = [
+            (tuple(p.domains), p.is_complete(count), p.has_gaps(count))
+            for p in pools
+        ]
+        self.pool_tracker.update(service.name, found, now)
+        return self.pool_tracker.gap_seconds(service.name, now)
 
     def _report_pools(self, service, pools):
         """Log changed pools, and set the metric of the smallest room."""
@@ -312,15 +324,16 @@
         )
         return True
 
-    def _send_orders(self, planned, pools, model):
+    def _send_orders(self, planned, pools, service):
         """Send orders concurrently, as many as may load at once.
 
         Parameters
         ----------
         planned : list of (routing.Endpoint, routing.Holding)
         pools : list of layers.Pool
-        model : routing.Model
+        service : routing.Service
         """
+        model = service.model
         unknown = [
             e for e, _ in planned if self.orders.accepted_orders(e) is None
         ]
@@ -335,7 +348,13 @@
             if self.orders.accepted_orders(endpoint) is not None
             and not self.orders.is_blocked(endpoint, now)
         ]
-        ready = _due_orders(ready, pools, model)
+        broken = self.pool_tracker.broken[service.name]
+        waiting = [
+            e.failure_domain
+            for e in self.view.snapshot.by_service.get(service.name, ())
+            if self.orders.is_unloading(e, now)
+        ]
+        ready = _due_orders(ready, pools, model, broken, waiting)
         results = list(self.pool.map(self._send_order, ready))
         for (endpoint, holding), result in zip(ready, results):
             if result is not None:
@@ -402,13 +421,13 @@
             )
 
 
-def _due_orders(ready, pools, model):
+def _due_orders(ready, pools, model, broken, waiting):
     """Return the orders to send now, see `layers.due`."""
     by_id = {endpoint.id: endpoint for endpoint, _ in ready}
     changes = [layers.Change(e.id, holding) for e, holding in ready]
     return [
         (by_id[change.id], change.holding)
-        for change in layers.due(changes, pools, model)
+        for change in layers.due(changes, pools, model, broken, waiting)
     ]
 
 
--- a/packages/policy/ibisring_policy/gateway/layerorders.py
+++ b/packages/policy/ibisring_policy/gateway/layerorders.py
@@ -6,6 +6,7 @@
     'leads_without_store',
     'Registrations',
     'OrderTracker',
+    'PoolTracker',
     'LeaseRow',
     'make_lease',
     'make_order_tracker',
@@ -393,6 +394,61 @@
         )
 
 
+class PoolTracker:
+    """Tracks which pools lack layers, and since when.
+
+    Pools are known by service and domains.
+
+    Attributes
+    ----------
+    complete : set of (str, tuple of str)
+        Pools that had loaded all layers once.
+    broken : dict of str to set of tuple of str
+        By service, the domains of pools that were complete and no longer are.
+    gap_since : dict of (str, tuple of str) to float
+        Pools with layers that no engine holds or is loading.
+    """
+
+    __slots__ = ('complete', 'broken', 'gap_since')
+
+    def __init__(self):
+        self.complete = set()
+        self.broken = {}
+        self.gap_since = {}
+
+    def update(self, service, found, now):
+        """Note the state of all pools of a service.
+
+        Parameters
+        ----------
+        service : str
+        found : list of (tuple of str, bool, bool)
+            The domains of each pool, whether all layers are loaded, and
+            whether some have no holder.
+        now : float
+        """
+        broken, gap_since = set(), {}
+        for domains, is_complete, has_gaps in found:
+            key = service, domains
+            if is_complete:
+                self.complete.add(key)
+            elif key in self.complete:
+                broken.add(domains)
+            if has_gaps:
+                gap_since[key] = self.gap_since.get(key, now)
+        others = {k: v for k, v in self.gap_since.items() if k[0] != service}
+        self.gap_since = {**others, **gap_since}
+        self.broken[service] = broken
+
+    def gap_seconds(self, service, now):
+        """Return for how long layers have lacked a holder, by domains."""
+        return {
+            domains: now - since
+            for (name, domains), since in self.gap_since.items()
+            if name == service
+        }
+
+
 def make_lease(router_id, draw):
     """Make a `Lease` for a router."""
     return Lease(router_id, draw)
--- a/packages/policy/ibisring_policy/gateway/layers.py
+++ b/packages/policy/ibisring_policy/gateway/layers.py
@@ -23,6 +23,7 @@
 ]
 
 import enum
+import math
 
 from ibisring_policy.gateway import poolplan
 from ibisring_policy.gateway import poolsize
@@ -45,6 +46,11 @@
 # layer is spare, and the loss of one engine moves the ranges of all others.
 REPAIR_ROOM_SHARE = 0.75
 REPAIR_SAVING_SHARE = 0.1
+# How long layers must lack a holder before other engines give up theirs: the
+# process of a lost engine is often started again within this time.
+RETILE_SECONDS = 4.0
+# Share of all layers that may be loaded for it earlier if no pool is complete.
+EARLY_RETILE_SHARE = 0.1
 
 
 Change = repairs.Change
@@ -74,6 +80,10 @@
         """Return whether each layer is loaded by an engine."""
         return repairs.has_all_loaded(self.engines, layers)
 
+    def has_gaps(self, layers):
+        """Return whether a layer has no holder, loading ones included."""
+        return 0 in windows.coverage(self.engines, layers)
+
 
 def missing(engines, layers):
     """Return the layers that no engine of a failure domain holds.
@@ -176,32 +186,71 @@
     return plan_pools(pools(engines, model, min_requests), model)
 
 
-def plan_pools(found, model):
-    """Return the changes that engines grouped by `pools` need."""
+def plan_pools(found, model, gap_seconds=None):
+    """Return the changes that engines grouped by `pools` need.
+
+    Parameters
+    ----------
+    found : list of Pool
+    model : routing.Model
+    gap_seconds : dict of tuple of str to float, optional
+        For how long layers have lacked a holder, by the domains of the pool.
+        Without it, engines give up ranges at once where that closes a gap.
+    """
+    is_served = any(pool.is_complete(model.layers) for pool in found)
     planned = []
     for pool in found:
-        changes = _PLANNERS[pool.sizing](pool.engines, model)
+        most_loads = _retile_limit(pool, model, gap_seconds, is_served)
+        planner = _PLANNERS[pool.sizing]
+        changes = planner(pool.engines, model, most_loads)
         planned.append((pool.engines, changes))
     return repairs.ordered(planned, model.layers)
 
 
-def due(changes, found, model):
+def _retile_limit(pool, model, gap_seconds, is_served):
+    """Return how many layers may be loaded where engines give up ranges."""
+    if gap_seconds is None:
+        return math.inf
+    if gap_seconds.get(tuple(pool.domains), 0.0) >= RETILE_SECONDS:
+        return math.inf
+    return 0.0 if is_served else EARLY_RETILE_SHARE * model.layers
+
+
+def due(changes, found, model, broken=frozenset(), waiting=()):
     """Return the changes to send now, see `repairs.limited`.
 
+    Loads of pools sized by share are bounded only while another pool is
+    incomplete that was complete before.
+
     Parameters
     ----------
     changes : list of Change
     found : list of Pool
     model : routing.Model
+    broken : collection of tuple of str
+        Domains of the pools that are incomplete but were complete before.
+    waiting : list of str
+        Failure domains of engines that are left out of the pools because they
+        gave up their layers and wait for their requests to end.
     """
     engines = [engine for pool in found for engine in pool.engines]
     groups = [p.engines for p in found if p.sizing is not Sizing.KEPT]
-    return repairs.limited(changes, engines, groups, model)
+    unbounded = {
+        engine.id
+        for pool in found
+        if pool.sizing is Sizing.BY_SHARE
+        and not set(broken) - {tuple(pool.domains)}
+        for engine in pool.engines
+    }
+    return repairs.limited(changes, engines, groups, model, unbounded, waiting)
 
 
 def room_requests(pool, model):
     """Return the typical requests for which a pool's loaded layers suffice."""
     tokens = poolsize.held_room(pool.engines, model)
+    if math.isinf(tokens):
+        # Tokens take no memory: the slots of the engines are the bound.
+        return model.slots * len(pool.engines)
     return tokens / max(1.0, poolsize.request_tokens(model))
 
 
@@ -214,48 +263,77 @@
     return min(MAX_WEIGHT_SHARE, max(WEIGHT_SHARE, needed))
 
 
-def _plan_by_share(group, model):
+def _plan_by_share(group, model, most_loads):
     pool = poolplan.make_pool_plan(group, model, _weight_share(group, model))
     pool.assign_empty()
     pool.close_gaps()
     pool.extend_one()
     is_stuck = not pool.changes and pool.has_gaps()
     if is_stuck and not any(e.is_loading for e in group):
-        tiling = pool.tiling(_limits_by_share(group, model))
-        if tiling is not None:
-            pool.apply(tiling)
+        limits = _limits_by_share(group, model)
+        _retile(pool, lambda keeps: pool.tiling(limits, keeps), most_loads)
     return _changes(pool)
 
 
+def _retile(pool, find, most_loads):
+    """Apply a tiling; one in which engines give up layers only if small.
+
+    Parameters
+    ----------
+    pool : poolplan.PoolPlan
+    find : callable
+        Takes whether engines may only extend their ranges, and returns a
+        tiling or None.
+    most_loads : float
+        Engines may give up layers if fewer layers than this are loaded.
+    """
+    tiling = find(False) if most_loads > 0.0 else None
+    if tiling is None or _gives_up_for(pool, tiling) >= most_loads:
+        tiling = find(True)
+    if tiling is not None:
+        pool.apply(tiling)
+
+
+def _gives_up_for(pool, tiling):
+    """Return the layers that are loaded, if an engine gives up some."""
+    held = {engine.id: engine.holding for engine in pool.group}
+    new = tiling.ranges.items()
+    if not any(repairs.gives_up(held[name], span) for name, span in new):
+        return -1
+    return sum(repairs.layers_to_load(held[name], span) for name, span in new)
+
+
 def _limits_by_share(group, model):
     return {
         e.id: e.max_layers(model.layer_mb, MAX_WEIGHT_SHARE) for e in group
     }
 
 
-def _plan_by_room(group, model):
+def _plan_by_room(group, model, most_loads):
     tokens = poolsize.room(group, model)
     pool = poolplan.make_room_plan(group, model, tokens)
     if any(engine.holding is not None for engine in group):
         pool.assign_empty()
     if pool.has_gaps():
-        tiling = _cheapest_tiling(pool, tokens)
-        if tiling is not None:
-            pool.apply(tiling)
+        _retile(
+            pool,
+            lambda keeps: _cheapest_tiling(pool, tokens, keeps),
+            most_loads,
+        )
     pool.extend_one()
     return _changes(pool)
 
 
-def _cheapest_tiling(pool, tokens):
+def _cheapest_tiling(pool, tokens, keeps_held):
     """Return a tiling with the largest room, or one with far fewer loads."""
-    largest = pool.tiling(pool.sizes)
+    largest = pool.tiling(pool.sizes, keeps_held)
     limits = {
         e.id: poolsize.size(
             e.memory_mb, tokens * REPAIR_ROOM_SHARE, pool.model
         )
         for e in pool.group
     }
-    smaller = pool.tiling(limits)
+    smaller = pool.tiling(limits, keeps_held)
     if largest is None or smaller is None:
         return largest or smaller
     saving = largest.cost - smaller.cost
@@ -268,7 +346,7 @@
     return [Change(name, held) for name, held in pool.changes.items()]
 
 
-def _keep(group, model):
+def _keep(group, model, most_loads):
     return []
 
 
--- a/packages/policy/ibisring_policy/gateway/poolplan.py
+++ b/packages/policy/ibisring_policy/gateway/poolplan.py
@@ -145,13 +145,15 @@
         size = max(1, self.sizes[engine.id])
         return engine.step_factor + chains.STAGE_COST / size, engine.id
 
-    def tiling(self, limits):
+    def tiling(self, limits, keeps_held=False):
         """Return the division of all layers that loads the fewest.
 
         Parameters
         ----------
         limits : dict of str to int
             The most layers that each engine may hold.
+        keeps_held : bool
+            Whether engines may only extend their ranges.
 
         Returns
         -------
@@ -175,6 +177,7 @@
                     engine.holding,
                     limits[engine.id],
                     engine.holding is None or not engine.is_loading,
+                    keeps_held,
                 )
             )
         return tilings.tile(parts, self.model.layers)
--- a/packages/policy/ibisring_policy/gateway/poolsize.py
+++ b/packages/policy/ibisring_policy/gateway/poolsize.py
@@ -36,7 +36,10 @@
 
 def size(memory_mb, tokens, model):
     """Return the number of layers that leave a card room for tokens."""
-    layer_mb = model.layer_mb + tokens * model.token_mb / model.layers
+    layer_mb = model.layer_mb
+    # Room is infinite if tokens take no memory.
+    if model.token_mb > 0.0:
+        layer_mb += tokens * model.token_mb / model.layers
     return min(model.layers, int(memory_mb / layer_mb * (1.0 + TOLERANCE)))
 
 
--- a/packages/policy/ibisring_policy/gateway/repairs.py
+++ b/packages/policy/ibisring_policy/gateway/repairs.py
@@ -5,7 +5,14 @@
 those that lack much unless its loads come first.
 """
 
-__all__ = ['Change', 'ordered', 'limited', 'has_all_loaded', 'layers_to_load']
+__all__ = [
+    'Change',
+    'ordered',
+    'limited',
+    'gives_up',
+    'has_all_loaded',
+    'layers_to_load',
+]
 
 from ibisring_policy.gateway import windows
 from ibisring_records import routing
@@ -93,7 +100,7 @@
             not is_repair[index],
             missing,
             engines[0].id,
-            _gives_up(held[change.id], change.holding),
+            gives_up(held[change.id], change.holding),
             is_empty,
             index if is_empty else loads[index],
             change.id,
@@ -116,7 +123,7 @@
     return [True] * len(found) if 0 in counts else found
 
 
-def _gives_up(held, holding):
+def gives_up(held, holding):
     """Return whether an engine gives up layers, once its requests end."""
     if held is None:
         return False
@@ -138,11 +145,14 @@
     return first + rest
 
 
-def limited(changes, engines, groups, model):
+def limited(
+    changes, engines, groups, model, unbounded=frozenset(), waiting=()
+):
     """Return the changes to send now, so that few engines load at once.
 
-    Engines that have to give up layers are not counted: they wait for their
-    requests for up to 15 s, in which others can load.
+    Engines that have to give up layers are not counted as loading: they wait
+    for their requests for up to 15 s, in which others can load.  As many of
+    them wait at a time in each incomplete pool as may load at once.
 
     Parameters
     ----------
@@ -153,20 +163,37 @@
         All engines of the service, loading ones included.
     groups : list of list of windows.Engine
         The pools that are planned.  If all are complete, all changes are
-        sent.
+        sent, and also if no engine has loaded anything: on an empty start
+        loads one after the other would end later.
     model : routing.Model
+        Its `loads_at_once` is no bound if it is 0.
+    unbounded : collection of str
+        Engines whose loads are not bounded.
+    waiting : list of str
+        Failure domains of engines that wait for their requests to end and are
+        in no group.
 
     Returns
     -------
     list of Change
     """
-    if all(has_all_loaded(group, model.layers) for group in groups):
+    incomplete = [g for g in groups if not has_all_loaded(g, model.layers)]
+    if len(incomplete) == len(groups):
+        changes = _without_last_holders(changes, engines, model.layers)
+    is_empty = all(engine.loaded is None for engine in engines)
+    if not incomplete or is_empty or not model.loads_at_once:
         return changes
+    limits = [
+        model.loads_at_once - _waits(group, waiting) for group in incomplete
+    ]
+    changes = _limited_waits(changes, incomplete, limits)
     by_id = {engine.id: engine for engine in engines}
-    free = max(1, model.loads_at_once) - sum(map(_is_counted, engines))
+    free = model.loads_at_once - sum(map(_is_counted, engines))
     sent = []
     for change in changes:
-        if _gives_up(by_id[change.id].holding, change.holding):
+        held = by_id[change.id].holding
+        is_bounded = change.id not in unbounded
+        if gives_up(held, change.holding) or not is_bounded:
             sent.append(change)
         elif free > 0:
             sent.append(change)
@@ -174,6 +201,56 @@
     return sent
 
 
+def _without_last_holders(changes, engines, layers):
+    """Leave out changes that give up the last loaded copy of a layer.
+
+    While no pool is complete, requests are served over several domains, and
+    need each layer that is still loaded somewhere.
+    """
+    counts = _loaded_counts(engines, layers)
+    loaded = {engine.id: engine.loaded for engine in engines}
+    kept = []
+    for change in changes:
+        given_up = _given_up(loaded[change.id], change.holding)
+        if any(counts[layer] < 2 for layer in given_up):
+            continue
+        # Two changes that are sent together must not give up both copies.
+        for layer in given_up:
+            counts[layer] -= 1
+        kept.append(change)
+    return kept
+
+
+def _given_up(held, holding):
+    if held is None:
+        return []
+    new = range(holding.first, holding.end)
+    return [n for n in range(held.first, held.end) if n not in new]
+
+
+def _waits(group, waiting):
+    """Count the engines of a pool that wait for their requests to end."""
+    domains = {engine.domain for engine in group}
+    left_out = sum(domain in domains for domain in waiting)
+    return left_out + sum(engine.is_unloading for engine in group)
+
+
+def _limited_waits(changes, incomplete, limits):
+    """Limit the engines of each incomplete pool that give up layers."""
+    pool_of = {e.id: i for i, group in enumerate(incomplete) for e in group}
+    holding = {e.id: e.holding for group in incomplete for e in group}
+    free = list(limits)
+    sent = []
+    for change in changes:
+        pool = pool_of.get(change.id)
+        if pool is not None and gives_up(holding[change.id], change.holding):
+            if free[pool] <= 0:
+                continue
+            free[pool] -= 1
+        sent.append(change)
+    return sent
+
+
 def _is_counted(engine):
     """Return whether an engine loads, or soon will."""
     is_ordered = engine.holding is not None and engine.is_loading
--- a/packages/policy/ibisring_policy/gateway/tests/test_layerorders.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_layerorders.py
@@ -206,3 +206,17 @@
     other.note_order(waiting, build.holding(8, 11), 0, 'conflict', 0.5)
     assert other.is_unloading(waiting, late)
     assert not other.is_unloading(build.endpoint('x', started=6), late)
+
+
+def test_a_gap_is_timed_from_its_first_sight():
+    """Failure: a later gap counts the time of one that was closed."""
+    tracker = layerorders.PoolTracker()
+    tracker.update('chat', [(('a',), True, False)], 1.0)
+    tracker.update('chat', [(('a',), False, True)], 2.0)
+    tracker.update('other', [(('a',), False, False)], 2.5)
+    tracker.update('chat', [(('a',), False, True)], 5.0)
+    assert tracker.gap_seconds('chat', 6.0) == {('a',): 4.0}
+    assert tracker.broken == {'chat': {('a',)}, 'other': set()}
+    tracker.update('chat', [(('a',), False, False)], 7.0)
+    tracker.update('chat', [(('a',), False, True)], 8.0)
+    assert tracker.gap_seconds('chat', 8.5) == {('a',): 0.5}
--- a/packages/policy/ibisring_policy/gateway/tilings.py
+++ b/packages/policy/ibisring_policy/gateway/tilings.py
@@ -23,6 +23,7 @@
     `held` is the range that costs nothing to use, `limit` the most layers
     that it may hold.  Shares are given in the order of `position`.  An engine
     that is not `movable` is loading, and refuses other ranges until it ends.
+    One that `keeps_held` may only extend its range.
     """
 
     id: str
@@ -30,6 +31,7 @@
     held: routing.Holding | None
     limit: int
     movable: bool = True
+    keeps_held: bool = False
 
 
 class Tiling(msgspec.Struct, frozen=True):
@@ -94,6 +96,8 @@
         return math.inf
     kept = max(0, min(end, held.end) - max(first, held.first))
     keeps_all = _fits_with_held(part, first, end)
+    if part.keeps_held and not keeps_all:
+        return math.inf
     return end - first - kept + (0.0 if keeps_all else GIVE_UP_COST)
 
 
