Use engines of domains that are too small, and keep a merged plan

Engines that start empty in a domain too small for the model stayed empty for good beside complete pools. They now get gaps that the plans of incomplete pools leave, or become further holders once all pools are complete.

Engines that only hold the model together were divided into pools by domain even if none of these could be completed then; they now stay one pool until one can be completed without giving up the last loaded copy of a layer.

--- a/packages/policy/ibisring_policy/gateway/layers.py
+++ b/packages/policy/ibisring_policy/gateway/layers.py
@@ -136,13 +136,59 @@
         else:
             small.append(group)
     if not found:
-        return [Pool(sorted(engines, key=_engine_id), Sizing.BY_SHARE)]
+        return [_merged(engines)]
+    if _stays_merged(found, engines, model):
+        return [_merged(engines)]
     combined = [engine for group in small for engine in group]
     if len(small) > 1 and _has_room(combined, model, min_requests):
         return [*found, Pool(combined, Sizing.BY_ROOM)]
     return [*found, *(Pool(group, Sizing.KEPT) for group in small)]
 
 
+def _merged(engines):
+    return Pool(sorted(engines, key=_engine_id), Sizing.BY_SHARE)
+
+
+def _stays_merged(found, engines, model):
+    """Return whether all engines are to stay one pool.
+
+    If they only hold the model together, they serve as one pool until one of
+    the others can be completed with layers that are loaded elsewhere.
+    """
+    if any(pool.is_complete(model.layers) for pool in found):
+        return False
+    if not repairs.has_all_loaded(engines, model.layers):
+        return False
+    return not any(_can_complete(pool, engines, model) for pool in found)
+
+
+def _can_complete(pool, engines, model):
+    """Return whether a plan completes a pool without taking a last copy.
+
+    Changes are followed in steps: a layer that one has loaded may be given up
+    by another.
+    """
+    changes = _PLANNERS[pool.sizing](pool.engines, model, math.inf)
+    new = {change.id: change.holding for change in changes}
+    after = [
+        msgspec.structs.replace(e, holding=new.get(e.id, e.holding))
+        for e in pool.engines
+    ]
+    if windows.gaps(windows.coverage(after, model.layers)):
+        return False
+    while changes:
+        sent = repairs.without_last_holders(changes, engines, model.layers)
+        if not sent:
+            return False
+        done = {change.id: change.holding for change in sent}
+        engines = [
+            msgspec.structs.replace(e, loaded=done.get(e.id, e.loaded))
+            for e in engines
+        ]
+        changes = [change for change in changes if change.id not in done]
+    return True
+
+
 def _has_spare_memory(group, model):
     available_layers = sum(
         e.max_layers(model.layer_mb, MAX_WEIGHT_SHARE) for e in group
@@ -204,9 +250,62 @@
         planner = _PLANNERS[pool.sizing]
         changes = planner(pool.engines, model, most_loads)
         planned.append((pool.engines, changes))
+    planned.extend(_plan_spares(found, planned, model))
     return repairs.ordered(planned, model.layers)
 
 
+def _plan_spares(found, planned, model):
+    """Plan for the engines without layers in domains that are too small.
+
+    They are assigned the layers that no engine of an incomplete pool is going
+    to hold.  If all pools are complete, they restore what their own domain
+    held, or become further holders of the layers that need them most.
+
+    Returns
+    -------
+    list of (list of windows.Engine, list of Change)
+    """
+    kept = [pool for pool in found if pool.sizing is Sizing.KEPT]
+    small = [engine for pool in kept for engine in pool.engines]
+    spares = [engine for engine in small if engine.holding is None]
+    if not spares:
+        return []
+    others = [p for p in found if p.sizing is not Sizing.KEPT]
+    if not all(pool.is_complete(model.layers) for pool in others):
+        return _fill_gaps(spares, small, others, planned, model)
+    everywhere = [engine for pool in found for engine in pool.engines]
+    entries = []
+    for pool in kept:
+        empty = [e for e in pool.engines if e.holding is None]
+        group = everywhere if len(empty) == len(pool.engines) else pool.engines
+        plan_of_all = poolplan.make_pool_plan(group, model, WEIGHT_SHARE)
+        plan_of_all.assign_spares(empty, only_gaps=False)
+        entries.append((everywhere, _changes(plan_of_all)))
+    return entries
+
+
+def _fill_gaps(spares, small, others, planned, model):
+    """Assign the gaps that plans of incomplete pools leave to spare engines.
+
+    A gap that an engine of a small domain holds already is not filled again.
+    """
+    planned_changes = {c.id: c for _, changes in planned for c in changes}
+    for pool in others:
+        if pool.is_complete(model.layers):
+            continue
+        group = [*pool.engines, *small]
+        filled = poolplan.make_pool_plan(group, model, WEIGHT_SHARE)
+        for engine in pool.engines:
+            if engine.id in planned_changes:
+                filled.assign(engine, planned_changes[engine.id].holding)
+        filled.assign_spares(spares, only_gaps=True)
+        names = {engine.id for engine in spares}
+        changes = [c for c in _changes(filled) if c.id in names]
+        if changes:
+            return [(group, changes)]
+    return []
+
+
 def _retile_limit(pool, model, gap_seconds, is_served):
     """Return how many layers may be loaded where engines give up ranges."""
     if gap_seconds is None:
--- a/packages/policy/ibisring_policy/gateway/poolplan.py
+++ b/packages/policy/ibisring_policy/gateway/poolplan.py
@@ -95,12 +95,31 @@
         for engine in sorted(self.group, key=self._cost):
             if engine.may_replace and not self._gaps():
                 continue
-            size = self.sizes[engine.id]
-            if engine.holding is None and size > 0:
-                window = windows.best_window(
-                    self.layer_holders, size, engine, self.model
-                )
-                self.assign(engine, self._missing_part(window))
+            if engine.holding is None:
+                self._assign_window(engine)
+
+    def assign_spares(self, engines, only_gaps):
+        """Assign windows to some engines without layers.
+
+        Parameters
+        ----------
+        engines : list of windows.Engine
+        only_gaps : bool
+            Whether to assign no more engines than gaps need.
+        """
+        for engine in sorted(engines, key=self._cost):
+            has_gaps = self.has_gaps()
+            if not has_gaps and (only_gaps or engine.may_replace):
+                continue
+            self._assign_window(engine)
+
+    def _assign_window(self, engine):
+        size = self.sizes[engine.id]
+        if size > 0:
+            window = windows.best_window(
+                self.layer_holders, size, engine, self.model
+            )
+            self.assign(engine, self._missing_part(window))
 
     def _missing_part(self, window):
         """Return the part of a window that a serving pool should load first.
--- a/packages/policy/ibisring_policy/gateway/repairs.py
+++ b/packages/policy/ibisring_policy/gateway/repairs.py
@@ -12,6 +12,7 @@
     'gives_up',
     'has_all_loaded',
     'layers_to_load',
+    'without_last_holders',
 ]
 
 from ibisring_policy.gateway import windows
@@ -179,7 +180,7 @@
     """
     incomplete = [g for g in groups if not has_all_loaded(g, model.layers)]
     if len(incomplete) == len(groups):
-        changes = _without_last_holders(changes, engines, model.layers)
+        changes = without_last_holders(changes, engines, model.layers)
     is_empty = all(engine.loaded is None for engine in engines)
     if not incomplete or is_empty or not model.loads_at_once:
         return changes
@@ -201,7 +202,7 @@
     return sent
 
 
-def _without_last_holders(changes, engines, layers):
+def without_last_holders(changes, engines, layers):
     """Leave out changes that give up the last loaded copy of a layer.
 
     While no pool is complete, requests are served over several domains, and
--- a/packages/policy/ibisring_policy/gateway/tests/test_pools.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_pools.py
@@ -7,9 +7,11 @@
 
 from ibisring_policy.gateway import layers
 from ibisring_policy.gateway import poolsize
+from ibisring_policy.gateway import repairs
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_policy.gateway.tests import fleets
 from ibisring_policy.gateway import tilings
+from ibisring_policy.gateway import windows
 
 
 def _start(name):
@@ -143,6 +145,73 @@
     assert layers.due(changes, pools, model) == changes
 
 
+def _site_with_a_small_domain():
+    _, model = fleets.deployment('b')
+    counts = {'a': (3, 3, 3), 'b': (3, 3, 3), 'c': (1, 2, 3)}
+    return fleets.engines(counts, fleets.B_CARDS), model
+
+
+def test_engines_of_a_domain_that_is_too_small_are_used():
+    """Failure: six engines stay empty for good."""
+    engines, model = _site_with_a_small_domain()
+    changes = layers.plan(engines, model, 8)
+    assert {change.id[0] for change in changes} == {'a', 'b'}
+    engines = fleets.settled(engines, model)
+    assert fleets.complete_domains(engines, model)[:2] == ['a', 'b']
+    assert all(engine.loaded is not None for engine in engines)
+
+
+def test_spare_engines_get_the_gap_of_an_incomplete_pool():
+    """Failure: layers stay without a holder beside empty engines."""
+    engines, model = _site_with_a_small_domain()
+    engines = fleets.settled(engines, model)
+    lost = max((e for e in engines if e.domain == 'a'), key=_memory)
+    left = [
+        _emptied(e) if e.domain == 'c' else e for e in engines if e is not lost
+    ]
+    pools = layers.pools(left, model, 8)
+    changes = layers.plan_pools(pools, model, {('a',): 0.0})
+    assert {change.id[0] for change in changes} <= {'a', 'c'}
+    new = {change.id: change.holding for change in changes}
+    after = [
+        msgspec.structs.replace(e, holding=new.get(e.id, e.holding))
+        for e in left
+        if e.domain != 'b'
+    ]
+    assert 0 not in windows.coverage(after, model.layers)
+
+
+def test_a_merged_plan_stays_while_it_alone_is_complete():
+    """Failure: nothing is served while domains load ranges of their own."""
+    engines, model = fleets.deployment('b')
+    pool = layers.Pool(engines, layers.Sizing.BY_SHARE)
+    new = {c.id: c.holding for c in layers.plan_pools([pool], model)}
+    engines = [
+        msgspec.structs.replace(e, holding=new[e.id], loaded=new[e.id])
+        for e in engines
+    ]
+    assert repairs.has_all_loaded(engines, model.layers)
+    for _ in range(20):
+        engines = fleets.step(engines, model)
+        assert repairs.has_all_loaded(engines, model.layers)
+
+
+def test_engines_stay_merged_while_no_domain_can_be_completed():
+    """Failure: a domain that can't be completed yet replaces the one pool."""
+    model = build.model(layers=16, token_mb=0.0)
+    engines = [
+        build.engine('a0', 'a', 'small', held=(4, 12)),
+        build.engine('a1', 'a', 'small', held=(4, 12), loaded=False),
+        build.engine('b0', 'b', 'small', held=(0, 4)),
+        build.engine('c0', 'c', 'small', held=(12, 16)),
+    ]
+    (pool,) = layers.pools(engines, model, 8)
+    assert pool.domains == ['a', 'b', 'c']
+    engines[1] = build.engine('a1', 'a', 'small', held=(4, 12))
+    found = [pool.domains for pool in layers.pools(engines, model, 8)]
+    assert found == [['a'], ['b', 'c']]
+
+
 def test_tokens_without_a_size_are_no_error():
     """Failure: the placement check stops at an exception."""
     engines, model = fleets.deployment('b')
