Adjacent ranges by domain in later plans, and tests of four rules

In a combined pool only the first layout kept ranges of a domain adjacent; engines without layers now get gaps beside their domain's ranges. Its test fails before.

Tests are added for layers that no engine holds, for the rank of engines that give up layers, for engines that wait for their requests, and for complete domains with little room. Each fails when its rule is removed. test_pools, test_layers, test_layerorders and test_placing pass.

--- a/packages/policy/ibisring_policy/gateway/poolplan.py
+++ b/packages/policy/ibisring_policy/gateway/poolplan.py
@@ -44,6 +44,8 @@
         Engines with a new range.
     reserve_share : float
         Share of a card's memory kept for prompts.
+    joins_domains : bool
+        Whether engines are to get ranges beside those of their domain.
     """
 
     __slots__ = (
@@ -54,6 +56,7 @@
         'layer_holders',
         'changes',
         'reserve_share',
+        'joins_domains',
     )
 
     def __init__(self, group, model, sizes):
@@ -66,6 +69,7 @@
         ]
         self.changes = {}
         self.reserve_share = RESERVE_SHARE
+        self.joins_domains = False
         for engine in group:
             for layer in self._span(engine.holding):
                 layer.add(engine, engine.holding)
@@ -115,11 +119,38 @@
 
     def _assign_window(self, engine):
         size = self.sizes[engine.id]
-        if size > 0:
-            window = windows.best_window(
-                self.layer_holders, size, engine, self.model
-            )
-            self.assign(engine, self._missing_part(window))
+        if size <= 0:
+            return
+        if self.joins_domains:
+            beside = self._window_beside_domain(engine, size)
+            if beside is not None:
+                self.assign(engine, beside)
+                return
+        window = windows.best_window(
+            self.layer_holders, size, engine, self.model
+        )
+        self.assign(engine, self._missing_part(window))
+
+    def _window_beside_domain(self, engine, size):
+        """Return a part of a gap beside a range of an engine's domain.
+
+        A chain then crosses domains less often.  None if there is no such
+        gap.
+        """
+        spans = [
+            self.current[other.id]
+            for other in self.group
+            if other.domain == engine.domain
+        ]
+        ends = {span.end for span in spans if span is not None}
+        firsts = {span.first for span in spans if span is not None}
+        for gap in self._gaps():
+            count = min(size, gap.count)
+            if gap.first in ends:
+                return routing.Holding(gap.first, gap.first + count)
+            if gap.end in firsts:
+                return routing.Holding(gap.end - count, gap.end)
+        return None
 
     def _missing_part(self, window):
         """Return the part of a window that a serving pool should load first.
@@ -410,4 +441,6 @@
     model : routing.Model
     tokens : float
     """
-    return PoolPlan(group, model, poolsize.sizes(group, tokens, model))
+    pool = PoolPlan(group, model, poolsize.sizes(group, tokens, model))
+    pool.joins_domains = len({engine.domain for engine in group}) > 1
+    return pool
--- a/packages/policy/ibisring_policy/gateway/tests/test_pools.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_pools.py
@@ -418,3 +418,81 @@
         if poolsize.room(pool.engines, model) >= 8 * 1000.0:
             assert pool.is_complete(model.layers)
     return after
+
+
+def test_a_combined_pool_keeps_ranges_of_a_domain_adjacent():
+    """Failure: chains cross domains more often after each loss."""
+    model = build.model(layers=24)
+    engines = [
+        build.engine('a0', 'a', 'small', held=(0, 6)),
+        build.engine('a1', 'a', 'small'),
+        build.engine('b0', 'b', 'small', held=(12, 18)),
+        build.engine('b1', 'b', 'small'),
+    ]
+    pool = layers.Pool(engines, layers.Sizing.BY_ROOM)
+    found = {c.id: c.holding for c in layers.plan_pools([pool], model)}
+    assert found == {'a1': build.holding(6, 12), 'b1': build.holding(18, 24)}
+
+
+@pytest.mark.parametrize('is_served', [False, True])
+def test_unheld_layers_come_before_others_unless_a_pool_is_complete(is_served):
+    """Failure: copies are loaded first while no request can be served."""
+    first = [
+        build.engine('a0', 'a', 'wide', held=(0, 2)),
+        build.engine('a1', 'a', 'wide', held=(4, 12)),
+        build.engine('a2', 'a'),
+        build.engine('a3', 'a'),
+        build.engine('a4', 'a', held=(13, 16)),
+    ]
+    second = [
+        build.engine('b0', 'b', 'wide', held=(0, 12)),
+        build.engine('b1', 'b', held=(12 if is_served else 13, 16)),
+    ]
+    changes = [
+        layers.Change('a2', build.holding(2, 4)),
+        layers.Change('a3', build.holding(12, 13)),
+    ]
+    found = repairs.ordered([(first, changes), (second, [])], 16)
+    assert found == (changes if is_served else changes[::-1])
+
+
+def test_engines_that_keep_their_layers_come_before_others():
+    """Failure: an engine waits for its requests before others load."""
+    engines = [
+        build.engine('a0', held=(0, 8)),
+        build.engine('a1', held=(6, 12)),
+    ]
+    changes = [
+        layers.Change('a1', build.holding(7, 13)),
+        layers.Change('a0', build.holding(0, 11)),
+    ]
+    whole = [build.engine('w', 'w', 'wide', held=(0, 16))]
+    found = repairs.ordered([(engines, changes), (whole, [])], 16)
+    assert found == changes[::-1]
+
+
+@pytest.mark.parametrize('is_unloading', [False, True])
+def test_an_engine_that_waits_for_its_requests_is_no_load(is_unloading):
+    """Failure: nothing loads for up to 15 s while an engine waits."""
+    model = build.model(layers=16, loads_at_once=1)
+    engines = [
+        build.engine('a0', held=(0, 8)),
+        msgspec.structs.replace(
+            build.engine('a1', held=(4, 8), loaded=False),
+            is_unloading=is_unloading,
+        ),
+        build.engine('a2'),
+    ]
+    changes = [layers.Change('a2', build.holding(8, 16))]
+    found = [layers.Pool(engines, layers.Sizing.BY_ROOM)]
+    assert layers.due(changes, found, model) == changes * is_unloading
+
+
+def test_a_domain_that_holds_all_layers_stays_a_pool_with_little_room():
+    """Failure: a complete pool is dissolved when its room shrinks."""
+    engines, model = _start('b')
+    sizings = [pool.sizing.name for pool in layers.pools(engines, model, 1000)]
+    assert sizings == ['BY_ROOM', 'BY_SHARE', 'BY_ROOM']
+    engines = [_emptied(e) if e.domain == 'a' else e for e in engines]
+    sizings = [pool.sizing.name for pool in layers.pools(engines, model, 1000)]
+    assert sizings == ['BY_SHARE', 'BY_ROOM', 'KEPT']
