--- a/packages/gateway/ibisring_gateway/tests/test_placing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -9,6 +9,7 @@
 from ibisring_gateway import ports
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import layerorders
+from ibisring_policy.gateway import layers
 from ibisring_policy.gateway import presence
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_policy.gateway.tests import fleets
@@ -361,3 +362,17 @@
     placer.orders.blocked.clear()
     _check(placer)
     assert len(engines.placed) == 3
+
+
+def test_ranges_are_not_given_up_for_an_engine_that_may_return():
+    """Guards against tearing down a domain whose engine is soon back."""
+    engines = builders.Engines()
+    placer = _placer(_small_view(without=('b-0-0',)), engines=engines)
+    _check(placer)
+    assert engines.placed == []
+    since = placer.pool_tracker.gap_since
+    assert list(since) == [('model', ('b',))]
+    since['model', ('b',)] -= layers.RETILE_SECONDS
+    _check(placer)
+    assert engines.placed
+    assert {name[0] for name, _, _ in engines.placed} == {'b'}
