Requests wait for a chain in order of rank where routes differ in priority

Cause: the gateway admitted, refused and retried all ranks alike; urgent requests earned less of their value than others, refused callers were told to return at times that didn't depend on rank, and `request` lines of refused requests named no route, account or rank.

Change: `requestqueue` (pure, on `admission.TargetQueue`) orders requests by rank and the accounts' fair share, refuses at once those that would wait too long, and spreads the returns of refused callers. `queueing` has the threads of callers wait; only the next request asks for a chain. Setting `queueing` (auto, on, off). `TargetQueue.withdraw` gives an account back what its unserved requests added to its tags, and ranks may be tuples.

Nothing was measured on a fleet.

--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -68,6 +68,8 @@
         Whether another router handed the request over.
     list_extra_headers : callable
         Returns headers to add to the answer, as (name, value) pairs.
+    job : jobs.Job or None
+        State of the request, None until its route is known.
     """
 
     def __init__(self, request):
@@ -76,6 +78,7 @@
         self.ends_with_connection = False
         self.is_from_router = False
         self.list_extra_headers = list
+        self.job = None
         self.status = 0
         self.sent = 0
 
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -9,6 +9,7 @@
 from ibisring_gateway import attemptwatching
 from ibisring_gateway import exchange as exchange_module
 from ibisring_gateway import jobs
+from ibisring_gateway import queueing
 from ibisring_gateway import relaymarks
 from ibisring_gateway import relayrouting
 from ibisring_gateway import selecting
@@ -27,10 +28,6 @@
 NOT_READY_RETRY_SECONDS = 2.0
 MS_PER_SECOND = 1000.0
 CONTINUING = (attempts.NextStep.RETRY, attempts.NextStep.RESUME)
-# Longest time for which a started stream waits for an endpoint with room, and
-# interval at which the choice is repeated.
-RESUME_WAIT_SECONDS = 1.3
-RESUME_POLL_SECONDS = 0.05
 # Where no endpoint is in reach: by then one has been tried again, and a caller
 # that comes back reaches another router.
 NOBODY_RETRY_SECONDS = 0.4
@@ -73,6 +70,7 @@
         self.metrics = metrics
         self.screen = screen
         self.selector = selecting.make_selector(view)
+        self.admitter = queueing.make_admitter(view, self.selector, metrics)
         self.relay_sender = relay_sender
         self.relay_routing = relayrouting.RelayRouting(view, relay_sender)
         self.sender = sending.make_sender(
@@ -102,7 +100,13 @@
             self._send_error(exchange, request_id, error, started)
         except exchange_module.CallerDisconnected as error:
             exchange.abort()
-            self._log(request_id, 'caller_gone', started, why=str(error))
+            self._log(
+                request_id,
+                'caller_gone',
+                started,
+                why=str(error),
+                **_job_facts(exchange.job),
+            )
         except Exception:
             exchange.abort()
             self.metrics.count('internal_errors')
@@ -122,7 +126,13 @@
             # after it would terminate that answer as if it were complete; the
             # caller detects the truncation only if nothing more is written.
             exchange.abort()
-            self._log(request_id, 'broken_off', started, why=str(error))
+            self._log(
+                request_id,
+                'broken_off',
+                started,
+                why=str(error),
+                **_job_facts(exchange.job),
+            )
             return
         if self.stopping_at is not None:
             exchange.close_after()
@@ -148,7 +158,7 @@
             table_age_ms=round(
                 (self.clock() - snapshot.table_read_at) * MS_PER_SECOND
             ),
-            **error.facts,
+            **_job_facts(exchange.job) | error.facts,
         )
 
     def _log(self, request_id, outcome, started, **facts):
@@ -188,6 +198,10 @@
         job = jobs.Job(
             exchange, request, match, service, started, started + time_limit
         )
+        job.rank = snapshot.index.rank(
+            match.route, match.account, service.name
+        )
+        exchange.job = job
         if mark is None:
             with self.view.lock:
                 self.retry_budget.count_request(started)
@@ -209,9 +223,7 @@
             job.started,
             status=answer.status if answer else None,
             digest=job.digest.hex(),
-            route=job.route.name,
-            service=job.service.name,
-            account=job.match.account,
+            **_job_facts(job),
             tries=job.progress.tries,
             endpoints=job.sent_to,
             relayed_by=job.relayed_by,
@@ -301,7 +313,7 @@
         if is_refused and result is attempts.Result.SUSPECTED:
             raise self.screen.refusal(job)
         retry_after = max(
-            self.selector.refuse(job, self.clock()),
+            self.admitter.retry_after(job, self.clock()),
             self.screen.retry_after(job),
             NOBODY_RETRY_SECONDS if job.is_cut_off else 0.0,
         )
@@ -329,9 +341,7 @@
         if peer is not None:
             self.metrics.count('relayed')
             return self.relay_sender.send(job, peer)
-        choice = self.selector.choose(job, self.clock())
-        if choice is None and job.exchange.headers_sent:
-            choice = self._wait_for_choice(job)
+        choice = self.admitter.choose(job)
         if choice is None:
             return self._end_without_choice(job)
         if choice.wait:
@@ -352,6 +362,7 @@
         finally:
             self.watcher.remove(job.exchange.socket)
             self.selector.release(attempt)
+            self.admitter.wake(job.service.name)
             self.screen.record_end(job)
 
     def _end_without_choice(self, job):
@@ -372,12 +383,12 @@
         if job.limited:
             raise exceptions.Overloaded(
                 'endpoints take no more requests for now',
-                self.selector.refuse(job, now),
+                self.admitter.retry_after(job, now),
                 limited=sorted(job.limited),
             )
         raise exceptions.Overloaded(
             'no endpoint has room',
-            self.selector.refuse(job, now),
+            self.admitter.retry_after(job, now),
             layers=self.selector.shortages(job, now),
         )
 
@@ -392,25 +403,6 @@
         sent_to = {*job.sent_to, endpoint.id}
         return len(sent_to) < job.progress.max_endpoints
 
-    def _wait_for_choice(self, job):
-        """Wait for an endpoint with room for a started stream.
-
-        Breaking the stream off would lose all of it.  Its caller waits two
-        seconds for the next event, and capacity usually becomes free within
-        one, as other streams end or layers are loaded.
-        """
-        end = min(job.deadline, self.clock() + RESUME_WAIT_SECONDS)
-        while self.clock() < end:
-            time.sleep(RESUME_POLL_SECONDS)
-            if serving.is_gone(job.exchange.socket):
-                raise exchange_module.CallerDisconnected(
-                    'while its stream waited for room'
-                )
-            choice = self.selector.choose(job, self.clock())
-            if choice is not None:
-                return choice
-        return None
-
 
 def _outcome(job):
     """Return the outcome of a request that has its final answer."""
@@ -420,6 +412,19 @@
     return 'answered' if answer and answer.status < 400 else 'failed'
 
 
+def _job_facts(job):
+    """Return what log lines say about a request, {} if it is not known."""
+    if job is None:
+        return {}
+    return {
+        'route': job.route.name,
+        'service': job.service.name,
+        'account': job.match.account,
+        'rank': job.rank_text,
+        'waited_ms': _rounded_ms(job.waited),
+    }
+
+
 def _rounded_ms(seconds):
     return None if seconds is None else round(seconds * MS_PER_SECOND)
 
--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -35,6 +35,8 @@
     ----------
     alive_engines : callable
         Returns the engines that have just sent this router an event.
+    on_loads : callable
+        Called when the loads of engines have been updated.
     """
 
     def __init__(self, view, peers, tell_directory):
@@ -42,6 +44,7 @@
         self.peers = peers
         self.tell_directory = tell_directory
         self.alive_engines = frozenset
+        self.on_loads = lambda: None
 
     def receive(self, message, source):
         """Apply a message of another router.
@@ -82,6 +85,7 @@
             )
             estimates.merge_loads(message.loads, now)
             estimates.merge_recovered(message.recovered, now)
+        self.on_loads()
         if newly_dead:
             logs.event(
                 LOG,
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -54,6 +54,11 @@
         Endpoints that were skipped for their rate limits in the last choice.
     first_chunk_at, last_chunk_at : float or None
         When the first and the latest chunk of its answer arrived.
+    rank : tuple of int
+        Priority of the account and of the route, smaller first, see
+        `routetable.Index.rank`; read anew while the request waits.
+    waited : float
+        Seconds that it has waited for a chain.
     longest_pause : float
         Longest time between two chunks, in seconds.
     """
@@ -94,6 +99,8 @@
         self.first_chunk_at = None
         self.last_chunk_at = None
         self.longest_pause = 0.0
+        self.rank = (match.priority, match.route.priority)
+        self.waited = 0.0
         self.progress = attempts.Progress(
             repeatable=match.route.repeatable,
             stream=match.route.kind is routing.RequestKind.STREAM,
@@ -130,6 +137,11 @@
             self.longest_pause = max(self.longest_pause, pause)
         self.last_chunk_at = now
 
+    @property
+    def rank_text(self):
+        """The rank as it is written in log lines and names of metrics."""
+        return '-'.join(str(each) for each in self.rank)
+
     @property
     def first_seconds(self):
         """Seconds to the first chunk of the answer, None without one."""
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -121,6 +121,7 @@
             self.screen,
             self.relay_sender,
         )
+        self.forwarder.admitter.mode = self.settings.queueing
 
     def _make_link_monitor(self):
         """Make what follows the links and the streams to endpoints."""
@@ -198,6 +199,7 @@
         self.gossip.receiver.alive_engines = (
             self.stall_handler.engines_with_events
         )
+        self.gossip.receiver.on_loads = self.forwarder.admitter.wake_all
         self.gossip.own_service = self._own_service
         self.link_monitor.on_change = self.gossip.request_send
         self.screen.on_update = self.gossip.request_send
@@ -258,6 +260,7 @@
     def _apply_limits(self, table):
         for server in (self.caller_server, self.peer_server):
             exchange.apply_limits(server, table.limits)
+        self.forwarder.admitter.wake_all()
 
     def _check_placement(self):
         self.placer.tell(placing.CheckPlacement())
@@ -360,6 +363,7 @@
         self.gossip.request_send()
         self.forwarder.stopping_at = started_at
         self.forwarder.refuse_after = started_at + shutdown.ACCEPT_SECONDS
+        self.forwarder.admitter.close()
         logs.event(LOG, 'ending', active=self.forwarder.active)
         while True:
             time.sleep(SHUTDOWN_POLL_SECONDS)
--- a/packages/gateway/ibisring_gateway/settings.py
+++ b/packages/gateway/ibisring_gateway/settings.py
@@ -10,6 +10,7 @@
 
 ADDRESS = re.compile(r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$')
 MS_PER_SECOND = 1000.0
+QUEUEING_MODES = ('auto', 'on', 'off')
 
 
 class Settings(msgspec.Struct, kw_only=True):
@@ -42,6 +43,9 @@
     # Timeout of a long poll for changes, in addition to its waiting time.
     feed_margin_s: float = 0.6
     log_level: str = 'INFO'
+    # Whether requests wait for a chain in order of rank: 'auto' for model
+    # services whose routes differ in priority, 'on' for all model services.
+    queueing: str = 'auto'
 
 
 def load(path):
@@ -85,4 +89,9 @@
             raise exceptions.InvalidSetting(
                 f'{name} is {value!r}, but must not be negative'
             )
+    if settings.queueing not in QUEUEING_MODES:
+        raise exceptions.InvalidSetting(
+            f'queueing is {settings.queueing!r}, but must be one of '
+            + ', '.join(QUEUEING_MODES)
+        )
     return settings
--- a/packages/gateway/ibisring_gateway/tests/test_forwarding.py
+++ b/packages/gateway/ibisring_gateway/tests/test_forwarding.py
@@ -1,8 +1,11 @@
 """Tests of the final answer of a request."""
 
+import logging
 import types
 
+from ibisring_gateway import exchange as exchange_module
 from ibisring_gateway import forwarding
+from ibisring_gateway import ports
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import exceptions
@@ -18,6 +21,7 @@
         self.is_from_router = False
         self.written = []
         self.aborted = False
+        self.job = None
 
     def answer(self, status, headers, body):
         self.written.append(status)
@@ -88,3 +92,71 @@
     request = types.SimpleNamespace(host='h.example', path='/a/x', key='k2')
     with pytest.raises(exceptions.Unauthorized):
         forwarder._serve(None, request, view.clock(), None)
+
+
+class _RefusedExchange(_Exchange):
+    """A request that is refused after its route is known."""
+
+    method = 'POST'
+    target = '/a/x'
+
+    def __init__(self):
+        super().__init__(headers_sent=False)
+
+    def headers(self):
+        return {}
+
+    def read_body(self):
+        return b''
+
+
+class _KnowingCodec(_Codec):
+    def decode_request(self, method, target, headers):
+        return ports.CallerRequest(
+            id='a1',
+            method=method,
+            host='h.example',
+            target=target,
+            headers=headers,
+            key='k1',
+        )
+
+
+@pytest.mark.parametrize(
+    ('error', 'outcome'),
+    [
+        (exceptions.Overloaded('no room', 1.0), 'overloaded'),
+        (exceptions.NoEndpoint('no endpoint', 1.0), 'no_endpoint'),
+        (exceptions.Interrupted('cut', 1.0), 'interrupted'),
+        (exchange_module.CallerDisconnected('gone'), 'caller_gone'),
+    ],
+)
+def test_line_of_a_refused_request_says_whose_it_was(error, outcome, caplog):
+    """Guards against refusals that no account or route can be told of."""
+    caplog.set_level(logging.INFO)
+    accounts = (routing.Account('acme', ('k1',), 3),)
+    view = builders.make_view([], build.table(accounts=accounts))
+    budget = types.SimpleNamespace(count_request=lambda now: None)
+    forwarder = forwarding.make_forwarder(
+        view,
+        _KnowingCodec(),
+        None,
+        None,
+        budget,
+        lambda: 1,
+        builders.Metrics(),
+        None,
+        None,
+    )
+
+    def fail(job):
+        raise error
+
+    forwarder._run_attempts = fail
+    forwarder.serve(_RefusedExchange())
+    (line,) = [r for r in caplog.records if r.getMessage() == 'request']
+    known = ('outcome', 'route', 'service', 'account', 'rank', 'waited_ms')
+    found = [line.facts[name] for name in known]
+    assert found == [outcome, 'r1', 'lookup', 'acme', '3-0', 0]
+    if isinstance(error, exceptions.IbisringError):
+        assert not error.facts
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/tests/test_settings.py
@@ -0,0 +1,27 @@
+"""Tests of the settings of a gateway process."""
+
+import pytest
+
+from ibisring_gateway import settings as settings_module
+from ibisring_records import exceptions
+
+
+def _settings(**values):
+    return settings_module.Settings(
+        router_id='r1',
+        failure_domain='a',
+        host='127.0.0.1',
+        caller_listen='127.0.0.1:1',
+        ready_listen='127.0.0.1:2',
+        store='127.0.0.1:3',
+        peer_port=4,
+        **values,
+    )
+
+
+def test_unknown_queueing_mode_ends_the_start():
+    """Guards against a misspelt mode that silently changes nothing."""
+    for mode in settings_module.QUEUEING_MODES:
+        settings_module.check(_settings(queueing=mode))
+    with pytest.raises(exceptions.InvalidSetting, match='queueing'):
+        settings_module.check(_settings(queueing='yes'))
--- a/packages/policy/ibisring_policy/admission.py
+++ b/packages/policy/ibisring_policy/admission.py
@@ -29,6 +29,8 @@
 class Ticket(msgspec.Struct):
     """A request to be sent to an endpoint or a chain of endpoints.
 
+    `rank` is a number or a tuple, smaller first; all tickets of a queue have
+    ranks of one kind.
     `cost` is in tokens (1 for a service call); `deadline`, `arrived` and
     `wanted_by` are in seconds of the router's clock; `avoid` names the
     endpoints where the request has failed.  `wanted_by` is the time that
@@ -37,7 +39,7 @@
 
     id: str
     account: str
-    rank: int
+    rank: int | tuple
     target: Target
     cost: float
     deadline: float
@@ -108,6 +110,35 @@
             self._reset_tags()
         return ticket
 
+    def withdraw(self, ticket_id):
+        """Remove a ticket that is not served; None if it is not queued.
+
+        Its account gets back what the ticket added to its tags.  An account
+        whose requests often expire would otherwise fall behind accounts that
+        were served.
+        """
+        ticket = self.remove(ticket_id)
+        if ticket is None or not self.tickets:
+            return ticket
+        account = (ticket.rank, ticket.account)
+        refund = ticket.cost / ticket.weight
+        self.finish_tags[account] -= refund
+        for other in self.in_order():
+            if (
+                other.rank,
+                other.account,
+            ) == account and other.start_tag > ticket.start_tag:
+                del self.order[self._sort_key(other)]
+                other.start_tag -= refund
+                self.order[self._sort_key(other)] = other
+        return ticket
+
+    def change_rank(self, ticket_id, rank):
+        """Move a waiting ticket to another class."""
+        ticket = self.withdraw(ticket_id)
+        ticket.rank = rank
+        self.add(ticket)
+
     def _reset_tags(self):
         # Tags are relative to one another, so an empty queue can drop them.
         self.virtual_time.clear()
@@ -130,12 +161,10 @@
         return list(self.order.values())
 
     def cost_before(self, rank):
-        """Return the waiting cost of all classes up to a rank, inclusive."""
-        total = 0.0
-        for other, cost in self.waiting_cost.items():
-            if other <= rank:
-                total += cost
-        return total
+        """Return the waiting cost of all classes more urgent than a rank."""
+        return sum(
+            cost for other, cost in self.waiting_cost.items() if other < rank
+        )
 
     def predicted_wait(self, ticket, rate):
         """Predict the seconds until a new ticket would be served.
@@ -155,7 +184,7 @@
             return 0.0
         if rate <= 0.0:
             return math.inf
-        urgent = self.cost_before(ticket.rank - 1)
+        urgent = self.cost_before(ticket.rank)
         start = self._next_start(ticket)
         same = sum(
             other.cost
--- a/packages/policy/ibisring_policy/gateway/routetable.py
+++ b/packages/policy/ibisring_policy/gateway/routetable.py
@@ -22,7 +22,15 @@
     table : routing.RoutingTable
     """
 
-    __slots__ = ('table', 'by_host', 'account_of', 'services')
+    __slots__ = (
+        'table',
+        'by_host',
+        'account_of',
+        'services',
+        'route_of',
+        'account_priorities',
+        'route_priorities',
+    )
 
     def __init__(self, table):
         self.table = table
@@ -32,8 +40,12 @@
             self.by_host.setdefault(route.host.lower(), []).append(route)
         for routes in self.by_host.values():
             routes.sort(key=lambda route: -len(route.prefix))
+        self.route_of = {route.name: route for route in table.routes}
+        self.route_priorities = _priorities_by_service(table.routes)
         self.account_of = {}
+        self.account_priorities = {}
         for account in table.accounts or ():
+            self.account_priorities[account.name] = account.priority
             for key in account.keys:
                 self.account_of[key] = account
 
@@ -77,6 +89,36 @@
                 return route
         raise exceptions.NotFound(f'no route for {host}{path}')
 
+    def rank(self, route, account, service):
+        """Return the rank of a request, smaller first.
+
+        Parameters
+        ----------
+        route : routing.Route
+            The table's route of the same name is used if it has one: the
+            request may have been matched by an older table.
+        account, service : str
+
+        Returns
+        -------
+        (int, int)
+            Priority of the account or, if it has none, of the service's most
+            urgent route; priority of the route.
+        """
+        route = self.route_of.get(route.name, route)
+        priority = self.account_priorities.get(account)
+        if priority is None:
+            of_routes = self.route_priorities.get(service)
+            priority = min(of_routes) if of_routes else route.priority
+        return priority, route.priority
+
+    def has_ranks(self, service):
+        """Return whether the routes to a model service differ in priority."""
+        found = self.services.get(service)
+        if found is None or found.model is None:
+            return False
+        return len(self.route_priorities.get(service, ())) > 1
+
     def pick_service(self, route, draw):
         """Choose the service for a request, by the weights of the targets.
 
@@ -100,6 +142,15 @@
         return None
 
 
+def _priorities_by_service(routes):
+    """Return the priorities of the routes to each service."""
+    found = {}
+    for route in routes:
+        for target in route.targets:
+            found.setdefault(target.service, set()).add(route.priority)
+    return found
+
+
 def make_index(table):
     """Index a routing table."""
     return Index(table)
--- /dev/null
+++ b/packages/policy/ibisring_policy/gateway/tests/test_requestqueue.py
@@ -0,0 +1,164 @@
+"""Tests of requests that wait at a router, in virtual time."""
+
+import pytest
+
+from ibisring_policy import admission
+from ibisring_policy.gateway import requestqueue
+from ibisring_policy.gateway.tests import queueload
+
+Kind = queueload.Kind
+# A burst of requests of the lowest rank beside urgent ones.
+BURST = (
+    Kind((0, 0), 'a', 0.2),
+    Kind((0, 1), 'b', 0.2),
+    Kind((0, 2), 'c', 0.55),
+    Kind((0, 2), 'd', 0.05),
+)
+URGENT_FLOOD = (
+    Kind((0, 0), 'a', 0.85),
+    Kind((0, 1), 'b', 0.05),
+    Kind((0, 2), 'c', 0.1),
+)
+ONE_RANK = (
+    Kind((0, 0), 'a', 0.9),
+    Kind((0, 0), 'b', 0.05),
+    Kind((0, 0), 'c', 0.05),
+)
+SIZES = (
+    Kind((0, 0), 'a', 0.45),
+    Kind((0, 0), 'a', 0.05, 4.0),
+    Kind((0, 1), 'b', 0.45),
+    Kind((0, 1), 'b', 0.05, 4.0),
+)
+
+
+@pytest.mark.parametrize('kinds', [BURST, URGENT_FLOOD, ONE_RANK])
+@pytest.mark.parametrize('load', [0.5, 1.0, 2.0, 4.0])
+def test_load(load, kinds):
+    """Guards against urgent requests served worse, and starvation.
+
+    Without order of rank, urgent requests are refused as often as others;
+    without a floor, the lowest rank and small accounts get nothing.
+    """
+    outcome = queueload.simulate(kinds, load)
+    served = outcome.share()
+    urgent = outcome.share(lambda kind: kind.rank == (0, 0))
+    assert urgent >= served - 0.005
+    for rank in {kind.rank for kind in kinds}:
+        share = outcome.share(lambda kind: kind.rank == rank)
+        assert share >= served / 4.0
+    for account in {kind.account for kind in kinds}:
+        share = outcome.share(lambda kind: kind.account == account)
+        assert share >= served / 4.0
+    assert outcome.longest_wait <= queueload.BOUND_SECONDS + 1e-9
+    assert served >= min(1.0, 0.9 / load)
+
+
+@pytest.mark.parametrize('load', [1.0, 2.0, 4.0])
+def test_large_requests_are_not_refused_twice_as_often(load):
+    """Guards against small requests that always take the room first."""
+    outcome = queueload.simulate(SIZES, load, seconds=120.0)
+    large = 1.0 - outcome.share(lambda kind: kind.cost > 1.0)
+    assert large <= 2.0 * (1.0 - outcome.share())
+
+
+def test_callers_return_in_order_of_rank_and_spread():
+    """Guards against refused callers that all return at the same time."""
+    returns = queueload.simulate(BURST, 2.0).returns
+    means = [sum(returns[r]) / len(returns[r]) for r in sorted(returns)]
+    assert means == sorted(means) and means[-1] > 2.0 * means[0]
+    assert max(returns[(0, 2)]) - min(returns[(0, 2)]) > 1.0
+
+
+def _ticket(name, rank=(0, 0), account='a', cost=1.0, arrived=0.0, wait=1.0):
+    return admission.Ticket(
+        name,
+        account,
+        rank,
+        admission.Target('model'),
+        cost,
+        100.0,
+        arrived,
+        wanted_by=arrived + wait,
+    )
+
+
+def _make(*tickets):
+    queue = requestqueue.make_request_queue(lambda: 0.5)
+    for ticket in tickets:
+        assert queue.offer(ticket, ticket.arrived) is None
+    return queue
+
+
+def test_only_the_next_request_asks_and_a_smaller_one_stays_behind():
+    queue = _make(_ticket('big', cost=9.0), _ticket('small', account='b'))
+    queue.deny(0.0)
+    assert queue.askers(0.1) == ['big']
+
+
+def test_more_urgent_request_asks_first():
+    queue = _make(_ticket('low', (0, 2)), _ticket('high', (0, 1)))
+    assert queue.askers(0.0) == ['high']
+    queue.change_rank('low', (0, 0))
+    assert queue.askers(0.0) == ['low']
+
+
+def test_continuing_stream_is_first_for_a_short_time_only():
+    """Guards against one stream without a chain that stops all others."""
+    queue = _make(
+        _ticket('new'), _ticket('old', requestqueue.CONTINUING, wait=1.3)
+    )
+    assert queue.askers(0.1) == ['old']
+    assert queue.askers(0.3) == ['old', 'new']
+
+
+def _in_shortage():
+    """Return a queue with a waiting request that makes two grants a second."""
+    queue = _make(_ticket('first', wait=60.0))
+    queue.deny(0.0)
+    for number in range(20):
+        name = f'n{number}'
+        queue.queue.add(_ticket(name, (9, 9), arrived=number / 2))
+        queue.arrivals[name] = queue.shares.add((9, 9), 'z', 1.0, number / 2)
+        queue.grant(name, number / 2)
+    return queue
+
+
+def test_request_is_refused_at_once_if_its_wait_would_be_too_long():
+    queue = _in_shortage()
+    refusal = queue.offer(_ticket('late', arrived=10.0, wait=0.25), 10.0)
+    assert refusal.reason == 'the wait would be too long'
+    assert 0.7 <= refusal.retry_after <= 6.0
+    assert queue.offer(_ticket('patient', arrived=10.0), 10.0) is None
+
+
+def test_more_urgent_request_may_wait_behind_nobody():
+    queue = _in_shortage()
+    urgent = _ticket('urgent', (-1, 0), arrived=10.0, wait=0.25)
+    assert queue.offer(urgent, 10.0) is None
+
+
+def test_request_is_refused_if_one_before_it_will_be_late():
+    queue = _in_shortage()
+    queue.queue.add(_ticket('other', account='b', arrived=9.8, wait=0.3))
+    low = _ticket('low', (1, 0), arrived=10.0, wait=30.0)
+    assert queue.offer(low, 10.0).reason == (
+        'waiting requests would be served too late'
+    )
+
+
+def test_withdrawn_and_expired_requests_leave():
+    queue = _make(_ticket('gone'), _ticket('due', wait=0.2))
+    assert queue.withdraw('gone', 0.1).id == 'gone'
+    assert list(queue.expire(0.2)) == ['due']
+    assert len(queue) == 0
+
+
+def test_account_is_not_charged_for_requests_that_were_not_served():
+    """Guards against an account that falls behind by its own refusals."""
+    waiting = admission.make_queue()
+    for number in range(3):
+        waiting.add(_ticket(f'a{number}', cost=10.0, arrived=float(number)))
+    waiting.add(_ticket('b0', account='b', cost=10.0, arrived=3.0))
+    waiting.withdraw('a0')
+    assert [each.id for each in waiting.in_order()] == ['a1', 'b0', 'a2']
--- a/packages/policy/ibisring_policy/gateway/tests/test_routetable.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_routetable.py
@@ -74,3 +74,40 @@
     assert not build.route(
         kind=routing.RequestKind.ONCE, resumable=True
     ).repeatable
+
+
+def _ranked_index(*priorities, accounts=None):
+    routes = [
+        build.route(
+            name=f'r{priority}',
+            priority=priority,
+            targets=(routing.Target('model', 1.0),),
+        )
+        for priority in priorities
+    ]
+    return _index(*routes, accounts=accounts)
+
+
+def test_rank_is_that_of_the_account_then_of_the_route():
+    accounts = (
+        routing.Account('kitchen', ('k1',), 2),
+        routing.Account('office', ('k3',)),
+    )
+    index = _ranked_index(1, 3, accounts=accounts)
+    route = index.route_of['r3']
+    assert index.rank(route, 'kitchen', 'model') == (2, 3)
+    assert index.rank(route, 'office', 'model') == (1, 3)
+    assert index.rank(route, '', 'model') == (1, 3)
+
+
+def test_rank_of_a_route_that_has_changed_or_gone():
+    old = build.route(name='r3', priority=0)
+    assert _ranked_index(1, 3).rank(old, '', 'model') == (1, 3)
+    assert _ranked_index(1).rank(old, '', 'model') == (1, 0)
+
+
+def test_only_model_services_with_several_priorities_have_ranks():
+    assert _ranked_index(0, 2).has_ranks('model')
+    assert not _ranked_index(2).has_ranks('model')
+    plain = _index(build.route(), build.route(name='r2', priority=3))
+    assert not plain.has_ranks('lookup')
