Requests behind a blocked one may ask; retries and late ones ask once

Change: up to 4 new requests ask in order within a round, the first one first; a request blocks the others for 0.25 s after its first denial, not at all if it may use some endpoints only. Retries and late requests have a short time to ask once in turn. Large requests may go first at every grant while they are refused more often than all.

--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -50,6 +50,8 @@
         When the last attempt to reach an endpoint began that failed.
     is_cut_off : bool
         Whether neither an endpoint nor another router can be reached.
+    return_at : float or None
+        When its caller was told to return, by the queue.
     limited : set of str
         Endpoints that were skipped for their rate limits in the last choice.
     first_chunk_at, last_chunk_at : float or None
@@ -94,6 +96,7 @@
         self.is_cut_off = False
         self.limited = set()
         self.sent_to = []
+        self.return_at = None
         self.answer = None
         self.chain = ''
         self.first_chunk_at = None
--- a/packages/gateway/ibisring_gateway/queueing.py
+++ b/packages/gateway/ibisring_gateway/queueing.py
@@ -92,11 +92,7 @@
         """
         if job.relayed_by is not None or not self.is_active(job.service):
             return self._choose_without_queue(job)
-        ticket = self._make_ticket(job)
-        if job.progress.tries and self.clock() >= ticket.wanted_by:
-            # It has had its turn, and has no time left to wait.
-            return self.selector.choose(job, self.clock())
-        return self._choose_in_turn(job, ticket)
+        return self._choose_in_turn(job, self._make_ticket(job))
 
     def _choose_without_queue(self, job):
         choice = self.selector.choose(job, self.clock())
@@ -178,17 +174,18 @@
                 self._record_wait(waiter, now - waiter.ticket.arrived, end)
 
     def _ask_in_turn(self, line, waiter):
-        job = waiter.job
+        is_woken = True
         while True:
-            if line.begin_ask(waiter, self.clock()):
+            if not is_woken:
+                line.check_time(waiter, self.clock())
+            elif line.begin_ask(waiter, self.clock()):
                 choice = self._ask(line, waiter)
                 if choice is not None:
                     return choice
             if waiter.refusal is not None:
                 return None
-            _check_caller(job, 'while it waited for a chain')
-            waiter.has_waited = True
-            self._pause(line, waiter)
+            _check_caller(waiter.job, 'while it waited for a chain')
+            is_woken = self._pause(waiter)
 
     def _ask(self, line, waiter):
         choice = None
@@ -198,15 +195,22 @@
             line.end_ask(waiter, choice is not None, self.clock())
         return choice
 
-    def _pause(self, line, waiter):
-        """Wait until there may be room, or the request's time is over."""
+    def _pause(self, waiter):
+        """Wait until there may be room, or the request's time is over.
+
+        Returns
+        -------
+        bool
+            Whether it may be its turn.
+        """
         asks = waiter.asked_at > float('-inf')
         interval = ASK_INTERVAL_SECONDS if asks else CHECK_INTERVAL_SECONDS
         left = waiter.ticket.wanted_by - self.clock()
         if left > 0.0:
             interval = min(interval, left)
-        waiter.event.wait(interval)
+        is_woken = waiter.event.wait(interval)
         waiter.event.clear()
+        return is_woken or asks
 
     def _record_wait(self, waiter, seconds, end):
         job = waiter.job
@@ -228,6 +232,8 @@
         if waiter.is_continuing:
             return None
         self.metrics.count(f'queue_refused.{job.rank_text}')
+        if waiter.refusal.retry_after is not None:
+            job.return_at = self.clock() + waiter.refusal.retry_after
         if job.progress.tries or job.progress.may_have_run:
             return None
         refusal = waiter.refusal
@@ -235,13 +241,14 @@
             raise exceptions.NotReady(refusal.reason, refusal.retry_after)
         now = self.clock()
         facts = {}
+        by_queue = self._time_until_return(job, now)
         if job.limited:
             facts['limited'] = sorted(job.limited)
         elif waiter.has_waited:
             facts['layers'] = self.selector.shortages(job, now)
         raise exceptions.Overloaded(
             refusal.reason,
-            self._later_of(job, refusal.retry_after, now),
+            self._later_of(job, by_queue, now),
             **facts,
         )
 
@@ -249,15 +256,28 @@
         """Return the seconds after which a refused request may be served."""
         if not self.is_active(job.service):
             return self.selector.refuse(job, now)
-        line = self._line(job.service.name)
-        return self._later_of(job, line.retry_after(job.rank, now), now)
+        by_queue = self._time_until_return(job, now)
+        if by_queue is None:
+            line = self._line(job.service.name)
+            by_queue = line.retry_after(job.rank, now)
+            if by_queue is not None:
+                job.return_at = now + by_queue
+        return self._later_of(job, by_queue, now)
+
+    def _time_until_return(self, job, now):
+        """Return the time by the place a request has been given, or None."""
+        if job.return_at is None:
+            return None
+        return max(0.0, job.return_at - now)
 
     def _later_of(self, job, by_queue, now):
         """Return the time by the queue, or by the endpoints' limits."""
         by_selector = self.selector.refuse(job, now)
         if by_queue is None:
             return by_selector
-        return max(by_queue, by_selector) if job.limited else by_queue
+        if self.selector.are_all_limited(job):
+            return max(by_queue, by_selector)
+        return by_queue
 
     def wake(self, service):
         """Let the next request of a service ask for a chain.
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -466,8 +466,11 @@
         if not job.limited:
             return capacity_after
         limited_for = self.throttle.refuse(job, now)
-        has_unlimited = bool(self._receivers(job) - job.limited)
-        return capacity_after if has_unlimited else limited_for
+        return limited_for if self.are_all_limited(job) else capacity_after
+
+    def are_all_limited(self, job):
+        """Return whether all receivers were skipped for their limits."""
+        return bool(job.limited) and not self._receivers(job) - job.limited
 
     def _capacity_after(self, service):
         """Return the seconds after which capacity is likely to be free.
--- a/packages/gateway/ibisring_gateway/tests/test_queueing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_queueing.py
@@ -32,10 +32,15 @@
         self.room = 0
         self.asked = []
         self.granted = []
+        self.are_limited = False
+        self.misfits = set()
+
+    def are_all_limited(self, job):
+        return self.are_limited
 
     def choose(self, job, now):
         self.asked.append(job.request.id)
-        if not self.room:
+        if not self.room or job.request.id in self.misfits:
             return None
         self.room -= 1
         self.granted.append(job.request.id)
@@ -158,6 +163,58 @@
     assert site.metrics.histograms['queue_wait'].get_total_count() == 2
 
 
+def test_request_limited_to_full_endpoints_does_not_stop_others(site):
+    """Guards against free engines that wait for the head of the queue."""
+    head = site.job('head', 'fast')
+    head.limited = {'e1'}
+    site.selector.misfits = {'head'}
+    site.start(head)
+    site.selector.room = 1
+    other = site.start(site.job('other'))
+    assert site.end_of('other') == 'choice'
+    assert site.ends['other'][1] - other.started < TOLERANCE_SECONDS
+    assert 'head' not in site.ends
+
+
+def test_late_retry_asks_after_more_urgent_requests(site):
+    """Guards against retries that take the room of requests before them."""
+    site.start(site.job('high', 'fast'))
+    retry = site.job('retry')
+    retry.progress.tries = 1
+    retry.started -= OBJECTIVE_SECONDS
+    site.start(retry)
+    assert 'retry' not in site.selector.asked
+    site.selector.room = 2
+    site.admitter.wake('model')
+    assert site.end_of('high') == site.end_of('retry') == 'choice'
+    assert site.selector.granted == ['high', 'retry']
+
+
+def test_rank_is_that_of_the_table_in_force_when_it_joins(site):
+    """Guards against a rank read before a new table was adopted."""
+    job = site.job('one')
+    site.view.snapshot = msgspec.structs.replace(
+        site.view.snapshot,
+        index=routetable.make_index(_table(2, fast=3, slow=1)),
+    )
+    site.start(job)
+    (waiter,) = site.admitter.lines['model'].waiters.values()
+    assert job.rank == waiter.ticket.rank == (1, 1)
+
+
+@pytest.mark.parametrize('are_limited', [False, True])
+def test_refused_caller_has_one_place_among_the_returns(site, are_limited):
+    """Guards against times that grow by a caller's own earlier refusal."""
+    job = site.job('one')
+    job.limited = {'e1'}
+    job.return_at = site.view.clock() + 1.0
+    site.selector.are_limited = are_limited
+    seconds = site.admitter.retry_after(job, job.return_at - 1.0)
+    assert seconds == pytest.approx(2.0 if are_limited else 1.0)
+    returns = site.admitter.lines.get('model')
+    assert returns is None or not returns.queue.returns.expected
+
+
 def test_room_that_nobody_reports_is_found(site):
     """Guards against requests that wait although there is room."""
     site.start(site.job('one'))
--- a/packages/gateway/ibisring_gateway/waitingline.py
+++ b/packages/gateway/ibisring_gateway/waitingline.py
@@ -27,7 +27,7 @@
     asked_at : float
         When a chain was last chosen for it.
     has_waited : bool
-        Whether it was not granted a chain, or refused, at once.
+        Whether it waited after it, or one before it, was denied a chain.
     """
 
     __slots__ = (
@@ -47,6 +47,15 @@
         self.asked_at = float('-inf')
         self.has_waited = False
 
+    @property
+    def is_restricted(self):
+        """Whether it may use only some endpoints of its service."""
+        job = self.job
+        progress = job.progress
+        return bool(job.limited) or (
+            bool(job.sent_to) and progress.sent_to >= progress.max_endpoints
+        )
+
     def may_ask(self, now):
         """Return whether its time is not over, and its last choice is old.
 
@@ -95,7 +104,10 @@
         """Add a request; it is refused if its `refusal` is set."""
         job = waiter.job
         with self.lock:
-            self._refresh_ranks()
+            self._refresh_ranks(now)
+            job.rank = self._rank(job)
+            if not waiter.is_continuing:
+                waiter.ticket.rank = job.rank
             is_new = not job.progress.tries
             waiter.refusal = self.queue.offer(waiter.ticket, now, is_new)
             if waiter.refusal is None:
@@ -108,18 +120,43 @@
         """
         name = waiter.ticket.id
         with self.lock:
-            self._refresh_ranks()
-            if (
-                self.asking is None
-                and waiter.may_ask(now)
-                and name in self.queue.askers(now)
-            ):
-                self.asking = name
-                waiter.asked_at = now
-                return True
-            self._expire(now)
+            self._refresh_ranks(now)
+            if self.asking is None and name in self.queue:
+                if waiter.may_ask(now) and self._is_turn_of(name, now):
+                    self.asking = name
+                    waiter.asked_at = now
+                    return True
+                self._expire_in_turn(name, now)
+                self._wake(now, name)
+            self._check_time(waiter, now)
+            if self.queue.rate.short_since is not None:
+                waiter.has_waited = True
         return False
 
+    def _is_turn_of(self, name, now):
+        """Return whether a request is the next to ask.
+
+        The first in order begins a round when it asks again.
+        """
+        askers = self.queue.askers(now)
+        if askers[:1] == [name]:
+            self.queue.begin_round()
+            return True
+        return name in askers and name not in self.queue.denied
+
+    def check_time(self, waiter, now):
+        """Refuse a request whose time is over, without looking at others."""
+        with self.lock:
+            self._check_time(waiter, now)
+
+    def _check_time(self, waiter, now):
+        name = waiter.ticket.id
+        if name != self.asking:
+            refusal = self.queue.expire_one(name, now)
+            if refusal is not None:
+                waiter.refusal = refusal
+                self._wake(now, name)
+
     def end_ask(self, waiter, is_granted, now):
         """Record whether a chain was chosen for a request."""
         name = waiter.ticket.id
@@ -129,9 +166,10 @@
                 if is_granted:
                     self.queue.grant(name, now)
                 else:
-                    self.queue.deny(now)
+                    self.queue.deny(name, now, waiter.is_restricted)
                     if self.is_closed:
                         self._turn_away(waiter, now)
+                    waiter.has_waited = waiter.refusal is None
             self._wake(now, name)
 
     def leave(self, waiter, now):
@@ -145,11 +183,12 @@
         """Let the next request ask, since there may be room now."""
         if self.waiters:
             with self.lock:
+                self.queue.begin_round()
                 self._wake(now)
 
     def _wake(self, now, but=None):
         for name in self.queue.askers(now):
-            if name != but:
+            if name != but and name not in self.queue.denied:
                 self.waiters[name].event.set()
 
     def close(self, now):
@@ -169,21 +208,27 @@
             waiter.refusal = requestqueue.Refusal(ENDING, ENDING_RETRY_SECONDS)
             waiter.event.set()
 
-    def _expire(self, now):
-        for name, refusal in self.queue.expire(now).items():
+    def _expire_in_turn(self, name, now):
+        """Refuse all whose time is over, if a request is first in order."""
+        if self.queue.askers(now)[0] != name:
+            return
+        for name, refusal in self.queue.expire(now, self.asking).items():
             self.waiters[name].refusal = refusal
             self.waiters[name].event.set()
 
-    def _refresh_ranks(self):
+    def _rank(self, job):
+        return self.index.rank(job.route, job.match.account, self.service)
+
+    def _refresh_ranks(self, now):
         """Rank the waiting requests by the table in force."""
         index = self.view.snapshot.index
         if index is self.index:
             return
         self.index = index
         for name, waiter in self.waiters.items():
-            job = waiter.job
-            job.rank = index.rank(job.route, job.match.account, self.service)
-            self.queue.change_rank(name, job.rank)
+            waiter.job.rank = self._rank(waiter.job)
+            self.queue.change_rank(name, waiter.job.rank)
+        self._wake(now)
 
     def retry_after(self, rank, now):
         """Return when a refused caller may return; None if unknown."""
--- a/packages/policy/ibisring_policy/gateway/servedshares.py
+++ b/packages/policy/ibisring_policy/gateway/servedshares.py
@@ -13,7 +13,7 @@
 SERVED_FLOOR = 1 / 3
 # Large requests are behind if they are refused this many times as often as
 # all requests.  Twice is guaranteed; the measure lags.
-MAX_REFUSED_RATIO = 1.5
+MAX_REFUSED_RATIO = 1.0
 # The largest tenth of the requests counts as large, once there are enough.
 LARGE_QUANTILE = 0.9
 MIN_COSTS = 20
@@ -26,13 +26,17 @@
 
 
 class Arrival(msgspec.Struct):
-    """A request that came; `groups` are those that it counts for."""
+    """A request that came; `groups` are those that it counts for.
+
+    One that is forgotten is counted no longer.
+    """
 
     at: float
     cost: float
     groups: tuple
     is_served: bool = False
     is_refused: bool = False
+    is_forgotten: bool = False
 
 
 class _Count:
@@ -62,12 +66,19 @@
     [('rank', (0, 2))]
     """
 
-    __slots__ = ('arrivals', 'counts', 'large_cost', 'large_cost_at')
+    __slots__ = (
+        'arrivals',
+        'counts',
+        'large_cost',
+        'usual_cost',
+        'large_cost_at',
+    )
 
     def __init__(self):
         self.arrivals = collections.deque()
         self.counts = {}
         self.large_cost = float('inf')
+        self.usual_cost = 0.0
         self.large_cost_at = float('-inf')
 
     def add(self, rank, account, cost, now):
@@ -77,7 +88,7 @@
         groups = [ALL, ('rank', rank)]
         if account:
             groups.append(('account', account))
-        if cost > self.large_cost:
+        if cost >= self.large_cost and cost > self.usual_cost:
             groups.append(LARGE)
         arrival = Arrival(now, cost, tuple(groups))
         self.arrivals.append(arrival)
@@ -87,21 +98,19 @@
 
     def serve(self, arrival):
         """Record that a request is served."""
-        if arrival.is_served:
+        if arrival.is_served or arrival.is_forgotten:
             return
         arrival.is_served = True
         for group in arrival.groups:
-            if group in self.counts:
-                self.counts[group].served += 1
+            self.counts[group].served += 1
 
     def refuse(self, arrival):
         """Record that a request is refused."""
-        if arrival.is_refused:
+        if arrival.is_refused or arrival.is_forgotten:
             return
         arrival.is_refused = True
         for group in arrival.groups:
-            if group in self.counts:
-                self.counts[group].refused += 1
+            self.counts[group].refused += 1
 
     def _expire(self, now):
         since = now - WINDOW_SECONDS
@@ -112,6 +121,7 @@
             self._forget(arrivals.popleft())
 
     def _forget(self, arrival):
+        arrival.is_forgotten = True
         for group in arrival.groups:
             count = self.counts[group]
             count.came -= 1
@@ -125,11 +135,10 @@
             return
         self.large_cost_at = now
         costs = sorted(each.cost for each in self.arrivals)
-        self.large_cost = (
-            costs[int(LARGE_QUANTILE * len(costs))]
-            if len(costs) >= MIN_COSTS
-            else float('inf')
-        )
+        self.large_cost = float('inf')
+        if len(costs) >= MIN_COSTS:
+            self.large_cost = costs[int(LARGE_QUANTILE * len(costs))]
+            self.usual_cost = costs[len(costs) // 2]
 
     def behind(self, arrival, now):
         """Return the groups of a request that are served too rarely."""
--- a/packages/policy/ibisring_policy/gateway/tests/queueload.py
+++ b/packages/policy/ibisring_policy/gateway/tests/queueload.py
@@ -82,11 +82,15 @@
 
     def ask(self, now):
         while len(self.queue):
-            name = self.queue.askers(now)[0]
+            names = self.queue.askers(now)
+            asker = [each for each in names if each not in self.queue.denied]
+            if not asker:
+                return
+            name = asker[0]
             cost = self.kinds[name].cost
             if cost > self.free:
-                self.queue.deny(now)
-                return
+                self.queue.deny(name, now)
+                continue
             ticket = self.queue.grant(name, now)
             self.free -= cost
             hold = HOLD_SECONDS * self.rng.uniform(0.5, 1.5)
@@ -101,6 +105,7 @@
             at, cost = heapq.heappop(self.ends)
             self.expire(at)
             self.free += cost
+            self.queue.begin_round()
             self.ask(at)
         self.expire(now)
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_requestqueue.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_requestqueue.py
@@ -4,6 +4,7 @@
 
 from ibisring_policy import admission
 from ibisring_policy.gateway import requestqueue
+from ibisring_policy.gateway import servedshares
 from ibisring_policy.gateway.tests import queueload
 
 Kind = queueload.Kind
@@ -54,10 +55,13 @@
     assert served >= min(1.0, 0.9 / load)
 
 
-@pytest.mark.parametrize('load', [1.0, 2.0, 4.0])
-def test_large_requests_are_not_refused_twice_as_often(load):
+@pytest.mark.parametrize(
+    ('load', 'seed'),
+    [*((1.0, seed) for seed in range(1, 8)), (2.0, 1), (4.0, 1)],
+)
+def test_large_requests_are_not_refused_twice_as_often(load, seed):
     """Guards against small requests that always take the room first."""
-    outcome = queueload.simulate(SIZES, load, seconds=120.0)
+    outcome = queueload.simulate(SIZES, load, seconds=120.0, seed=seed)
     large = 1.0 - outcome.share(lambda kind: kind.cost > 1.0)
     assert large <= 2.0 * (1.0 - outcome.share())
 
@@ -92,8 +96,71 @@
 
 def test_only_the_next_request_asks_and_a_smaller_one_stays_behind():
     queue = _make(_ticket('big', cost=9.0), _ticket('small', account='b'))
-    queue.deny(0.0)
-    assert queue.askers(0.1) == ['big']
+    queue.deny('big', 0.0)
+    assert queue.askers(0.05) == ['big']
+
+
+def test_request_for_which_no_engine_has_room_blocks_for_a_time_only():
+    """Guards against a service that waits for one request without a chain."""
+    queue = _make(*[_ticket(f'n{each}', cost=9.0 - each) for each in range(6)])
+    queue.deny('n0', 0.0)
+    assert queue.askers(0.2) == ['n0']
+    assert queue.askers(0.3) == ['n0', 'n1']
+    queue.begin_round()
+    assert queue.askers(0.3) == ['n0']
+
+
+def test_requests_ask_behind_one_that_may_use_few_endpoints():
+    """Guards against free engines that wait for a restricted request."""
+    names = [f'n{each}' for each in range(6)]
+    queue = _make(*[_ticket(each) for each in names])
+    for name in names[:4]:
+        assert queue.askers(0.0)[-1] == name
+        queue.deny(name, 0.0, is_restricted=True)
+    assert queue.askers(0.0) == names[:4]
+
+
+def test_retry_is_not_refused_by_prediction():
+    """Guards against a retry that is lost although it has never asked."""
+    queue = _in_shortage()
+    retry = _ticket('retry', arrived=10.0, wait=-0.1)
+    assert queue.offer(retry, 10.0, is_new=False) is None
+    assert queue.askers(10.0) == ['first', 'retry']
+    assert 'retry' not in queue.expire(10.2)
+    assert 'retry' in queue.expire(10.3)
+
+
+def test_late_request_may_ask_once():
+    """Guards against a request refused before its thread could ask."""
+    queue = _make(_ticket('late', arrived=1.0, wait=-0.5))
+    assert not queue.expire(1.04)
+    queue.deny('late', 1.04)
+    assert not queue.expire(1.04, but='late')
+    assert list(queue.expire(1.04)) == ['late']
+
+
+def test_waiting_requests_of_a_service_are_bounded():
+    """Guards against waiting requests that take all threads of a router."""
+    queue = _make(
+        *[
+            _ticket(f'{rank}-{each}', (0, 2 - rank))
+            for rank in range(2)
+            for each in range(requestqueue.MAX_WAITING)
+        ]
+    )
+    urgent = _ticket('urgent', (0, 0))
+    assert queue.offer(urgent, 0.0).reason == 'too many requests wait'
+
+
+def test_requests_decided_after_they_were_forgotten_are_not_counted():
+    """Guards against counts that no later request takes back."""
+    shares = servedshares.make_served_shares()
+    old = [shares.add((0, 0), 'a', 1.0, 0.0) for _ in range(2)]
+    shares.add((0, 0), 'a', 1.0, 20.0)
+    shares.serve(old[0])
+    shares.refuse(old[1])
+    count = shares.counts[servedshares.ALL]
+    assert (count.came, count.served, count.refused) == (1, 0, 0)
 
 
 def test_more_urgent_request_asks_first():
@@ -109,13 +176,17 @@
         _ticket('new'), _ticket('old', requestqueue.CONTINUING, wait=1.3)
     )
     assert queue.askers(0.1) == ['old']
+    queue.deny('old', 0.1)
+    assert queue.askers(0.1) == ['old']
     assert queue.askers(0.3) == ['old', 'new']
+    queue.begin_round()
+    assert queue.askers(0.3) == ['old']
 
 
 def _in_shortage():
     """Return a queue with a waiting request that makes two grants a second."""
     queue = _make(_ticket('first', wait=60.0))
-    queue.deny(0.0)
+    queue.deny('first', 0.0)
     for number in range(20):
         name = f'n{number}'
         queue.queue.add(_ticket(name, (9, 9), arrived=number / 2))
