--- a/packages/policy/ibisring_policy/gateway/tests/queueload.py
+++ b/packages/policy/ibisring_policy/gateway/tests/queueload.py
@@ -45,8 +45,9 @@
 
 
 class _Site:
-    def __init__(self, rng):
+    def __init__(self, rng, hold_seconds):
         self.rng = rng
+        self.hold_seconds = hold_seconds
         self.queue = requestqueue.make_request_queue(rng.random)
         self.kinds = {}
         self.free = ROOM_TOKENS
@@ -93,7 +94,7 @@
                 continue
             ticket = self.queue.grant(name, now)
             self.free -= cost
-            hold = HOLD_SECONDS * self.rng.uniform(0.5, 1.5)
+            hold = self.hold_seconds * self.rng.uniform(0.5, 1.5)
             heapq.heappush(self.ends, (now + hold, cost))
             self.outcome.served[self.kinds[name]] += 1
             waited = now - ticket.arrived
@@ -115,7 +116,7 @@
         self.ask(now)
 
 
-def simulate(kinds, load, seconds=60.0, seed=1):
+def simulate(kinds, load, seconds=60.0, seed=1, hold_seconds=HOLD_SECONDS):
     """Simulate a load as a multiple of what can be served.
 
     Returns
@@ -123,9 +124,9 @@
     Outcome
     """
     rng = random.Random(seed)
-    site = _Site(rng)
+    site = _Site(rng, hold_seconds)
     mean_cost = sum(kind.share * kind.cost for kind in kinds)
-    rate = load * ROOM_TOKENS / HOLD_SECONDS / mean_cost
+    rate = load * ROOM_TOKENS / hold_seconds / mean_cost
     now = 0.0
     for number in itertools.count():
         now += rng.expovariate(rate)
--- a/packages/policy/ibisring_policy/gateway/tests/test_requestqueue.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_requestqueue.py
@@ -33,6 +33,12 @@
 )
 
 
+def test_load_of_a_burst_with_other_seeds():
+    """Guards against a bound that holds for one seed only."""
+    for seed in range(1, 8):
+        assert queueload.simulate(BURST, 1.0, seed=seed).share() >= 0.9, seed
+
+
 @pytest.mark.parametrize('kinds', [BURST, URGENT_FLOOD, ONE_RANK])
 @pytest.mark.parametrize('load', [0.5, 1.0, 2.0, 4.0])
 def test_load(load, kinds):
@@ -66,6 +72,30 @@
     assert large <= 2.0 * (1.0 - outcome.share())
 
 
+def _one_a_second(kinds, seed):
+    """Simulate a router that has room for one small request a second."""
+    return queueload.simulate(
+        kinds, 1.0, seconds=600.0, seed=seed, hold_seconds=40.0
+    )
+
+
+def test_large_requests_at_one_request_a_second():
+    """Guards against the size floor that holds at high rates only."""
+    for seed in range(1, 8):
+        outcome = _one_a_second(SIZES, seed)
+        large = 1.0 - outcome.share(lambda kind: kind.cost > 1.0)
+        assert large <= 2.0 * (1.0 - outcome.share()), seed
+
+
+def test_urgent_requests_at_one_request_a_second():
+    """Guards against an order of rank that holds at high rates only."""
+    for kinds in (BURST, URGENT_FLOOD):
+        for seed in range(1, 8):
+            outcome = _one_a_second(kinds, seed)
+            urgent = outcome.share(lambda kind: kind.rank == (0, 0))
+            assert urgent >= outcome.share() - 0.005, seed
+
+
 def test_callers_return_in_order_of_rank_and_spread():
     """Guards against refused callers that all return at the same time."""
     returns = queueload.simulate(BURST, 2.0).returns
