--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -344,6 +344,9 @@
         choice = self.admitter.choose(job)
         if choice is None:
             return self._end_without_choice(job)
+        return self._send_to(job, choice)
+
+    def _send_to(self, job, choice):
         if choice.wait:
             time.sleep(choice.wait)
         attempt = attemptwatching.Attempt(
--- a/packages/gateway/ibisring_gateway/tests/test_queueing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_queueing.py
@@ -13,6 +13,8 @@
 from ibisring_gateway import ports
 from ibisring_gateway import queueing
 from ibisring_gateway.tests import builders
+from ibisring_gateway import waitingline
+from ibisring_policy.gateway import requestqueue
 from ibisring_policy.gateway import routetable
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import exceptions
@@ -316,6 +318,29 @@
     assert job.progress.tries == 1
 
 
+def test_continuing_stream_is_first_for_all_of_its_wait(site):
+    """Guards against new requests that take the room of a started stream."""
+    job = site.job('old')
+    job.exchange.headers_sent = True
+    job.progress.tries = 1
+    line = waitingline.make_line(site.view, 'model')
+    old, new = [
+        waitingline.Waiter(each, site.admitter._make_ticket(each))
+        for each in (job, site.job('new', 'fast'))
+    ]
+    now = old.ticket.arrived
+    line.join(old, now)
+    line.join(new, now)
+    later = now + requestqueue.CONTINUING_FIRST_SECONDS + 0.05
+    for at in (later, later + 0.05):
+        line.wake(at)
+        assert not line.begin_ask(new, at)
+        assert line.begin_ask(old, at)
+        line.end_ask(old, False, at)
+        assert line.begin_ask(new, at)
+        line.end_ask(new, False, at)
+
+
 @pytest.mark.parametrize(
     ('mode', 'routes', 'is_active'),
     [
