--- a/packages/gateway/ibisring_gateway/attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/attemptwatching.py
@@ -50,6 +50,8 @@
         Whether it counts as answered.
     tokens : float
         Size in tokens, as reserved at its stages.
+    rank : tuple or None
+        Rank of the request as the attempt began, see `jobs.Job.rank`.
     reroutes : int
         Times that it was moved off stages that were leaving.
     unmovable_stages : set of str or None
@@ -75,6 +77,7 @@
         'first_event_at',
         'is_counted',
         'tokens',
+        'rank',
         'reroutes',
         'unmovable_stages',
         'may_change_endpoint',
@@ -98,6 +101,7 @@
         self.first_event_at = None
         self.is_counted = False
         self.tokens = 0.0
+        self.rank = None
         self.reroutes = 0
         self.unmovable_stages = None
         self.may_change_endpoint = True
--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -247,7 +247,10 @@
         before = self.view.snapshot
         if before.index is not None and table.version <= before.version:
             return
-        self._replace(index=routetable.make_index(table))
+        index = routetable.make_index(table)
+        self._replace(index=index)
+        with self.view.lock:
+            self.view.rank_shares.set_ranked(index.ranked_services)
         logs.event(
             LOG,
             'table_in_force',
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -340,6 +340,7 @@
             job.request.id, choice.endpoint, choice.stages, job.deadline
         )
         attempt.tokens = choice.tokens
+        attempt.rank = job.rank
         attempt.may_change_endpoint = self._may_change_endpoint(
             job, choice.endpoint
         )
--- a/packages/gateway/ibisring_gateway/gossipmessages.py
+++ b/packages/gateway/ibisring_gateway/gossipmessages.py
@@ -85,6 +85,11 @@
         Services whose endpoints the sender can't reach.
     parts : list of partupdates.PartUpdate
         Parts of prompts under which endpoints have crashed.
+    rank_use : dict of str to list of (int, int, int)
+        By service whose requests differ in rank: priorities of account and
+        route, and the tokens times layers that the sender has in flight for
+        them.  An older release sends none; its `tokens` count as the lowest
+        rank.
     """
 
     router: str
@@ -118,6 +123,7 @@
     active: int = 0
     cut_from: list[str] = []
     parts: list[partupdates.PartUpdate] = []
+    rank_use: dict[str, list[tuple[int, int, int]]] = {}
 
     @property
     def era(self):
--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -56,6 +56,7 @@
         if message.era:
             self.peers.followers.note_era(message.era)
         self._apply_estimates(message, now)
+        self._apply_rank_use(message, now)
         self._apply_suspects(message, now)
         self._apply_parts(message, now)
         self._apply_limits(message, now)
@@ -90,6 +91,26 @@
                 origin=f'router {message.router}',
             )
 
+    def _apply_rank_use(self, message, now):
+        unranked = self._unranked_use(message)
+        with self.view.lock:
+            self.view.rank_shares.receive(
+                message.router, message.rank_use, unranked, now
+            )
+
+    def _unranked_use(self, message):
+        """Return the use by service of a sender that sends no ranks."""
+        missing = set(self.view.rank_shares.ranked) - set(message.rank_use)
+        if not missing:
+            return {}
+        endpoints = self.view.snapshot.endpoints
+        found = {}
+        for name, tokens in message.tokens.items():
+            service = endpoints[name].service if name in endpoints else None
+            if service in missing:
+                found[service] = found.get(service, 0) + tokens
+        return found
+
     def _apply_holdings(self, message):
         for name, (started, first, end) in message.holdings.items():
             holding = routing.Holding(first, end) if end > first else None
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -27,6 +27,8 @@
         Monotonic time in seconds at which its first byte was read.
     splitter : events.EventSplitter
     progress : attempts.Progress
+    rank : tuple
+        Urgency, see `routetable.Match.rank`.
     digest : bytes
         The same for each attempt of a request, see `requestdigest`.
     features : tuple of bytes
@@ -63,6 +65,7 @@
         self.request = request
         self.match = match
         self.route = match.route
+        self.rank = match.rank
         self.service = service
         self.started = started
         self.deadline = deadline
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -21,6 +21,7 @@
 from ibisring_gateway import logwriter
 from ibisring_gateway import peers
 from ibisring_gateway import placing
+from ibisring_gateway import rankroom
 from ibisring_gateway import relaymarks
 from ibisring_gateway import relaysending
 from ibisring_gateway import screening
@@ -74,6 +75,8 @@
         self.view = view_module.make_view(
             settings.failure_domain, name=settings.router_id
         )
+        self.view.rank_shares.is_enabled = settings.rank_room
+        self.rank_monitor = rankroom.make_monitor(self.view, self.metrics)
         self.connections = upstream.make_connection_pool()
         self.watcher = attemptwatching.make_watcher(self._on_stall)
         self.retry_budget = attempts.make_retry_budget(
@@ -267,6 +270,7 @@
         self.directory.tell(directory.Tick())
         self.stall_handler.run_checks()
         self.link_monitor.run_checks()
+        self.rank_monitor.run_checks()
 
     def serve_ready(self, call):
         """Answer a readiness check: 200 if new connections are accepted."""
@@ -297,6 +301,7 @@
             counters['suspects'] = len(self.view.suspects.by_digest)
             counters['part_suspects'] = len(self.view.parts.by_feature)
             counters['backoffs'] = len(self.view.limits.backoffs.by_endpoint)
+        self.rank_monitor.update_metrics()
         counters['routers_running'] = self.peers.running_count(
             time.monotonic()
         )
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -5,6 +5,7 @@
 import math
 import random
 
+from ibisring_gateway import rankroom
 from ibisring_gateway import throttling
 from ibisring_policy.gateway import chains
 from ibisring_policy.gateway import estimates
@@ -140,7 +141,6 @@
         return 1.0 + SCORE_NOISE * (self.rng.random() - 0.5)
 
     def _choose_chain(self, job, endpoints, now):
-        model = job.service.model
         demand = self._demand(job)
         first_stages = None
         if job.progress.sent_to >= job.progress.max_endpoints:
@@ -156,13 +156,13 @@
         )
         if stages is None:
             stages = self._find_chain(
-                endpoints, model, now, demand, first_stages, job.avoid
+                job, endpoints, now, demand, first_stages, job.avoid
             )
         if stages is None and job.avoid:
             # An endpoint that only lost an answer is better than none; those
             # estimated to be dead or full stay excluded.
             stages = self._find_chain(
-                endpoints, model, now, demand, first_stages, ()
+                job, endpoints, now, demand, first_stages, ()
             )
         if stages is None:
             return None
@@ -196,10 +196,9 @@
             first_stages = self._least_loaded_first_stages(
                 endpoints, at_risk | job.avoid, now
             )
-        model = job.service.model
         avoid = at_risk | job.avoid
         return self._find_chain(
-            endpoints, model, now, demand, first_stages, avoid
+            job, endpoints, now, demand, first_stages, avoid
         )
 
     def _first_stages_within_limits(self, job, endpoints, first_stages):
@@ -251,7 +250,9 @@
         with self.view.lock:
             table = self.view.estimates
             holders = table.holders(endpoints, service.model, now, job.avoid)
+            share = self._rank_share(job, holders, now, job.avoid)
             excluded = table.excluded_ranges(endpoints, now, job.avoid)
+        rankroom.restrict(holders, share)
         found = shortage.find(
             holders,
             excluded,
@@ -260,29 +261,56 @@
         )
         return shortage.describe(found)
 
-    def _find_chain(self, endpoints, model, now, demand, first_stages, avoid):
+    def _rank_share(self, job, holders, now, avoid):
+        """Return the share of engines that a request may fill.
+
+        A stream that continues after a loss may fill them all: breaking it
+        off would lose what its caller has received.  The view's lock must be
+        held.
+        """
+        name = job.service.name
+        if name not in self.view.rank_shares.ranked:
+            return 1.0
+        if job.exchange.headers_sent:
+            return 1.0
+        return rankroom.share_for(
+            self.view, name, job.rank, holders, now, not avoid
+        )
+
+    def _find_chain(self, job, endpoints, now, demand, first_stages, avoid):
+        model = job.service.model
         with self.view.lock:
             holders = self.view.estimates.holders(endpoints, model, now, avoid)
             self.view.estimates.note_memory_use(holders)
+            share = self._rank_share(job, holders, now, avoid)
+        rankroom.restrict(holders, share)
         chains.jitter_slot_use(holders, self.rng.random)
         found = chains.choose(
             holders, demand, model.layers, self._random_factor, first_stages
         )
         if found is None:
             found = self._find_chain_overcommitted(
-                holders, demand, model, first_stages
+                holders, demand, model, first_stages, share
             )
         return found
 
-    def _find_chain_overcommitted(self, holders, demand, model, first_stages):
+    def _find_chain_overcommitted(
+        self, holders, demand, model, first_stages, share
+    ):
         """Choose engines that are estimated to be full.
 
         Requests rarely grow to the size that is reserved for them; an engine
-        that is in fact full refuses at once.
+        that is in fact full refuses at once.  Requests that may fill engines
+        only up to a share fill them up to just that.
         """
+        is_limited = share < 1.0
+        memory_share = (
+            chains.FULL_SHARE if is_limited else OVERCOMMIT_MEMORY_SHARE
+        )
+        slot_share = 1.0 if is_limited else OVERCOMMIT_SLOT_SHARE
         for holder in holders:
-            holder.used *= OVERCOMMIT_MEMORY_SHARE
-            holder.slot_use *= OVERCOMMIT_SLOT_SHARE
+            holder.used *= memory_share
+            holder.slot_use *= slot_share
         return chains.choose(
             holders, demand, model.layers, self._random_factor, first_stages
         )
@@ -357,6 +385,8 @@
         with self.view.lock:
             if attempt.stages:
                 self.view.estimates.reserve(attempt.stages, attempt.tokens)
+                if attempt.rank is not None:
+                    self.view.rank_shares.reserve(*_rank_use(attempt))
             else:
                 self.view.estimates.get(attempt.endpoint.id).active += 1
 
@@ -365,6 +395,8 @@
         with self.view.lock:
             if attempt.stages:
                 self.view.estimates.release(attempt.stages, attempt.tokens)
+                if attempt.rank is not None:
+                    self.view.rank_shares.release(*_rank_use(attempt))
             else:
                 self.view.estimates.get(attempt.endpoint.id).active -= 1
 
@@ -491,6 +523,11 @@
             holders = self.view.estimates.holders(
                 endpoints, model, now, (attempt.endpoint.id,)
             )
+            if attempt.rank is not None and not attempt.events:
+                share = rankroom.share_for(
+                    self.view, service, attempt.rank, holders, now, False
+                )
+                rankroom.restrict(holders, share)
         demand = chains.Demand(
             attempt.tokens, self.view.domain, 0, model.layers, False
         )
@@ -503,6 +540,17 @@
         return found is not None
 
 
+def _rank_use(attempt):
+    """Return service, rank and amount of what an attempt uses.
+
+    All chains of a request run the same layers, so that the amount stays
+    when stages are replaced.
+    """
+    layers = sum(stage.end - stage.first for stage in attempt.stages)
+    amount = math.ceil(attempt.tokens) * layers
+    return attempt.endpoint.service, attempt.rank, amount
+
+
 def make_selector(view):
     """Make a `Selector`."""
     return Selector(view)
--- a/packages/gateway/ibisring_gateway/settings.py
+++ b/packages/gateway/ibisring_gateway/settings.py
@@ -41,6 +41,9 @@
     repeat_slack: float = 64.0
     # Timeout of a long poll for changes, in addition to its waiting time.
     feed_margin_s: float = 0.6
+    # Whether requests of lower ranks leave room that more urgent ones have
+    # recently used.
+    rank_room: bool = True
     log_level: str = 'INFO'
 
 
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -14,6 +14,7 @@
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import links
 from ibisring_policy.gateway import promptparts
+from ibisring_policy.gateway import rankshares
 from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import relays
 from ibisring_policy.gateway import suspects
@@ -98,8 +99,8 @@
     Attributes
     ----------
     lock : threading.Lock
-        Guards `estimates`, `suspects`, `parts`, `limits`, `fairness`, `links`
-        and `relays`.
+        Guards `estimates`, `suspects`, `parts`, `limits`, `fairness`, `links`,
+        `relays` and `rank_shares`.
     term : int
         Highest lease term known to this router.
     lease_lost_at : float or None
@@ -122,6 +123,7 @@
         self.limits = ratelimits.make_limits(name, domain)
         self.links = links.make_links()
         self.relays = relays.make_relays(domain)
+        self.rank_shares = rankshares.make_rank_shares()
         self.term = 0
         self.lease_lost_at = None
         self.reported_holdings = {}
--- a/packages/policy/ibisring_policy/gateway/routetable.py
+++ b/packages/policy/ibisring_policy/gateway/routetable.py
@@ -7,11 +7,30 @@
 
 
 class Match(msgspec.Struct):
-    """A request's route, account name and priority (0 is the highest)."""
+    """A request's route, account name and priority (0 is the highest).
+
+    `service_priority` is that of the most urgent route to a model service of
+    this route, `account_priority` is None for an account that has none.
+    """
 
     route: object
     account: str
     priority: int
+    service_priority: int | None = None
+    account_priority: int | None = None
+
+    @property
+    def rank(self):
+        """Priorities of account and route; a smaller rank is more urgent.
+
+        An account without a priority counts like the most urgent route.
+        """
+        first = self.account_priority
+        if first is None:
+            first = self.service_priority
+        if first is None:
+            first = self.route.priority
+        return first, self.route.priority
 
 
 class Index:
@@ -20,9 +39,22 @@
     Parameters
     ----------
     table : routing.RoutingTable
+
+    Attributes
+    ----------
+    ranked_services : dict of str to (tuple, tuple)
+        Model services whose routes differ in priority: their most and least
+        urgent rank (`Match.rank`).
     """
 
-    __slots__ = ('table', 'by_host', 'account_of', 'services')
+    __slots__ = (
+        'table',
+        'by_host',
+        'account_of',
+        'services',
+        'route_priorities',
+        'ranked_services',
+    )
 
     def __init__(self, table):
         self.table = table
@@ -36,6 +68,45 @@
         for account in table.accounts or ():
             for key in account.keys:
                 self.account_of[key] = account
+        self.route_priorities = self._collect_priorities()
+        self.ranked_services = self._find_ranked()
+
+    def _collect_priorities(self):
+        """Return the priorities of the routes to each model service."""
+        found = {}
+        for route in self.table.routes:
+            for target in route.targets:
+                service = self.services.get(target.service)
+                if service is not None and service.model is not None:
+                    found.setdefault(service.name, set()).add(route.priority)
+        return found
+
+    def _find_ranked(self):
+        accounts = [
+            account.priority
+            for account in self.table.accounts or ()
+            if account.priority is not None
+        ]
+        found = {}
+        for name, priorities in self.route_priorities.items():
+            if len(priorities) > 1:
+                first, last = min(priorities), max(priorities)
+                found[name] = (
+                    (min([first, *accounts]), first),
+                    (max([first, *accounts]), last),
+                )
+        return found
+
+    def _service_priority(self, route):
+        """Return the priority of the most urgent route of its services."""
+        return min(
+            (
+                priority
+                for target in route.targets
+                for priority in self.route_priorities.get(target.service, ())
+            ),
+            default=None,
+        )
 
     def find(self, host, path, key):
         """Return the match of a request.
@@ -68,7 +139,13 @@
         priority = route.priority
         if account is not None and account.priority is not None:
             priority = account.priority
-        return Match(route, account.name if account else '', priority)
+        return Match(
+            route,
+            account.name if account else '',
+            priority,
+            self._service_priority(route),
+            account.priority if account else None,
+        )
 
     def _find_route(self, host, path):
         name = host.lower().partition(':')[0]
