Slow engines told from lost ones; retries follow their outcomes

Cause: under load streams that were merely slow were ended as `silent` and their prompts read again elsewhere, and routers retried at the full rate while all engines refused.

Change: an engine counts as lost after a refused connection or two failed status queries; the second starts 35 ms after the first and both end at most 60 ms later than the first alone did. Checks of a stream with lost stages and no way round them back off to 0.25 s until endpoints or estimates change. Refused retries halve a router's rate of retries. Setting slow_detection.

--- a/packages/gateway/ibisring_gateway/attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/attemptwatching.py
@@ -56,6 +56,15 @@
         Leaving stages that could not be replaced.
     may_change_endpoint : bool
         Whether the request may still go to another first endpoint.
+    prompt_tokens : int
+    expected_seconds : float
+        Time that its next event takes without load, 0 if it is unknown.
+    explained_seconds : float
+        Shortest silence after which its next event counts as overdue.
+    is_behind : bool
+        Whether its engines answered in the present silence.
+    blocked : stalls.Blocked or None
+        What kept it from being moved off lost stages.
     """
 
     __slots__ = (
@@ -78,6 +87,11 @@
         'reroutes',
         'unmovable_stages',
         'may_change_endpoint',
+        'prompt_tokens',
+        'expected_seconds',
+        'explained_seconds',
+        'is_behind',
+        'blocked',
         'lock',
     )
 
@@ -101,8 +115,20 @@
         self.reroutes = 0
         self.unmovable_stages = None
         self.may_change_endpoint = True
+        self.prompt_tokens = 0
+        self.expected_seconds = 0.0
+        self.explained_seconds = 0.0
+        self.is_behind = False
+        self.blocked = None
         self.lock = threading.Lock()
 
+    def silent_seconds(self, now):
+        """Return the seconds since the last event or, without one, sending.
+
+        The head of an answer may precede its first event.
+        """
+        return now - (self.last_event_at if self.events else self.sent_at)
+
     def abort(self, end):
         """End the attempt and wake the thread that reads its answer.
 
--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -1,10 +1,12 @@
 """Status queries to engines, and the health updates that result."""
 
-__all__ = ['StatusQuerier', 'make_status_querier']
+__all__ = ['Reply', 'StatusQuerier', 'make_status_querier']
 
 import concurrent.futures
+import enum
 import logging
 
+from ibisring_gateway import ports
 from ibisring_policy.gateway import adaptivetimeout
 from ibisring_policy.gateway import estimates
 from ibisring_records import exceptions
@@ -24,6 +26,20 @@
 # pass through it fall silent together.
 SHARED_SECONDS = 0.05
 WORKERS = 24
+# A second query starts this many seconds after the first one, which may still
+# be answered, and both have ended at most this much later than the first one
+# alone would have.
+SECOND_DELAY_SECONDS = 0.035
+MAX_EXTRA_SECONDS = 0.06
+
+
+class Reply(enum.Enum):
+    """What a status query showed; `NOT_SENT` if no thread was free."""
+
+    ANSWERED = 'answered'
+    REFUSED = 'refused'
+    NONE = 'none'
+    NOT_SENT = 'not_sent'
 
 
 class StatusQuerier:
@@ -55,37 +71,95 @@
         # would seem lost.
         self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
         self.recent_queries = {}
+        self.recent_second_queries = {}
         self.on_answer = lambda endpoint, started: None
 
     def stop(self):
         """Shut the thread pool down without waiting."""
         self.pool.shutdown(wait=False, cancel_futures=True)
 
-    def query(self, endpoint):
+    def check(self, endpoints, is_confirmed=True):
+        """Query endpoints and return what this showed of each.
+
+        Parameters
+        ----------
+        endpoints : list of routing.Endpoint
+        is_confirmed : bool
+            Whether a second query confirms that an endpoint doesn't answer:
+            one may fail because the engine, this router or the link is busy.
+
+        Returns
+        -------
+        dict of str to Reply
+        """
+        first_timeout = self.timeout.seconds
+        first = {e.id: self._share_query(e, first_timeout) for e in endpoints}
+        if not is_confirmed:
+            return {name: self._reply(f) for name, f in first.items()}
+        concurrent.futures.wait(first.values(), SECOND_DELAY_SECONDS)
+        second = {
+            e.id: self._share_query(e, self._second_timeout(first_timeout), 2)
+            for e in endpoints
+            if _is_open(first[e.id])
+        }
+        return {
+            e.id: self._confirm(
+                e, first[e.id], second.get(e.id), first_timeout
+            )
+            for e in endpoints
+        }
+
+    def _second_timeout(self, first_timeout):
+        """Return the timeout of a second query.
+
+        It follows the answers of the engines that answer, among them those
+        that were queried together with this one.
+        """
+        longest = first_timeout + MAX_EXTRA_SECONDS - SECOND_DELAY_SECONDS
+        return min(self.timeout.seconds, longest)
+
+    def _share_query(self, endpoint, timeout, number=1):
         """Query an endpoint's status, or share a query just sent.
 
         Returns
         -------
         concurrent.futures.Future
-            Its result is an `EngineStatus`, or None after a timeout.
+            Its result is a `Reply`.
         """
+        shared = (
+            self.recent_queries if number == 1 else self.recent_second_queries
+        )
         now = self.clock()
         with self.view.lock:
-            recent = self.recent_queries.get(endpoint.id)
+            recent = shared.get(endpoint.id)
             if recent is not None and now - recent[0] < SHARED_SECONDS:
                 return recent[1]
-            timeout = self.timeout.seconds
             future = self.pool.submit(self._status, endpoint, timeout)
-            self.recent_queries[endpoint.id] = now, future
+            shared[endpoint.id] = now, future
             return future
 
-    def is_answered(self, future):
-        """Wait for a query and return whether it was answered in time."""
+    def _confirm(self, endpoint, first, second, first_timeout):
+        """Wait for the queries of an endpoint and judge them."""
+        reply = self._reply(first)
+        if reply is not Reply.NONE:
+            return reply
+        if second is None:
+            # The first query had to wait for a free thread.
+            timeout = self._second_timeout(first_timeout)
+            second = self._share_query(endpoint, timeout, 2)
+        reply = self._reply(second)
+        if reply is Reply.ANSWERED:
+            with self.view.lock:
+                self.timeout.false_timeout()
+        return reply
+
+    def _reply(self, future):
+        """Wait for a query and return its `Reply`."""
         try:
-            return future.result(timeout=4 * MAX_TIMEOUT_SECONDS) is not None
+            return future.result(timeout=4 * MAX_TIMEOUT_SECONDS)
         except concurrent.futures.TimeoutError:
             LOG.debug('status query timed out waiting for a free thread')
-            return False
+            return Reply.NOT_SENT
 
     def probe(self, endpoint):
         """Probe an unreachable endpoint in the background."""
@@ -104,12 +178,13 @@
             logs.event(
                 LOG, 'no_status', endpoint=endpoint.id, why=error.detail
             )
-            return None
+            is_refused = isinstance(error, ports.ConnectionRefused)
+            return Reply.REFUSED if is_refused else Reply.NONE
         self.on_answer(endpoint, started_at)
         with self.view.lock:
             self.timeout.answered(self.clock() - started_at)
         self._record_slowdown(endpoint, status)
-        return status
+        return Reply.ANSWERED
 
     def _record_slowdown(self, endpoint, status):
         now = self.clock()
@@ -122,7 +197,8 @@
 
     def _probe(self, endpoint):
         started_at = self.clock()
-        alive = self._status(endpoint, PROBE_TIMEOUT_SECONDS) is not None
+        reply = self._status(endpoint, PROBE_TIMEOUT_SECONDS)
+        alive = reply is Reply.ANSWERED
         now = self.clock()
         with self.view.lock:
             if alive:
@@ -135,6 +211,13 @@
         logs.event(LOG, 'asked_again', endpoint=endpoint.id, alive=alive)
 
 
+def _is_open(future):
+    """Return whether a query leaves open whether its endpoint is lost."""
+    if future.done():
+        return future.result() is Reply.NONE
+    return future.running()
+
+
 def make_status_querier(view, engines, metrics):
     """Make a `StatusQuerier`."""
     return StatusQuerier(view, engines, metrics)
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -78,6 +78,7 @@
         self.sender = sending.make_sender(
             view, codec, connections, self.selector, screen
         )
+        self.sender.on_decided = self._note_retry
         self.clock = view.clock
         self.rng = random.Random()
         self.stopping_at = None
@@ -246,8 +247,9 @@
             if step in CONTINUING and progress.sent_to:
                 with self.view.lock:
                     progress.has_retry_budget = self.retry_budget.take_retry(
-                        now, self.count_routers()
+                        now, self.count_routers(), progress.delivering
                     )
+                job.retried_at = now if progress.has_retry_budget else None
                 step = attempts.decide(result, progress)
             logs.event(
                 LOG,
@@ -271,6 +273,16 @@
             ):
                 self._wait_before_resume(job)
 
+    def _note_retry(self, job, refused):
+        """Note whether an endpoint refused or accepted a retry."""
+        if job.retried_at is None:
+            return
+        with self.view.lock:
+            self.retry_budget.note_outcome(
+                job.retried_at, refused, self.clock()
+            )
+        job.retried_at = None
+
     def _wait_before_resume(self, job):
         """Wait before a started stream is retried after a refusal."""
         time.sleep(attempts.REFUSAL_PAUSE_SECONDS)
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -52,6 +52,9 @@
         Whether neither an endpoint nor another router can be reached.
     limited : set of str
         Endpoints that were skipped for their rate limits in the last choice.
+    retried_at : float or None
+        When the present attempt was allowed as a retry; None once its
+        outcome has been noted.
     first_chunk_at, last_chunk_at : float or None
         When the first and the latest chunk of its answer arrived.
     longest_pause : float
@@ -91,6 +94,7 @@
         self.sent_to = []
         self.answer = None
         self.chain = ''
+        self.retried_at = None
         self.first_chunk_at = None
         self.last_chunk_at = None
         self.longest_pause = 0.0
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -9,6 +9,7 @@
     'Removed',
     'HistoryExpired',
     'CallCancelled',
+    'ConnectionRefused',
     'Source',
     'LeaseTable',
     'RouterRow',
@@ -43,6 +44,13 @@
     code = 'call_ended'
 
 
+class ConnectionRefused(exceptions.PlatformUnavailable):
+    """Nothing listens at an engine's address, or its process has ended."""
+
+    code = 'connection_refused'
+    remedy = 'look for the end of the process in the log of its VM'
+
+
 class Removed(msgspec.Struct, frozen=True):
     """An entry that was deleted at the store."""
 
@@ -196,6 +204,8 @@
 
         Raises
         ------
+        ConnectionRefused
+            The connection was refused or reset.
         PlatformUnavailable
             The engine could not be reached or its answer not decoded.
         """
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -82,6 +82,7 @@
             settings.repeat_slack * attempts.SLACK_SHARE,
         )
         self._make_forwarder()
+        self._set_slow_detection()
         self._make_link_monitor()
         self.followers = storefollowing.make_followers(
             self._polling_slot, self._role
@@ -122,6 +123,11 @@
             self.relay_sender,
         )
 
+    def _set_slow_detection(self):
+        is_adaptive = self.settings.slow_detection == 'adaptive'
+        self.forwarder.selector.event_times.is_adaptive = is_adaptive
+        self.retry_budget.is_damped = is_adaptive
+
     def _make_link_monitor(self):
         """Make what follows the links and the streams to endpoints."""
         self.stall_handler = stalls.make_stall_handler(
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -5,6 +5,7 @@
 import math
 import random
 
+from ibisring_gateway import eventtimes
 from ibisring_gateway import throttling
 from ibisring_policy.gateway import chains
 from ibisring_policy.gateway import estimates
@@ -72,6 +73,7 @@
         self.view = view
         self.rng = random.Random()
         self.throttle = throttling.make_throttle(view, self.rng)
+        self.event_times = eventtimes.make_event_times(view)
 
     def choose(self, job, now):
         """Return a `Choice`, or None if no endpoint can take the request.
@@ -362,6 +364,7 @@
 
     def release(self, attempt):
         """Remove what `reserve` counted."""
+        self.event_times.note_unfinished(attempt, self.view.clock())
         with self.view.lock:
             if attempt.stages:
                 self.view.estimates.release(attempt.stages, attempt.tokens)
@@ -373,21 +376,34 @@
         with self.view.lock:
             self.view.estimates.release(attempt.stages, attempt.tokens)
             attempt.stages = stages
+            # The prompt is prefilled again at the new stages only.
+            attempt.expected_seconds = 0.0
             self.view.estimates.reserve(attempt.stages, attempt.tokens)
 
     def first_event_timeout(self, job, attempt):
-        """Return the seconds after which a first event is overdue."""
+        """Return the seconds after which the stages are first checked.
+
+        They don't grow with the load, so that a lost stage is found as soon
+        as ever.  What the load explains is noted in the attempt: it decides
+        whether an attempt whose stages answer is behind or stalled.
+        """
         model = job.service.model
         if model is None:
             return job.route.objective
         prefill = job.request.prompt_tokens / max(1.0, model.prefill_rate)
-        return FIRST_EVENT_TIMEOUT + PREFILL_FACTOR * prefill * 8.0
+        seconds = FIRST_EVENT_TIMEOUT + PREFILL_FACTOR * prefill * 8.0
+        self.event_times.expect_first(
+            attempt, job.request.prompt_tokens, seconds
+        )
+        return seconds
 
     def record_event(self, attempt, now):
         """Record an event, and when the next one is overdue."""
         gap = now - attempt.last_event_at
         attempt.last_event_at = now
         attempt.checks = 0
+        attempt.is_behind = False
+        attempt.blocked = None
         attempt.events += 1
         if attempt.events == 1 and attempt.stages:
             with self.view.lock:
@@ -398,9 +414,10 @@
             weight = 0.3 if attempt.events > 2 else 1.0
             attempt.mean_gap += weight * (gap - attempt.mean_gap)
         wait = max(MIN_EVENT_TIMEOUT, attempt.mean_gap * EVENT_TIMEOUT_FACTOR)
-        attempt.check_at = now + min(
-            wait, max(MAX_EVENT_TIMEOUT, 1.5 * attempt.mean_gap)
-        )
+        wait = min(wait, max(MAX_EVENT_TIMEOUT, 1.5 * attempt.mean_gap))
+        attempt.check_at = now + wait
+        attempt.explained_seconds = wait
+        self.event_times.note_event(attempt, gap, now)
 
     def refusing_endpoint(self, attempt, answer):
         """Return the id of the endpoint that caused a refusal."""
@@ -483,6 +500,10 @@
 
     def has_alternative(self, attempt, now):
         """Return whether another first stage has room for an attempt."""
+        return self.find_alternative(attempt, now) is not None
+
+    def find_alternative(self, attempt, now):
+        """Return a chain with room at another first stage, or None."""
         snapshot = self.view.snapshot
         service = attempt.endpoint.service
         model = snapshot.index.services[service].model
@@ -497,10 +518,9 @@
         first_stages = self.throttle.with_capacity_soon(
             [h.id for h in holders], now
         )
-        found = chains.choose(
+        return chains.choose(
             holders, demand, model.layers, self._random_factor, first_stages
         )
-        return found is not None
 
 
 def make_selector(view):
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -37,6 +37,9 @@
         Called when the rate limit that an endpoint states changes.
     on_leaving : callable
         Called with an endpoint that says that it is leaving.
+    on_decided : callable
+        Called with a job and whether an endpoint refused its attempt, else
+        accepted it.
     """
 
     def __init__(self, view, codec, connections, selector, screen):
@@ -47,6 +50,7 @@
         self.screen = screen
         self.on_limit = lambda: None
         self.on_leaving = lambda endpoint: None
+        self.on_decided = lambda job, refused: None
         self.clock = view.clock
 
     def send(self, job, attempt):
@@ -194,6 +198,8 @@
                 self.view.estimates.note_load(name, answer.load, now)
         self._record_limit(attempt, answer, now)
         self._record_backoff(job, attempt, answer, now)
+        if not answer.wrong_endpoint:
+            self.on_decided(job, answer.refused)
         if answer.refused:
             response.drain_conn()
             conn.close()
--- a/packages/gateway/ibisring_gateway/settings.py
+++ b/packages/gateway/ibisring_gateway/settings.py
@@ -10,6 +10,7 @@
 
 ADDRESS = re.compile(r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$')
 MS_PER_SECOND = 1000.0
+SLOW_DETECTIONS = ('adaptive', 'fixed')
 
 
 class Settings(msgspec.Struct, kw_only=True):
@@ -39,6 +40,10 @@
     repeat_ratio: float = 0.2
     repeat_window_s: float = 10.0
     repeat_slack: float = 64.0
+    # Whether slow engines are told from lost ones by the times seen recently
+    # and retries follow their outcomes (`adaptive`), or by constants
+    # (`fixed`).
+    slow_detection: str = 'adaptive'
     # Timeout of a long poll for changes, in addition to its waiting time.
     feed_margin_s: float = 0.6
     log_level: str = 'INFO'
@@ -79,6 +84,11 @@
             raise exceptions.InvalidSetting(
                 f'{name} is {value!r}, but must be IP:PORT'
             )
+    if settings.slow_detection not in SLOW_DETECTIONS:
+        raise exceptions.InvalidSetting(
+            f'slow_detection is {settings.slow_detection!r}, but must be one '
+            f'of {", ".join(SLOW_DETECTIONS)}'
+        )
     for name in settings.__struct_fields__:
         value = getattr(settings, name)
         if isinstance(value, float) and value < 0:
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -1,6 +1,6 @@
 """Detection of lost stages of silent requests, and rerouting around them."""
 
-__all__ = ['StallHandler', 'make_stall_handler']
+__all__ = ['Blocked', 'StallHandler', 'make_stall_handler']
 
 import concurrent.futures
 import logging
@@ -21,6 +21,9 @@
 # check that found nothing wrong; the wait doubles with each further check.
 REPLACEMENT_PAUSE_SECONDS = 0.25
 RECHECK_SECONDS = 0.06
+# Longest wait until a request with lost stages and no way round them is
+# checked again while nothing has changed; the wait doubles up to it.
+MAX_BLOCKED_SECONDS = 0.25
 # Checks without a finding before the request is sent elsewhere: a stage that
 # has lost its own links to other stages still answers status queries.
 MAX_CHECKS = 4
@@ -32,6 +35,30 @@
 MAX_REROUTES = 3
 
 
+class Blocked:
+    """Why a request could not be moved off lost stages, and until when.
+
+    Attributes
+    ----------
+    endpoints : sequence of routing.Endpoint
+        The service's endpoints, with the layers that they hold.
+    excluded : frozenset of str
+        Engines that get no requests.
+    until : float
+        When to check the request again if neither has changed.
+    wait : float
+        Seconds from the last check to `until`.
+    """
+
+    __slots__ = ('endpoints', 'excluded', 'until', 'wait')
+
+    def __init__(self, endpoints, excluded, until, wait):
+        self.endpoints = endpoints
+        self.excluded = excluded
+        self.until = until
+        self.wait = wait
+
+
 class StallHandler:
     """Checks the stages of silent attempts and replaces lost ones.
 
@@ -70,6 +97,11 @@
 
     def handle(self, attempt):
         """Check a silent attempt in the background."""
+        now = self.clock()
+        if self._is_still_blocked(attempt, now):
+            attempt.check_at = now + RECHECK_SECONDS
+            attempt.is_checking = False
+            return
         self.pool.submit(self._check, attempt)
 
     def _check(self, attempt):
@@ -92,8 +124,12 @@
         if attempt.result is not None:
             return
         if not lost:
+            self._note_behind(attempt, lost, now)
             self._recheck_or_restart(attempt, now)
             return
+        attempt.is_behind = False
+        if attempt.blocked is None:
+            self.metrics.count('stalls.lost')
         logs.event(
             LOG,
             'stages_lost',
@@ -120,8 +156,69 @@
         """
         if self._has_alternative(attempt, now):
             attempt.abort(attempts.Result.SILENT)
-        else:
+            return
+        if not self.is_adaptive:
             attempt.check_at = now + RECHECK_SECONDS
+            return
+        before = attempt.blocked
+        wait = 2.0 * before.wait if before else RECHECK_SECONDS
+        wait = min(MAX_BLOCKED_SECONDS, wait)
+        attempt.blocked = Blocked(
+            self._endpoints(attempt),
+            self._excluded(attempt, now),
+            now + wait,
+            wait,
+        )
+        attempt.check_at = now + min(wait, RECHECK_SECONDS)
+
+    def _is_still_blocked(self, attempt, now):
+        """Return whether a check would find what the last one found."""
+        blocked = attempt.blocked
+        if blocked is None or now >= blocked.until:
+            return False
+        if blocked.endpoints == self._endpoints(
+            attempt
+        ) and blocked.excluded == self._excluded(attempt, now):
+            return True
+        attempt.blocked = None
+        return False
+
+    def _endpoints(self, attempt):
+        service = attempt.endpoint.service
+        return self.view.snapshot.by_service.get(service, ())
+
+    def _excluded(self, attempt, now):
+        """Return the engines of a service that get no requests now."""
+        endpoints = self._endpoints(attempt)
+        with self.view.lock:
+            return self.view.estimates.excluded(endpoints, now)
+
+    @property
+    def is_adaptive(self):
+        """Whether slow engines are told from lost ones."""
+        return self.selector.event_times.is_adaptive
+
+    def _note_behind(self, attempt, lost, now):
+        """Note that the engines of a silent attempt answer.
+
+        `lost` is None if it is not known whether they do.
+        """
+        if lost is None:
+            attempt.is_behind = False
+            return
+        if attempt.is_behind or not self.is_adaptive:
+            return
+        attempt.is_behind = True
+        self.metrics.count('stalls.behind')
+        logs.event(
+            LOG,
+            'stage_behind',
+            id=attempt.request_id,
+            stages=[stage.endpoint for stage in attempt.stages],
+            silent_ms=round(attempt.silent_seconds(now) * 1000.0),
+            expected_ms=round(attempt.expected_seconds * 1000.0),
+            events=attempt.events,
+        )
 
     def _has_alternative(self, attempt, now):
         """Return whether an attempt may go on over other engines."""
@@ -140,14 +237,29 @@
             attempt.endpoint.service
         )
         has_waited = is_cut or attempt.checks > MAX_CHECKS
-        if has_waited and self._has_alternative(attempt, now):
+        if has_waited and self._may_leave(attempt, is_cut, now):
             attempt.abort(attempts.Result.SILENT)
             return
         checks = min(MAX_CHECKS, attempt.checks)
         attempt.check_at = now + RECHECK_SECONDS * 2 ** (checks - 1)
 
+    def _may_leave(self, attempt, is_cut, now):
+        """Return whether an attempt without a lost stage goes elsewhere.
+
+        One whose engines answer does so only if it continues sooner there.
+        """
+        if is_cut or not attempt.is_behind:
+            return self._has_alternative(attempt, now)
+        stages = self.selector.find_alternative(attempt, now)
+        return stages is not None and self.selector.event_times.should_move(
+            attempt, stages, now
+        )
+
     def _find_lost(self, attempt):
-        """Return the ids of the stages that do not answer."""
+        """Return the ids of the stages that do not answer.
+
+        None if hardly any does, which is no proof against them.
+        """
         by_id = self.view.snapshot.endpoints
         names = [stage.endpoint for stage in attempt.stages]
         with self.view.lock:
@@ -156,18 +268,14 @@
         alive = self._proven_alive(attempt)
         queried = [by_id[n] for n in names if n not in unavailable | alive]
         tried_at = self.clock() - enginestatus.SHARED_SECONDS
-        queries = [self.querier.query(endpoint) for endpoint in queried]
-        lost = {
-            endpoint.id
-            for endpoint, query in zip(queried, queries)
-            if not self.querier.is_answered(query)
-        }
+        replies = self.querier.check(queried, self.is_adaptive)
+        lost = {name for name, reply in replies.items() if self._is_no(reply)}
         if len(lost) > max(1, MAX_LOST_SHARE * len(queried)):
             logs.event(
                 LOG, 'all_silent', id=attempt.request_id, asked=len(queried)
             )
             self.on_all_silent(attempt.endpoint.service)
-            return set()
+            return None
         now = self.clock()
         with self.view.lock:
             for endpoint in queried:
@@ -175,10 +283,17 @@
                     self.view.estimates.note_unreachable(
                         endpoint.id, now, tried_at=tried_at
                     )
-                else:
+                elif replies[endpoint.id] is enginestatus.Reply.ANSWERED:
                     self.view.estimates.note_reachable(endpoint.id, now)
         return lost | unavailable
 
+    def _is_no(self, reply):
+        """Return whether a reply shows that an engine is lost."""
+        if reply is enginestatus.Reply.NOT_SENT:
+            # This router lacked a free thread; the next check asks again.
+            return not self.is_adaptive
+        return reply is not enginestatus.Reply.ANSWERED
+
     def _proven_alive(self, attempt):
         """Return the stages of other requests that had an event just now.
 
--- a/packages/policy/ibisring_policy/gateway/attempts.py
+++ b/packages/policy/ibisring_policy/gateway/attempts.py
@@ -11,6 +11,7 @@
 
 import collections
 import enum
+import math
 
 import msgspec
 
@@ -86,6 +87,15 @@
 REFUSAL_PAUSE_SECONDS = 0.1
 # A retry with less time left than this would miss the deadline as well.
 MIN_TIME_LEFT_SECONDS = 0.03
+# Retries per second that a router makes at least, however many are refused:
+# without any it would not learn that endpoints have room again.
+MIN_RETRY_RATE = 0.5
+# Factor by which the rate of retries changes after an outcome, as in TCP's
+# slow start: a burst of refusals must be answered within a second.
+RATE_FACTOR = 2.0
+# Retries refused in a row before the rate is first lowered: that one engine
+# is full says little of the others, and small routers retry rarely.
+MIN_REFUSALS = 2
 
 
 def decide(result, progress):
@@ -155,7 +165,8 @@
     """Limits retries to a share of the requests within a sliding window.
 
     When endpoints fail, each retry adds load to the remaining ones; without
-    a limit the retries keep them overloaded.
+    a limit the retries keep them overloaded.  A router whose retries are
+    refused makes half as many, again and again, until some succeed.
 
     Parameters
     ----------
@@ -165,9 +176,33 @@
         Retries allowed per request.
     slack : float
         Retries allowed in addition to the ratio, for all routers together.
+
+    Attributes
+    ----------
+    is_damped : bool
+        Whether refused retries lower the rate of retries.
+    rate : float or None
+        Retries per second that refusals have left, None if they left all.
+    rate_changed_at : float
+        When `rate` last changed.
+    refusals : int
+        Retries refused since the last accepted one.
+    max_rate : float
+        Retries per second that the bound allows, as last computed.
     """
 
-    __slots__ = ('seconds', 'ratio', 'slack', 'request_times', 'retry_times')
+    __slots__ = (
+        'seconds',
+        'ratio',
+        'slack',
+        'request_times',
+        'retry_times',
+        'is_damped',
+        'rate',
+        'rate_changed_at',
+        'refusals',
+        'max_rate',
+    )
 
     def __init__(self, seconds, ratio, slack):
         self.seconds = seconds
@@ -175,6 +210,11 @@
         self.slack = slack
         self.request_times = collections.deque()
         self.retry_times = collections.deque()
+        self.is_damped = True
+        self.rate = None
+        self.rate_changed_at = -math.inf
+        self.refusals = 0
+        self.max_rate = math.inf
 
     def _expire(self, now):
         for times in (self.request_times, self.retry_times):
@@ -186,7 +226,7 @@
         self.request_times.append(now)
         self._expire(now)
 
-    def take_retry(self, now, routers):
+    def take_retry(self, now, routers, is_continuing=False):
         """Count a retry, if the budget allows one.
 
         Parameters
@@ -196,6 +236,9 @@
             Number of routers that share the slack.  If a router's part did
             not shrink with their number, a large fleet would exceed the
             bound many times over when engines that all of them use fail.
+        is_continuing : bool
+            Whether a stream goes on, whose response so far would be lost;
+            only the bound holds for it.
 
         Returns
         -------
@@ -205,11 +248,46 @@
         self._expire(now)
         own_slack = self.slack / max(1, routers)
         allowed = len(self.request_times) * self.ratio + own_slack
+        self.max_rate = allowed / self.seconds
         if len(self.retry_times) + 1 > allowed:
             return False
+        if not is_continuing and self._is_too_soon(now):
+            return False
         self.retry_times.append(now)
         return True
 
+    def _is_too_soon(self, now):
+        """Return whether the lowered rate does not allow a retry yet."""
+        if self.rate is None or not self.retry_times:
+            return False
+        return now - self.retry_times[-1] < 1.0 / self.rate
+
+    def note_outcome(self, taken_at, refused, now):
+        """Lower or raise the rate of retries after the outcome of one.
+
+        Outcomes of retries that were made before the rate last changed say
+        nothing about the present rate, and change nothing.
+
+        Parameters
+        ----------
+        taken_at : float
+            When `take_retry` allowed the retry.
+        refused : bool
+            Whether an endpoint refused it; otherwise it was accepted.
+        now : float
+        """
+        if not self.is_damped or taken_at <= self.rate_changed_at:
+            return
+        self.refusals = self.refusals + 1 if refused else 0
+        if refused and self.refusals >= MIN_REFUSALS:
+            rate = self.max_rate if self.rate is None else self.rate
+            self.rate = max(MIN_RETRY_RATE, rate / RATE_FACTOR)
+            self.rate_changed_at = now
+        elif not refused and self.rate is not None:
+            rate = self.rate * RATE_FACTOR
+            self.rate = rate if rate < self.max_rate else None
+            self.rate_changed_at = now
+
 
 def make_retry_budget(seconds, ratio, slack):
     """Make a `RetryBudget`."""
--- a/packages/policy/ibisring_policy/gateway/estimates.py
+++ b/packages/policy/ibisring_policy/gateway/estimates.py
@@ -555,6 +555,14 @@
             return 'said_full'
         return 'tried' if name in avoid else None
 
+    def excluded(self, endpoints, now):
+        """Return the ids of the engines that get no requests now."""
+        return frozenset(
+            each.id
+            for each in endpoints
+            if self._exclusion_reason(each.id, now, ())
+        )
+
     def excluded_ranges(self, endpoints, now, avoid=()):
         """Return the ranges of engines that get no requests now.
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_attempts.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_attempts.py
@@ -169,3 +169,77 @@
             allowed = (budget.take_retry(1.0, routers) for _ in range(40))
             retries += sum(allowed)
     assert retries <= ratio * requests * routers + slack
+
+
+def _storm(budget, seconds, capacity):
+    """Make two retries every 10 ms, of which few are accepted.
+
+    Returns
+    -------
+    list of float
+        When retries were made.
+    """
+    made = []
+    for tick in range(int(seconds * 100)):
+        now = tick * 0.01
+        budget.count_request(now)
+        for _ in range(2):
+            if budget.take_retry(now, 1):
+                made.append(now)
+                is_refused = not capacity(now)
+                budget.note_outcome(now, is_refused, now + 0.005)
+    return made
+
+
+def test_a_retry_storm_is_damped():
+    """Failure: engines without room spend their time refusing retries.
+
+    All engines are full; each request that one refuses is sent to another,
+    which refuses it as well, and this goes on at the highest rate allowed.
+    """
+    made = _storm(attempts.make_retry_budget(10.0, 0.2, 20.0), 40.0, _never)
+    late = [at for at in made if at >= 2.0]
+    assert len(late) <= 38.0 * attempts.MIN_RETRY_RATE + 1
+    assert len(late) >= 38.0 * attempts.MIN_RETRY_RATE - 2
+
+
+def test_retries_return_to_the_bound_while_they_succeed():
+    """Failure: requests fail for minutes after engines have room again."""
+    damped = attempts.make_retry_budget(10.0, 0.2, 20.0)
+    fixed = attempts.make_retry_budget(10.0, 0.2, 20.0)
+    fixed.is_damped = False
+
+    def is_free(now):
+        return now >= 10.0
+
+    made = [at for at in _storm(damped, 30.0, is_free) if at >= 20.0]
+    bound = [at for at in _storm(fixed, 30.0, is_free) if at >= 20.0]
+    assert damped.rate is None
+    assert 0.8 * len(bound) <= len(made) <= len(bound) + 20
+
+
+def test_one_refused_retry_changes_nothing():
+    """Failure: a small router makes no retry for two seconds.
+
+    It has a retry refused by one full engine, while others have room.
+    """
+    budget = attempts.make_retry_budget(10.0, 0.2, 20.0)
+    assert budget.take_retry(1.0, 1)
+    budget.note_outcome(1.0, True, 1.1)
+    assert budget.take_retry(1.2, 1)
+    budget.note_outcome(1.2, False, 1.3)
+    assert budget.take_retry(1.4, 1)
+
+
+def test_a_stream_under_way_is_not_damped():
+    """Failure: streams break off since others' retries were refused."""
+    budget = attempts.make_retry_budget(10.0, 0.2, 20.0)
+    for now in (1.0, 1.1):
+        assert budget.take_retry(now, 1)
+        budget.note_outcome(now, True, now)
+    assert not budget.take_retry(1.2, 1)
+    assert budget.take_retry(1.2, 1, is_continuing=True)
+
+
+def _never(now):
+    return False
