--- a/packages/gateway/ibisring_gateway/eventtimes.py
+++ b/packages/gateway/ibisring_gateway/eventtimes.py
@@ -109,15 +109,23 @@
         waited = attempt.silent_seconds(now)
         return accrual.should_move(waited, total, explained, other)
 
+    def _model(self, service):
+        """Return a service's model, None if a new table has no such one."""
+        found = self.view.snapshot.index.services.get(service)
+        return found.model if found is not None else None
+
     def _first_seconds(self, service, stages, tokens):
-        """Return the expected time of a first event without this load."""
-        model = self.view.snapshot.index.services[service].model
+        """Return the expected time of a first event, 0 if it is unknown."""
+        model = self._model(service)
+        if model is None:
+            return 0.0
         loads = self._stage_loads(model, stages)
         return expectedtimes.first_event(loads, model, tokens)
 
     def _gap_seconds(self, attempt):
-        service = attempt.endpoint.service
-        model = self.view.snapshot.index.services[service].model
+        model = self._model(attempt.endpoint.service)
+        if model is None:
+            return 0.0
         loads = self._stage_loads(model, attempt.stages)
         return expectedtimes.event_gap(loads, model)
 
--- a/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
+++ b/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
@@ -200,3 +200,37 @@
                 slow_detection='sometimes',
             )
         )
+
+
+def test_times_without_load_are_those_of_before():
+    """Failure: lost stages of an idle service are found later than before."""
+    checks = []
+    for is_adaptive in (True, False):
+        scenario = test_stalls.Scenario()
+        scenario.selector.event_times.is_adaptive = is_adaptive
+        scenario.view.clock = clock = builders.Clock()
+        job = types.SimpleNamespace(
+            service=scenario.view.snapshot.index.services['model'],
+            request=types.SimpleNamespace(prompt_tokens=772),
+        )
+        attempt = scenario.attempt
+        attempt.events = 0
+        attempt.sent_at = attempt.last_event_at = clock.now
+        seconds = [scenario.selector.first_event_timeout(job, attempt)]
+        for gap in (0.1, 0.02, 0.02, 0.3, 0.02):
+            clock.now += gap
+            scenario.selector.record_event(attempt, clock.now)
+            seconds.append(round(attempt.check_at - clock.now, 9))
+        checks.append(seconds)
+        scenario.handler.stop()
+    assert checks[0] == checks[1]
+
+
+def test_stream_goes_on_though_its_service_has_left_the_table():
+    """Failure: a new table breaks off the streams of a service it omits."""
+    scenario = test_stalls.Scenario()
+    scenario.attempt.events = 0
+    scenario.view.snapshot.index.services.clear()
+    scenario.selector.record_event(scenario.attempt, scenario.view.clock())
+    assert scenario.attempt.expected_seconds == 0.0
+    scenario.handler.stop()
