Status queries end with the first answer of the two

Cause: a check waited for the second query although the first one had been answered, and raised the timeout for engines whose answer was measured.

Change: whichever query is answered first ends the check; the timeout is raised only if the first one had no answer at all. A test checks that the setting slow_detection reaches the stall handler and the retry budget.

--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -151,9 +151,16 @@
                 return reply
             # The first query had to wait for a free thread.
             second = self._share_query(endpoint, seconds, 2)
+        concurrent.futures.wait(
+            (first, second),
+            4 * MAX_TIMEOUT_SECONDS,
+            concurrent.futures.FIRST_COMPLETED,
+        )
+        if _is_answered(first):
+            return Reply.ANSWERED
         reply = self._reply(second)
         if reply is Reply.NONE and _is_answered(first):
-            reply = Reply.ANSWERED
+            return Reply.ANSWERED
         if reply is Reply.ANSWERED:
             with self.view.lock:
                 self.timeout.false_timeout()
--- a/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
+++ b/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
@@ -6,6 +6,7 @@
 from ibisring_gateway import enginestatus
 from ibisring_gateway import forwarding
 from ibisring_gateway import ports
+from ibisring_gateway import process
 from ibisring_gateway import settings
 from ibisring_gateway.tests import builders
 from ibisring_gateway.tests import slowload
@@ -186,20 +187,39 @@
     assert not budget.take_retry(view.clock(), 1)
 
 
+def _settings(slow_detection):
+    return settings.Settings(
+        router_id='a',
+        failure_domain='x',
+        host='1.2.3.4',
+        caller_listen='1.2.3.4:1',
+        ready_listen='1.2.3.4:2',
+        store='1.2.3.4:3',
+        peer_port=7000,
+        slow_detection=slow_detection,
+    )
+
+
 def test_unknown_detection_is_rejected():
     with pytest.raises(exceptions.InvalidSetting, match='slow_detection'):
-        settings.check(
-            settings.Settings(
-                router_id='a',
-                failure_domain='x',
-                host='1.2.3.4',
-                caller_listen='1.2.3.4:1',
-                ready_listen='1.2.3.4:2',
-                store='1.2.3.4:3',
-                peer_port=7000,
-                slow_detection='sometimes',
-            )
-        )
+        settings.check(_settings('sometimes'))
+
+
+@pytest.mark.parametrize('value', settings.SLOW_DETECTIONS)
+def test_detection_is_set_at_all_parts(value):
+    """Failure: the switch leaves a part of the new behavior on."""
+    installation = types.SimpleNamespace(
+        engines=builders.Engines(), codec=None, leases=None
+    )
+    gateway = process.make_gateway(
+        settings.check(_settings(value)), installation
+    )
+    is_adaptive = value == 'adaptive'
+    assert gateway.stall_handler.is_adaptive is is_adaptive
+    assert gateway.retry_budget.is_damped is is_adaptive
+    gateway.watcher.stop()
+    gateway.stall_handler.stop()
+    gateway.link_monitor.stop()
 
 
 def test_times_without_load_are_those_of_before():
