--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -245,11 +245,7 @@
             progress.has_retry_budget = True
             step = attempts.decide(result, progress)
             if step in CONTINUING and progress.sent_to:
-                with self.view.lock:
-                    progress.has_retry_budget = self.retry_budget.take_retry(
-                        now, self.count_routers(), progress.delivering
-                    )
-                job.retried_at = now if progress.has_retry_budget else None
+                progress.has_retry_budget = self._take_retry(job, now)
                 step = attempts.decide(result, progress)
             logs.event(
                 LOG,
@@ -273,15 +269,32 @@
             ):
                 self._wait_before_resume(job)
 
+    def _take_retry(self, job, now):
+        """Return whether the retry budget allows to send a request again.
+
+        The outcome is noted only where it may lower a rate: a stream under
+        way is retried for other reasons than a new request.
+        """
+        is_damped = job.service.model is not None
+        is_damped = is_damped and not job.progress.delivering
+        service = job.service.name if is_damped else None
+        with self.view.lock:
+            is_allowed = self.retry_budget.take_retry(
+                now, self.count_routers(), service
+            )
+        job.retried_at = now if is_allowed and is_damped else None
+        return is_allowed
+
     def _note_retry(self, job, refused):
         """Note whether an endpoint refused or accepted a retry."""
-        if job.retried_at is None:
+        taken_at, job.retried_at = job.retried_at, None
+        if taken_at is None or (refused and job.has_refused_retry):
             return
+        job.has_refused_retry = job.has_refused_retry or refused
         with self.view.lock:
             self.retry_budget.note_outcome(
-                job.retried_at, refused, self.clock()
+                job.service.name, taken_at, refused, self.clock()
             )
-        job.retried_at = None
 
     def _wait_before_resume(self, job):
         """Wait before a started stream is retried after a refusal."""
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -53,8 +53,10 @@
     limited : set of str
         Endpoints that were skipped for their rate limits in the last choice.
     retried_at : float or None
-        When the present attempt was allowed as a retry; None once its
-        outcome has been noted.
+        When the present attempt was allowed as a retry whose outcome counts;
+        None once it has been noted.
+    has_refused_retry : bool
+        Whether the refusal of a retry has been noted.
     first_chunk_at, last_chunk_at : float or None
         When the first and the latest chunk of its answer arrived.
     longest_pause : float
@@ -95,6 +97,7 @@
         self.answer = None
         self.chain = ''
         self.retried_at = None
+        self.has_refused_retry = False
         self.first_chunk_at = None
         self.last_chunk_at = None
         self.longest_pause = 0.0
