Second status queries end when the first one did; unsent ones prove nothing

Cause: the second of two queries started 35 ms after the first and ended up to 60 ms after the old time even where stages were proven alive by events; second queries took threads of first ones; an engine that wasn't asked for want of a thread counted as one that answered.

Change: the second query starts at half of the timeout and ends with it, after at least 25 ms; only if no engine has answered or is proven alive by events, both may end 60 ms later. Second queries have threads of their own. A check with unsent queries and no loss shows nothing: the stream is not behind, and its wait is no sample. The simulated load adds the duration of the queries to the time when the dead engine is found.

--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -26,10 +26,14 @@
 # pass through it fall silent together.
 SHARED_SECONDS = 0.05
 WORKERS = 24
-# A second query starts this many seconds after the first one, which may still
-# be answered, and both have ended at most this much later than the first one
-# alone would have.
-SECOND_DELAY_SECONDS = 0.035
+# A second query starts after this share of the timeout of the first one, which
+# may still be answered: both end about when the first one alone would have.
+SECOND_START_SHARE = 0.5
+# Shortest timeout in seconds of a second query: engines without load answer in
+# about 0.01 s, and a thread may start late.
+MIN_SECOND_SECONDS = 0.025
+# Seconds by which both may end later than the first one alone if no engine
+# has answered: then all are more likely slow than lost.
 MAX_EXTRA_SECONDS = 0.06
 
 
@@ -70,15 +74,18 @@
         # together, all threads would wait for a free one and every stage
         # would seem lost.
         self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
+        # Second queries of silent engines must not delay first ones.
+        self.second_pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
         self.recent_queries = {}
         self.recent_second_queries = {}
         self.on_answer = lambda endpoint, started: None
 
     def stop(self):
-        """Shut the thread pool down without waiting."""
-        self.pool.shutdown(wait=False, cancel_futures=True)
+        """Shut the thread pools down without waiting."""
+        for pool in (self.pool, self.second_pool):
+            pool.shutdown(wait=False, cancel_futures=True)
 
-    def check(self, endpoints, is_confirmed=True):
+    def check(self, endpoints, is_confirmed=True, has_answers=False):
         """Query endpoints and return what this showed of each.
 
         Parameters
@@ -87,6 +94,8 @@
         is_confirmed : bool
             Whether a second query confirms that an endpoint doesn't answer:
             one may fail because the engine, this router or the link is busy.
+        has_answers : bool
+            Whether other engines of the same chain are known to answer.
 
         Returns
         -------
@@ -99,8 +108,9 @@
         # The first query is still answered while the second one runs.
         longest = timeout + MAX_EXTRA_SECONDS
         first = {e.id: self._share_query(e, longest) for e in endpoints}
-        concurrent.futures.wait(first.values(), SECOND_DELAY_SECONDS)
-        seconds = self._second_timeout(first.values(), timeout)
+        concurrent.futures.wait(first.values(), timeout * SECOND_START_SHARE)
+        has_answers = has_answers or any(map(_is_answered, first.values()))
+        seconds = _second_timeout(timeout, has_answers)
         second = {
             e.id: self._share_query(e, seconds, 2)
             for e in endpoints
@@ -111,18 +121,6 @@
             for e in endpoints
         }
 
-    def _second_timeout(self, first_queries, timeout):
-        """Return the timeout of second queries.
-
-        It follows the answers of the engines that answer, among them those
-        that were queried together.  If none of these has answered yet, slow
-        engines are more likely than lost ones.
-        """
-        longest = timeout + MAX_EXTRA_SECONDS - SECOND_DELAY_SECONDS
-        if not any(_is_answered(each) for each in first_queries):
-            return longest
-        return min(self.timeout.seconds, longest)
-
     def _share_query(self, endpoint, timeout, number=1):
         """Query an endpoint's status, or share a query just sent.
 
@@ -131,15 +129,15 @@
         concurrent.futures.Future
             Its result is a `Reply`.
         """
-        shared = (
-            self.recent_queries if number == 1 else self.recent_second_queries
-        )
+        shared, pool = self.recent_queries, self.pool
+        if number == 2:
+            shared, pool = self.recent_second_queries, self.second_pool
         now = self.clock()
         with self.view.lock:
             recent = shared.get(endpoint.id)
             if recent is not None and now - recent[0] < SHARED_SECONDS:
                 return recent[1]
-            future = self.pool.submit(self._status, endpoint, timeout)
+            future = pool.submit(self._status, endpoint, timeout)
             shared[endpoint.id] = now, future
             return future
 
@@ -224,6 +222,17 @@
         logs.event(LOG, 'asked_again', endpoint=endpoint.id, alive=alive)
 
 
+def _second_timeout(timeout, has_answers):
+    """Return the timeout of second queries, from that of the first ones.
+
+    If no engine has answered yet, slow engines are more likely than lost ones.
+    """
+    rest = timeout * (1.0 - SECOND_START_SHARE)
+    if not has_answers:
+        return rest + MAX_EXTRA_SECONDS
+    return max(MIN_SECOND_SECONDS, rest)
+
+
 def _is_answered(future):
     """Return whether a query has been answered by now."""
     return future.done() and future.result() is Reply.ANSWERED
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -258,7 +258,8 @@
     def _find_lost(self, attempt):
         """Return the ids of the stages that do not answer.
 
-        None if hardly any does, which is no proof against them.
+        None if hardly any does, which is no proof against them, or if some
+        were not asked.
         """
         by_id = self.view.snapshot.endpoints
         names = [stage.endpoint for stage in attempt.stages]
@@ -268,7 +269,9 @@
         alive = self._proven_alive(attempt)
         queried = [by_id[n] for n in names if n not in unavailable | alive]
         tried_at = self.clock() - enginestatus.SHARED_SECONDS
-        replies = self.querier.check(queried, self.is_adaptive)
+        replies = self.querier.check(
+            queried, self.is_adaptive, not alive.isdisjoint(names)
+        )
         lost = {name for name, reply in replies.items() if self._is_no(reply)}
         if len(lost) > max(1, MAX_LOST_SHARE * len(queried)):
             logs.event(
@@ -285,7 +288,10 @@
                     )
                 elif replies[endpoint.id] is enginestatus.Reply.ANSWERED:
                     self.view.estimates.note_reachable(endpoint.id, now)
-        return lost | unavailable
+        lost |= unavailable
+        if not lost and enginestatus.Reply.NOT_SENT in replies.values():
+            return None
+        return lost
 
     def _is_no(self, reply):
         """Return whether a reply shows that an engine is lost."""
--- a/packages/gateway/ibisring_gateway/tests/slowload.py
+++ b/packages/gateway/ibisring_gateway/tests/slowload.py
@@ -14,6 +14,7 @@
 import types
 
 from ibisring_gateway import attemptwatching
+from ibisring_gateway import enginestatus
 from ibisring_gateway import selecting
 from ibisring_gateway import stalls
 from ibisring_gateway.tests import builders
@@ -49,7 +50,7 @@
     left : int
         Callers that left for want of an event.
     found_at : float or None
-        When the dead engine was found.
+        When the dead engine was found, with the time of the queries.
     slow_lost : set of str
         Running engines that were taken for lost.
     """
@@ -94,6 +95,8 @@
         seconds = STATUS_SECONDS * self.fleet.slowdown(endpoint.id)
         seconds *= self.fleet.noise()
         is_dead = endpoint.id in self.fleet.dead
+        if is_dead:
+            self.fleet.dead_timeouts.append(timeout)
         self.fleet.clock.now += min(seconds, timeout)
         if is_dead or seconds > timeout:
             raise exceptions.PlatformUnavailable(endpoint.id)
@@ -136,6 +139,7 @@
         self.numbers = itertools.count()
         self.dead = set()
         self.hung = set()
+        self.dead_timeouts = []
         self.running = {f'h{n}': 0 for n in range(CHAINS)}
         self.waiting = {name: [] for name in self.running}
         self.outcome = Outcome()
@@ -176,6 +180,7 @@
         self.handler.stop()
         self.handler.pool = InlinePool(self.clock)
         self.handler.querier.pool = InlinePool(self.clock)
+        self.handler.querier.second_pool = InlinePool(self.clock)
 
     def noise(self):
         """Return a random factor of a time."""
@@ -231,10 +236,19 @@
         is_dead = self.view.estimates.is_dead
         if dead in self.dead and self.outcome.found_at is None:
             if is_dead(dead):
-                self.outcome.found_at = self.clock.now
+                seconds = self._query_seconds()
+                self.outcome.found_at = self.clock.now + seconds
         names = set(self.view.snapshot.endpoints) - {dead}
         self.outcome.slow_lost.update(filter(is_dead, names))
 
+    def _query_seconds(self):
+        """Return how long the last queries of the dead engine took."""
+        if len(self.dead_timeouts) == 1:
+            return self.dead_timeouts[0]
+        first, second = self.dead_timeouts
+        timeout = first - enginestatus.MAX_EXTRA_SECONDS
+        return timeout * enginestatus.SECOND_START_SHARE + second
+
     def _arrive(self):
         now = self.clock.now
         job = types.SimpleNamespace(
@@ -337,6 +351,8 @@
         if stream.attempt is not attempt or now < attempt.check_at:
             return
         attempt.is_checking = True
+        if self.outcome.found_at is None:
+            self.dead_timeouts.clear()
         self.handler.handle(attempt)
         if attempt.result is None:
             self.at(attempt.check_at, self._check, stream, attempt)
--- a/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
+++ b/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
@@ -16,8 +16,8 @@
 from ibisring_records import exceptions
 import pytest
 
-# Longest time in seconds to find a dead engine beside that of the queries:
-# the longest silence before a first check at a gap of 0.1 s, and its noise.
+# Longest time in seconds to find a dead engine: the longest silence before a
+# first check at a gap of 0.1 s, and its noise.
 MAX_FIND_SECONDS = 0.3
 
 
@@ -54,6 +54,18 @@
     assert outcome.moved and outcome.left <= 2
 
 
+@pytest.mark.parametrize('seed', range(4))
+@pytest.mark.parametrize('factor', [2.0, 8.0])
+def test_dead_engine_is_found_as_soon_as_with_fixed_times(factor, seed):
+    """Failure: the second query makes streams of a dead engine late."""
+    found = []
+    for is_adaptive in (True, False):
+        fleet = slowload.Fleet(factor, seed, is_adaptive)
+        # At this load streams always pass through the engine.
+        found.append(fleet.run(1.0, 12.0, 't0', 6.0).found_at)
+    assert found[0] - found[1] <= enginestatus.MAX_EXTRA_SECONDS
+
+
 @pytest.mark.parametrize('load', [0.3, 0.7])
 def test_streams_leave_a_chain_whose_engine_only_answers_queries(load):
     """Failure: streams wait for an engine that has lost its own links."""
@@ -111,11 +123,84 @@
         longest = seconds + enginestatus.MAX_EXTRA_SECONDS
         first, second = engines.timeouts
         assert first <= longest
-        assert enginestatus.SECOND_DELAY_SECONDS + second <= longest + 1e-9
+        # The other engine has answered: both end about when one would have.
+        start = seconds * enginestatus.SECOND_START_SHARE
+        assert start + second <= seconds + 0.01
     # Threads of a busy machine start late; the best of three runs counts.
     assert min(elapsed) <= seconds + enginestatus.MAX_EXTRA_SECONDS + 0.02
 
 
+def test_proven_alive_stages_count_as_answers():
+    """Failure: a dead engine is found late beside stages proven alive.
+
+    These are not asked, so that no engine answers the queries.
+    """
+    timeouts = {}
+    for has_answers in (True, False):
+        engines = _Hanging()
+        engines.unreachable.add('x:1')
+        querier, (endpoint, _) = _querier(engines)
+        querier.check([endpoint], has_answers=has_answers)
+        querier.stop()
+        timeouts[has_answers] = engines.timeouts[1]
+    assert timeouts[True] == enginestatus.MIN_SECOND_SECONDS
+    assert timeouts[False] > enginestatus.MAX_EXTRA_SECONDS
+
+
+def test_handler_tells_the_querier_of_stages_proven_alive():
+    """Failure: proof by events shortens no check."""
+    scenario = test_stalls.Scenario()
+    told = []
+
+    def check(endpoints, is_confirmed, has_answers):
+        told.append(has_answers)
+        return {e.id: enginestatus.Reply.ANSWERED for e in endpoints}
+
+    scenario.handler.querier.check = check
+    scenario.handler._find_lost(scenario.attempt)
+    other = scenario.new_attempt('r2')
+    other.stages = other.stages[:1]
+    other.last_event_at = scenario.view.clock()
+    scenario.handler._find_lost(scenario.attempt)
+    assert told == [False, True]
+    scenario.handler.stop()
+
+
+def test_second_queries_leave_threads_to_first_ones():
+    """Failure: first queries wait for threads that second ones occupy."""
+    engines = _Hanging()
+    engines.unreachable.add('x:1')
+    querier, (silent, running) = _querier(engines)
+    for _ in range(enginestatus.WORKERS):
+        querier.recent_second_queries.clear()
+        querier._share_query(silent, 0.5, 2)
+    started = time.monotonic()
+    replies = querier.check([running], is_confirmed=False)
+    assert replies['y'] is enginestatus.Reply.ANSWERED
+    assert time.monotonic() - started < 0.3
+    querier.stop()
+
+
+def test_query_that_was_not_sent_is_no_answer():
+    """Failure: waits for this router's threads count as slow engines."""
+    scenario = test_stalls.Scenario()
+    attempt = scenario.attempt
+    attempt.events = 0
+    attempt.sent_at = attempt.last_event_at
+    attempt.expected_seconds = 0.1
+    attempt.is_behind = True
+    scenario.handler.querier.check = lambda endpoints, *options: {
+        e.id: enginestatus.Reply.NOT_SENT for e in endpoints
+    }
+    scenario.handler._check_stages(attempt)
+    assert attempt.result is None and not attempt.is_behind
+    attempt.result = attempts.Result.CALLER_GONE
+    event_times = scenario.selector.event_times
+    event_times.note_unfinished(attempt, scenario.view.clock())
+    assert not event_times.first
+    scenario.handler.stop()
+
+
 def test_one_failed_query_is_no_loss():
     """Failure: engines are taken for lost after a single slow answer."""
     engines = _Hanging(answers=1)
