Blocked streams search for room each 0.06 s; only the queries wait

Cause: a stream without a way round a lost stage looked for one only when endpoints or exclusions had changed, so that it missed room which other streams freed; each such stream looked at all engines of its service in each check, under the view's lock on the thread that watches callers.

Change: the check runs each 0.06 s on the pool, with the stages last found lost instead of queries and log lines while nothing has changed. The excluded engines are computed once in 50 ms for a service. A stream that was moved is no longer blocked.

--- a/packages/gateway/ibisring_gateway/attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/attemptwatching.py
@@ -63,7 +63,7 @@
         Shortest silence after which its next event counts as overdue.
     is_behind : bool
         Whether its engines answered in the present silence.
-    blocked : stalls.Blocked or None
+    blocked : stalls.NoWayRound or None
         What kept it from being moved off lost stages.
     """
 
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -1,9 +1,10 @@
 """Detection of lost stages of silent requests, and rerouting around them."""
 
-__all__ = ['Blocked', 'StallHandler', 'make_stall_handler']
+__all__ = ['NoWayRound', 'StallHandler', 'make_stall_handler']
 
 import concurrent.futures
 import logging
+import threading
 
 from ibisring_gateway import enginestatus
 from ibisring_gateway import ports
@@ -21,9 +22,13 @@
 # check that found nothing wrong; the wait doubles with each further check.
 REPLACEMENT_PAUSE_SECONDS = 0.25
 RECHECK_SECONDS = 0.06
-# Longest wait until a request with lost stages and no way round them is
-# checked again while nothing has changed; the wait doubles up to it.
+# Longest wait in seconds until the stages of a request without a way round
+# lost ones are queried again while nothing has changed; the wait doubles up to
+# it.
 MAX_BLOCKED_SECONDS = 0.25
+# Seconds for which the excluded engines of a service are kept: less than the
+# interval of searches, so that each finds a change.
+EXCLUDED_SECONDS = 0.05
 # Checks without a finding before the request is sent elsewhere: a stage that
 # has lost its own links to other stages still answers status queries.
 MAX_CHECKS = 4
@@ -35,24 +40,27 @@
 MAX_REROUTES = 3
 
 
-class Blocked:
+class NoWayRound:
     """Why a request could not be moved off lost stages, and until when.
 
     Attributes
     ----------
+    lost : frozenset of str
+        The stages found lost.
     endpoints : sequence of routing.Endpoint
         The service's endpoints, with the layers that they hold.
     excluded : frozenset of str
         Engines that get no requests.
     until : float
-        When to check the request again if neither has changed.
+        When to query the stages again if neither has changed.
     wait : float
-        Seconds from the last check to `until`.
+        Seconds from the last queries to `until`.
     """
 
-    __slots__ = ('endpoints', 'excluded', 'until', 'wait')
+    __slots__ = ('lost', 'endpoints', 'excluded', 'until', 'wait')
 
-    def __init__(self, endpoints, excluded, until, wait):
+    def __init__(self, lost, endpoints, excluded, until, wait):
+        self.lost = lost
         self.endpoints = endpoints
         self.excluded = excluded
         self.until = until
@@ -87,6 +95,10 @@
         self.clock = view.clock
         self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
         self.querier = enginestatus.make_status_querier(view, engines, metrics)
+        # By service: its endpoints, when they were looked at, and which of
+        # them were excluded.
+        self.excluded = {}
+        self.excluded_lock = threading.Lock()
         self.on_all_silent = lambda service: None
         self.can_relay = lambda service: False
 
@@ -97,11 +109,6 @@
 
     def handle(self, attempt):
         """Check a silent attempt in the background."""
-        now = self.clock()
-        if self._is_still_blocked(attempt, now):
-            attempt.check_at = now + RECHECK_SECONDS
-            attempt.is_checking = False
-            return
         self.pool.submit(self._check, attempt)
 
     def _check(self, attempt):
@@ -119,15 +126,33 @@
 
     def _check_stages(self, attempt):
         attempt.checks += 1
-        lost = self._find_lost(attempt)
+        lost = self._known_lost(attempt)
+        is_known = lost is not None
+        if not is_known:
+            lost = self._find_lost(attempt)
         now = self.clock()
         if attempt.result is not None:
             return
         if not lost:
+            attempt.blocked = None
             self._note_behind(attempt, lost, now)
             self._recheck_or_restart(attempt, now)
             return
         attempt.is_behind = False
+        if not is_known:
+            self._log_lost(attempt, lost, now)
+        if attempt.endpoint.id in lost:
+            attempt.abort(attempts.Result.SILENT)
+            return
+        found_lost = frozenset(lost)
+        # Engines refuse a path with a stage that is leaving or has given up
+        # its layers, so such stages are replaced along with the lost ones.
+        lost |= _leaving(attempt, self.view.snapshot.endpoints)
+        is_first_lost = attempt.endpoint.id in lost
+        if is_first_lost or not self._reroute(attempt, lost, is_known):
+            self._restart_elsewhere(attempt, found_lost, is_known, now)
+
+    def _log_lost(self, attempt, lost, now):
         if attempt.blocked is None:
             self.metrics.count('stalls.lost')
         logs.event(
@@ -138,17 +163,8 @@
             silent_ms=round((now - attempt.last_event_at) * 1000.0),
             events=attempt.events,
         )
-        if attempt.endpoint.id in lost:
-            attempt.abort(attempts.Result.SILENT)
-            return
-        # Engines refuse a path with a stage that is leaving or has given up
-        # its layers, so such stages are replaced along with the lost ones.
-        lost |= _leaving(attempt, self.view.snapshot.endpoints)
-        is_first_lost = attempt.endpoint.id in lost
-        if is_first_lost or not self._reroute(attempt, lost):
-            self._restart_elsewhere(attempt, now)
 
-    def _restart_elsewhere(self, attempt, now):
+    def _restart_elsewhere(self, attempt, lost, is_known, now):
         """End an attempt that can't be rerouted, if another chain has room.
 
         Otherwise the attempt stays: the lost layers may be loaded elsewhere
@@ -157,41 +173,59 @@
         if self._has_alternative(attempt, now):
             attempt.abort(attempts.Result.SILENT)
             return
-        if not self.is_adaptive:
-            attempt.check_at = now + RECHECK_SECONDS
+        attempt.check_at = now + RECHECK_SECONDS
+        if is_known or not self.is_adaptive:
             return
         before = attempt.blocked
         wait = 2.0 * before.wait if before else RECHECK_SECONDS
         wait = min(MAX_BLOCKED_SECONDS, wait)
-        attempt.blocked = Blocked(
+        attempt.blocked = NoWayRound(
+            lost,
             self._endpoints(attempt),
             self._excluded(attempt, now),
             now + wait,
             wait,
         )
-        attempt.check_at = now + min(wait, RECHECK_SECONDS)
 
-    def _is_still_blocked(self, attempt, now):
-        """Return whether a check would find what the last one found."""
+    def _known_lost(self, attempt):
+        """Return the stages that queries would find lost again.
+
+        None if something has changed since the last queries, or if these are
+        due again.  The search for a way round doesn't wait for them: room is
+        freed by any stream that ends.
+        """
         blocked = attempt.blocked
+        now = self.clock()
         if blocked is None or now >= blocked.until:
-            return False
-        if blocked.endpoints == self._endpoints(
-            attempt
-        ) and blocked.excluded == self._excluded(attempt, now):
-            return True
+            return None
+        endpoints = self._endpoints(attempt)
+        if blocked.endpoints == endpoints:
+            if blocked.excluded == self._excluded(attempt, now):
+                return set(blocked.lost)
         attempt.blocked = None
-        return False
+        return None
 
     def _endpoints(self, attempt):
         service = attempt.endpoint.service
         return self.view.snapshot.by_service.get(service, ())
 
     def _excluded(self, attempt, now):
-        """Return the engines of a service that get no requests now."""
+        """Return the engines of a service that get no requests now.
+
+        Computed once for all streams of the service that are checked
+        together: when an engine dies, there are many.
+        """
+        service = attempt.endpoint.service
         endpoints = self._endpoints(attempt)
-        with self.view.lock:
-            return self.view.estimates.excluded(endpoints, now)
+        with self.excluded_lock:
+            found = self.excluded.get(service)
+            if found is not None and found[0] is endpoints:
+                if 0.0 <= now - found[1] < EXCLUDED_SECONDS:
+                    return found[2]
+            with self.view.lock:
+                names = self.view.estimates.excluded(endpoints, now)
+            self.excluded[service] = endpoints, now, names
+            return names
 
     @property
     def is_adaptive(self):
@@ -401,10 +435,12 @@
         attempt.abort(attempts.Result.SILENT)
         return True
 
-    def _reroute(self, attempt, lost):
+    def _reroute(self, attempt, lost, is_logged=False):
         """Replace lost stages of a request, keeping its first one."""
         stages = self.selector.replace_stages(attempt, lost, self.clock())
         if stages is None or stages == attempt.stages:
+            if is_logged:
+                return False
             logs.event(
                 LOG, 'no_way_round', id=attempt.request_id, lost=sorted(lost)
             )
@@ -424,6 +460,7 @@
         )
         if result not in (ports.OrderResult.BEGUN, ports.OrderResult.DONE):
             return False
+        attempt.blocked = None
         if attempt.result is None:
             self.selector.change_stages(attempt, stages)
             attempt.check_at = self.clock() + REPLACEMENT_PAUSE_SECONDS
