Streams of a hung engine move at the fifth check

Cause: up to 1.2 s of silence counted as explained, so that the check at about 1.1 s moved nothing and the next one came 0.48 s later; waits for the hung engine made other chains seem too slow to move to.

Change: at most 1.0 s before the first event are explained, since the fifth check comes from 1.02 s on. Waits that ended without an event are left out of the typical time of other chains (typical_finished).

--- a/packages/gateway/ibisring_gateway/eventtimes.py
+++ b/packages/gateway/ibisring_gateway/eventtimes.py
@@ -8,8 +8,9 @@
 
 # Upper bounds in seconds of the silence that load explains, before the first
 # event and between events: callers leave after two seconds, and another chain
-# needs part of that time to prefill the prompt.
-MAX_FIRST_EVENT_SECONDS = 1.2
+# needs part of that time to prefill the prompt.  The fifth check, the first
+# that may move a stream, comes from 1.02 s on; the next one is 0.48 s later.
+MAX_FIRST_EVENT_SECONDS = 1.0
 MAX_GAP_SECONDS = 0.9
 # One gap in this many is noted: a sample shows the distribution as well, and
 # a router relays hundreds of events a second.
@@ -69,12 +70,12 @@
             attempts.Result.SILENT,
         )
         if attempt.is_behind and attempt.events == 0 and has_waited:
-            self._note(self.first, attempt, now - attempt.sent_at)
+            self._note(self.first, attempt, now - attempt.sent_at, False)
 
-    def _note(self, trackers, attempt, seconds):
+    def _note(self, trackers, attempt, seconds, is_finished=True):
         with self.view.lock:
             tracker = self._tracker(trackers, attempt.endpoint.service)
-            tracker.note(attempt.expected_seconds, seconds)
+            tracker.note(attempt.expected_seconds, seconds, is_finished)
 
     def _tracker(self, trackers, service):
         tracker = trackers.get(service)
@@ -105,7 +106,7 @@
             tracker = self._tracker(trackers, service)
             total = tracker.typical(expected)
             explained = tracker.timeout(expected, attempt.explained_seconds)
-            other = self._tracker(self.first, service).typical(other)
+            other = self._tracker(self.first, service).typical_finished(other)
         waited = attempt.silent_seconds(now)
         return accrual.should_move(waited, total, explained, other)
 
--- a/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
+++ b/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
@@ -8,6 +8,7 @@
 from ibisring_gateway import forwarding
 from ibisring_gateway import ports
 from ibisring_gateway import process
+from ibisring_gateway import selecting
 from ibisring_gateway import settings
 from ibisring_gateway import stalls
 from ibisring_gateway.tests import builders
@@ -81,6 +82,43 @@
     assert adaptive.left <= fixed.left
 
 
+def test_hung_chain_is_left_at_the_fifth_check():
+    """Failure: streams of an engine that hangs move after 1.5 s or never.
+
+    It answers status queries.  Earlier streams waited for it as well, so that
+    much silence counts as explained and other chains as slow.
+    """
+    scenario = test_stalls.Scenario()
+    view, handler = scenario.view, scenario.handler
+    clock = view.clock = handler.clock = handler.querier.clock = (
+        builders.Clock()
+    )
+    event_times = scenario.selector.event_times
+    attempt = scenario.attempt
+    attempt.events = 0
+    attempt.is_behind = True
+    attempt.result = attempts.Result.CALLER_GONE
+    attempt.expected_seconds = 0.3
+    for _ in range(30):
+        attempt.sent_at = clock.now - 2.0
+        event_times.note_unfinished(attempt, clock.now)
+    attempt.result = None
+    attempt.sent_at = attempt.last_event_at = clock.now
+    attempt.check_at = clock.now + selecting.FIRST_EVENT_TIMEOUT
+    attempt.explained_seconds = selecting.FIRST_EVENT_TIMEOUT
+    scenario.selector.find_alternative = lambda attempt, now: attempt.stages
+    event_times._first_seconds = lambda *chain: 0.3
+    handler.querier.check = lambda endpoints, *options: {
+        e.id: enginestatus.Reply.ANSWERED for e in endpoints
+    }
+    while attempt.result is None and clock.now < attempt.sent_at + 3.0:
+        clock.now = attempt.check_at
+        handler._check_stages(attempt)
+    assert attempt.result is attempts.Result.SILENT
+    assert clock.now - attempt.sent_at < 1.15
+    scenario.handler.stop()
+
+
 class _Hanging(builders.Engines):
     """Engines that hang until the timeout of a status query ends."""
 
--- a/packages/policy/ibisring_policy/gateway/accrual.py
+++ b/packages/policy/ibisring_policy/gateway/accrual.py
@@ -63,7 +63,15 @@
     True
     """
 
-    __slots__ = ('max_seconds', 'clock', 'samples', 'total', 'squares')
+    __slots__ = (
+        'max_seconds',
+        'clock',
+        'samples',
+        'total',
+        'squares',
+        'finished',
+        'finished_total',
+    )
 
     def __init__(self, max_seconds, clock):
         self.max_seconds = max_seconds
@@ -71,33 +79,47 @@
         self.samples = collections.deque()
         self.total = 0.0
         self.squares = 0.0
+        self.finished = 0
+        self.finished_total = 0.0
 
-    def note(self, expected, seen):
+    def note(self, expected, seen, is_finished=True):
         """Note how long an event took, and how long it was expected to take.
 
         An attempt that ended without the event counts with its wait: without
         these the timeouts would stay short while chains are slow.
+
+        Parameters
+        ----------
+        expected, seen : float
+            Seconds.
+        is_finished : bool
+            Whether the event came.
         """
         if expected <= 0.0:
             return
         ratio = min(MAX_RATIO, max(MIN_RATIO, seen / expected))
         value = math.log(ratio)
-        self.samples.append((self.clock(), value))
-        self.total += value
-        self.squares += value * value
+        self.samples.append((self.clock(), value, is_finished))
+        self._add(value, is_finished, 1)
         self._expire()
 
+    def _add(self, value, is_finished, sign):
+        self.total += sign * value
+        self.squares += sign * value * value
+        if is_finished:
+            self.finished += sign
+            self.finished_total += sign * value
+
     def _expire(self):
         oldest = self.clock() - SAMPLE_SECONDS
         samples = self.samples
         while samples and (
             samples[0][0] < oldest or len(samples) > MAX_SAMPLES
         ):
-            _, value = samples.popleft()
-            self.total -= value
-            self.squares -= value * value
+            _, value, is_finished = samples.popleft()
+            self._add(value, is_finished, -1)
         if not samples:
-            self.total = self.squares = 0.0
+            self.total = self.squares = self.finished_total = 0.0
 
     def _distribution(self):
         """Return mean and deviation of the logarithm of the ratios."""
@@ -114,6 +136,15 @@
         """Return the time that half of the requests take at most."""
         return expected * math.exp(self._distribution()[0])
 
+    def typical_finished(self, expected):
+        """Return the typical time of the events that came.
+
+        Waits for a chain that hangs say nothing of the other chains.
+        """
+        self._expire()
+        count = max(MIN_SAMPLES, self.finished)
+        return expected * math.exp(self.finished_total / count)
+
     def timeout(self, expected, min_seconds=0.0, suspicion=SUSPICION):
         """Return the silence at which the suspicion reaches a value.
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_accrual.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_accrual.py
@@ -55,6 +55,21 @@
     assert tracker.timeout(0.05, FLOOR) == FLOOR
 
 
+def test_unfinished_waits_are_left_out_for_other_chains(clock):
+    """Failure: streams stay with an engine that hangs.
+
+    Their waits make the events of the other chains appear as late.
+    """
+    tracker = accrual.make_tracker(1.0, clock)
+    for _ in range(20):
+        tracker.note(0.1, 0.2)
+        tracker.note(0.1, 2.0, is_finished=False)
+    assert tracker.typical_finished(0.1) == pytest.approx(0.2)
+    assert tracker.typical(0.1) > 0.5
+    clock.now += accrual.SAMPLE_SECONDS + 0.1
+    assert tracker.typical_finished(0.1) == pytest.approx(0.1)
+
+
 def test_suspicion_grows_with_the_silence(clock):
     tracker = accrual.make_tracker(10.0, clock)
     for _ in range(100):
