--- /dev/null
+++ b/packages/gateway/ibisring_gateway/bottlenecks.py
@@ -0,0 +1,335 @@
+"""Admission by what limits a service: links between domains, or memory."""
+
+__all__ = ['Blocked', 'Bottlenecks', 'demand_of_tokens', 'make_bottlenecks']
+
+import collections
+import logging
+import math
+
+from ibisring_policy.gateway import capacity
+from ibisring_policy.gateway import chains
+from ibisring_policy.gateway import domainlinks
+from ibisring_router import logs
+import msgspec
+
+LOG = logging.getLogger(__name__)
+BITS_PER_BYTE = 8.0
+MS_PER_SECOND = 1000.0
+# Mean seconds for which a stream occupies memory and sends over links.
+MEAN_STREAM_SECONDS = 3.5
+# Shortest time between two computations of a service's capacity, which take
+# up to 20 ms each.
+CAPACITY_SECONDS = 2.0
+# How long the requests in flight that were last counted are used: the
+# interval of gossip.
+LOAD_SECONDS = 0.25
+# Relative change of the capacity from which it is logged.
+LOGGED_CHANGE = 0.1
+# Period in which refused requests count as waiting to come back.
+REFUSED_SECONDS = 2.0
+# Bounds of the time after which a refused caller should retry.
+MIN_RETRY_SECONDS = 0.2
+MAX_RETRY_SECONDS = 7.0
+
+
+class Blocked(msgspec.Struct, frozen=True):
+    """Why a request was refused; `pairs` is empty if memory is exhausted."""
+
+    wait: float
+    pairs: tuple = ()
+    megabytes: float = 0.0
+
+
+class _Service(msgspec.Struct):
+    """What is known of a service; times are monotonic seconds."""
+
+    holdings: tuple = ()
+    found: capacity.Capacity | None = None
+    logged: float = -1.0
+    computed_at: float = -math.inf
+    counted_at: float = -math.inf
+    in_flight: float = 0.0
+    refused: collections.deque = msgspec.field(
+        default_factory=lambda: collections.deque(maxlen=500)
+    )
+
+
+class Bottlenecks:
+    """Decides whether a request may use a link, or an engine that is full.
+
+    Parameters
+    ----------
+    view : view.View
+    draw : callable
+        Returns random numbers from 0 up to but excluding 1.
+    """
+
+    def __init__(self, view, draw):
+        self.view = view
+        self.draw = draw
+        self.services = {}
+
+    def admit(self, job, stages, now):
+        """Return whether the budgets of links allow a chain.
+
+        Parameters
+        ----------
+        job : jobs.Job
+            Its `blocked_by` is set if they don't.
+        stages : list of chains.Stage
+        now : float
+        """
+        rate = job.service.model.domain_link_mbps / BITS_PER_BYTE
+        if not self.view.link_budgets or rate <= 0.0:
+            return True
+        endpoints = self.view.snapshot.endpoints
+        pairs = domainlinks.crossings(
+            [
+                endpoints[stage.endpoint].failure_domain
+                for stage in stages
+                if stage.endpoint in endpoints
+            ]
+        )
+        if not pairs:
+            return True
+        if job.transfer is None:
+            job.transfer = domainlinks.Transfer(
+                _megabytes(job), rate, job.route.objective
+            )
+        job.transfer.continues = _continues(job)
+        with self.view.lock:
+            wait = self.view.domain_links.admit(pairs, job.transfer, now)
+        if wait is None:
+            return True
+        job.blocked_by = Blocked(wait, tuple(pairs), job.transfer.megabytes)
+        return False
+
+    def may_overcommit(self, job, now):
+        """Return whether a request may use engines that are full.
+
+        It may not if the requests in flight exceed what the engines carry
+        together: another one would only delay them.  Streams that continue
+        may.
+        """
+        if not self.view.link_budgets or _continues(job):
+            return True
+        service = self._service(job.service, now)
+        found = service.found
+        if found is None or found.requests < 1.0:
+            # Layers without an engine: no chain to overcommit.
+            return True
+        excess = service.in_flight - found.requests
+        if excess <= 0.0:
+            return True
+        if job.blocked_by is None:
+            job.blocked_by = Blocked(self._memory_wait(service, excess, now))
+        return False
+
+    def refuse(self, job, now):
+        """Record that a request is refused.
+
+        Returns
+        -------
+        float or None
+            Seconds after which it may be admitted, spread over callers; None
+            if neither a link nor the capacity was the reason.
+        """
+        blocked = job.blocked_by
+        if blocked is None:
+            return None
+        service = self.services.get(job.service.name)
+        if service is not None and not blocked.pairs:
+            service.refused.append(now)
+        seconds = blocked.wait * (0.5 + self.draw())
+        return min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, seconds))
+
+    def facts(self, job):
+        """Return what a log line says of a request that was refused."""
+        blocked = job.blocked_by
+        if blocked is None:
+            return {}
+        wait_ms = round(blocked.wait * MS_PER_SECOND)
+        if not blocked.pairs:
+            service = self.services[job.service.name]
+            return {
+                'over_capacity': {
+                    'in_flight': round(service.in_flight, 1),
+                    'requests': round(service.found.requests, 1),
+                    'bottleneck': service.found.bottleneck,
+                    'wait_ms': wait_ms,
+                }
+            }
+        return {
+            'link_budget': {
+                'links': sorted({' '.join(pair) for pair in blocked.pairs}),
+                'crossings': len(blocked.pairs),
+                'megabytes': round(blocked.megabytes, 1),
+                'wait_ms': wait_ms,
+            }
+        }
+
+    def capacity_requests(self):
+        """Return the last computed capacity of all services, in requests."""
+        found = [each.found for each in list(self.services.values())]
+        return round(sum(each.requests for each in found if each), 1)
+
+    def _memory_wait(self, service, excess, now):
+        """Return the seconds until enough streams will have ended.
+
+        Callers that were refused lately come back first.  The other routers
+        are assumed to have refused as many as this one.
+        """
+        while service.refused and now - service.refused[0] > REFUSED_SECONDS:
+            service.refused.popleft()
+        with self.view.lock:
+            routers = self.view.domain_links.router_total
+        ahead = excess + 1.0 + len(service.refused) * routers
+        return MEAN_STREAM_SECONDS * ahead / service.in_flight
+
+    def _service(self, service, now):
+        """Return the state of a service, brought up to date."""
+        known = self.services.get(service.name)
+        if known is None:
+            known = self.services.setdefault(service.name, _Service())
+        if now - known.counted_at < LOAD_SECONDS:
+            return known
+        known.counted_at = now
+        endpoints = self.view.snapshot.by_service.get(service.name, ())
+        usable = self._count_in_flight(known, endpoints, service.model, now)
+        holdings = service.model, tuple((e.id, e.holding) for e in usable)
+        is_due = now - known.computed_at >= CAPACITY_SECONDS
+        if is_due and holdings != known.holdings:
+            known.computed_at = now
+            known.holdings = holdings
+            self._compute(known, service, usable)
+        return known
+
+    def _count_in_flight(self, known, endpoints, model, now):
+        """Count the requests in flight; return the engines in reach."""
+        with self.view.lock:
+            table = self.view.estimates
+            usable = [e for e in endpoints if not table.is_dead(e.id)]
+            totals = table.peer_token_totals(now)
+            own = table.own_tokens()
+        tokens = sum(
+            totals.get(e.id, 0.0) + own.get(e.id, 0.0) for e in usable
+        )
+        known.in_flight = tokens / (model.layers * _usual_tokens(model))
+        return usable
+
+    def _compute(self, known, service, endpoints):
+        model = service.model
+        holders = [
+            holder
+            for holder in map(lambda e: _holder(e, model), endpoints)
+            if holder is not None
+        ]
+        known.found = capacity.compute(
+            holders,
+            model.layers,
+            capacity.Usual(
+                _usual_tokens(model), model.slots, _per_link(model)
+            ),
+        )
+        change = abs(known.found.requests - known.logged)
+        if change > LOGGED_CHANGE * known.logged:
+            known.logged = known.found.requests
+            logs.event(
+                LOG,
+                'capacity',
+                service=service.name,
+                requests=round(known.found.requests, 1),
+                bottleneck=known.found.bottleneck,
+                engines=len(holders),
+            )
+
+
+def demand_of_tokens(snapshot, tokens):
+    """Estimate the use of links by a router that doesn't report it.
+
+    A router of an older release that has requests in several domains is
+    assumed to send them across.
+
+    Parameters
+    ----------
+    snapshot : view.Snapshot
+    tokens : dict of str to int
+        Tokens times layers that it has in flight, by engine.
+
+    Returns
+    -------
+    list of (str, str, int, int)
+        As in `gossipmessages.Message.link_use`.
+    """
+    by_domain = collections.Counter()
+    activation_mb = 0.0
+    for name, amount in tokens.items():
+        endpoint = snapshot.endpoints.get(name)
+        if endpoint is None or snapshot.index is None:
+            continue
+        service = snapshot.index.services.get(endpoint.service)
+        if service is None or service.model is None:
+            continue
+        model = service.model
+        by_domain[endpoint.failure_domain] += amount / model.layers
+        activation_mb = max(activation_mb, model.activation_mb)
+    total = sum(by_domain.values()) / MEAN_STREAM_SECONDS * activation_mb
+    names = sorted(by_domain)
+    return [
+        (one, other, int(total * domainlinks.BYTES_PER_MB), 0)
+        for position, one in enumerate(names)
+        for other in names[position + 1 :]
+    ]
+
+
+def _continues(job):
+    """Return whether a request continues a stream that has begun."""
+    return job.progress.delivering or job.request.after_event is not None
+
+
+def _megabytes(job):
+    """Return what a request sends over a link at each crossing."""
+    request = job.request
+    prompt = request.prompt_tokens
+    reserved = chains.tokens_needed(
+        prompt, request.answer_tokens, request.answer_hint
+    )
+    answer = (reserved - prompt) / chains.RESERVED_RESPONSE_SHARE
+    return (prompt + answer) * job.service.model.activation_mb
+
+
+def _usual_tokens(model):
+    """Return the tokens that are reserved for a usual request."""
+    answer = chains.RESERVED_RESPONSE_SHARE * model.mean_answer
+    return max(1.0, model.mean_prompt + answer)
+
+
+def _per_link(model):
+    """Return the usual requests that a link carries at once."""
+    tokens = model.mean_prompt + model.mean_answer
+    sent = tokens * model.activation_mb / MEAN_STREAM_SECONDS
+    if model.domain_link_mbps <= 0.0 or sent <= 0.0:
+        return math.inf
+    return model.domain_link_mbps / BITS_PER_BYTE / sent
+
+
+def _holder(endpoint, model):
+    """Return an engine as a holder without load, None if it holds nothing."""
+    held = endpoint.holding
+    card = model.card(endpoint.card)
+    if held is None or held.count <= 0 or card is None:
+        return None
+    free_mb = max(0.0, card.memory_mb - held.count * model.layer_mb)
+    return chains.Holder(
+        endpoint.id,
+        endpoint.address,
+        endpoint.failure_domain,
+        held.first,
+        held.end,
+        free_mb / (model.token_mb / model.layers),
+    )
+
+
+def make_bottlenecks(view, draw):
+    """Make `Bottlenecks` that know of no service."""
+    return Bottlenecks(view, draw)
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -375,10 +375,13 @@
                 self.selector.refuse(job, now),
                 limited=sorted(job.limited),
             )
+        if job.blocked_by is not None and job.blocked_by.pairs:
+            self.metrics.count('link_refused')
         raise exceptions.Overloaded(
             'no endpoint has room',
             self.selector.refuse(job, now),
             layers=self.selector.shortages(job, now),
+            **self.selector.bottlenecks.facts(job),
         )
 
     def _use_up_tries(self, job):
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -134,6 +134,7 @@
             message.limits = self.view.limits.updates_to_send(
                 now, self.rng, share
             )
+            message.link_use = self.view.domain_links.updates_to_send(now)
 
     def _add_store_access(self, message, now):
         """Add how well this router reaches the store."""
@@ -214,6 +215,7 @@
             self.view.parts.changes,
             self.view.limits.changes,
             self.view.limits.endpoints_in_demand(now),
+            [each[:2] for each in message.link_use or ()],
         ]
 
     def _urgent_state(self, message):
--- a/packages/gateway/ibisring_gateway/gossipmessages.py
+++ b/packages/gateway/ibisring_gateway/gossipmessages.py
@@ -85,6 +85,13 @@
         Services whose endpoints the sender can't reach.
     parts : list of partupdates.PartUpdate
         Parts of prompts under which endpoints have crashed.
+    rank_use : dict of str to list of (int, int, int)
+        Tokens times layers in flight by service: account priority, route
+        priority, amount.
+    link_use : list of (str, str, int, int) or None
+        Demand for links between failure domains in bytes per second: pair of
+        domains, of new requests, of streams that continue.  None of an older
+        release, which does not report it.
     """
 
     router: str
@@ -118,6 +125,8 @@
     active: int = 0
     cut_from: list[str] = []
     parts: list[partupdates.PartUpdate] = []
+    rank_use: dict[str, list[tuple[int, int, int]]] = {}
+    link_use: list[tuple[str, str, int, int]] | None = None
 
     @property
     def era(self):
--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from ibisring_gateway import bottlenecks
 from ibisring_gateway import changes as changes_module
 from ibisring_gateway import directory
 from ibisring_gateway import gossipmessages
@@ -59,6 +60,7 @@
         self._apply_suspects(message, now)
         self._apply_parts(message, now)
         self._apply_limits(message, now)
+        self._apply_link_use(message, now)
         self._apply_leaving(message)
         self._record_peer(message, f'{source[0]}:{source[1]}', now)
         if message.changes:
@@ -164,6 +166,17 @@
                 origin=f'router {message.router}',
             )
 
+    def _apply_link_use(self, message, now):
+        link_use = message.link_use
+        if link_use is None:
+            link_use = bottlenecks.demand_of_tokens(
+                self.view.snapshot, message.tokens
+            )
+        with self.view.lock:
+            self.view.domain_links.receive(
+                message.router, message.domain, link_use, now
+            )
+
     def _apply_leaving(self, message):
         known = self.view.snapshot.leaving
         origin = f'router {message.router}'
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -52,6 +52,10 @@
         Whether neither an endpoint nor another router can be reached.
     limited : set of str
         Endpoints that were skipped for their rate limits in the last choice.
+    transfer : domainlinks.Transfer or None
+        What it sends over links between failure domains.
+    blocked_by : bottlenecks.Blocked or None
+        What left the last choice without an endpoint, if a bottleneck did.
     first_chunk_at, last_chunk_at : float or None
         When the first and the latest chunk of its answer arrived.
     longest_pause : float
@@ -88,6 +92,8 @@
         self.unreached_at = None
         self.is_cut_off = False
         self.limited = set()
+        self.transfer = None
+        self.blocked_by = None
         self.sent_to = []
         self.answer = None
         self.chain = ''
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -74,6 +74,7 @@
         self.view = view_module.make_view(
             settings.failure_domain, name=settings.router_id
         )
+        self.view.link_budgets = settings.link_budgets == 'on'
         self.connections = upstream.make_connection_pool()
         self.watcher = attemptwatching.make_watcher(self._on_stall)
         self.retry_budget = attempts.make_retry_budget(
@@ -262,8 +263,17 @@
     def _check_placement(self):
         self.placer.tell(placing.CheckPlacement())
 
+    def _update_fleet(self):
+        """Tell the budgets of links how many routers share them."""
+        now = time.monotonic()
+        counts = self.peers.peer_reports.router_counts(now)
+        total = self.peers.max_routers(now)
+        with self.view.lock:
+            self.view.domain_links.set_fleet(counts, total, now)
+
     def _run_periodic_checks(self):
         self._check_placement()
+        self._update_fleet()
         self.directory.tell(directory.Tick())
         self.stall_handler.run_checks()
         self.link_monitor.run_checks()
@@ -297,6 +307,9 @@
             counters['suspects'] = len(self.view.suspects.by_digest)
             counters['part_suspects'] = len(self.view.parts.by_feature)
             counters['backoffs'] = len(self.view.limits.backoffs.by_endpoint)
+        counters['capacity_requests'] = (
+            self.forwarder.selector.bottlenecks.capacity_requests()
+        )
         counters['routers_running'] = self.peers.running_count(
             time.monotonic()
         )
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -5,6 +5,7 @@
 import math
 import random
 
+from ibisring_gateway import bottlenecks
 from ibisring_gateway import throttling
 from ibisring_policy.gateway import chains
 from ibisring_policy.gateway import estimates
@@ -32,8 +33,6 @@
 # A refusal that arrives this many seconds after the last event is caused by a
 # stalled stage and not by admission control.
 STALL_SECONDS = 1.0
-# Mean seconds for which a stream occupies memory, for Retry-After.
-MEAN_STREAM_SECONDS = 3.5
 # Retry-After of a plain service.
 MIN_RETRY_SECONDS = 0.1
 
@@ -72,6 +71,7 @@
         self.view = view
         self.rng = random.Random()
         self.throttle = throttling.make_throttle(view, self.rng)
+        self.bottlenecks = bottlenecks.make_bottlenecks(view, self.rng.random)
 
     def choose(self, job, now):
         """Return a `Choice`, or None if no endpoint can take the request.
@@ -82,6 +82,7 @@
         """
         max_wait = throttling.MAX_WAIT_SHARE * job.route.objective
         max_wait = max(0.0, min(max_wait, job.deadline - now))
+        job.blocked_by = None
         for wait_bound in (0.0, max_wait):
             job.limited = self._backing_off(job, now, wait_bound)
             choice = self._choose_within(job, now, wait_bound)
@@ -142,6 +143,7 @@
     def _choose_chain(self, job, endpoints, now):
         model = job.service.model
         demand = self._demand(job)
+        demand.may_overcommit = self.bottlenecks.may_overcommit(job, now)
         first_stages = None
         if job.progress.sent_to >= job.progress.max_endpoints:
             # The route allows no further endpoint; only those that had the
@@ -164,6 +166,11 @@
             stages = self._find_chain(
                 endpoints, model, now, demand, first_stages, ()
             )
+        if stages and not self.bottlenecks.admit(job, stages, now):
+            demand.may_cross = False
+            stages = self._find_chain(
+                endpoints, model, now, demand, first_stages, job.avoid
+            )
         if stages is None:
             return None
         by_id = self.view.snapshot.endpoints
@@ -268,7 +275,7 @@
         found = chains.choose(
             holders, demand, model.layers, self._random_factor, first_stages
         )
-        if found is None:
+        if found is None and demand.may_overcommit:
             found = self._find_chain_overcommitted(
                 holders, demand, model, first_stages
             )
@@ -462,7 +469,9 @@
             room or, if there are none, when one of those takes requests.
         """
         job.limited |= self._backing_off(job, now)
-        capacity_after = self._capacity_after(job.service)
+        capacity_after = self.bottlenecks.refuse(job, now)
+        if capacity_after is None:
+            capacity_after = self._capacity_after(job.service)
         if not job.limited:
             return capacity_after
         limited_for = self.throttle.refuse(job, now)
@@ -479,7 +488,8 @@
         """
         if service.model is None:
             return MIN_RETRY_SECONDS
-        return MEAN_STREAM_SECONDS * (0.4 + 0.4 * self.rng.random())
+        mean = bottlenecks.MEAN_STREAM_SECONDS
+        return mean * (0.4 + 0.4 * self.rng.random())
 
     def has_alternative(self, attempt, now):
         """Return whether another first stage has room for an attempt."""
--- a/packages/gateway/ibisring_gateway/settings.py
+++ b/packages/gateway/ibisring_gateway/settings.py
@@ -10,6 +10,7 @@
 
 ADDRESS = re.compile(r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$')
 MS_PER_SECOND = 1000.0
+SWITCH = ('on', 'off')
 
 
 class Settings(msgspec.Struct, kw_only=True):
@@ -42,6 +43,9 @@
     # Timeout of a long poll for changes, in addition to its waiting time.
     feed_margin_s: float = 0.6
     log_level: str = 'INFO'
+    # Whether requests are admitted by the budgets of links between failure
+    # domains and by the capacity of a service: `on` or `off`.
+    link_budgets: str = 'on'
 
 
 def load(path):
@@ -79,6 +83,10 @@
             raise exceptions.InvalidSetting(
                 f'{name} is {value!r}, but must be IP:PORT'
             )
+    if settings.link_budgets not in SWITCH:
+        raise exceptions.InvalidSetting(
+            f'link_budgets is {settings.link_budgets!r}, but must be on or off'
+        )
     for name in settings.__struct_fields__:
         value = getattr(settings, name)
         if isinstance(value, float) and value < 0:
--- a/packages/gateway/ibisring_gateway/tests/test_selecting.py
+++ b/packages/gateway/ibisring_gateway/tests/test_selecting.py
@@ -40,9 +40,16 @@
         service=view.snapshot.index.services[service],
         route=build.route(),
         match=types.SimpleNamespace(priority=1, account='acme'),
-        progress=types.SimpleNamespace(sent_to=0, max_endpoints=2),
+        progress=types.SimpleNamespace(
+            sent_to=0, max_endpoints=2, delivering=False
+        ),
+        transfer=None,
+        blocked_by=None,
         request=types.SimpleNamespace(
-            prompt_tokens=10, answer_tokens=10, answer_hint=None
+            prompt_tokens=10,
+            answer_tokens=10,
+            answer_hint=None,
+            after_event=None,
         ),
     )
     values.update(changes)
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -6,9 +6,11 @@
 
 __all__ = ['Snapshot', 'View', 'make_view']
 
+import random
 import threading
 import time
 
+from ibisring_policy.gateway import domainlinks
 from ibisring_policy.gateway import estimates
 from ibisring_policy.gateway import fairness
 from ibisring_policy.gateway import layerorders
@@ -98,8 +100,10 @@
     Attributes
     ----------
     lock : threading.Lock
-        Guards `estimates`, `suspects`, `parts`, `limits`, `fairness`, `links`
-        and `relays`.
+        Guards `estimates`, `suspects`, `parts`, `limits`, `fairness`, `links`,
+        `domain_links` and `relays`.
+    link_budgets : bool
+        Whether requests are admitted by `domain_links` and by capacity.
     term : int
         Highest lease term known to this router.
     lease_lost_at : float or None
@@ -121,6 +125,10 @@
         self.fairness = fairness.make_fairness()
         self.limits = ratelimits.make_limits(name, domain)
         self.links = links.make_links()
+        self.domain_links = domainlinks.make_domain_links(
+            name, domain, random.Random().random
+        )
+        self.link_budgets = True
         self.relays = relays.make_relays(domain)
         self.term = 0
         self.lease_lost_at = None
--- a/packages/policy/ibisring_policy/gateway/chains.py
+++ b/packages/policy/ibisring_policy/gateway/chains.py
@@ -98,7 +98,8 @@
     """Requirements of a request: its tokens, its layers, the router's domain.
 
     `may_cross` allows a chain through several failure domains;
-    `remote_first_stage_cost` is that of a first stage in another domain.
+    `remote_first_stage_cost` is that of a first stage in another domain;
+    `may_overcommit` allows engines that are estimated to be full.
     """
 
     tokens: float
@@ -107,6 +108,7 @@
     end: int = 0
     may_cross: bool = True
     remote_first_stage_cost: float = REMOTE_FIRST_STAGE_COST
+    may_overcommit: bool = True
 
 
 def remote_first_stage_cost(seconds_since_start):
--- a/packages/records/ibisring_records/routing.py
+++ b/packages/records/ibisring_records/routing.py
@@ -91,7 +91,8 @@
     `token_mb` is the KV cache size of one token over all layers,
     `load_seconds` the time to load all layers, `prefill_rate` in tokens per
     second on a card of factor 1, `activation_mb` the data that a token
-    transfers between two stages.
+    transfers between two stages.  `domain_link_mbps` is the rate of a link
+    between two failure domains in Mbit/s, 0 if it is unknown.
     """
 
     layers: int
@@ -106,6 +107,7 @@
     mean_prompt: float
     mean_answer: float
     cards: tuple[Card, ...]
+    domain_link_mbps: float = 0.0
 
     def card(self, name):
         """Return a type of card by its name, or None."""
