--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -215,7 +215,7 @@
             self.view.parts.changes,
             self.view.limits.changes,
             self.view.limits.endpoints_in_demand(now),
-            [each[:2] for each in message.link_use or ()],
+            sorted(each[:2] for each in message.link_use),
         ]
 
     def _urgent_state(self, message):
--- a/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
+++ b/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
@@ -1,8 +1,12 @@
 """Tests of admission by links and by capacity."""
 
+import collections
+import types
+
 import pytest
 
 from ibisring_gateway import bottlenecks
+from ibisring_gateway import forwarding
 from ibisring_gateway import gossipmessages
 from ibisring_gateway import gossipreceiving
 from ibisring_gateway import selecting
@@ -161,6 +165,55 @@
     assert selector.bottlenecks.capacity_requests() == pytest.approx(206, 0.01)
 
 
+def test_refused_caller_is_told_of_the_link():
+    selector = _selector()
+    _use_up(selector)
+    metrics = collections.Counter()
+    metrics.count = lambda name: metrics.update([name])
+    nothing = [None] * 5
+    forwarder = forwarding.make_forwarder(
+        selector.view, *nothing, metrics, None, None
+    )
+    forwarder.selector = selector
+    job, _ = _choose(selector, tries=0)
+    with pytest.raises(exceptions.Overloaded) as error:
+        forwarder._end_without_choice(job)
+    assert error.value.facts['link_budget']['megabytes'] == 32.9
+    assert error.value.retry_after > 0.0
+    assert metrics['link_refused'] == 1
+
+
+def test_lost_stage_is_not_replaced_from_another_domain():
+    """Guards against a crossing without budget when stages are replaced."""
+    selector = _selector(domains='aa')
+    view = selector.view
+    third = build.held_endpoint('e3', 40, 80, 'b', 'half')
+    view.snapshot.endpoints['e3'] = third
+    view.snapshot.by_service['model'].append(third)
+    choice = _choose(selector)[1]
+    attempt = types.SimpleNamespace(
+        endpoint=choice.endpoint, stages=choice.stages, tokens=choice.tokens
+    )
+    assert selector.replace_stages(attempt, {'e2'}, view.clock()) is None
+
+
+def test_capacity_is_logged_when_it_changes_by_a_tenth(monkeypatch):
+    selector = _selector(domains='aa')
+    view = selector.view
+    logged = []
+    monkeypatch.setattr(
+        bottlenecks.logs, 'event', lambda *names, **facts: logged.append(facts)
+    )
+    seconds = bottlenecks.CAPACITY_SECONDS
+    for at, is_dead in ((0.0, False), (0.1, True), (1.0, True), (1.1, True)):
+        view.clock.now = 1000.0 + at * seconds
+        if is_dead:
+            view.estimates.note_unreachable('e2', view.clock.now)
+        _choose(selector)
+    assert [each['requests'] > 0 for each in logged] == [True, False]
+    assert logged[1]['bottleneck'] == 'layers 40-80'
+
+
 def test_new_fields_are_the_last_of_a_message():
     """Guards against a release that reads a field as another one."""
     fields = gossipmessages.Message.__struct_fields__
