Let the queue of a link take two fifths of the objective

Cause: with a tenth (QUEUE_SHARE 0.1) a link that is half idle refuses half of the requests.

Change: QUEUE_SHARE is 0.4, so deployment B's link has a budget of 1.52 instead of 0.63 requests per second.

--- a/packages/policy/ibisring_policy/gateway/linkshares.py
+++ b/packages/policy/ibisring_policy/gateway/linkshares.py
@@ -5,7 +5,8 @@
 import math
 
 # Queueing time on a link, as a share of the objective for the first event.
-QUEUE_SHARE = 0.1
+# With a tenth, a link that is half idle refuses half of the requests.
+QUEUE_SHARE = 0.4
 # A share of the rate that is used at most, however small the transfers are:
 # the sizes of requests are estimates.
 MAX_USABLE_SHARE = 0.9
@@ -28,7 +29,7 @@
     Examples
     --------
     >>> round(usable_share(0.3, 0.5), 3), round(usable_share(0.01, 0.5), 3)
-    (0.25, 0.9)
+    (0.571, 0.9)
     """
     queue = QUEUE_SHARE * objective
     if queue <= 0.0:
