Ask callers back within two seconds; keep refusals by the links crossed

Cause: the time for the excess demand on a link, and for memory the callers that each router has refused times the number of routers, gave a Retry-After of up to 7.5 s. Callers come back once or twice only, and a return after more than 2 s is of little value to them. A decision was kept for any other chain of the same request, and for up to 10 s also for a stream that continues.

Change: the mean is at most 1.3 s (1.95 s after the spread); for a link it is the time of one transfer in the budget, for memory only this router's own refusals count. A decision is kept for the pairs of domains that the chain crosses, for a stream that continues for at most 0.2 s.

--- a/packages/gateway/ibisring_gateway/bottlenecks.py
+++ b/packages/gateway/ibisring_gateway/bottlenecks.py
@@ -29,9 +29,10 @@
 REFUSED_SECONDS = 2.0
 # Bounds of the mean time after which a refused caller should retry, and the
 # range of the random factor on it: callers refused together would otherwise
-# come back together.
+# come back together.  Callers come back once or twice only, and a return
+# after more than 2 s is of little value to them.
 MIN_RETRY_SECONDS = 0.2
-MAX_RETRY_SECONDS = 5.0
+MAX_RETRY_SECONDS = 1.3
 MIN_SPREAD, MAX_SPREAD = 0.5, 1.5
 
 
@@ -179,14 +180,11 @@
     def _memory_wait(self, service, excess, now):
         """Return the seconds until enough streams will have ended.
 
-        Callers that were refused lately come back first.  The other routers
-        are assumed to have refused as many as this one.
+        Callers that this router refused lately come back first.
         """
         while service.refused and now - service.refused[0] > REFUSED_SECONDS:
             service.refused.popleft()
-        with self.view.lock:
-            routers = self.view.domain_links.router_total
-        ahead = excess + 1.0 + len(service.refused) * routers
+        ahead = excess + 1.0 + len(service.refused)
         return MEAN_STREAM_SECONDS * ahead / service.in_flight
 
     def _service(self, service, now):
--- a/packages/policy/ibisring_policy/gateway/domainlinks.py
+++ b/packages/policy/ibisring_policy/gateway/domainlinks.py
@@ -41,26 +41,56 @@
 MAX_UNUSED_SECONDS = 0.1
 # A caller that waits for longer has given up.
 MAX_WAIT_SECONDS = 10.0
+# How long a refusal of a stream that continues is kept: its caller gives up
+# after 2 s without an event, and other streams that end free the link sooner.
+MAX_CONTINUING_WAIT_SECONDS = 0.2
 # Bounds on the links that are tracked, and on those in one message.
 MAX_LINKS = 64
 MAX_SENT = 16
 BYTES_PER_MB = 1e6
 
 
+class Decision(msgspec.Struct, frozen=True):
+    """Whether links admit a transfer: `wait` is None if they do.
+
+    `refused` are the pairs of domains whose budgets don't.
+    """
+
+    at: float
+    wait: float | None = None
+    refused: frozenset = frozenset()
+
+
 class Transfer(msgspec.Struct):
     """What a request sends over each link that its chain crosses.
 
     `megabytes` is sent at each crossing; `rate` is that of the links in MB/s.
-    `decided_at` and `wait` are of the latest decision: a request that asks
-    again before the end of its wait is not counted again.
+    `decisions` has the latest decision by the pairs that a chain crosses: a
+    request that asks for the same again before the end of its wait is not
+    counted again.
     """
 
     megabytes: float
     rate: float
     objective: float
     continues: bool = False
-    decided_at: float = -math.inf
-    wait: float | None = None
+    decisions: dict[tuple, Decision] = {}
+
+    def kept_wait(self, pairs, now):
+        """Return the rest of a wait that is still kept, None for none."""
+        last = self.decisions.get(pairs)
+        if last is None or last.wait is None:
+            return None
+        wait = last.wait
+        if self.continues:
+            wait = min(wait, MAX_CONTINUING_WAIT_SECONDS)
+        left = last.at + wait - now
+        return left if left > 0.0 else None
+
+    def refused_pairs(self, pairs):
+        """Return the pairs that the latest decision on `pairs` refused."""
+        last = self.decisions.get(tuple(sorted(pairs)))
+        return last.refused if last else frozenset()
 
 
 class _Demand(msgspec.Struct, frozen=True):
@@ -226,24 +256,28 @@
         float or None
             Seconds until the budget admits it; None if it is admitted.
         """
-        if now == transfer.decided_at:
-            return transfer.wait
-        if transfer.wait is not None:
-            left = transfer.decided_at + transfer.wait - now
-            if left > 0.0:
-                return left
+        key = tuple(sorted(pairs))
+        last = transfer.decisions.get(key)
+        if last is not None and now == last.at:
+            return last.wait
+        kept = transfer.kept_wait(key, now)
+        if kept is not None:
+            return kept
         draw = self.draw()
-        budgets = [
-            self._budget(pair, count, transfer)
+        budgets = {
+            pair: self._budget(pair, count, transfer)
             for pair, count in collections.Counter(pairs).items()
-        ]
-        waits = [self._wait(each, transfer, now, draw) for each in budgets]
-        waits = [each for each in waits if each is not None]
-        transfer.decided_at = now
-        transfer.wait = max(waits, default=None)
-        for each in budgets:
-            self._note_demand(each, transfer, now)
-        return transfer.wait
+        }
+        waits = {
+            pair: self._wait(each, transfer, now, draw)
+            for pair, each in budgets.items()
+        }
+        refused = frozenset(pair for pair in waits if waits[pair] is not None)
+        wait = max((waits[pair] for pair in refused), default=None)
+        transfer.decisions[key] = Decision(now, wait, refused)
+        for each in budgets.values():
+            self._note_demand(each, transfer, now, wait is None)
+        return wait
 
     def _link(self, pair):
         link = self.by_pair.get(pair)
@@ -270,14 +304,14 @@
             self._link(pair), ' '.join(pair), megabytes, rate, window
         )
 
-    def _note_demand(self, budget, transfer, now):
+    def _note_demand(self, budget, transfer, now, is_admitted):
         link = budget.link
         link.window = budget.window
         link.asked_at = now
         link.asked.append(_Demand(now, budget.megabytes, transfer.continues))
         while now - link.asked[0].at > MAX_WINDOW_SECONDS:
             link.asked.popleft()
-        if transfer.wait is None:
+        if is_admitted:
             # At most two transfers: those admitted by the demands told before
             # must not keep a router from its equal part for long.
             link.owed = min(
@@ -307,11 +341,9 @@
         level = linkshares.fair_level(demands, rate)
         if draw * own < level:
             return None
-        excess = sum(each * count for each, count in demands) - rate
-        return min(
-            MAX_WAIT_SECONDS,
-            max(budget.megabytes, budget.window * excess) / rate,
-        )
+        # The time of one transfer, however large the demand: callers come
+        # back once or twice only, and of those that do a part is admitted.
+        return min(MAX_WAIT_SECONDS, budget.megabytes / rate)
 
     def _demands(self, link, now, continues):
         """Return the demands for `linkshares.fair_level`, the own one first.
