Search chains over other links before a refusal; lock a service's load

Cause: when the budget of one link refused a chain, only chains within one domain were tried, and only without the endpoints to avoid, though other links had a budget. `job.blocked_by` was set before the search had failed and stayed set after a choice. The state of a service was changed by all threads without a lock: a division by zero in the wait for memory, and a popleft of an empty deque, were possible.

Change: at most two further searches, without the domain behind the refused crossing or, if there is no such chain, without the one before it; each also with the endpoints to avoid, as is the search within one domain. The memory use that gossip tells is that of all engines as before. `blocked_by` is set when the search has failed and cleared by a choice. `_Service` has a lock, which is not held while the capacity is computed; the wait uses the count that was compared. `Blocked` is now `Exhausted`, and keeps the figures that are logged.

--- a/packages/gateway/ibisring_gateway/bottlenecks.py
+++ b/packages/gateway/ibisring_gateway/bottlenecks.py
@@ -1,10 +1,11 @@
 """Admission by what limits a service: links between domains, or memory."""
 
-__all__ = ['Blocked', 'Bottlenecks', 'demand_of_tokens', 'make_bottlenecks']
+__all__ = ['Exhausted', 'Bottlenecks', 'demand_of_tokens', 'make_bottlenecks']
 
 import collections
 import logging
 import math
+import threading
 
 from ibisring_policy.gateway import capacity
 from ibisring_policy.gateway import chains
@@ -36,26 +37,86 @@
 MIN_SPREAD, MAX_SPREAD = 0.5, 1.5
 
 
-class Blocked(msgspec.Struct, frozen=True):
-    """Why a request was refused; `pairs` is empty if memory is exhausted."""
+class Exhausted(msgspec.Struct, frozen=True):
+    """Why a request was refused; `pairs` is empty if memory is exhausted.
+
+    `in_flight` are the requests of the service at that time.
+    """
 
     wait: float
     pairs: tuple = ()
     megabytes: float = 0.0
+    in_flight: float = 0.0
+    found: capacity.Capacity | None = None
 
 
-class _Service(msgspec.Struct):
-    """What is known of a service; times are monotonic seconds."""
+class _Service:
+    """What is known of a service; times are monotonic seconds.
 
-    holdings: tuple = ()
-    found: capacity.Capacity | None = None
-    logged: float = -1.0
-    computed_at: float = -math.inf
-    counted_at: float = -math.inf
-    in_flight: float = 0.0
-    refused: collections.deque = msgspec.field(
-        default_factory=lambda: collections.deque(maxlen=500)
-    )
+    Attributes
+    ----------
+    lock : threading.Lock
+        Guards the others.  It is not held while the capacity is computed,
+        which would delay all requests of the service.
+    found : capacity.Capacity or None
+    refused : collections.deque of float
+        When requests were refused for want of memory.
+    """
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.holdings = ()
+        self.found = None
+        self.logged = -1.0
+        self.computed_at = -math.inf
+        self.counted_at = -math.inf
+        self.in_flight = 0.0
+        self.refused = collections.deque(maxlen=500)
+
+    def load(self):
+        """Return the requests in flight, and the capacity."""
+        with self.lock:
+            return self.in_flight, self.found
+
+    def start_count(self, now):
+        """Return whether the caller is to count the requests in flight."""
+        with self.lock:
+            is_due = now - self.counted_at >= LOAD_SECONDS
+            if is_due:
+                self.counted_at = now
+            return is_due
+
+    def start_computation(self, in_flight, holdings, now):
+        """Note a count; return whether the caller is to compute anew."""
+        with self.lock:
+            self.in_flight = in_flight
+            is_due = now - self.computed_at >= CAPACITY_SECONDS
+            if not is_due or holdings == self.holdings:
+                return False
+            self.computed_at = now
+            self.holdings = holdings
+            return True
+
+    def set_capacity(self, found):
+        """Note a capacity; return whether to log it."""
+        with self.lock:
+            self.found = found
+            change = abs(found.requests - self.logged)
+            if change <= LOGGED_CHANGE * self.logged:
+                return False
+            self.logged = found.requests
+            return True
+
+    def count_refused(self, now):
+        """Return the number of requests that were refused lately."""
+        with self.lock:
+            while self.refused and now - self.refused[0] > REFUSED_SECONDS:
+                self.refused.popleft()
+            return len(self.refused)
+
+    def note_refused(self, now):
+        with self.lock:
+            self.refused.append(now)
 
 
 class Bottlenecks:
@@ -73,29 +134,25 @@
         self.draw = draw
         self.services = {}
 
-    def admit(self, job, stages, now):
-        """Return whether the budgets of links allow a chain.
+    def link_exhausted(self, job, stages, now):
+        """Return why the budgets of links refuse a chain, None if they don't.
 
         Parameters
         ----------
         job : jobs.Job
-            Its `blocked_by` is set if they don't.
         stages : list of chains.Stage
         now : float
+
+        Returns
+        -------
+        Exhausted or None
         """
         rate = job.service.model.domain_link_mbps / BITS_PER_BYTE
         if not self.view.link_budgets or rate <= 0.0:
-            return True
-        endpoints = self.view.snapshot.endpoints
-        pairs = domainlinks.crossings(
-            [
-                endpoints[stage.endpoint].failure_domain
-                for stage in stages
-                if stage.endpoint in endpoints
-            ]
-        )
+            return None
+        pairs = domainlinks.crossings(self._domains(stages))
         if not pairs:
-            return True
+            return None
         if job.transfer is None:
             job.transfer = domainlinks.Transfer(
                 _megabytes(job), rate, job.route.objective
@@ -104,30 +161,53 @@
         with self.view.lock:
             wait = self.view.domain_links.admit(pairs, job.transfer, now)
         if wait is None:
-            return True
-        job.blocked_by = Blocked(wait, tuple(pairs), job.transfer.megabytes)
-        return False
+            return None
+        return Exhausted(wait, tuple(pairs), job.transfer.megabytes)
+
+    def refused_crossing(self, job, stages):
+        """Return the domains before and behind the first refused crossing."""
+        domains = self._domains(stages)
+        refused = job.transfer.refused_pairs(domainlinks.crossings(domains))
+        return next(
+            (before, behind)
+            for before, behind in zip(domains, domains[1:])
+            if (min(before, behind), max(before, behind)) in refused
+        )
 
-    def may_overcommit(self, job, now):
-        """Return whether a request may use engines that are full.
+    def _domains(self, stages):
+        endpoints = self.view.snapshot.endpoints
+        return [
+            endpoints[stage.endpoint].failure_domain
+            for stage in stages
+            if stage.endpoint in endpoints
+        ]
+
+    def memory_exhausted(self, job, now):
+        """Return why a request may not use engines that are full.
 
         It may not if the requests in flight exceed what the engines carry
         together: another one would only delay them.  Streams that continue
         may.
+
+        Returns
+        -------
+        Exhausted or None
+            None if it may.
         """
         if not self.view.link_budgets or _continues(job):
-            return True
+            return None
         service = self._service(job.service, now)
-        found = service.found
+        in_flight, found = service.load()
         if found is None or found.requests < 1.0:
             # Layers without an engine: no chain to overcommit.
-            return True
-        excess = service.in_flight - found.requests
+            return None
+        excess = in_flight - found.requests
         if excess <= 0.0:
-            return True
-        if job.blocked_by is None:
-            job.blocked_by = Blocked(self._memory_wait(service, excess, now))
-        return False
+            return None
+        # Callers that this router refused lately come back first.
+        ahead = excess + 1.0 + service.count_refused(now)
+        wait = MEAN_STREAM_SECONDS * ahead / in_flight
+        return Exhausted(wait, in_flight=in_flight, found=found)
 
     def refuse(self, job, now):
         """Record that a request is refused.
@@ -138,36 +218,35 @@
             Seconds after which it may be admitted, spread over callers; None
             if neither a link nor the capacity was the reason.
         """
-        blocked = job.blocked_by
-        if blocked is None:
+        exhausted = job.blocked_by
+        if exhausted is None:
             return None
         service = self.services.get(job.service.name)
-        if service is not None and not blocked.pairs:
-            service.refused.append(now)
-        wait = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, blocked.wait))
+        if service is not None and not exhausted.pairs:
+            service.note_refused(now)
+        wait = min(MAX_RETRY_SECONDS, max(MIN_RETRY_SECONDS, exhausted.wait))
         return wait * (MIN_SPREAD + (MAX_SPREAD - MIN_SPREAD) * self.draw())
 
     def facts(self, job):
         """Return what a log line says of a request that was refused."""
-        blocked = job.blocked_by
-        if blocked is None:
+        exhausted = job.blocked_by
+        if exhausted is None:
             return {}
-        wait_ms = round(blocked.wait * MS_PER_SECOND)
-        if not blocked.pairs:
-            service = self.services[job.service.name]
+        wait_ms = round(exhausted.wait * MS_PER_SECOND)
+        if not exhausted.pairs:
             return {
                 'over_capacity': {
-                    'in_flight': round(service.in_flight, 1),
-                    'requests': round(service.found.requests, 1),
-                    'bottleneck': service.found.bottleneck,
+                    'in_flight': round(exhausted.in_flight, 1),
+                    'requests': round(exhausted.found.requests, 1),
+                    'bottleneck': exhausted.found.bottleneck,
                     'wait_ms': wait_ms,
                 }
             }
         return {
             'link_budget': {
-                'links': sorted({' '.join(pair) for pair in blocked.pairs}),
-                'crossings': len(blocked.pairs),
-                'megabytes': round(blocked.megabytes, 1),
+                'links': sorted({' '.join(pair) for pair in exhausted.pairs}),
+                'crossings': len(exhausted.pairs),
+                'megabytes': round(exhausted.megabytes, 1),
                 'wait_ms': wait_ms,
             }
         }
@@ -177,36 +256,27 @@
         found = [each.found for each in list(self.services.values())]
         return round(sum(each.requests for each in found if each), 1)
 
-    def _memory_wait(self, service, excess, now):
-        """Return the seconds until enough streams will have ended.
+    def _service(self, service, now):
+        """Return the state of a service, brought up to date.
 
-        Callers that this router refused lately come back first.
+        Only one thread counts or computes; others use the former values.
         """
-        while service.refused and now - service.refused[0] > REFUSED_SECONDS:
-            service.refused.popleft()
-        ahead = excess + 1.0 + len(service.refused)
-        return MEAN_STREAM_SECONDS * ahead / service.in_flight
-
-    def _service(self, service, now):
-        """Return the state of a service, brought up to date."""
         known = self.services.get(service.name)
         if known is None:
             known = self.services.setdefault(service.name, _Service())
-        if now - known.counted_at < LOAD_SECONDS:
+        if not known.start_count(now):
             return known
-        known.counted_at = now
         endpoints = self.view.snapshot.by_service.get(service.name, ())
-        usable = self._count_in_flight(known, endpoints, service.model, now)
+        usable, in_flight = self._count_in_flight(
+            endpoints, service.model, now
+        )
         holdings = service.model, tuple((e.id, e.holding) for e in usable)
-        is_due = now - known.computed_at >= CAPACITY_SECONDS
-        if is_due and holdings != known.holdings:
-            known.computed_at = now
-            known.holdings = holdings
+        if known.start_computation(in_flight, holdings, now):
             self._compute(known, service, usable)
         return known
 
-    def _count_in_flight(self, known, endpoints, model, now):
-        """Count the requests in flight; return the engines in reach."""
+    def _count_in_flight(self, endpoints, model, now):
+        """Return the engines in reach, and the requests in flight."""
         with self.view.lock:
             table = self.view.estimates
             usable = [e for e in endpoints if not table.is_dead(e.id)]
@@ -215,8 +285,8 @@
         tokens = sum(
             totals.get(e.id, 0.0) + own.get(e.id, 0.0) for e in usable
         )
-        known.in_flight = tokens / (model.layers * _usual_tokens(model))
-        return usable
+        each = max(1, model.layers) * _usual_tokens(model)
+        return usable, tokens / each
 
     def _compute(self, known, service, endpoints):
         model = service.model
@@ -225,20 +295,18 @@
             for holder in map(lambda e: _holder(e, model), endpoints)
             if holder is not None
         ]
-        known.found = capacity.compute(
+        found = capacity.compute(
             holders,
             model.layers,
             capacity.Usual(_usual_tokens(model), _per_link(model)),
         )
-        change = abs(known.found.requests - known.logged)
-        if change > LOGGED_CHANGE * known.logged:
-            known.logged = known.found.requests
+        if known.set_capacity(found):
             logs.event(
                 LOG,
                 'capacity',
                 service=service.name,
-                requests=round(known.found.requests, 1),
-                bottleneck=known.found.bottleneck,
+                requests=round(found.requests, 1),
+                bottleneck=found.bottleneck,
                 engines=len(holders),
             )
 
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -54,7 +54,7 @@
         Endpoints that were skipped for their rate limits in the last choice.
     transfer : domainlinks.Transfer or None
         What it sends over links between failure domains.
-    blocked_by : bottlenecks.Blocked or None
+    blocked_by : bottlenecks.Exhausted or None
         What left the last choice without an endpoint, if a bottleneck did.
     first_chunk_at, last_chunk_at : float or None
         When the first and the latest chunk of its answer arrived.
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -33,6 +33,9 @@
 # A refusal that arrives this many seconds after the last event is caused by a
 # stalled stage and not by admission control.
 STALL_SECONDS = 1.0
+# Further searches after the budget of a link has refused a chain.  Each takes
+# as long as the first one, and many requests are refused at a high load.
+MAX_FURTHER_SEARCHES = 2
 # Retry-After of a plain service.
 MIN_RETRY_SECONDS = 0.1
 
@@ -86,6 +89,8 @@
         for wait_bound in (0.0, max_wait):
             job.limited = self._backing_off(job, now, wait_bound)
             choice = self._choose_within(job, now, wait_bound)
+            if choice is not None:
+                job.blocked_by = None
             if choice is not None or not job.limited:
                 return choice
         return None
@@ -141,9 +146,9 @@
         return 1.0 + SCORE_NOISE * (self.rng.random() - 0.5)
 
     def _choose_chain(self, job, endpoints, now):
-        model = job.service.model
         demand = self._demand(job)
-        demand.may_overcommit = self.bottlenecks.may_overcommit(job, now)
+        no_memory = self.bottlenecks.memory_exhausted(job, now)
+        demand.may_overcommit = no_memory is None
         first_stages = None
         if job.progress.sent_to >= job.progress.max_endpoints:
             # The route allows no further endpoint; only those that had the
@@ -157,21 +162,16 @@
             job, endpoints, now, demand, first_stages
         )
         if stages is None:
-            stages = self._find_chain(
-                endpoints, model, now, demand, first_stages, job.avoid
-            )
-        if stages is None and job.avoid:
-            # An endpoint that only lost an answer is better than none; those
-            # estimated to be dead or full stay excluded.
-            stages = self._find_chain(
-                endpoints, model, now, demand, first_stages, ()
-            )
-        if stages and not self.bottlenecks.admit(job, stages, now):
-            demand.may_cross = False
-            stages = self._find_chain(
-                endpoints, model, now, demand, first_stages, job.avoid
+            stages = self._search(job, endpoints, now, demand, first_stages)
+        no_link = None
+        if stages:
+            no_link = self.bottlenecks.link_exhausted(job, stages, now)
+        if no_link is not None:
+            stages = self._search_within_budgets(
+                job, endpoints, now, demand, first_stages, stages
             )
         if stages is None:
+            job.blocked_by = no_link or no_memory
             return None
         by_id = self.view.snapshot.endpoints
         endpoint = by_id.get(stages[0].endpoint)
@@ -179,6 +179,50 @@
             return None
         return Choice(endpoint, tuple(stages), demand.tokens)
 
+    def _search(
+        self, job, endpoints, now, demand, first_stages, without=frozenset()
+    ):
+        """Search a chain without, else with, the endpoints to avoid.
+
+        It uses no engine of the failure domains `without`.
+        """
+        model = job.service.model
+        stages = self._find_chain(
+            endpoints, model, now, demand, first_stages, job.avoid, without
+        )
+        if stages is None and job.avoid:
+            # An endpoint that only lost an answer is better than none; those
+            # estimated to be dead or full stay excluded.
+            stages = self._find_chain(
+                endpoints, model, now, demand, first_stages, (), without
+            )
+        return stages
+
+    def _search_within_budgets(
+        self, job, endpoints, now, demand, first_stages, refused
+    ):
+        """Choose another chain than one that a link's budget has refused.
+
+        It does without the domain behind the refused crossing or, if there
+        is no such chain, without the one before it.  The last resort is a
+        chain within one domain.
+        """
+        before, behind = self.bottlenecks.refused_crossing(job, refused)
+        without = {behind}
+        for _ in range(MAX_FURTHER_SEARCHES):
+            stages = self._search(
+                job, endpoints, now, demand, first_stages, without
+            )
+            if stages is None:
+                without = {before}
+                continue
+            if self.bottlenecks.link_exhausted(job, stages, now) is None:
+                return stages
+            before, behind = self.bottlenecks.refused_crossing(job, stages)
+            without = without | {behind}
+        demand.may_cross = False
+        return self._search(job, endpoints, now, demand, first_stages)
+
     def _at_risk(self, job):
         """Return the endpoints that another suspect may be about to crash."""
         with self.view.lock:
@@ -267,10 +311,20 @@
         )
         return shortage.describe(found)
 
-    def _find_chain(self, endpoints, model, now, demand, first_stages, avoid):
+    def _find_chain(
+        self,
+        endpoints,
+        model,
+        now,
+        demand,
+        first_stages,
+        avoid,
+        without=frozenset(),
+    ):
         with self.view.lock:
             holders = self.view.estimates.holders(endpoints, model, now, avoid)
             self.view.estimates.note_memory_use(holders)
+        holders = [each for each in holders if each.domain not in without]
         chains.jitter_slot_use(holders, self.rng.random)
         found = chains.choose(
             holders, demand, model.layers, self._random_factor, first_stages
--- a/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
+++ b/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
@@ -1,6 +1,8 @@
 """Tests of admission by links and by capacity."""
 
 import collections
+import threading
+import time
 import types
 
 import pytest
@@ -173,7 +175,60 @@
     view.estimates.get('e3').tokens = 0.97 * 20 * 843 * 40
     assert [s.endpoint for s in _choose(selector)[1].stages] == ['e1', 'e2']
     _use_up(selector)
-    assert [s.endpoint for s in _choose(selector)[1].stages] == ['e1', 'e3']
+    job, choice = _choose(selector)
+    assert [s.endpoint for s in choice.stages] == ['e1', 'e3']
+    assert job.blocked_by is None
+
+
+@pytest.mark.parametrize(
+    ('first', 'domain', 'expected'),
+    [(40, 'c', ['e1', 'e3']), (0, 'c', ['e3', 'e2'])],
+)
+@pytest.mark.parametrize('avoid', [(), ('e3',)])
+def test_another_link_replaces_one_without_budget(
+    first, domain, expected, avoid
+):
+    """Guards against a refusal while the budget of another link is free."""
+    selector = _selector()
+    view = selector.view
+    third = build.held_endpoint('e3', first, first + 40, domain, 'half')
+    view.snapshot.endpoints['e3'] = third
+    view.snapshot.by_service['model'].append(third)
+    # Of two equal engines the emptier one is chosen first, that is e2.
+    view.estimates.get('e3').tokens = 0.7 * 500 * 843 * 40
+    _use_up(selector)
+    job = bottleneckload.make_job(view, view.clock())
+    job.avoid = set(avoid)
+    choice = selector.choose(job, view.clock())
+    assert [s.endpoint for s in choice.stages] == expected
+    assert job.blocked_by is None
+    # Other routers are told of the fullest engine, searched or not.
+    assert view.estimates.max_memory_use > 0.6
+
+
+def test_further_searches_are_bounded(monkeypatch):
+    """Guards against searches of all domains for each refused request."""
+    selector = _selector()
+    view = selector.view
+    for domain in 'cdefgh':
+        name = f'e{domain}'
+        engine = build.held_endpoint(name, 40, 80, domain, 'half')
+        view.snapshot.endpoints[name] = engine
+        view.snapshot.by_service['model'].append(engine)
+    searches = []
+    search = selector._search
+    monkeypatch.setattr(
+        selector, '_search', lambda *args: searches.append(0) or search(*args)
+    )
+    monkeypatch.setattr(
+        view.domain_links,
+        '_wait',
+        lambda budget, transfer, now, draw: 1.0,
+    )
+    job, choice = _choose(selector)
+    assert choice is None and job.blocked_by.pairs
+    # The first one, the further ones, and that within one domain.
+    assert len(searches) == 1 + selecting.MAX_FURTHER_SEARCHES + 1
 
 
 @pytest.mark.parametrize(('share', 'is_refused'), [(0.97, 0), (1.04, 1)])
@@ -190,6 +245,79 @@
     assert selector.bottlenecks.capacity_requests() == pytest.approx(206, 0.01)
 
 
+class _SlowDeque(collections.deque):
+    """Gives other threads time between a look at an item and its removal."""
+
+    def __getitem__(self, index):
+        item = super().__getitem__(index)
+        time.sleep(0.05)
+        return item
+
+
+def _over_capacity():
+    """Return a selector with more requests in flight than the engines fit."""
+    selector = _selector(domains='aa', mbps=0.0, fits=200.0)
+    tokens = {name: 1.04 * 200 * 868 * 40 for name in ('e1', 'e2')}
+    view = selector.view
+    view.estimates.merge_gossip('r2', tokens, [], view.clock())
+    return selector
+
+
+def test_threads_that_are_refused_together_both_get_an_answer():
+    """Guards against two threads that remove the same expired refusal."""
+    selector = _over_capacity()
+    _choose(selector)
+    service = selector.bottlenecks.services['model']
+    service.refused = _SlowDeque([0.0])
+    found = []
+    threads = [
+        threading.Thread(target=lambda: found.append(_choose(selector)))
+        for _ in range(4)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    assert len(found) == 4
+
+
+def test_count_by_another_thread_during_a_refusal_is_harmless():
+    """Guards against a division by requests that have ended meanwhile."""
+    selector = _over_capacity()
+    _choose(selector)
+    service = selector.bottlenecks.services['model']
+
+    class _Ending(collections.deque):
+        def __len__(self):
+            service.in_flight = 0.0
+            return super().__len__()
+
+    service.refused = _Ending()
+    job, choice = _choose(selector)
+    assert choice is None
+    facts = selector.bottlenecks.facts(job)['over_capacity']
+    assert facts['in_flight'] > facts['requests'] > 0.0
+
+
+def test_requests_pass_while_the_capacity_is_computed(monkeypatch):
+    """Guards against a lock that is held while the capacity is computed."""
+    selector = _selector(domains='aa', mbps=0.0)
+    compute = bottlenecks.capacity.compute
+    found = []
+
+    def compute_slowly(*args):
+        other = threading.Thread(
+            target=lambda: found.append(_choose(selector)[1]), daemon=True
+        )
+        other.start()
+        other.join(5.0)
+        return compute(*args)
+
+    monkeypatch.setattr(bottlenecks.capacity, 'compute', compute_slowly)
+    assert _choose(selector)[1] is not None
+    assert len(found) == 1 and found[0] is not None
+
+
 def test_refused_caller_is_told_of_the_link():
     selector = _selector()
     _use_up(selector)
