Shorten simulate of linkload and the constructor of jobs

Result: doctests and tests of domainlinks, bottlenecks, selecting, jobs, forwarding, gossip, relaysending, screening and capacity passed.

--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -62,6 +62,13 @@
         Longest time between two chunks, in seconds.
     """
 
+    # Values before the first attempt.
+    transfer = None
+    blocked_by = None
+    first_chunk_at = None
+    last_chunk_at = None
+    longest_pause = 0.0
+
     def __init__(self, exchange, request, match, service, started, deadline):
         self.exchange = exchange
         self.request = request
@@ -92,14 +99,9 @@
         self.unreached_at = None
         self.is_cut_off = False
         self.limited = set()
-        self.transfer = None
-        self.blocked_by = None
         self.sent_to = []
         self.answer = None
         self.chain = ''
-        self.first_chunk_at = None
-        self.last_chunk_at = None
-        self.longest_pause = 0.0
         self.progress = attempts.Progress(
             repeatable=match.route.repeatable,
             stream=match.route.kind is routing.RequestKind.STREAM,
--- a/packages/policy/ibisring_policy/gateway/tests/linkload.py
+++ b/packages/policy/ibisring_policy/gateway/tests/linkload.py
@@ -45,6 +45,30 @@
             fleet[other].receive(f'r{number}', f'd{domain}', updates, now)
 
 
+def _make_fleet(site, rng):
+    return [
+        domainlinks.make_domain_links(
+            f'r{n}', f'd{n % site.domains}', rng.random
+        )
+        for n in range(site.routers)
+    ]
+
+
+def _router_counts(site):
+    return {
+        f'd{d}': len(range(d, site.routers, site.domains))
+        for d in range(site.domains)
+    }
+
+
+def _is_admitted(site, links, number, continues, now):
+    """Ask for a transfer; a router of the older release always sends it."""
+    if number < site.older:
+        return True
+    transfer = domainlinks.Transfer(site.megabytes, site.rate, 0.5, continues)
+    return links.admit([PAIR], transfer, now) is None
+
+
 def simulate(site, seed, budget):
     """Return the transfers that were admitted.
 
@@ -61,16 +85,8 @@
         Time, router, and whether a stream continued.
     """
     rng = random.Random(seed)
-    fleet = [
-        domainlinks.make_domain_links(
-            f'r{n}', f'd{n % site.domains}', rng.random
-        )
-        for n in range(site.routers)
-    ]
-    counts = {
-        f'd{d}': len(range(d, site.routers, site.domains))
-        for d in range(site.domains)
-    }
+    fleet = _make_fleet(site, rng)
+    counts = _router_counts(site)
     arrivals = site.load * budget / site.megabytes * STEP_SECONDS
     chance = arrivals / (site.routers - site.idle)
     found = []
@@ -83,13 +99,6 @@
             if number < site.idle or rng.random() >= chance:
                 continue
             continues = rng.random() < site.continuing
-            transfer = domainlinks.Transfer(
-                site.megabytes, site.rate, 0.5, continues
-            )
-            if number < site.older:
-                wait = None
-            else:
-                wait = links.admit([PAIR], transfer, now)
-            if wait is None:
+            if _is_admitted(site, links, number, continues, now):
                 found.append((now - 100.0, number, continues))
     return found
