--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -114,7 +114,10 @@
     def _add_engines(self, message, now):
         """Add what this router has seen of endpoints and their requests."""
         share = self._repeat_share()
+        routers = self.peers.max_routers(now)
         with self.view.lock:
+            self.view.rank_shares.note_routers(routers, now)
+            message.rank_use = self.view.rank_shares.use_to_send()
             estimates = self.view.estimates
             tokens = estimates.own_tokens()
             message.tokens = {n: int(each) for n, each in tokens.items()}
@@ -134,6 +137,7 @@
             message.limits = self.view.limits.updates_to_send(
                 now, self.rng, share
             )
+            message.link_use = self.view.domain_links.updates_to_send(now)
 
     def _add_store_access(self, message, now):
         """Add how well this router reaches the store."""
@@ -214,6 +218,7 @@
             self.view.parts.changes,
             self.view.limits.changes,
             self.view.limits.endpoints_in_demand(now),
+            sorted(each[:2] for each in message.link_use),
         ]
 
     def _urgent_state(self, message):
--- a/packages/gateway/ibisring_gateway/gossipmessages.py
+++ b/packages/gateway/ibisring_gateway/gossipmessages.py
@@ -85,6 +85,15 @@
         Services whose endpoints the sender can't reach.
     parts : list of partupdates.PartUpdate
         Parts of prompts under which endpoints have crashed.
+    rank_use : dict of str to list of (int, int, int)
+        By service whose requests differ in rank: priorities of account and
+        route, and the tokens times layers that the sender has in flight for
+        them.  An older release sends none; its `tokens` count as the lowest
+        rank.
+    link_use : list of (str, str, int, int) or None
+        Demand for links between failure domains in bytes per second: pair of
+        domains, of new requests, of streams that continue.  None of an older
+        release, which does not report it.
     """
 
     router: str
@@ -118,6 +127,8 @@
     active: int = 0
     cut_from: list[str] = []
     parts: list[partupdates.PartUpdate] = []
+    rank_use: dict[str, list[tuple[int, int, int]]] = {}
+    link_use: list[tuple[str, str, int, int]] | None = None
 
     @property
     def era(self):
--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -4,6 +4,7 @@
 
 import logging
 
+from ibisring_gateway import bottlenecks
 from ibisring_gateway import changes as changes_module
 from ibisring_gateway import directory
 from ibisring_gateway import gossipmessages
@@ -38,6 +39,8 @@
     ----------
     alive_engines : callable
         Returns the engines that have just sent this router an event.
+    on_loads : callable
+        Called when the loads of engines have been updated.
     """
 
     def __init__(self, view, peers, tell_directory):
@@ -45,6 +48,7 @@
         self.peers = peers
         self.tell_directory = tell_directory
         self.alive_engines = frozenset
+        self.on_loads = lambda: None
 
     def receive(self, message, source):
         """Apply a message of another router.
@@ -59,9 +63,11 @@
         if message.era:
             self.peers.followers.note_era(message.era)
         self._apply_estimates(message, now)
+        self._apply_rank_use(message, now)
         self._apply_suspects(message, now)
         self._apply_parts(message, now)
         self._apply_limits(message, now)
+        self._apply_link_use(message, now)
         self._apply_leaving(message)
         self._record_peer(message, f'{source[0]}:{source[1]}', now)
         if message.changes:
@@ -85,6 +91,7 @@
             )
             estimates.merge_loads(message.loads, now)
             estimates.merge_recovered(message.recovered, now)
+        self.on_loads()
         if newly_dead:
             logs.event(
                 LOG,
@@ -93,6 +100,26 @@
                 origin=f'router {message.router}',
             )
 
+    def _apply_rank_use(self, message, now):
+        unranked = self._unranked_use(message)
+        with self.view.lock:
+            self.view.rank_shares.receive(
+                message.router, message.rank_use, unranked, now
+            )
+
+    def _unranked_use(self, message):
+        """Return the use by service of a sender that sends no ranks."""
+        missing = set(self.view.rank_shares.ranked) - set(message.rank_use)
+        if not missing:
+            return {}
+        endpoints = self.view.snapshot.endpoints
+        found = {}
+        for name, tokens in message.tokens.items():
+            service = endpoints[name].service if name in endpoints else None
+            if service in missing:
+                found[service] = found.get(service, 0) + tokens
+        return found
+
     def _apply_holdings(self, message):
         for name, (started, first, end) in message.holdings.items():
             holding = routing.Holding(first, end) if end > first else None
@@ -167,6 +194,17 @@
                 origin=f'router {message.router}',
             )
 
+    def _apply_link_use(self, message, now):
+        link_use = message.link_use
+        if link_use is None:
+            link_use = bottlenecks.demand_of_tokens(
+                self.view.snapshot, message.tokens
+            )
+        with self.view.lock:
+            self.view.domain_links.receive(
+                message.router, message.domain, link_use, now
+            )
+
     def _apply_leaving(self, message):
         known = self.view.snapshot.leaving
         origin = f'router {message.router}'
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -50,14 +50,41 @@
         When the last attempt to reach an endpoint began that failed.
     is_cut_off : bool
         Whether neither an endpoint nor another router can be reached.
+    return_at : float or None
+        When its caller was told to return, by the queue.
     limited : set of str
         Endpoints that were skipped for their rate limits in the last choice.
+    retried_at : float or None
+        When the present attempt was allowed as a retry whose outcome counts;
+        None once it has been noted.
+    has_refused_retry : bool
+        Whether the refusal of a retry has been noted.
+    transfer : domainlinks.Transfer or None
+        What it sends over links between failure domains.
+    blocked_by : bottlenecks.Exhausted or None
+        What left the last choice without an endpoint, if a bottleneck did.
     first_chunk_at, last_chunk_at : float or None
         When the first and the latest chunk of its answer arrived.
+    rank : tuple of int
+        Priority of the account and of the route, smaller first, see
+        `routetable.Index.rank`; read anew while the request waits.
+    waited : float
+        Seconds that it has waited for a chain.
     longest_pause : float
         Longest time between two chunks, in seconds.
     """
 
+    # Values before the first attempt.
+    transfer = None
+    blocked_by = None
+    retried_at = None
+    has_refused_retry = False
+    return_at = None
+    waited = 0.0
+    first_chunk_at = None
+    last_chunk_at = None
+    longest_pause = 0.0
+
     def __init__(self, exchange, request, match, service, started, deadline):
         self.exchange = exchange
         self.request = request
@@ -91,9 +118,7 @@
         self.sent_to = []
         self.answer = None
         self.chain = ''
-        self.first_chunk_at = None
-        self.last_chunk_at = None
-        self.longest_pause = 0.0
+        self.rank = (match.priority, match.route.priority)
         self.progress = attempts.Progress(
             repeatable=match.route.repeatable,
             stream=match.route.kind is routing.RequestKind.STREAM,
@@ -130,6 +155,11 @@
             self.longest_pause = max(self.longest_pause, pause)
         self.last_chunk_at = now
 
+    @property
+    def rank_text(self):
+        """The rank as it is written in log lines and names of metrics."""
+        return '-'.join(str(each) for each in self.rank)
+
     @property
     def first_seconds(self):
         """Seconds to the first chunk of the answer, None without one."""
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -52,6 +52,8 @@
         Takes `directory.HoldingReport` messages.
     on_outage_suspected : callable
         Called when the store does not answer.
+    min_pool_requests : int
+        See `layers.pools`.
     """
 
     def __init__(
@@ -64,12 +66,14 @@
         store_statuses,
         send_to_directory,
         on_outage_suspected,
+        min_pool_requests=layers.MIN_REQUESTS,
     ):
         super().__init__()
         self.router_id = router_id
         self.store_statuses = store_statuses
         self.send_to_directory = send_to_directory
         self.on_outage_suspected = on_outage_suspected
+        self.min_pool_requests = min_pool_requests
         self.pool = concurrent.futures.ThreadPoolExecutor(MAX_CONCURRENT_CALLS)
         self.view = view
         self.engines = engines
@@ -80,8 +84,10 @@
         self.lease_table = lease_table
         self.orders = layerorders.make_order_tracker()
         self.registrations = layerorders.Registrations()
+        self.pool_tracker = layerorders.PoolTracker()
         self.missing_layers = {}
-        self.last_plans = {}
+        self.pool_rooms = {}
+        self.last_checks = {}
 
     def handlers(self):
         return {CheckPlacement: self.on_check}
@@ -119,32 +125,84 @@
             # router that has just started can't distinguish their engines
             # from lost ones, and would reassign all engines that it sees.
             return
-        needs_changes = self._needs_changes(service, engines, usable)
+        needs_changes = self._needs_changes(service, engines, usable, now)
         self.lease.note_holder(self.view.term, now)
         if not self.lease.may_act(needs_changes, now):
             return
         if not self._acquire_lease(now):
             return
         engines = self._with_memory_use(engines, usable, service.model, now)
-        changes = layers.plan(engines, service.model)
+        pools = layers.pools(engines, service.model, self.min_pool_requests)
+        gap_seconds = self.pool_tracker.gap_seconds(service.name, now)
+        changes = layers.plan_pools(pools, service.model, gap_seconds)
         by_id = {e.id: e for e in usable}
         planned = [(by_id[c.id], c.holding) for c in changes]
-        self._send_orders(planned, service.model)
+        self._send_orders(planned, pools, service)
+
+    def _track_pools(self, service, pools, now):
+        """Return for how long layers have lacked a holder, by domains."""
+        count = service.model.layers
+        found = [
+            (tuple(p.domains), p.is_complete(count), p.has_gaps(count))
+            for p in pools
+        ]
+        self.pool_tracker.update(service.name, found, now)
+        return self.pool_tracker.gap_seconds(service.name, now)
+
+    def _report_pools(self, service, pools):
+        """Log changed pools, and set the metric of the smallest room."""
+        found = [
+            (
+                pool.domains,
+                round(layers.room_requests(pool, service.model)),
+                pool.is_complete(service.model.layers),
+            )
+            for pool in pools
+        ]
+        if found == self.pool_rooms.get(service.name):
+            return
+        self.pool_rooms[service.name] = found
+        rooms = [
+            room
+            for entries in self.pool_rooms.values()
+            for _, room, is_complete in entries
+            if is_complete
+        ]
+        self.view.pool_room_requests = min(rooms, default=0)
+        logs.event(
+            LOG,
+            'layer_pools',
+            service=service.name,
+            pools=[
+                {'domains': domains, 'room': room, 'complete': is_complete}
+                for domains, room, is_complete in found
+            ],
+        )
 
-    def _needs_changes(self, service, engines, usable):
+    def _needs_changes(self, service, engines, usable, now):
         """Return whether any engine of a service should hold other layers.
 
         Every router checks several times a second, while the engines seldom
         differ from the last check.  How full they are is left out: it decides
-        only which of them are changed.
+        only which of them are changed.  Layers that are lacking for long are
+        planned for in another way.
         """
-        key = service.model, engines
-        known = self.last_plans.get(service.name)
-        if known is None or known[0] != key:
-            self._log_missing_layers(service, usable)
-            known = key, bool(layers.plan(engines, service.model))
-            self.last_plans[service.name] = known
-        return known[1]
+        overdue = self.pool_tracker.lacking_for(
+            service.name, layers.RETILE_SECONDS, now
+        )
+        key = service.model, engines, overdue
+        known = self.last_checks.get(service.name)
+        if known is not None and known[0] == key:
+            return known[1]
+        self._log_missing_layers(service, usable)
+        pools = layers.pools(engines, service.model, self.min_pool_requests)
+        self._report_pools(service, pools)
+        gap_seconds = self._track_pools(service, pools, now)
+        needs_changes = bool(
+            layers.plan_pools(pools, service.model, gap_seconds)
+        )
+        self.last_checks[service.name] = key, needs_changes
+        return needs_changes
 
     def _with_memory_use(self, engines, usable, model, now):
         """Return the engines with the share of their memory in use."""
@@ -175,6 +233,7 @@
                     is_running_site
                     and self.registrations.has_just_registered(each, now),
                     card.step_factor,
+                    is_unloading=self.orders.gives_up_layers(each),
                 )
             )
         return found
@@ -299,14 +358,16 @@
         )
         return True
 
-    def _send_orders(self, planned, model):
-        """Send orders concurrently.
+    def _send_orders(self, planned, pools, service):
+        """Send orders concurrently, as many as may load at once.
 
         Parameters
         ----------
         planned : list of (routing.Endpoint, routing.Holding)
-        model : routing.Model
+        pools : list of layers.Pool
+        service : routing.Service
         """
+        model = service.model
         unknown = [
             e for e, _ in planned if self.orders.accepted_orders(e) is None
         ]
@@ -321,6 +382,13 @@
             if self.orders.accepted_orders(endpoint) is not None
             and not self.orders.is_blocked(endpoint, now)
         ]
+        broken = self.pool_tracker.broken[service.name]
+        waiting = [
+            e.failure_domain
+            for e in self.view.snapshot.by_service.get(service.name, ())
+            if self.orders.is_unloading(e, now)
+        ]
+        ready = _due_orders(ready, pools, model, broken, waiting)
         results = list(self.pool.map(self._send_order, ready))
         for (endpoint, holding), result in zip(ready, results):
             if result is not None:
@@ -387,6 +455,16 @@
             )
 
 
+def _due_orders(ready, pools, model, broken, waiting):
+    """Return the orders to send now, see `layers.due`."""
+    by_id = {endpoint.id: endpoint for endpoint, _ in ready}
+    changes = [layers.Change(e.id, holding) for e, holding in ready]
+    return [
+        (by_id[change.id], change.holding)
+        for change in layers.due(changes, pools, model, broken, waiting)
+    ]
+
+
 def _load_seconds(endpoint, holding, model):
     """Return the seconds to load the layers that an engine lacks."""
     held = endpoint.holding
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -21,6 +21,7 @@
 from ibisring_gateway import logwriter
 from ibisring_gateway import peers
 from ibisring_gateway import placing
+from ibisring_gateway import rankroom
 from ibisring_gateway import relaymarks
 from ibisring_gateway import relaysending
 from ibisring_gateway import screening
@@ -74,6 +75,9 @@
         self.view = view_module.make_view(
             settings.failure_domain, name=settings.router_id
         )
+        self.view.link_budgets = settings.link_budgets == 'on'
+        self.view.rank_shares.is_enabled = settings.rank_room == 'on'
+        self.rank_monitor = rankroom.make_monitor(self.view, self.metrics)
         self.connections = upstream.make_connection_pool()
         self.watcher = attemptwatching.make_watcher(self._on_stall)
         self.retry_budget = attempts.make_retry_budget(
@@ -82,6 +86,7 @@
             settings.repeat_slack * attempts.SLACK_SHARE,
         )
         self._make_forwarder()
+        self._set_slow_detection()
         self._make_link_monitor()
         self.followers = storefollowing.make_followers(
             self._polling_slot, self._role
@@ -121,6 +126,12 @@
             self.screen,
             self.relay_sender,
         )
+        self.forwarder.admitter.mode = self.settings.queueing
+
+    def _set_slow_detection(self):
+        is_adaptive = self.settings.slow_detection == 'adaptive'
+        self.forwarder.selector.event_times.is_adaptive = is_adaptive
+        self.retry_budget.is_damped = is_adaptive
 
     def _make_link_monitor(self):
         """Make what follows the links and the streams to endpoints."""
@@ -177,6 +188,7 @@
             self._store_statuses,
             lambda message: self.directory.tell(message),
             self.followers.suspect_outage,
+            settings.min_pool_requests,
         )
         self._listen()
         self.directory = directory.Directory.start(
@@ -198,6 +210,7 @@
         self.gossip.receiver.alive_engines = (
             self.stall_handler.engines_with_events
         )
+        self.gossip.receiver.on_loads = self.forwarder.admitter.wake_all
         self.gossip.own_service = self._own_service
         self.link_monitor.on_change = self.gossip.request_send
         self.screen.on_update = self.gossip.request_send
@@ -258,15 +271,26 @@
     def _apply_limits(self, table):
         for server in (self.caller_server, self.peer_server):
             exchange.apply_limits(server, table.limits)
+        self.forwarder.admitter.wake_all()
 
     def _check_placement(self):
         self.placer.tell(placing.CheckPlacement())
 
+    def _update_fleet(self):
+        """Tell the budgets of links how many routers share them."""
+        now = time.monotonic()
+        counts = self.peers.peer_reports.router_counts(now)
+        total = self.peers.max_routers(now)
+        with self.view.lock:
+            self.view.domain_links.set_fleet(counts, total, now)
+
     def _run_periodic_checks(self):
         self._check_placement()
+        self._update_fleet()
         self.directory.tell(directory.Tick())
         self.stall_handler.run_checks()
         self.link_monitor.run_checks()
+        self.rank_monitor.run_checks()
 
     def serve_ready(self, call):
         """Answer a readiness check: 200 if new connections are accepted."""
@@ -297,6 +321,11 @@
             counters['suspects'] = len(self.view.suspects.by_digest)
             counters['part_suspects'] = len(self.view.parts.by_feature)
             counters['backoffs'] = len(self.view.limits.backoffs.by_endpoint)
+        counters['pool_room_requests'] = self.view.pool_room_requests
+        counters['capacity_requests'] = (
+            self.forwarder.selector.bottlenecks.capacity_requests()
+        )
+        self.rank_monitor.update_metrics()
         counters['routers_running'] = self.peers.running_count(
             time.monotonic()
         )
@@ -360,6 +389,7 @@
         self.gossip.request_send()
         self.forwarder.stopping_at = started_at
         self.forwarder.refuse_after = started_at + shutdown.ACCEPT_SECONDS
+        self.forwarder.admitter.close()
         logs.event(LOG, 'ending', active=self.forwarder.active)
         while True:
             time.sleep(SHUTDOWN_POLL_SECONDS)
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -5,6 +5,9 @@
 import math
 import random
 
+from ibisring_gateway import bottlenecks
+from ibisring_gateway import eventtimes
+from ibisring_gateway import rankroom
 from ibisring_gateway import throttling
 from ibisring_policy.gateway import chains
 from ibisring_policy.gateway import estimates
@@ -32,8 +35,9 @@
 # A refusal that arrives this many seconds after the last event is caused by a
 # stalled stage and not by admission control.
 STALL_SECONDS = 1.0
-# Mean seconds for which a stream occupies memory, for Retry-After.
-MEAN_STREAM_SECONDS = 3.5
+# Further searches after the budget of a link has refused a chain.  Each takes
+# as long as the first one, and many requests are refused at a high load.
+MAX_FURTHER_SEARCHES = 2
 # Retry-After of a plain service.
 MIN_RETRY_SECONDS = 0.1
 
@@ -72,6 +76,8 @@
         self.view = view
         self.rng = random.Random()
         self.throttle = throttling.make_throttle(view, self.rng)
+        self.event_times = eventtimes.make_event_times(view)
+        self.bottlenecks = bottlenecks.make_bottlenecks(view, self.rng.random)
 
     def choose(self, job, now):
         """Return a `Choice`, or None if no endpoint can take the request.
@@ -82,9 +88,12 @@
         """
         max_wait = throttling.MAX_WAIT_SHARE * job.route.objective
         max_wait = max(0.0, min(max_wait, job.deadline - now))
+        job.blocked_by = None
         for wait_bound in (0.0, max_wait):
             job.limited = self._backing_off(job, now, wait_bound)
             choice = self._choose_within(job, now, wait_bound)
+            if choice is not None:
+                job.blocked_by = None
             if choice is not None or not job.limited:
                 return choice
         return None
@@ -140,8 +149,9 @@
         return 1.0 + SCORE_NOISE * (self.rng.random() - 0.5)
 
     def _choose_chain(self, job, endpoints, now):
-        model = job.service.model
         demand = self._demand(job)
+        no_memory = self.bottlenecks.memory_exhausted(job, now)
+        demand.may_overcommit = no_memory is None
         first_stages = None
         if job.progress.sent_to >= job.progress.max_endpoints:
             # The route allows no further endpoint; only those that had the
@@ -155,16 +165,16 @@
             job, endpoints, now, demand, first_stages
         )
         if stages is None:
-            stages = self._find_chain(
-                endpoints, model, now, demand, first_stages, job.avoid
-            )
-        if stages is None and job.avoid:
-            # An endpoint that only lost an answer is better than none; those
-            # estimated to be dead or full stay excluded.
-            stages = self._find_chain(
-                endpoints, model, now, demand, first_stages, ()
+            stages = self._search(job, endpoints, now, demand, first_stages)
+        no_link = None
+        if stages:
+            no_link = self.bottlenecks.link_exhausted(job, stages, now)
+        if no_link is not None:
+            stages = self._search_within_budgets(
+                job, endpoints, now, demand, first_stages, stages
             )
         if stages is None:
+            job.blocked_by = no_link or no_memory
             return None
         by_id = self.view.snapshot.endpoints
         endpoint = by_id.get(stages[0].endpoint)
@@ -172,6 +182,49 @@
             return None
         return Choice(endpoint, tuple(stages), demand.tokens)
 
+    def _search(
+        self, job, endpoints, now, demand, first_stages, without=frozenset()
+    ):
+        """Search a chain without, else with, the endpoints to avoid.
+
+        It uses no engine of the failure domains `without`.
+        """
+        stages = self._find_chain(
+            job, endpoints, now, demand, first_stages, job.avoid, without
+        )
+        if stages is None and job.avoid:
+            # An endpoint that only lost an answer is better than none; those
+            # estimated to be dead or full stay excluded.
+            stages = self._find_chain(
+                job, endpoints, now, demand, first_stages, (), without
+            )
+        return stages
+
+    def _search_within_budgets(
+        self, job, endpoints, now, demand, first_stages, refused
+    ):
+        """Choose another chain than one that a link's budget has refused.
+
+        It does without the domain behind the refused crossing or, if there
+        is no such chain, without the one before it.  The last resort is a
+        chain within one domain.
+        """
+        before, behind = self.bottlenecks.refused_crossing(job, refused)
+        without = {behind}
+        for _ in range(MAX_FURTHER_SEARCHES):
+            stages = self._search(
+                job, endpoints, now, demand, first_stages, without
+            )
+            if stages is None:
+                without = {before}
+                continue
+            if self.bottlenecks.link_exhausted(job, stages, now) is None:
+                return stages
+            before, behind = self.bottlenecks.refused_crossing(job, stages)
+            without = without | {behind}
+        demand.may_cross = False
+        return self._search(job, endpoints, now, demand, first_stages)
+
     def _at_risk(self, job):
         """Return the endpoints that another suspect may be about to crash."""
         with self.view.lock:
@@ -196,10 +249,9 @@
             first_stages = self._least_loaded_first_stages(
                 endpoints, at_risk | job.avoid, now
             )
-        model = job.service.model
         avoid = at_risk | job.avoid
         return self._find_chain(
-            endpoints, model, now, demand, first_stages, avoid
+            job, endpoints, now, demand, first_stages, avoid
         )
 
     def _first_stages_within_limits(self, job, endpoints, first_stages):
@@ -251,7 +303,9 @@
         with self.view.lock:
             table = self.view.estimates
             holders = table.holders(endpoints, service.model, now, job.avoid)
+            share = self._rank_share(job, holders, now, job.avoid)
             excluded = table.excluded_ranges(endpoints, now, job.avoid)
+        rankroom.restrict(holders, share)
         found = shortage.find(
             holders,
             excluded,
@@ -260,29 +314,66 @@
         )
         return shortage.describe(found)
 
-    def _find_chain(self, endpoints, model, now, demand, first_stages, avoid):
+    def _rank_share(self, job, holders, now, avoid):
+        """Return the share of engines that a request may fill.
+
+        A stream that continues after a loss may fill them all: breaking it
+        off would lose what its caller has received.  The view's lock must be
+        held.
+        """
+        name = job.service.name
+        if name not in self.view.rank_shares.ranked:
+            return 1.0
+        if job.exchange.headers_sent:
+            return 1.0
+        return rankroom.share_for(
+            self.view, name, job.rank, holders, now, not avoid
+        )
+
+    def _find_chain(
+        self,
+        job,
+        endpoints,
+        now,
+        demand,
+        first_stages,
+        avoid,
+        without=frozenset(),
+    ):
+        model = job.service.model
         with self.view.lock:
             holders = self.view.estimates.holders(endpoints, model, now, avoid)
             self.view.estimates.note_memory_use(holders)
+            share = self._rank_share(job, holders, now, avoid)
+        rankroom.restrict(holders, share)
+        holders = [each for each in holders if each.domain not in without]
         chains.jitter_slot_use(holders, self.rng.random)
         found = chains.choose(
             holders, demand, model.layers, self._random_factor, first_stages
         )
-        if found is None:
+        if found is None and demand.may_overcommit:
             found = self._find_chain_overcommitted(
-                holders, demand, model, first_stages
+                holders, demand, model, first_stages, share
             )
         return found
 
-    def _find_chain_overcommitted(self, holders, demand, model, first_stages):
+    def _find_chain_overcommitted(
+        self, holders, demand, model, first_stages, share
+    ):
         """Choose engines that are estimated to be full.
 
         Requests rarely grow to the size that is reserved for them; an engine
-        that is in fact full refuses at once.
+        that is in fact full refuses at once.  Requests that may fill engines
+        only up to a share fill them up to just that.
         """
+        is_limited = share < 1.0
+        memory_share = (
+            chains.FULL_SHARE if is_limited else OVERCOMMIT_MEMORY_SHARE
+        )
+        slot_share = 1.0 if is_limited else OVERCOMMIT_SLOT_SHARE
         for holder in holders:
-            holder.used *= OVERCOMMIT_MEMORY_SHARE
-            holder.slot_use *= OVERCOMMIT_SLOT_SHARE
+            holder.used *= memory_share
+            holder.slot_use *= slot_share
         return chains.choose(
             holders, demand, model.layers, self._random_factor, first_stages
         )
@@ -357,14 +448,19 @@
         with self.view.lock:
             if attempt.stages:
                 self.view.estimates.reserve(attempt.stages, attempt.tokens)
+                if attempt.rank is not None:
+                    self.view.rank_shares.reserve(*_rank_use(attempt))
             else:
                 self.view.estimates.get(attempt.endpoint.id).active += 1
 
     def release(self, attempt):
         """Remove what `reserve` counted."""
+        self.event_times.note_unfinished(attempt, self.view.clock())
         with self.view.lock:
             if attempt.stages:
                 self.view.estimates.release(attempt.stages, attempt.tokens)
+                if attempt.rank is not None:
+                    self.view.rank_shares.release(*_rank_use(attempt))
             else:
                 self.view.estimates.get(attempt.endpoint.id).active -= 1
 
@@ -373,21 +469,34 @@
         with self.view.lock:
             self.view.estimates.release(attempt.stages, attempt.tokens)
             attempt.stages = stages
+            # The prompt is prefilled again at the new stages only.
+            attempt.expected_seconds = 0.0
             self.view.estimates.reserve(attempt.stages, attempt.tokens)
 
     def first_event_timeout(self, job, attempt):
-        """Return the seconds after which a first event is overdue."""
+        """Return the seconds after which the stages are first checked.
+
+        They don't grow with the load, so that a lost stage is found as soon
+        as ever.  What the load explains is noted in the attempt: it decides
+        whether an attempt whose stages answer is behind or stalled.
+        """
         model = job.service.model
         if model is None:
             return job.route.objective
         prefill = job.request.prompt_tokens / max(1.0, model.prefill_rate)
-        return FIRST_EVENT_TIMEOUT + PREFILL_FACTOR * prefill * 8.0
+        seconds = FIRST_EVENT_TIMEOUT + PREFILL_FACTOR * prefill * 8.0
+        self.event_times.expect_first(
+            attempt, job.request.prompt_tokens, seconds
+        )
+        return seconds
 
     def record_event(self, attempt, now):
         """Record an event, and when the next one is overdue."""
         gap = now - attempt.last_event_at
         attempt.last_event_at = now
         attempt.checks = 0
+        attempt.is_behind = False
+        attempt.blocked = None
         attempt.events += 1
         if attempt.events == 1 and attempt.stages:
             with self.view.lock:
@@ -398,9 +507,10 @@
             weight = 0.3 if attempt.events > 2 else 1.0
             attempt.mean_gap += weight * (gap - attempt.mean_gap)
         wait = max(MIN_EVENT_TIMEOUT, attempt.mean_gap * EVENT_TIMEOUT_FACTOR)
-        attempt.check_at = now + min(
-            wait, max(MAX_EVENT_TIMEOUT, 1.5 * attempt.mean_gap)
-        )
+        wait = min(wait, max(MAX_EVENT_TIMEOUT, 1.5 * attempt.mean_gap))
+        attempt.check_at = now + wait
+        attempt.explained_seconds = wait
+        self.event_times.note_event(attempt, gap, now)
 
     def refusing_endpoint(self, attempt, answer):
         """Return the id of the endpoint that caused a refusal."""
@@ -462,12 +572,17 @@
             room or, if there are none, when one of those takes requests.
         """
         job.limited |= self._backing_off(job, now)
-        capacity_after = self._capacity_after(job.service)
+        capacity_after = self.bottlenecks.refuse(job, now)
+        if capacity_after is None:
+            capacity_after = self._capacity_after(job.service)
         if not job.limited:
             return capacity_after
         limited_for = self.throttle.refuse(job, now)
-        has_unlimited = bool(self._receivers(job) - job.limited)
-        return capacity_after if has_unlimited else limited_for
+        return limited_for if self.are_all_limited(job) else capacity_after
+
+    def are_all_limited(self, job):
+        """Return whether all receivers were skipped for their limits."""
+        return bool(job.limited) and not self._receivers(job) - job.limited
 
     def _capacity_after(self, service):
         """Return the seconds after which capacity is likely to be free.
@@ -479,10 +594,15 @@
         """
         if service.model is None:
             return MIN_RETRY_SECONDS
-        return MEAN_STREAM_SECONDS * (0.4 + 0.4 * self.rng.random())
+        mean = bottlenecks.MEAN_STREAM_SECONDS
+        return mean * (0.4 + 0.4 * self.rng.random())
 
     def has_alternative(self, attempt, now):
         """Return whether another first stage has room for an attempt."""
+        return self.find_alternative(attempt, now) is not None
+
+    def find_alternative(self, attempt, now):
+        """Return a chain with room at another first stage, or None."""
         snapshot = self.view.snapshot
         service = attempt.endpoint.service
         model = snapshot.index.services[service].model
@@ -491,16 +611,31 @@
             holders = self.view.estimates.holders(
                 endpoints, model, now, (attempt.endpoint.id,)
             )
+            if attempt.rank is not None and not attempt.events:
+                share = rankroom.share_for(
+                    self.view, service, attempt.rank, holders, now, False
+                )
+                rankroom.restrict(holders, share)
         demand = chains.Demand(
             attempt.tokens, self.view.domain, 0, model.layers, False
         )
         first_stages = self.throttle.with_capacity_soon(
             [h.id for h in holders], now
         )
-        found = chains.choose(
+        return chains.choose(
             holders, demand, model.layers, self._random_factor, first_stages
         )
-        return found is not None
+
+
+def _rank_use(attempt):
+    """Return service, rank and amount of what an attempt uses.
+
+    All chains of a request run the same layers, so that the amount stays
+    when stages are replaced.
+    """
+    layers = sum(stage.end - stage.first for stage in attempt.stages)
+    amount = math.ceil(attempt.tokens) * layers
+    return attempt.endpoint.service, attempt.rank, amount
 
 
 def make_selector(view):
--- a/packages/gateway/ibisring_gateway/settings.py
+++ b/packages/gateway/ibisring_gateway/settings.py
@@ -10,6 +10,13 @@
 
 ADDRESS = re.compile(r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$')
 MS_PER_SECOND = 1000.0
+# Values of the settings that choose between ways of working.
+CHOICES = {
+    'slow_detection': ('adaptive', 'fixed'),
+    'link_budgets': ('on', 'off'),
+    'rank_room': ('on', 'off'),
+    'queueing': ('auto', 'on', 'off'),
+}
 
 
 class Settings(msgspec.Struct, kw_only=True):
@@ -39,9 +46,25 @@
     repeat_ratio: float = 0.2
     repeat_window_s: float = 10.0
     repeat_slack: float = 64.0
+    # Whether slow engines are told from lost ones by the times seen recently
+    # and retries follow their outcomes (`adaptive`), or by constants
+    # (`fixed`).
+    slow_detection: str = 'adaptive'
     # Timeout of a long poll for changes, in addition to its waiting time.
     feed_margin_s: float = 0.6
+    # Typical requests for which a failure domain must have memory to hold the
+    # whole model by itself, if it does not have memory to spare.
+    min_pool_requests: int = 8
+    # Whether requests of lower ranks leave room that more urgent ones have
+    # recently used: `on` or `off`.
+    rank_room: str = 'on'
     log_level: str = 'INFO'
+    # Whether requests are admitted by the budgets of links between failure
+    # domains and by the capacity of a service: `on` or `off`.
+    link_budgets: str = 'on'
+    # Whether requests wait for a chain in order of rank: `auto` for model
+    # services whose routes differ in priority, `on` for all model services.
+    queueing: str = 'auto'
 
 
 def load(path):
@@ -79,9 +102,15 @@
             raise exceptions.InvalidSetting(
                 f'{name} is {value!r}, but must be IP:PORT'
             )
+    for name, choices in CHOICES.items():
+        value = getattr(settings, name)
+        if value not in choices:
+            raise exceptions.InvalidSetting(
+                f'{name} is {value!r}, but must be one of {", ".join(choices)}'
+            )
     for name in settings.__struct_fields__:
         value = getattr(settings, name)
-        if isinstance(value, float) and value < 0:
+        if isinstance(value, int | float) and value < 0:
             raise exceptions.InvalidSetting(
                 f'{name} is {value!r}, but must not be negative'
             )
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -1,9 +1,10 @@
 """Detection of lost stages of silent requests, and rerouting around them."""
 
-__all__ = ['StallHandler', 'make_stall_handler']
+__all__ = ['NoWayRound', 'StallHandler', 'make_stall_handler']
 
 import concurrent.futures
 import logging
+import threading
 
 from ibisring_gateway import enginestatus
 from ibisring_gateway import ports
@@ -21,6 +22,13 @@
 # check that found nothing wrong; the wait doubles with each further check.
 REPLACEMENT_PAUSE_SECONDS = 0.25
 RECHECK_SECONDS = 0.06
+# Longest wait in seconds until the stages of a request without a way round
+# lost ones are queried again while nothing has changed; the wait doubles up to
+# it.
+MAX_BLOCKED_SECONDS = 0.25
+# Seconds for which the excluded engines of a service are kept: less than the
+# interval of searches, so that each finds a change.
+EXCLUDED_SECONDS = 0.05
 # Checks without a finding before the request is sent elsewhere: a stage that
 # has lost its own links to other stages still answers status queries.
 MAX_CHECKS = 4
@@ -32,6 +40,33 @@
 MAX_REROUTES = 3
 
 
+class NoWayRound:
+    """Why a request could not be moved off lost stages, and until when.
+
+    Attributes
+    ----------
+    lost : frozenset of str
+        The stages found lost.
+    endpoints : sequence of routing.Endpoint
+        The service's endpoints, with the layers that they hold.
+    excluded : frozenset of str
+        Engines that get no requests.
+    until : float
+        When to query the stages again if neither has changed.
+    wait : float
+        Seconds from the last queries to `until`.
+    """
+
+    __slots__ = ('lost', 'endpoints', 'excluded', 'until', 'wait')
+
+    def __init__(self, lost, endpoints, excluded, until, wait):
+        self.lost = lost
+        self.endpoints = endpoints
+        self.excluded = excluded
+        self.until = until
+        self.wait = wait
+
+
 class StallHandler:
     """Checks the stages of silent attempts and replaces lost ones.
 
@@ -60,6 +95,10 @@
         self.clock = view.clock
         self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
         self.querier = enginestatus.make_status_querier(view, engines, metrics)
+        # By service: its endpoints, when they were looked at, and which of
+        # them were excluded.
+        self.excluded = {}
+        self.excluded_lock = threading.Lock()
         self.on_all_silent = lambda service: None
         self.can_relay = lambda service: False
 
@@ -87,13 +126,35 @@
 
     def _check_stages(self, attempt):
         attempt.checks += 1
-        lost = self._find_lost(attempt)
+        lost = self._known_lost(attempt)
+        is_known = lost is not None
+        if not is_known:
+            lost = self._find_lost(attempt)
         now = self.clock()
         if attempt.result is not None:
             return
         if not lost:
+            attempt.blocked = None
+            self._note_behind(attempt, lost, now)
             self._recheck_or_restart(attempt, now)
             return
+        attempt.is_behind = False
+        if not is_known:
+            self._log_lost(attempt, lost, now)
+        if attempt.endpoint.id in lost:
+            attempt.abort(attempts.Result.SILENT)
+            return
+        found_lost = frozenset(lost)
+        # Engines refuse a path with a stage that is leaving or has given up
+        # its layers, so such stages are replaced along with the lost ones.
+        lost |= _leaving(attempt, self.view.snapshot.endpoints)
+        is_first_lost = attempt.endpoint.id in lost
+        if is_first_lost or not self._reroute(attempt, lost, is_known):
+            self._restart_elsewhere(attempt, found_lost, is_known, now)
+
+    def _log_lost(self, attempt, lost, now):
+        if attempt.blocked is None:
+            self.metrics.count('stalls.lost')
         logs.event(
             LOG,
             'stages_lost',
@@ -102,17 +163,8 @@
             silent_ms=round((now - attempt.last_event_at) * 1000.0),
             events=attempt.events,
         )
-        if attempt.endpoint.id in lost:
-            attempt.abort(attempts.Result.SILENT)
-            return
-        # Engines refuse a path with a stage that is leaving or has given up
-        # its layers, so such stages are replaced along with the lost ones.
-        lost |= _leaving(attempt, self.view.snapshot.endpoints)
-        is_first_lost = attempt.endpoint.id in lost
-        if is_first_lost or not self._reroute(attempt, lost):
-            self._restart_elsewhere(attempt, now)
 
-    def _restart_elsewhere(self, attempt, now):
+    def _restart_elsewhere(self, attempt, lost, is_known, now):
         """End an attempt that can't be rerouted, if another chain has room.
 
         Otherwise the attempt stays: the lost layers may be loaded elsewhere
@@ -120,8 +172,87 @@
         """
         if self._has_alternative(attempt, now):
             attempt.abort(attempts.Result.SILENT)
-        else:
-            attempt.check_at = now + RECHECK_SECONDS
+            return
+        attempt.check_at = now + RECHECK_SECONDS
+        if is_known or not self.is_adaptive:
+            return
+        before = attempt.blocked
+        wait = 2.0 * before.wait if before else RECHECK_SECONDS
+        wait = min(MAX_BLOCKED_SECONDS, wait)
+        attempt.blocked = NoWayRound(
+            lost,
+            self._endpoints(attempt),
+            self._excluded(attempt, now),
+            now + wait,
+            wait,
+        )
+
+    def _known_lost(self, attempt):
+        """Return the stages that queries would find lost again.
+
+        None if something has changed since the last queries, or if these are
+        due again.  The search for a way round doesn't wait for them: room is
+        freed by any stream that ends.
+        """
+        blocked = attempt.blocked
+        now = self.clock()
+        if blocked is None or now >= blocked.until:
+            return None
+        endpoints = self._endpoints(attempt)
+        if blocked.endpoints == endpoints:
+            if blocked.excluded == self._excluded(attempt, now):
+                return set(blocked.lost)
+        attempt.blocked = None
+        return None
+
+    def _endpoints(self, attempt):
+        service = attempt.endpoint.service
+        return self.view.snapshot.by_service.get(service, ())
+
+    def _excluded(self, attempt, now):
+        """Return the engines of a service that get no requests now.
+
+        Computed once for all streams of the service that are checked
+        together: when an engine dies, there are many.
+        """
+        service = attempt.endpoint.service
+        endpoints = self._endpoints(attempt)
+        with self.excluded_lock:
+            found = self.excluded.get(service)
+            if found is not None and found[0] is endpoints:
+                if 0.0 <= now - found[1] < EXCLUDED_SECONDS:
+                    return found[2]
+            with self.view.lock:
+                names = self.view.estimates.excluded(endpoints, now)
+            self.excluded[service] = endpoints, now, names
+            return names
+
+    @property
+    def is_adaptive(self):
+        """Whether slow engines are told from lost ones."""
+        return self.selector.event_times.is_adaptive
+
+    def _note_behind(self, attempt, lost, now):
+        """Note that the engines of a silent attempt answer.
+
+        `lost` is None if it is not known whether they do.
+        """
+        if lost is None:
+            attempt.is_behind = False
+            return
+        if attempt.is_behind or not self.is_adaptive:
+            return
+        attempt.is_behind = True
+        self.metrics.count('stalls.behind')
+        logs.event(
+            LOG,
+            'stage_behind',
+            id=attempt.request_id,
+            stages=[stage.endpoint for stage in attempt.stages],
+            silent_ms=round(attempt.silent_seconds(now) * 1000.0),
+            expected_ms=round(attempt.expected_seconds * 1000.0),
+            events=attempt.events,
+        )
 
     def _has_alternative(self, attempt, now):
         """Return whether an attempt may go on over other engines."""
@@ -140,14 +271,30 @@
             attempt.endpoint.service
         )
         has_waited = is_cut or attempt.checks > MAX_CHECKS
-        if has_waited and self._has_alternative(attempt, now):
+        if has_waited and self._may_leave(attempt, is_cut, now):
             attempt.abort(attempts.Result.SILENT)
             return
         checks = min(MAX_CHECKS, attempt.checks)
         attempt.check_at = now + RECHECK_SECONDS * 2 ** (checks - 1)
 
+    def _may_leave(self, attempt, is_cut, now):
+        """Return whether an attempt without a lost stage goes elsewhere.
+
+        One whose engines answer does so only if it continues sooner there.
+        """
+        if is_cut or not attempt.is_behind:
+            return self._has_alternative(attempt, now)
+        stages = self.selector.find_alternative(attempt, now)
+        return stages is not None and self.selector.event_times.should_move(
+            attempt, stages, now
+        )
+
     def _find_lost(self, attempt):
-        """Return the ids of the stages that do not answer."""
+        """Return the ids of the stages that do not answer.
+
+        None if hardly any does, which is no proof against them, or if some
+        were not asked.
+        """
         by_id = self.view.snapshot.endpoints
         names = [stage.endpoint for stage in attempt.stages]
         with self.view.lock:
@@ -156,18 +303,16 @@
         alive = self._proven_alive(attempt)
         queried = [by_id[n] for n in names if n not in unavailable | alive]
         tried_at = self.clock() - enginestatus.SHARED_SECONDS
-        queries = [self.querier.query(endpoint) for endpoint in queried]
-        lost = {
-            endpoint.id
-            for endpoint, query in zip(queried, queries)
-            if not self.querier.is_answered(query)
-        }
+        replies = self.querier.check(
+            queried, self.is_adaptive, not alive.isdisjoint(names)
+        )
+        lost = {name for name, reply in replies.items() if self._is_no(reply)}
         if len(lost) > max(1, MAX_LOST_SHARE * len(queried)):
             logs.event(
                 LOG, 'all_silent', id=attempt.request_id, asked=len(queried)
             )
             self.on_all_silent(attempt.endpoint.service)
-            return set()
+            return None
         now = self.clock()
         with self.view.lock:
             for endpoint in queried:
@@ -175,9 +320,19 @@
                     self.view.estimates.note_unreachable(
                         endpoint.id, now, tried_at=tried_at
                     )
-                else:
+                elif replies[endpoint.id] is enginestatus.Reply.ANSWERED:
                     self.view.estimates.note_reachable(endpoint.id, now)
-        return lost | unavailable
+        lost |= unavailable
+        if not lost and enginestatus.Reply.NOT_SENT in replies.values():
+            return None
+        return lost
+
+    def _is_no(self, reply):
+        """Return whether a reply shows that an engine is lost."""
+        if reply is enginestatus.Reply.NOT_SENT:
+            # This router lacked a free thread; the next check asks again.
+            return not self.is_adaptive
+        return reply is not enginestatus.Reply.ANSWERED
 
     def _proven_alive(self, attempt):
         """Return the stages of other requests that had an event just now.
@@ -280,10 +435,12 @@
         attempt.abort(attempts.Result.SILENT)
         return True
 
-    def _reroute(self, attempt, lost):
+    def _reroute(self, attempt, lost, is_logged=False):
         """Replace lost stages of a request, keeping its first one."""
         stages = self.selector.replace_stages(attempt, lost, self.clock())
         if stages is None or stages == attempt.stages:
+            if is_logged:
+                return False
             logs.event(
                 LOG, 'no_way_round', id=attempt.request_id, lost=sorted(lost)
             )
@@ -303,6 +460,7 @@
         )
         if result not in (ports.OrderResult.BEGUN, ports.OrderResult.DONE):
             return False
+        attempt.blocked = None
         if attempt.result is None:
             self.selector.change_stages(attempt, stages)
             attempt.check_at = self.clock() + REPLACEMENT_PAUSE_SECONDS
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -6,14 +6,17 @@
 
 __all__ = ['Snapshot', 'View', 'make_view']
 
+import random
 import threading
 import time
 
+from ibisring_policy.gateway import domainlinks
 from ibisring_policy.gateway import estimates
 from ibisring_policy.gateway import fairness
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import links
 from ibisring_policy.gateway import promptparts
+from ibisring_policy.gateway import rankshares
 from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import relays
 from ibisring_policy.gateway import suspects
@@ -98,8 +101,10 @@
     Attributes
     ----------
     lock : threading.Lock
-        Guards `estimates`, `suspects`, `parts`, `limits`, `fairness`, `links`
-        and `relays`.
+        Guards `estimates`, `suspects`, `parts`, `limits`, `fairness`, `links`,
+        `domain_links`, `relays` and `rank_shares`.
+    link_budgets : bool
+        Whether requests are admitted by `domain_links` and by capacity.
     term : int
         Highest lease term known to this router.
     lease_lost_at : float or None
@@ -121,10 +126,16 @@
         self.fairness = fairness.make_fairness()
         self.limits = ratelimits.make_limits(name, domain)
         self.links = links.make_links()
+        self.domain_links = domainlinks.make_domain_links(
+            name, domain, random.Random().random
+        )
+        self.link_budgets = True
         self.relays = relays.make_relays(domain)
+        self.rank_shares = rankshares.make_rank_shares()
         self.term = 0
         self.lease_lost_at = None
         self.reported_holdings = {}
+        self.pool_room_requests = 0
 
     def leaving_to_send(self, now):
         """Return the start times of endpoints that said that they leave."""
--- a/packages/policy/ibisring_policy/gateway/tests/test_routetable.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_routetable.py
@@ -48,6 +48,40 @@
     assert index.find('h.example', '/o/', None).account == ''
 
 
+def _rank(index, path, key):
+    match = index.find('h.example', path, key)
+    return index.rank(match.route, match.account, 'model')
+
+
+def test_rank_is_of_account_and_route():
+    """Guards against accounts without a priority that come last."""
+    targets = (routing.Target('model', 1.0),)
+    index = _index(
+        build.route(priority=1, targets=targets),
+        build.route(name='b', prefix='/b/', priority=4, targets=targets),
+        build.route(name='c', prefix='/c/', priority=0),
+        accounts=(
+            routing.Account('kitchen', ('k1',), 2),
+            routing.Account('office', ('k2',)),
+        ),
+    )
+    assert index.ranked_services == {'model': ((1, 1), (2, 4))}
+    assert _rank(index, '/b/', 'k1') == (2, 4)
+    assert _rank(index, '/b/', 'k2') == (1, 4)
+    assert _rank(index, '/c/', 'k2') == (1, 0)
+
+
+def test_services_with_routes_of_one_priority_have_no_ranks():
+    """Guards against a change for services that don't ask for it."""
+    targets = (routing.Target('model', 1.0),)
+    index = _index(
+        build.route(priority=1, targets=targets),
+        build.route(prefix='/b/', priority=1, targets=targets),
+        build.route(prefix='/c/', priority=2),
+    )
+    assert index.ranked_services == {}
+
+
 def test_an_account_without_keys_authorizes_no_request():
     index = _index(build.route(), accounts=(routing.Account('x', ()),))
     with pytest.raises(exceptions.Unauthorized):
@@ -74,3 +108,40 @@
     assert not build.route(
         kind=routing.RequestKind.ONCE, resumable=True
     ).repeatable
+
+
+def _ranked_index(*priorities, accounts=None):
+    routes = [
+        build.route(
+            name=f'r{priority}',
+            priority=priority,
+            targets=(routing.Target('model', 1.0),),
+        )
+        for priority in priorities
+    ]
+    return _index(*routes, accounts=accounts)
+
+
+def test_rank_is_that_of_the_account_then_of_the_route():
+    accounts = (
+        routing.Account('kitchen', ('k1',), 2),
+        routing.Account('office', ('k3',)),
+    )
+    index = _ranked_index(1, 3, accounts=accounts)
+    route = index.route_of['r3']
+    assert index.rank(route, 'kitchen', 'model') == (2, 3)
+    assert index.rank(route, 'office', 'model') == (1, 3)
+    assert index.rank(route, '', 'model') == (1, 3)
+
+
+def test_rank_of_a_route_that_has_changed_or_gone():
+    old = build.route(name='r3', priority=0)
+    assert _ranked_index(1, 3).rank(old, '', 'model') == (1, 3)
+    assert _ranked_index(1).rank(old, '', 'model') == (1, 0)
+
+
+def test_only_model_services_with_several_priorities_have_ranks():
+    assert _ranked_index(0, 2).has_ranks('model')
+    assert not _ranked_index(2).has_ranks('model')
+    plain = _index(build.route(), build.route(name='r2', priority=3))
+    assert not plain.has_ranks('lookup')
