--- a/packages/gateway/ibisring_gateway/bottlenecks.py
+++ b/packages/gateway/ibisring_gateway/bottlenecks.py
@@ -18,8 +18,8 @@
 MS_PER_SECOND = 1000.0
 # Mean seconds for which a stream occupies memory and sends over links.
 MEAN_STREAM_SECONDS = 3.5
-# Shortest time between two computations of a service's capacity, which take
-# up to 20 ms each.
+# Shortest time between two computations of a service's capacity: each takes
+# milliseconds of processor time.
 CAPACITY_SECONDS = 2.0
 # How long the requests in flight that were last counted are used: the
 # interval of gossip.
@@ -40,7 +40,9 @@
 class Exhausted(msgspec.Struct, frozen=True):
     """Why a request was refused; `pairs` is empty if memory is exhausted.
 
-    `in_flight` are the requests of the service at that time.
+    `wait` is in seconds.  `pairs` are the links crossed and `megabytes` what
+    the request sends at each crossing; `in_flight` is the number of requests
+    of the service at that time, `found` the capacity that they exceed.
     """
 
     wait: float
--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -114,7 +114,7 @@
         second = {
             e.id: self._share_query(e, seconds, 2)
             for e in endpoints
-            if _is_open(first[e.id])
+            if _is_undecided(first[e.id])
         }
         return {
             e.id: self._confirm(e, first[e.id], second.get(e.id), seconds)
@@ -238,7 +238,7 @@
     return future.done() and future.result() is Reply.ANSWERED
 
 
-def _is_open(future):
+def _is_undecided(future):
     """Return whether a query leaves open whether its endpoint is lost."""
     if future.done():
         return future.result() is Reply.NONE
--- a/packages/gateway/ibisring_gateway/eventtimes.py
+++ b/packages/gateway/ibisring_gateway/eventtimes.py
@@ -8,8 +8,8 @@
 
 # Upper bounds in seconds of the silence that load explains, before the first
 # event and between events: callers leave after two seconds, and another chain
-# needs part of that time to prefill the prompt.  The fifth check, the first
-# that may move a stream, comes from 1.02 s on; the next one is 0.48 s later.
+# needs part of that time to prefill the prompt.  Neither exceeds the time of
+# the fifth check, the first at which `stalls` may move such a stream.
 MAX_FIRST_EVENT_SECONDS = 1.0
 MAX_GAP_SECONDS = 0.9
 # One gap in this many is noted: a sample shows the distribution as well, and
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -51,7 +51,8 @@
     is_cut_off : bool
         Whether neither an endpoint nor another router can be reached.
     return_at : float or None
-        When its caller was told to return, by the queue.
+        Monotonic time at which its caller is to return, as assigned by the
+        queue; None if it has assigned none.
     limited : set of str
         Endpoints that were skipped for their rate limits in the last choice.
     retried_at : float or None
--- a/packages/gateway/ibisring_gateway/queueing.py
+++ b/packages/gateway/ibisring_gateway/queueing.py
@@ -80,8 +80,9 @@
         Returns
         -------
         selecting.Choice or None
-            None if the request has no endpoint and `Overloaded` would not be
-            true: it may have run, or does not queue.
+            None if no endpoint was found for a request that doesn't queue,
+            has been sent before, or continues a stream.  `Overloaded` would
+            wrongly say of the latter two that they have not run.
 
         Raises
         ------
@@ -228,7 +229,10 @@
         )
 
     def _refuse(self, job, waiter):
-        """Refuse a request; None if that it has not run may be untrue."""
+        """Raise the refusal of a request that has not been sent before.
+
+        Return None for others: they may have run, which the refusal denies.
+        """
         if waiter.is_continuing:
             return None
         self.metrics.count(f'queue_refused.{job.rank_text}')
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -38,8 +38,8 @@
     on_leaving : callable
         Called with an endpoint that says that it is leaving.
     on_decided : callable
-        Called with a job and whether an endpoint refused its attempt, else
-        accepted it.
+        Called with a job and a bool when an endpoint has decided on its
+        attempt: True if the attempt was refused, False if accepted.
     """
 
     def __init__(self, view, codec, connections, selector, screen):
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -306,7 +306,9 @@
         replies = self.querier.check(
             queried, self.is_adaptive, not alive.isdisjoint(names)
         )
-        lost = {name for name, reply in replies.items() if self._is_no(reply)}
+        lost = {
+            name for name, reply in replies.items() if self._is_loss(reply)
+        }
         if len(lost) > max(1, MAX_LOST_SHARE * len(queried)):
             logs.event(
                 LOG, 'all_silent', id=attempt.request_id, asked=len(queried)
@@ -327,7 +329,7 @@
             return None
         return lost
 
-    def _is_no(self, reply):
+    def _is_loss(self, reply):
         """Return whether a reply shows that an engine is lost."""
         if reply is enginestatus.Reply.NOT_SENT:
             # This router lacked a free thread; the next check asks again.
--- a/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
+++ b/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
@@ -67,7 +67,10 @@
     ('rate', 'fields'), [(MEMORY_RATE, {}), (LINK_RATE, LINK)]
 )
 def test_goodput_does_not_fall_as_load_grows(rate, fields):
-    """Load: 1, 2, 4 and 8 times what the memory, or the link, carries."""
+    """Guards against overload that lowers what is served completely.
+
+    Load: 1, 2, 4 and 8 times what the memory, or the link, carries.
+    """
     served = [
         bottleneckload.Simulation(Site(rate * times, **fields)).run()
         for times in (1, 2, 4, 8)
@@ -95,7 +98,7 @@
     assert not any(simulation.reasons)
 
 
-def test_loss_of_an_engine_of_the_only_path_passes():
+def test_service_recovers_after_an_engine_of_the_only_path_is_back():
     site = Site(4 * LINK_RATE, lost=(50.0, 100.0), **LINK)
     simulation = bottleneckload.Simulation(site)
     simulation.run()
--- a/packages/gateway/ibisring_gateway/waitingline.py
+++ b/packages/gateway/ibisring_gateway/waitingline.py
@@ -27,7 +27,8 @@
     asked_at : float
         When a chain was last chosen for it.
     has_waited : bool
-        Whether it waited after it, or one before it, was denied a chain.
+        Whether it had to wait since no chain was found, for it or for a
+        request before it.
     """
 
     __slots__ = (
@@ -57,9 +58,10 @@
         )
 
     def may_ask(self, now):
-        """Return whether its time is not over, and its last choice is old.
+        """Return whether it may ask for a chain, by its own times.
 
-        A request whose time was over when it came may ask once.
+        It may until `wanted_by`, unless it has asked within the last
+        `MIN_ASK_INTERVAL_SECONDS`; one that has never asked always may.
         """
         if self.asked_at == float('-inf'):
             return True
@@ -212,9 +214,9 @@
         """Refuse all whose time is over, if a request is first in order."""
         if self.queue.askers(now)[0] != name:
             return
-        for name, refusal in self.queue.expire(now, self.asking).items():
-            self.waiters[name].refusal = refusal
-            self.waiters[name].event.set()
+        for due, refusal in self.queue.expire(now, self.asking).items():
+            self.waiters[due].refusal = refusal
+            self.waiters[due].event.set()
 
     def _rank(self, job):
         return self.index.rank(job.route, job.match.account, self.service)
--- a/packages/policy/ibisring_policy/gateway/attempts.py
+++ b/packages/policy/ibisring_policy/gateway/attempts.py
@@ -176,7 +176,8 @@
     Attributes
     ----------
     rate : float or None
-        Retries per second that refusals have left, None if they left all.
+        Retries per second allowed after refusals; None if only the bound of
+        `RetryBudget` holds.
     changed_at : float
         When an outcome last changed `rate`.
     lapse_at : float
--- a/packages/policy/ibisring_policy/gateway/domainlinks.py
+++ b/packages/policy/ibisring_policy/gateway/domainlinks.py
@@ -24,8 +24,9 @@
 WINDOW_TRANSFERS = 4.0
 MIN_WINDOW_SECONDS = 2.0
 MAX_WINDOW_SECONDS = 6.0
-# Weight of the request that asks in the demand of its router.  Without it 39
-# routers admitted 1.27 of the budget at twice the load, with it 1.07.
+# Weight of the request that asks in the demand of its router, which doesn't
+# include it yet.  At 0, many routers that each ask rarely admit more than the
+# budget in sum.
 CURRENT_WEIGHT = 0.5
 # How long a report of another router counts, as for its load.
 REPORT_SECONDS = 8.0
@@ -53,7 +54,9 @@
 class Decision(msgspec.Struct, frozen=True):
     """Whether links admit a transfer: `wait` is None if they do.
 
-    `refused` are the pairs of domains whose budgets don't.
+    `at` is the time of the decision and `wait` the time until the budgets
+    admit the transfer, in seconds.  `refused` are the pairs of domains whose
+    budgets don't.
     """
 
     at: float
@@ -64,7 +67,8 @@
 class Transfer(msgspec.Struct):
     """What a request sends over each link that its chain crosses.
 
-    `megabytes` is sent at each crossing; `rate` is that of the links in MB/s.
+    `megabytes` is sent at each crossing; `rate` is that of the links in MB/s;
+    `objective` is for the first event, in seconds.
     `decisions` has the latest decision by the pairs that a chain crosses: a
     request that asks for the same again before the end of its wait is not
     counted again.
@@ -177,7 +181,16 @@
         self.router_total = 1
 
     def set_fleet(self, counts, total, now):
-        """Set the running routers by failure domain, and their most."""
+        """Set how many routers run.
+
+        Parameters
+        ----------
+        counts : dict of str to int
+            By failure domain, as far as they are known.
+        total : int
+            Upper estimate of all routers, known without gossip too.
+        now : float
+        """
         self.router_counts = counts
         self.router_total = max(1, total)
         self.heard = {
--- a/packages/policy/ibisring_policy/gateway/layers.py
+++ b/packages/policy/ibisring_policy/gateway/layers.py
@@ -41,15 +41,17 @@
 # Requests for which a failure domain must have room to be a pool of its own;
 # the default of the setting `min_pool_requests`.
 MIN_REQUESTS = 8
-# Part of the largest room that a repair may leave, and the share of all
-# layers that it must then save to load: with the largest room hardly any
-# layer is spare, and the loss of one engine moves the ranges of all others.
+# A repair may leave a pool with this share of its largest room if it then
+# loads fewer layers, by at least the second share of the model's layers.  At
+# the largest room hardly any engine has memory for a further layer, so that
+# the loss of one would move the ranges of all others.
 REPAIR_ROOM_SHARE = 0.75
 REPAIR_SAVING_SHARE = 0.1
 # How long layers must lack a holder before other engines give up theirs: the
 # process of a lost engine is often started again within this time.
 RETILE_SECONDS = 4.0
-# Share of all layers that may be loaded for it earlier if no pool is complete.
+# While no pool is complete, engines may give up layers before that time if
+# fewer layers than this share of the model's are loaded in exchange.
 EARLY_RETILE_SHARE = 0.1
 
 
@@ -394,7 +396,7 @@
 
 
 def _gives_up_for(pool, tiling):
-    """Return the layers that are loaded, if an engine gives up some."""
+    """Return how many layers a tiling loads; -1 if no engine gives up any."""
     held = {engine.id: engine.holding for engine in pool.group}
     new = tiling.ranges.items()
     if not any(repairs.gives_up(held[name], span) for name, span in new):
--- a/packages/policy/ibisring_policy/gateway/linkshares.py
+++ b/packages/policy/ibisring_policy/gateway/linkshares.py
@@ -4,8 +4,9 @@
 
 import math
 
-# Queueing time on a link, as a share of the objective for the first event.
-# With a tenth, a link that is half idle refuses half of the requests.
+# Mean queueing time on a link that is allowed, as a share of the objective for
+# the first event.  A smaller share keeps the queue shorter but refuses
+# requests while the link is idle for part of the time.
 QUEUE_SHARE = 0.4
 # A share of the rate that is used at most, however small the transfers are:
 # the sizes of requests are estimates.
--- a/packages/policy/ibisring_policy/gateway/rankshares.py
+++ b/packages/policy/ibisring_policy/gateway/rankshares.py
@@ -16,9 +16,7 @@
 
 # Share of a service's capacity that lower ranks may hold beside what the more
 # urgent ones use, also where their peak fills it.  No rank may be served less
-# than a quarter as often as all requests: with 0.2, the lowest of three ranks
-# was served 0.22 times as often at four times the capacity (`rankload`, 3
-# routers, 60 s).
+# than a quarter as often as all requests; a smaller share doesn't ensure that.
 MIN_RANK_SHARE = 0.25
 # How long the use that another router sent counts, as its load does: by then
 # nearly every router of a large fleet has sent again.
--- a/packages/policy/ibisring_policy/gateway/repairs.py
+++ b/packages/policy/ibisring_policy/gateway/repairs.py
@@ -79,7 +79,7 @@
     entries = []
     for engines, changes in planned:
         if changes:
-            entries.extend(_ranked(engines, changes, layers))
+            entries.extend(_with_sort_keys(engines, changes, layers))
     entries.sort(key=lambda entry: entry[0])
     changes = [change for _, change in entries]
     if not changes or any(has_all_loaded(e, layers) for e, _ in planned):
@@ -88,8 +88,8 @@
     return _unheld_first(changes, windows.coverage(everywhere, layers))
 
 
-def _ranked(engines, changes, layers):
-    """Return changes of a pool with their rank among those of all pools."""
+def _with_sort_keys(engines, changes, layers):
+    """Return changes of a pool with the keys that order those of all pools."""
     held = {engine.id: engine.holding for engine in engines}
     is_repair = _repairs(engines, changes, layers)
     loads = [layers_to_load(held[c.id], c.holding) for c in changes]
@@ -97,7 +97,7 @@
     entries = []
     for index, change in enumerate(changes):
         is_empty = held[change.id] is None
-        rank = (
+        sort_key = (
             not is_repair[index],
             missing,
             engines[0].id,
@@ -106,7 +106,7 @@
             index if is_empty else loads[index],
             change.id,
         )
-        entries.append((rank, change))
+        entries.append((sort_key, change))
     return entries
 
 
@@ -185,7 +185,8 @@
     if not incomplete or is_empty or not model.loads_at_once:
         return changes
     limits = [
-        model.loads_at_once - _waits(group, waiting) for group in incomplete
+        model.loads_at_once - _count_waiting(group, waiting)
+        for group in incomplete
     ]
     changes = _limited_waits(changes, incomplete, limits)
     by_id = {engine.id: engine for engine in engines}
@@ -229,7 +230,7 @@
     return [n for n in range(held.first, held.end) if n not in new]
 
 
-def _waits(group, waiting):
+def _count_waiting(group, waiting):
     """Count the engines of a pool that wait for their requests to end."""
     domains = {engine.domain for engine in group}
     left_out = sum(domain in domains for domain in waiting)
--- a/packages/policy/ibisring_policy/gateway/requestqueue.py
+++ b/packages/policy/ibisring_policy/gateway/requestqueue.py
@@ -16,11 +16,11 @@
 # Rank of streams that continue after a loss: the empty tuple is less than
 # the rank of any new request.
 CONTINUING = ()
-# One in this many grants may go to a request that is not the next in order,
-# of the lowest waiting rank that is served too rarely.
+# Grants of which one may go to a request that is not the next in order, of the
+# lowest waiting rank that is served too rarely: a number, not a fraction.
 FLOOR_SHARE = 4
-# The same for large requests: at one in two, they were refused twice as often
-# as all at the load that can just be served.
+# The same for large requests that are refused too often: at 1, every grant may
+# go to one.  Fewer don't keep their refusals below twice those of all.
 LARGE_SHARE = 1
 # For at most this many seconds, a stream that continues keeps new requests
 # from asking for a chain.  One whose route allows few endpoints may wait for
--- a/packages/policy/ibisring_policy/gateway/returntimes.py
+++ b/packages/policy/ibisring_policy/gateway/returntimes.py
@@ -9,8 +9,9 @@
 MIN_SECONDS = 0.7
 # Nor later: engines that were lost have been replaced by then.
 MAX_SECONDS = 6.0
-# The most urgent rank is told to return within this share of the maximum,
-# where the maximum limits the times of all ranks.
+# Upper bound of the most urgent rank as a share of `MAX_SECONDS`.  The bounds
+# of the other ranks rise evenly to `MAX_SECONDS`, that of the lowest rank, so
+# that callers return in order of rank even if every rank is at its bound.
 MIN_MAXIMUM_SHARE = 0.5
 # Times at the maximum are spread over this last share of it.
 SPREAD_SHARE = 0.25
--- a/packages/policy/ibisring_policy/gateway/servedshares.py
+++ b/packages/policy/ibisring_policy/gateway/servedshares.py
@@ -9,10 +9,12 @@
 # Requests that came within this many seconds are compared.
 WINDOW_SECONDS = 10.0
 # A rank or account is behind if it is served less often than this share of
-# how often all requests are.  A quarter is guaranteed; the measure lags.
+# how often all requests are.  The guarantee is a quarter: the margin covers
+# the time until a change shows in the counts.
 SERVED_FLOOR = 1 / 3
 # Large requests are behind if they are refused this many times as often as
-# all requests.  Twice is guaranteed; the measure lags.
+# all requests.  The guarantee is twice: the margin covers the time until a
+# change shows in the counts.
 MAX_REFUSED_RATIO = 1.0
 # The largest tenth of the requests counts as large, once there are enough.
 LARGE_QUANTILE = 0.9
--- a/packages/policy/ibisring_policy/gateway/tests/test_capacity.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_capacity.py
@@ -64,7 +64,7 @@
 
 
 def test_missing_layers_leave_no_capacity():
-    """Failure: the engine of the only path is lost."""
+    """Failure: a service without a holder of some layers admits requests."""
     held = [_holder('x', 0, 40, 20), _holder('y', 50, 80, 20, 'b')]
     for per_link in (math.inf, 10.0):
         assert _compute(held, per_link).requests == 0.0
@@ -83,7 +83,7 @@
 
 
 def test_capacity_of_a_large_fleet_is_computed_quickly():
-    """Failure: each router spends its time on the flow of its services."""
+    """Failure: computing the capacity of large services occupies routers."""
     held = _random_holders(97)
     seconds = []
     for _ in range(5):
--- a/packages/policy/ibisring_policy/gateway/tests/test_domainlinks.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_domainlinks.py
@@ -59,7 +59,7 @@
     ],
 )
 def test_the_fleet_keeps_to_a_budget_and_uses_it(site, low, high):
-    """Load: more than the budget; a third of the gossip is lost."""
+    """Failure: routers that miss a third of the gossip overload the link."""
     assert low <= _load(site, 1)[0] <= high
 
 
@@ -141,7 +141,7 @@
 
 
 def test_a_refused_stream_that_continues_is_drawn_again_soon():
-    """Failure: it waits for longer than its caller does."""
+    """Failure: a started stream waits for longer than its caller does."""
     links = _links(total=9, draw=0.99)
     links.receive('x0', 'a', _report(0.0, 40.0 * BUDGET), 10.0)
     transfer = _transfer(continues=True)
--- a/packages/policy/ibisring_policy/gateway/tests/test_requestqueue.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_requestqueue.py
@@ -41,7 +41,7 @@
 
 @pytest.mark.parametrize('kinds', [BURST, URGENT_FLOOD, ONE_RANK])
 @pytest.mark.parametrize('load', [0.5, 1.0, 2.0, 4.0])
-def test_load(load, kinds):
+def test_ranks_and_accounts_keep_their_shares_under_load(load, kinds):
     """Guards against urgent requests served worse, and starvation.
 
     Without order of rank, urgent requests are refused as often as others;
--- a/packages/policy/ibisring_policy/gateway/tilings.py
+++ b/packages/policy/ibisring_policy/gateway/tilings.py
@@ -12,8 +12,8 @@
 import msgspec
 
 # Cost of a range for which an engine must give up layers, in layers loaded:
-# it loads only when the requests that use them have ended, which takes
-# seconds, while a layer is loaded in a fifth of a second.
+# it loads only when the requests that use them have ended, which takes longer
+# than to load a few layers.
 GIVE_UP_COST = 8.0
 
 
