--- a/packages/gateway/ibisring_gateway/tests/rankload.py
+++ b/packages/gateway/ibisring_gateway/tests/rankload.py
@@ -8,9 +8,11 @@
 
 import collections
 import heapq
+import math
 import random
 import types
 
+from ibisring_gateway import attemptwatching
 from ibisring_gateway import selecting
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import gossipschedule
@@ -200,12 +202,12 @@
         if choice is None:
             return
         self.served[rank] += 1
-        attempt = types.SimpleNamespace(
-            endpoint=choice.endpoint,
-            stages=choice.stages,
-            tokens=choice.tokens,
-            rank=rank,
+        attempt = attemptwatching.Attempt(
+            'request', choice.endpoint, choice.stages, math.inf
         )
+        attempt.tokens = choice.tokens
+        attempt.rank = rank
+        attempt.sent_at = self.clock.now
         router.selector.reserve(attempt)
         ends_at = self.clock.now + self.rng.uniform(MIN_SECONDS, MAX_SECONDS)
         heapq.heappush(
@@ -226,9 +228,16 @@
             rank=rank,
             exchange=types.SimpleNamespace(headers_sent=False),
             match=types.SimpleNamespace(priority=rank[1], account='acme'),
-            progress=types.SimpleNamespace(sent_to=0, max_endpoints=2),
+            progress=types.SimpleNamespace(
+                sent_to=0, max_endpoints=2, delivering=False
+            ),
+            transfer=None,
+            blocked_by=None,
             request=types.SimpleNamespace(
-                prompt_tokens=772, answer_tokens=174, answer_hint=None
+                prompt_tokens=772,
+                answer_tokens=174,
+                answer_hint=None,
+                after_event=None,
             ),
         )
 
--- a/packages/gateway/ibisring_gateway/tests/slowload.py
+++ b/packages/gateway/ibisring_gateway/tests/slowload.py
@@ -261,9 +261,18 @@
             service=self.view.snapshot.index.services['model'],
             route=build.route(),
             match=types.SimpleNamespace(priority=1, account='acme'),
-            progress=types.SimpleNamespace(sent_to=0, max_endpoints=4),
+            progress=types.SimpleNamespace(
+                sent_to=0, max_endpoints=4, delivering=False
+            ),
+            rank=(1, 1),
+            exchange=types.SimpleNamespace(headers_sent=False),
+            transfer=None,
+            blocked_by=None,
             request=types.SimpleNamespace(
-                prompt_tokens=PROMPT_TOKENS, answer_tokens=100, answer_hint=20
+                prompt_tokens=PROMPT_TOKENS,
+                answer_tokens=100,
+                answer_hint=20,
+                after_event=None,
             ),
         )
         self.outcome.requests += 1
