review: case 1, truncated streams of a leaving server look complete

Tried: one of eight servers reports that it drains, serves on for 2.3 s and exits, while streams without length or chunks run there.

--- a/review/3/case.py
+++ b/review/3/case.py
@@ -16,9 +16,9 @@
 EVENTS = 60
 ENGINES = 2
 # Requests for which an engine has memory in this case, and how long a
-# preempted one waits: clients leave after a gap of two seconds.
+# preempted one waits; clients leave only after a gap of two seconds.
 ROOM = 4
-PAUSE_SECONDS = 1.6
+PAUSE_SECONDS = 1.3
 TERM_AT = 0.6
 GRACE_S = 8
 
--- a/review/lib/platform_standin.py
+++ b/review/lib/platform_standin.py
@@ -135,6 +135,7 @@
         self.service = service
         self.zone = zone
         self.state = 'ready'
+        self.has_exited = False
         self.born = int(time.time() * 1000)
         self.running = 0
         self.waiting = 0
@@ -160,6 +161,20 @@
     def register(self):
         self.site.store.put('servers', self.name, self.entry())
 
+    async def leave(self, drain_seconds):
+        """Say that it is draining, serve on for a while, and exit.
+
+        As when a process exits, its port closes and its channels end.
+        """
+        self.state = 'draining'
+        self.register()
+        await asyncio.sleep(drain_seconds)
+        self.server.close()
+        for writer in list(self.writers):
+            writer.close()
+        self.has_exited = True
+        self.site.store.drop('servers', self.name)
+
     def not_run(self, status, **headers):
         """Return an answer which says that the request has not run."""
         return httpwire.answer(status, {'Not-Executed': '1', **headers})
@@ -236,6 +251,9 @@
         self.orders = 0
         self.busy = False
         self.event_seconds = 0.025
+        # Whether its streams have neither a length nor chunks and end with
+        # their channel.
+        self.ends_with_channel = False
         self.room = slots
         self.preempted_at = 10
         self.pause_seconds = 0.0
@@ -338,7 +356,13 @@
         count = int(request.headers['token-usage'].split(',')[1]) // 2
         after = int(request.headers.get('last-event-id', 0))
         headers = self.answer_headers(request)
-        lines = ['HTTP/1.1 200 x', 'Transfer-Encoding: chunked']
+        lines = ['HTTP/1.1 200 x']
+        if self.ends_with_channel:
+            lines.append('Connection: close')
+            frame, last = bytes, b''
+        else:
+            lines.append('Transfer-Encoding: chunked')
+            frame, last = httpwire.chunk, b'0\r\n\r\n'
         lines += ['Content-Type: text/event-stream', 'Weight-Versions: 1']
         lines += [f'{name}: {value}' for name, value in headers.items()]
         writer.write('\r\n'.join(lines).encode() + b'\r\n\r\n')
@@ -348,14 +372,20 @@
                 wait = self.pause_seconds
                 self.site.note('preempted', request_id, server=self.name)
             await asyncio.wait([gone], timeout=wait)
+            if self.has_exited:
+                self.site.note('exited', request_id, server=self.name,
+                               event=number)
+                return False
             if gone.done():
                 self.site.note('left', request_id, server=self.name,
                                event=number)
                 return False
             event = f'id: {number}\ndata: word-{number}\n\n'.encode()
-            writer.write(httpwire.chunk(event))
-        writer.write(b'0\r\n\r\n')
+            writer.write(frame(event))
+        writer.write(last)
         self.site.note('ended', request_id, server=self.name)
+        if self.ends_with_channel:
+            return False
         gone.cancel()
         try:
             await gone
