Move the limit on retries into a module of its own

attempts.py held two decisions, what follows a failed attempt and how often requests may be sent again.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -42,7 +42,7 @@
     codec : ports.Codec
     connections : upstream.ConnectionPool
     watcher : attemptwatching.Watcher
-    retry_budget : attempts.RetryBudget
+    retry_budget : RetryBudget
     count_routers : callable
         Returns the number of routers that share the limit on retries.
     metrics : metrics.Metrics
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -30,7 +30,7 @@
 from ibisring_gateway import storefollowing
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
-from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import retrybudget
 from ibisring_policy.gateway import shutdown
 from ibisring_records import exceptions
 from ibisring_records import routing
@@ -80,10 +80,10 @@
         self.rank_monitor = rankroom.make_monitor(self.view, self.metrics)
         self.connections = upstream.make_connection_pool()
         self.watcher = attemptwatching.make_watcher(self._on_stall)
-        self.retry_budget = attempts.make_retry_budget(
+        self.retry_budget = retrybudget.make_retry_budget(
             settings.repeat_window_s,
-            settings.repeat_ratio * attempts.RATIO_SHARE,
-            settings.repeat_slack * attempts.SLACK_SHARE,
+            settings.repeat_ratio * retrybudget.RATIO_SHARE,
+            settings.repeat_slack * retrybudget.SLACK_SHARE,
         )
         self._make_forwarder()
         self._set_slow_detection()
--- a/packages/gateway/ibisring_gateway/tests/slowload.py
+++ b/packages/gateway/ibisring_gateway/tests/slowload.py
@@ -19,6 +19,7 @@
 from ibisring_gateway import stalls
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import retrybudget
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import exceptions
 from ibisring_records import routing
@@ -168,7 +169,7 @@
         self.selector = selecting.make_selector(self.view)
         self.selector.rng.seed(self.rng.random())
         self.selector.event_times.is_adaptive = is_adaptive
-        self.budget = attempts.make_retry_budget(10.0, 0.16, 10.0)
+        self.budget = retrybudget.make_retry_budget(10.0, 0.16, 10.0)
         self.budget.is_damped = is_adaptive
         self.handler = stalls.make_stall_handler(
             self.view,
--- a/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
+++ b/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
@@ -15,6 +15,7 @@
 from ibisring_gateway.tests import slowload
 from ibisring_gateway.tests import test_stalls
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import retrybudget
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import exceptions
 import pytest
@@ -391,7 +392,7 @@
 
 
 def _forwarder():
-    budget = attempts.make_retry_budget(10.0, 0.2, 200.0)
+    budget = retrybudget.make_retry_budget(10.0, 0.2, 200.0)
     view = builders.make_view([])
     return forwarding.make_forwarder(
         view,
@@ -409,7 +410,7 @@
 def test_refused_retries_are_noted():
     """Failure: routers go on retrying while all engines refuse."""
     forwarder = _forwarder()
-    for number in range(attempts.MIN_REFUSALS):
+    for number in range(retrybudget.MIN_REFUSALS):
         _retry(forwarder)
         assert forwarder.retry_budget.dampers['chat'].refusals == number + 1
     assert forwarder.retry_budget.dampers['chat'].rate is not None
