One line tells who ended an answer, and what was still allowed

A line for a request that was broken off did not say whether the endpoint, the caller, the deadline or the router had ended it, nor which limit was used up, so that the hypotheses of the incident could not be told apart. Each request line now has ended_by and why; where the last attempt did not bring the answer, also tries_left, refusals_left, endpoints_left, may_repeat, retries_left and left_ms. An exception after the head of an answer, which left a trace only, and requests under way when the process exits get such a line as well.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -12,9 +12,11 @@
 from ibisring_gateway import queueing
 from ibisring_gateway import relaymarks
 from ibisring_gateway import relayrouting
+from ibisring_gateway import requestlog
 from ibisring_gateway import selecting
 from ibisring_gateway import sending
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import endings
 from ibisring_records import exceptions
 from ibisring_router import logs
 from ibisring_web import serving
@@ -77,6 +79,9 @@
             view, codec, connections, self.selector, screen
         )
         self.sender.on_decided = self._note_retry
+        self.log = requestlog.make_request_log(
+            view, metrics, self._retries_left
+        )
         self.clock = view.clock
         self.rng = random.Random()
         self.stopping_at = None
@@ -101,20 +106,20 @@
             self._send_error(exchange, request_id, error, started)
         except exchange_module.CallerDisconnected as error:
             exchange.abort()
-            self._log(
+            self.log.write(
                 request_id,
                 'caller_gone',
                 started,
-                why=str(error),
-                **_job_facts(exchange.job),
+                exchange.job,
+                endings.Party.CALLER,
+                str(error),
             )
         except Exception:
-            exchange.abort()
             self.metrics.count('internal_errors')
             LOG.exception('request_failed %s', request_id)
-            if not exchange.headers_sent:
-                error = exceptions.IbisringError('an internal error')
-                self._send_error(exchange, request_id, error, started)
+            error = exceptions.IbisringError('an internal error')
+            self._send_error(exchange, request_id, error, started)
+            exchange.close_after()
         finally:
             with self.view.lock:
                 self.active -= 1
@@ -127,13 +132,7 @@
             # after it would terminate that answer as if it were complete; the
             # caller detects the truncation only if nothing more is written.
             exchange.abort()
-            self._log(
-                request_id,
-                'broken_off',
-                started,
-                why=str(error),
-                **_job_facts(exchange.job),
-            )
+            self.log.write_broken_off(request_id, error, started, exchange.job)
             return
         if self.stopping_at is not None:
             exchange.close_after()
@@ -147,33 +146,7 @@
                 'caller disconnected before the error answer: %s', disconnected
             )
         self.metrics.count(f'refused.{error.code}')
-        snapshot = self.view.snapshot
-        self._log(
-            request_id,
-            error.code,
-            started,
-            status=status,
-            why=error.detail,
-            retry_after=error.retry_after,
-            table=snapshot.version,
-            table_age_ms=round(
-                (self.clock() - snapshot.table_read_at) * MS_PER_SECOND
-            ),
-            **_job_facts(exchange.job) | error.facts,
-        )
-
-    def _log(self, request_id, outcome, started, **facts):
-        seconds = self.clock() - started
-        self.metrics.time('request', seconds)
-        self.metrics.count(f'outcome.{outcome}')
-        logs.event(
-            LOG,
-            'request',
-            id=request_id,
-            outcome=outcome,
-            ms=round(seconds * MS_PER_SECOND, 1),
-            **facts,
-        )
+        self.log.write_error(request_id, error, started, exchange.job, status)
 
     def _serve(self, exchange, request, started, mark):
         snapshot = self.view.snapshot
@@ -212,42 +185,13 @@
                 (relaymarks.SENT_TO, ','.join(job.sent_to))
             ]
         self._run_attempts(job)
-        self._finish(job)
-
-    def _finish(self, job):
-        answer = job.answer
-        if job.late:
-            self.metrics.count(f'late.{job.late}')
-        self._log(
-            job.request.id,
-            _outcome(job),
-            job.started,
-            status=answer.status if answer else None,
-            digest=job.digest.hex(),
-            **_job_facts(job),
-            tries=job.progress.tries,
-            endpoints=job.sent_to,
-            relayed_by=job.relayed_by,
-            relayed_to=job.relayed_to,
-            limit=answer.limit if answer else None,
-            events=job.splitter.count,
-            framing=answer.framing if answer else None,
-            rest_bytes=len(job.splitter.rest),
-            first_ms=_rounded_ms(job.first_seconds),
-            longest_pause_ms=_rounded_ms(job.longest_pause),
-            late=job.late,
-            chain=job.chain,
-            table=self.view.snapshot.version,
-            endpoints_age_ms=round(
-                (self.clock() - self.view.snapshot.endpoints_read_at)
-                * MS_PER_SECOND
-            ),
-        )
+        self.log.write_answered(job)
 
     def _run_attempts(self, job):
         """Send attempts until the request has its final answer."""
         while True:
             result = self._send_attempt(job)
+            job.last_result = result
             if result is None:
                 return
             now = self.clock()
@@ -281,6 +225,12 @@
             ):
                 self._wait_before_resume(job)
 
+    def _retries_left(self):
+        with self.view.lock:
+            return self.retry_budget.remaining(
+                self.clock(), self.count_routers()
+            )
+
     def _take_retry(self, job, now):
         """Return whether the retry budget allows to send a request again.
 
@@ -436,31 +386,6 @@
         return len(sent_to) < job.progress.max_endpoints
 
 
-def _outcome(job):
-    """Return the outcome of a request that has its final answer."""
-    if job.relayed_refusal and job.answer is job.relayed_refusal[0]:
-        return attempts.Result.TURNED_AWAY.value
-    answer = job.answer
-    return 'answered' if answer and answer.status < 400 else 'failed'
-
-
-def _job_facts(job):
-    """Return what log lines say about a request, {} if it is not known."""
-    if job is None:
-        return {}
-    return {
-        'route': job.route.name,
-        'service': job.service.name,
-        'account': job.match.account,
-        'rank': job.rank_text,
-        'waited_ms': _rounded_ms(job.waited),
-    }
-
-
-def _rounded_ms(seconds):
-    return None if seconds is None else round(seconds * MS_PER_SECOND)
-
-
 def _chain_text(stages):
     return ' '.join(f'{s.endpoint}={s.first}-{s.end}' for s in stages)
 
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -66,6 +66,9 @@
         What left the last choice without an endpoint, if a bottleneck did.
     first_chunk_at, last_chunk_at : float or None
         When the first and the latest chunk of its answer arrived.
+    last_result : attempts.Result or None
+        Result of the last attempt; None before it, or if its answer was
+        relayed to the end.
     rank : tuple of int
         Priority of the account and of the route, smaller first, see
         `routetable.Index.rank`; read anew while the request waits.
@@ -76,6 +79,7 @@
     """
 
     # Values before the first attempt.
+    last_result = None
     transfer = None
     blocked_by = None
     retried_at = None
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -30,6 +30,7 @@
 from ibisring_gateway import storefollowing
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
+from ibisring_policy.gateway import endings
 from ibisring_policy.gateway import retrybudget
 from ibisring_policy.gateway import shutdown
 from ibisring_records import exceptions
@@ -398,6 +399,20 @@
                 elapsed, self.forwarder.active, self.settings.grace_s
             ):
                 break
+        for attempt in self.watcher.attempts():
+            logs.event(
+                LOG,
+                'request',
+                id=attempt.request_id,
+                outcome='broken_off',
+                ended_by=endings.Party.ROUTER.value,
+                why='the process exits',
+                endpoint=attempt.endpoint.id,
+                silent_ms=round(
+                    1000.0 * attempt.silent_seconds(time.monotonic())
+                ),
+                events=attempt.events,
+            )
         logs.event(
             LOG,
             'ended',
--- a/packages/policy/ibisring_policy/gateway/attempts.py
+++ b/packages/policy/ibisring_policy/gateway/attempts.py
@@ -5,6 +5,7 @@
     'NextStep',
     'Progress',
     'decide',
+    'tries_left',
 ]
 
 import enum
@@ -115,7 +116,9 @@
 
 
 def _may_retry(result, progress):
-    if _has_used_tries(progress) or progress.time_left < MIN_TIME_LEFT_SECONDS:
+    if not tries_left(progress):
+        return False
+    if progress.time_left < MIN_TIME_LEFT_SECONDS:
         return False
     # A stream may return to an endpoint that it was sent to before, with a
     # chain of other stages: that does not count as a further endpoint.
@@ -124,17 +127,17 @@
     return is_open and (progress.has_retry_budget or not progress.sent_to)
 
 
-def _has_used_tries(progress):
-    """Return whether a request has used up its connection attempts.
+def tries_left(progress):
+    """Return how many more connection attempts a request may make.
 
     A stream under way may be refused more often: giving up would lose its
     whole response, while a refusal only costs a short delay.
     """
     if not progress.delivering:
-        return progress.tries >= MAX_TRIES
+        return max(0, MAX_TRIES - progress.tries)
     if progress.refusals >= MAX_REFUSALS:
-        return True
-    return progress.tries - progress.refusals >= MAX_TRIES
+        return 0
+    return max(0, MAX_TRIES - progress.tries + progress.refusals)
 
 
 def _give_up(progress):
--- a/packages/policy/ibisring_policy/gateway/retrybudget.py
+++ b/packages/policy/ibisring_policy/gateway/retrybudget.py
@@ -177,6 +177,15 @@
         self.request_times.append(now)
         self._expire(now)
 
+    def remaining(self, now, routers):
+        """Return how many retries the ratio and the slack allow now."""
+        self._expire(now)
+        return max(0, int(self._allowed(routers)) - len(self.retry_times))
+
+    def _allowed(self, routers):
+        own_slack = self.slack / max(1, routers)
+        return len(self.request_times) * self.ratio + own_slack
+
     def take_retry(self, now, routers, service=None):
         """Count a retry, if the budget allows one.
 
@@ -198,8 +207,7 @@
             Whether the request may be sent again.
         """
         self._expire(now)
-        own_slack = self.slack / max(1, routers)
-        allowed = len(self.request_times) * self.ratio + own_slack
+        allowed = self._allowed(routers)
         self.max_rate = allowed / self.seconds
         if len(self.retry_times) + 1 > allowed:
             return False
