Give an attempt up only once its successor is set aside

What callers saw: streams of sound engines that fall silent for a second are broken off, both those that may not be resumed and those that may; some of them beside a change of the configuration, where the users count them.

Cause: two deciders, the irrevocable step first. StallHandler ended an attempt as silent at five places as soon as another chain had room. Only afterwards was it decided whether the request may go on at all: the route forbade it, four moves had used up the tries, or the retries of the router were spent. Then the answer was broken off though its endpoint would have continued it.

Change: attempts.may_give_up decides, in pure code, whether an attempt may be ended; successors.Successors sets aside all that the request needs to go on: a retry of the limit, an endpoint with room (counted in its load) or another router. Only with such a successor is an attempt ended, and the successor is what the request goes to. What is not used is given back. Silent plain requests and requests at other routers go the same way.

test_lost_first_stage_aborts_the_attempt asked for the fault itself: an attempt that ends though no other chain exists. Two tests take its place: with another chain it ends for that one, without one it stays.

--- a/packages/gateway/ibisring_gateway/attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/attemptwatching.py
@@ -67,6 +67,12 @@
         Whether its engines answered in the present silence.
     blocked : stalls.NoWayRound or None
         What kept it from being moved off lost stages.
+    job : jobs.Job or None
+        The request.
+    successor : successors.Successor or None
+        What follows it, if this router gave it up.
+    is_over : bool
+        Whether its outcome is settled, so that it can't be given up.
     """
 
     __slots__ = (
@@ -95,6 +101,9 @@
         'explained_seconds',
         'is_behind',
         'blocked',
+        'job',
+        'successor',
+        'is_over',
         'lock',
     )
 
@@ -124,6 +133,9 @@
         self.explained_seconds = 0.0
         self.is_behind = False
         self.blocked = None
+        self.job = None
+        self.successor = None
+        self.is_over = False
         self.lock = threading.Lock()
 
     def silent_seconds(self, now):
@@ -134,10 +146,10 @@
         return now - (self.last_event_at if self.events else self.sent_at)
 
     def abort(self, end):
-        """End the attempt and wake the thread that reads its answer.
+        """End the attempt for its caller's sake or for want of time.
 
-        Shutting the socket down wakes a thread that is blocked reading from
-        it; closing it would not.
+        The thread that reads its answer is woken by shutting the socket
+        down; closing it would not wake it.
         """
         with self.lock:
             if self.result is None:
@@ -145,6 +157,35 @@
             if self.socket is not None:
                 _shut_down(self.socket)
 
+    def hand_over(self, successor, end=attempts.Result.SILENT):
+        """End the attempt in favour of a successor.
+
+        Parameters
+        ----------
+        successor : successors.Successor
+        end : attempts.Result
+
+        Returns
+        -------
+        bool
+            False if it has ended otherwise; the successor is not used then.
+        """
+        with self.lock:
+            if self.result is not None or self.is_over:
+                return False
+            self.result = end
+            self.successor = successor
+            if self.socket is not None:
+                _shut_down(self.socket)
+            return True
+
+    def settle(self):
+        """Settle the outcome, and return the successor if there is one."""
+        with self.lock:
+            self.is_over = True
+            self.socket = None
+            return self.successor
+
     def detach(self):
         """Give up the connection, which another attempt may then use.
 
@@ -156,6 +197,7 @@
             Whether the connection is intact; False if this was aborted.
         """
         with self.lock:
+            self.is_over = True
             self.socket = None
             return self.result is None
 
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -6,7 +6,6 @@
 import random
 import time
 
-from ibisring_gateway import attemptwatching
 from ibisring_gateway import exchange as exchange_module
 from ibisring_gateway import jobs
 from ibisring_gateway import queueing
@@ -15,6 +14,7 @@
 from ibisring_gateway import requestlog
 from ibisring_gateway import selecting
 from ibisring_gateway import sending
+from ibisring_gateway import successors
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import endings
 from ibisring_records import exceptions
@@ -29,7 +29,6 @@
 # store; outages last seconds, and callers retry once or twice only.
 NOT_READY_RETRY_SECONDS = 2.0
 MS_PER_SECOND = 1000.0
-CONTINUING = (attempts.NextStep.RETRY, attempts.NextStep.RESUME)
 # Where no endpoint is in reach: by then one has been tried again, and a caller
 # that comes back reaches another router.
 NOBODY_RETRY_SECONDS = 0.4
@@ -79,6 +78,15 @@
             view, codec, connections, self.selector, screen
         )
         self.sender.on_decided = self._note_retry
+        self.successors = successors.make_successors(
+            view,
+            self.selector,
+            screen,
+            relay_sender,
+            retry_budget,
+            count_routers,
+        )
+        self.sender.successors = self.successors
         self.log = requestlog.make_request_log(
             view, metrics, self._retries_left
         )
@@ -189,41 +197,63 @@
 
     def _run_attempts(self, job):
         """Send attempts until the request has its final answer."""
-        while True:
-            result = self._send_attempt(job)
-            job.last_result = result
-            if result is None:
-                return
-            now = self.clock()
-            progress = job.progress
-            progress.time_left = job.deadline - now
-            progress.delivering = job.exchange.headers_sent
-            progress.has_retry_budget = True
+        try:
+            while True:
+                result = self._send_attempt(job)
+                job.last_result = result
+                if result is None:
+                    return
+                step = self._decide(job, result)
+                if step not in attempts.CONTINUING:
+                    self._end_unanswered(job, result, step)
+                    return
+                if (
+                    step is attempts.NextStep.RESUME
+                    and result is attempts.Result.REFUSED
+                ):
+                    self._wait_before_resume(job)
+        finally:
+            self._cancel_successor(job)
+
+    def _decide(self, job, result):
+        """Return the next step after an attempt without a whole answer."""
+        now = self.clock()
+        progress = job.progress
+        progress.time_left = job.deadline - now
+        progress.delivering = job.exchange.headers_sent
+        progress.has_retry_budget = True
+        if result is attempts.Result.SILENT and job.successor is not None:
+            attempts.count_given_up(job.successor.cause, progress)
+        step = attempts.decide(result, progress)
+        if step in attempts.CONTINUING and progress.sent_to:
+            progress.has_retry_budget = self._take_retry(job, now)
             step = attempts.decide(result, progress)
-            if step in CONTINUING and progress.sent_to:
-                progress.has_retry_budget = self._take_retry(job, now)
-                step = attempts.decide(result, progress)
-            logs.event(
-                LOG,
-                'attempt_ended',
-                id=job.request.id,
-                digest=job.digest.hex(),
-                chain=job.chain,
-                end=result.value,
-                next=step.value,
-                tries=progress.tries,
-                endpoints=job.sent_to,
-                left_ms=round(progress.time_left * MS_PER_SECOND),
-                after_event=job.splitter.last_position,
-            )
-            if step not in CONTINUING:
-                self._end_unanswered(job, result, step)
-                return
-            if (
-                step is attempts.NextStep.RESUME
-                and result is attempts.Result.REFUSED
-            ):
-                self._wait_before_resume(job)
+        self._log_attempt(job, result, step)
+        return step
+
+    def _log_attempt(self, job, result, step):
+        progress = job.progress
+        logs.event(
+            LOG,
+            'attempt_ended',
+            id=job.request.id,
+            digest=job.digest.hex(),
+            chain=job.chain,
+            end=result.value,
+            cause=job.successor.cause.value if job.successor else None,
+            next=step.value,
+            tries=progress.tries,
+            moves=progress.moves,
+            endpoints=job.sent_to,
+            left_ms=round(progress.time_left * MS_PER_SECOND),
+            after_event=job.splitter.last_position,
+        )
+
+    def _cancel_successor(self, job):
+        """Return what was set aside for a request that doesn't go on."""
+        successor, job.successor = job.successor, None
+        if successor is not None:
+            self.successors.cancel(successor)
 
     def _retries_left(self):
         with self.view.lock:
@@ -237,13 +267,13 @@
         The outcome is noted only where it may lower a rate: a stream under
         way is retried for other reasons than a new request.
         """
-        is_damped = job.service.model is not None
-        is_damped = is_damped and not job.progress.delivering
-        service = job.service.name if is_damped else None
-        with self.view.lock:
-            is_allowed = self.retry_budget.take_retry(
-                now, self.count_routers(), service
-            )
+        is_damped = successors.damped_service(job) is not None
+        if job.successor is not None:
+            now = job.successor.taken_at
+            is_damped = job.successor.damped_service is not None
+            is_allowed = True
+        else:
+            is_allowed = self.successors.take_retry(job, now)
         job.retried_at = now if is_allowed and is_damped else None
         return is_allowed
 
@@ -308,6 +338,8 @@
         """
         if not self.screen.wait_until_allowed(job):
             return attempts.Result.SUSPECTED
+        if job.successor is not None:
+            return self._send_to_successor(job)
         try:
             peer = self.relay_routing.choose(job)
         except relayrouting.NobodyInReach:
@@ -321,25 +353,30 @@
             return self._end_without_choice(job)
         return self._send_to(job, choice)
 
+    def _send_to_successor(self, job):
+        successor, job.successor = job.successor, None
+        if successor.peer is not None:
+            self.metrics.count('relayed')
+            return self.relay_sender.send(job, successor.peer)
+        return self._send_reserved(job, successor.choice, successor.attempt)
+
     def _send_to(self, job, choice):
+        attempt = successors.attempt_for(job, choice)
+        self.selector.reserve(attempt)
+        return self._send_reserved(job, choice, attempt)
+
+    def _send_reserved(self, job, choice, attempt):
+        """Send an attempt that is counted in the load of its endpoints."""
         if choice.wait:
             time.sleep(choice.wait)
-        attempt = attemptwatching.Attempt(
-            job.request.id, choice.endpoint, choice.stages, job.deadline
-        )
-        attempt.tokens = choice.tokens
-        attempt.rank = job.rank
-        attempt.may_change_endpoint = self._may_change_endpoint(
-            job, choice.endpoint
-        )
         job.chain = _chain_text(choice.stages)
-        self.selector.reserve(attempt)
         self.screen.record_start(job, attempt)
         self.watcher.add(job.exchange.socket, attempt)
         try:
             return self.sender.send(job, attempt)
         finally:
             self.watcher.remove(job.exchange.socket)
+            job.successor = attempt.settle()
             self.selector.release(attempt)
             self.admitter.wake(job.service.name)
             self.screen.record_end(job)
@@ -380,11 +417,6 @@
         job.progress.tries = attempts.MAX_TRIES
         return attempts.Result.NOT_SENT
 
-    def _may_change_endpoint(self, job, endpoint):
-        """Return whether the route allows another endpoint after this one."""
-        sent_to = {*job.sent_to, endpoint.id}
-        return len(sent_to) < job.progress.max_endpoints
-
 
 def _chain_text(stages):
     return ' '.join(f'{s.endpoint}={s.first}-{s.end}' for s in stages)
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -69,6 +69,8 @@
     last_result : attempts.Result or None
         Result of the last attempt; None before it, or if its answer was
         relayed to the end.
+    successor : successors.Successor or None
+        What was set aside as its last attempt was given up.
     rank : tuple of int
         Priority of the account and of the route, smaller first, see
         `routetable.Index.rank`; read anew while the request waits.
@@ -80,6 +82,7 @@
 
     # Values before the first attempt.
     last_result = None
+    successor = None
     transfer = None
     blocked_by = None
     retried_at = None
@@ -159,6 +162,7 @@
             pause = now - self.last_chunk_at
             self.longest_pause = max(self.longest_pause, pause)
         self.last_chunk_at = now
+        self.progress.is_moved = False
 
     @property
     def rank_text(self):
--- a/packages/gateway/ibisring_gateway/relaysending.py
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -87,9 +87,15 @@
         self.clock = view.clock
         self.rng = random.Random()
 
-    def choose(self, job):
+    def choose(self, job, without=None):
         """Return the router to hand a request to, None if there is none.
 
+        Parameters
+        ----------
+        job : jobs.Job
+        without : str or None
+            Router that is not chosen.
+
         Returns
         -------
         relays.Candidate or None
@@ -101,7 +107,7 @@
                 job.service.name,
                 now,
                 self.rng,
-                job.relays_failed,
+                {*job.relays_failed, without},
             )
 
     def is_possible(self, service):
@@ -130,6 +136,7 @@
         attempt = attemptwatching.Attempt(
             job.request.id, _Peer(peer.name, peer.address), (), job.deadline
         )
+        attempt.job = job
         logs.event(
             LOG,
             'relayed',
@@ -146,6 +153,7 @@
             return self._send(job, attempt)
         finally:
             self.watcher.remove(job.exchange.socket)
+            job.successor = attempt.settle()
             with self.view.lock:
                 self.view.relays.ended(peer.name)
 
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -120,6 +120,12 @@
                     'while the suspect request waited'
                 )
 
+    def is_refused(self, job):
+        """Return whether a request may not be sent to an endpoint."""
+        if job.exchange.headers_sent and not job.features:
+            return False
+        return bool(self.restriction(job).refused_until)
+
     def retry_after(self, job):
         """Return the seconds for which a request is refused, 0 if allowed."""
         return max(0.0, self.restriction(job).refused_until - self.clock())
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -98,6 +98,26 @@
                 return choice
         return None
 
+    def choose_other(self, job, attempt, now):
+        """Return a `Choice` for a request that leaves its endpoint, or None.
+
+        Parameters
+        ----------
+        job : jobs.Job
+        attempt : attemptwatching.Attempt
+            The present attempt.
+        now : float
+        """
+        name = attempt.endpoint.id
+        was_avoided = name in job.avoid
+        job.avoid.add(name)
+        choice = self.choose(job, now)
+        if choice is not None and choice.endpoint.id != name:
+            return choice
+        if not was_avoided:
+            job.avoid.discard(name)
+        return None
+
     def _endpoints(self, job):
         return self.view.snapshot.by_service.get(job.service.name, ())
 
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -1,4 +1,9 @@
-"""Detection of lost stages of silent requests, and rerouting around them."""
+"""Detection of lost stages of silent requests, and rerouting around them.
+
+An attempt is given up only for a successor that has been set aside, see
+`successors`.  Without one it stays: a sound endpoint may be silent for a
+second and go on, and the caller or the deadline ends what never goes on.
+"""
 
 __all__ = ['NoWayRound', 'StallHandler', 'make_stall_handler']
 
@@ -32,6 +37,8 @@
 # Checks without a finding before the request is sent elsewhere: a stage that
 # has lost its own links to other stages still answers status queries.
 MAX_CHECKS = 4
+# Seconds until a plain request without a successor is looked at again.
+PLAIN_RECHECK_SECONDS = 0.1
 # Silence after which a request goes on by another router if this one has lost
 # its links to engines; an open connection may still work.
 CUT_SILENCE_SECONDS = 0.25
@@ -84,6 +91,8 @@
         Called with a service whose engines all seem silent.
     can_relay : callable
         Returns whether another router may take requests for a service.
+    successors : successors.Successors or None
+        Without them no attempt is given up.
     """
 
     def __init__(self, view, engines, selector, watcher, metrics):
@@ -101,6 +110,7 @@
         self.excluded_lock = threading.Lock()
         self.on_all_silent = lambda service: None
         self.can_relay = lambda service: False
+        self.successors = None
 
     def stop(self):
         """Shut the thread pools down without waiting."""
@@ -115,8 +125,8 @@
         try:
             if attempt.stages:
                 self._check_stages(attempt)
-            else:
-                attempt.abort(attempts.Result.SILENT)
+            elif not self._give_up(attempt, attempts.Cause.SILENT):
+                attempt.check_at = self.clock() + PLAIN_RECHECK_SECONDS
         except Exception:
             LOG.exception(
                 'stage check failed for request %s', attempt.request_id
@@ -124,6 +134,25 @@
         finally:
             attempt.is_checking = False
 
+    def _give_up(self, attempt, cause):
+        """End an attempt if its request goes on elsewhere.
+
+        Returns
+        -------
+        bool
+            Whether the attempt has ended.
+        """
+        if self.successors is None:
+            return False
+        successor = self.successors.prepare(attempt, cause)
+        if successor is None:
+            return attempt.result is not None
+        if attempt.hand_over(successor):
+            self.metrics.count(f'given_up.{cause}')
+            return True
+        self.successors.cancel(successor)
+        return True
+
     def _check_stages(self, attempt):
         attempt.checks += 1
         lost = self._known_lost(attempt)
@@ -141,10 +170,11 @@
         attempt.is_behind = False
         if not is_known:
             self._log_lost(attempt, lost, now)
+        found_lost = frozenset(lost)
         if attempt.endpoint.id in lost:
-            attempt.abort(attempts.Result.SILENT)
+            if not self._give_up(attempt, attempts.Cause.LOST):
+                self._keep_blocked(attempt, found_lost, is_known, now)
             return
-        found_lost = frozenset(lost)
         # Engines refuse a path with a stage that is leaving or has given up
         # its layers, so such stages are replaced along with the lost ones.
         lost |= _leaving(attempt, self.view.snapshot.endpoints)
@@ -170,9 +200,14 @@
         Otherwise the attempt stays: the lost layers may be loaded elsewhere
         before the caller gives up.
         """
-        if self._has_alternative(attempt, now):
-            attempt.abort(attempts.Result.SILENT)
-            return
+        has_alternative = self._has_alternative(attempt, now)
+        if not has_alternative or not self._give_up(
+            attempt, attempts.Cause.LOST
+        ):
+            self._keep_blocked(attempt, lost, is_known, now)
+
+    def _keep_blocked(self, attempt, lost, is_known, now):
+        """Keep an attempt with lost stages until something has changed."""
         attempt.check_at = now + RECHECK_SECONDS
         if is_known or not self.is_adaptive:
             return
@@ -272,8 +307,8 @@
         )
         has_waited = is_cut or attempt.checks > MAX_CHECKS
         if has_waited and self._may_leave(attempt, is_cut, now):
-            attempt.abort(attempts.Result.SILENT)
-            return
+            if self._give_up(attempt, attempts.Cause.SILENT):
+                return
         checks = min(MAX_CHECKS, attempt.checks)
         attempt.check_at = now + RECHECK_SECONDS * 2 ** (checks - 1)
 
@@ -428,13 +463,14 @@
             return False
         if not self.selector.has_alternative(attempt, self.clock()):
             return False
+        if not self._give_up(attempt, attempts.Cause.UNLOADED):
+            return False
         logs.event(
             LOG,
             'cleared_out',
             id=attempt.request_id,
             engines=sorted(_unloaded(attempt, endpoints)),
         )
-        attempt.abort(attempts.Result.SILENT)
         return True
 
     def _reroute(self, attempt, lost, is_logged=False):
--- /dev/null
+++ b/packages/gateway/ibisring_gateway/successors.py
@@ -0,0 +1,206 @@
+"""Where a request goes on if its attempt is given up.
+
+An attempt is given up only once all that its request needs to go on has been
+set aside: the limits of its route, a retry, and an endpoint with room.
+"""
+
+__all__ = ['Successor', 'Successors', 'make_successors', 'attempt_for']
+
+import msgspec
+
+from ibisring_gateway import attemptwatching
+from ibisring_policy.gateway import attempts
+
+
+class Successor:
+    """What was set aside for a request whose attempt is given up.
+
+    Attributes
+    ----------
+    cause : attempts.Cause
+    taken_at : float
+        When the retry was taken from the limit on retries.
+    damped_service : str or None
+        Service whose lowered rate of retries it was taken from.
+    choice : selecting.Choice or None
+        None if the request goes to another router.
+    attempt : attemptwatching.Attempt or None
+        The next attempt, counted in the load of its endpoints.
+    peer : relays.Candidate or None
+    """
+
+    __slots__ = (
+        'cause',
+        'taken_at',
+        'damped_service',
+        'choice',
+        'attempt',
+        'peer',
+    )
+
+    def __init__(self, cause, taken_at, damped_service):
+        self.cause = cause
+        self.taken_at = taken_at
+        self.damped_service = damped_service
+        self.choice = None
+        self.attempt = None
+        self.peer = None
+
+
+class Successors:
+    """Sets aside what requests need to go on elsewhere.
+
+    Parameters
+    ----------
+    view : view.View
+    selector : selecting.Selector
+    screen : screening.Screen
+    relay_sender : relaysending.RelaySender
+    retry_budget : retrybudget.RetryBudget
+    count_routers : callable
+    """
+
+    def __init__(
+        self,
+        view,
+        selector,
+        screen,
+        relay_sender,
+        retry_budget,
+        count_routers,
+    ):
+        self.view = view
+        self.selector = selector
+        self.screen = screen
+        self.relay_sender = relay_sender
+        self.retry_budget = retry_budget
+        self.count_routers = count_routers
+        self.clock = view.clock
+
+    def prepare(self, attempt, cause):
+        """Set aside what a request needs if its attempt is given up.
+
+        Parameters
+        ----------
+        attempt : attemptwatching.Attempt
+        cause : attempts.Cause
+
+        Returns
+        -------
+        Successor or None
+            None if the request may not go on elsewhere; the attempt has to
+            stay then.
+        """
+        job = attempt.job
+        now = self.clock()
+        if job is None or attempt.is_over or attempt.result is not None:
+            return None
+        if not attempts.may_give_up(cause, self._progress(job, now)):
+            return None
+        if self.screen.is_refused(job):
+            return None
+        successor = self._take_retry(job, cause, now)
+        if successor is None:
+            return None
+        if not self._find_way(job, attempt, successor, now):
+            self.cancel(successor)
+            return None
+        return successor
+
+    def cancel(self, successor):
+        """Return what was set aside for a request."""
+        if successor.attempt is not None:
+            self.selector.release(successor.attempt)
+        with self.view.lock:
+            self.retry_budget.give_back(
+                successor.taken_at, successor.damped_service
+            )
+
+    def take_retry(self, job, now):
+        """Take a retry from the limit on them.
+
+        Returns
+        -------
+        bool
+        """
+        with self.view.lock:
+            return self.retry_budget.take_retry(
+                now, self.count_routers(), damped_service(job)
+            )
+
+    def _progress(self, job, now):
+        is_numbered = not job.splitter.has_unnumbered
+        return msgspec.structs.replace(
+            job.progress,
+            delivering=job.exchange.headers_sent,
+            repeatable=job.progress.repeatable and is_numbered,
+            time_left=job.deadline - now,
+            has_retry_budget=True,
+        )
+
+    def _take_retry(self, job, cause, now):
+        if not self.take_retry(job, now):
+            return None
+        return Successor(cause, now, damped_service(job))
+
+    def _find_way(self, job, attempt, successor, now):
+        """Choose where a request goes on; False if there is no way."""
+        if self._needs_router(job):
+            if job.relayed_by is None:
+                successor.peer = self.relay_sender.choose(
+                    job, without=attempt.endpoint.id
+                )
+            return successor.peer is not None
+        choice = self.selector.choose_other(job, attempt, now)
+        if choice is None:
+            return False
+        successor.choice = choice
+        successor.attempt = attempt_for(job, choice)
+        self.selector.reserve(successor.attempt)
+        return True
+
+    def _needs_router(self, job):
+        """Return whether this router reaches no endpoint for a request."""
+        name = job.service.name
+        with self.view.lock:
+            links = self.view.links
+            return links.is_cut(name) and not links.may_be_back(name)
+
+
+def damped_service(job):
+    """Return the service whose lowered rate holds for a job's retries.
+
+    None if only the bound holds: for services without a model, and for
+    streams under way, whose response so far would be lost.
+    """
+    if job.service.model is None or job.exchange.headers_sent:
+        return None
+    return job.service.name
+
+
+def attempt_for(job, choice):
+    """Make the attempt to send a request where it was chosen to go.
+
+    Parameters
+    ----------
+    job : jobs.Job
+    choice : selecting.Choice
+
+    Returns
+    -------
+    attemptwatching.Attempt
+    """
+    attempt = attemptwatching.Attempt(
+        job.request.id, choice.endpoint, choice.stages, job.deadline
+    )
+    attempt.job = job
+    attempt.tokens = choice.tokens
+    attempt.rank = job.rank
+    sent_to = {*job.sent_to, choice.endpoint.id}
+    attempt.may_change_endpoint = len(sent_to) < job.progress.max_endpoints
+    return attempt
+
+
+def make_successors(*parts):
+    """Make a `Successors`."""
+    return Successors(*parts)
--- a/packages/gateway/ibisring_gateway/tests/slowload.py
+++ b/packages/gateway/ibisring_gateway/tests/slowload.py
@@ -13,11 +13,12 @@
 import threading
 import types
 
-from ibisring_gateway import attemptwatching
 from ibisring_gateway import enginestatus
 from ibisring_gateway import selecting
 from ibisring_gateway import stalls
+from ibisring_gateway import successors
 from ibisring_gateway.tests import builders
+from ibisring_gateway.tests import jobbuilders
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import retrybudget
 from ibisring_policy.gateway.tests import builders as build
@@ -178,6 +179,9 @@
             types.SimpleNamespace(attempts=lambda: list(self.attempts)),
             builders.Metrics(),
         )
+        self.handler.successors = jobbuilders.make_successors(
+            self.view, self.selector, self.budget
+        )
         self.handler.stop()
         self.handler.pool = InlinePool(self.clock)
         self.handler.querier.pool = InlinePool(self.clock)
@@ -252,29 +256,16 @@
 
     def _arrive(self):
         now = self.clock.now
-        job = types.SimpleNamespace(
-            digest=b'digest',
-            deadline=now + 30.0,
-            is_suspect=False,
-            avoid=set(),
-            limited=set(),
-            sent_to=[],
+        job = jobbuilders.make_job(
             service=self.view.snapshot.index.services['model'],
-            route=build.route(),
-            match=types.SimpleNamespace(priority=1, account='acme'),
-            progress=types.SimpleNamespace(
-                sent_to=0, max_endpoints=4, delivering=False
-            ),
-            rank=(1, 1),
-            exchange=types.SimpleNamespace(headers_sent=False),
-            transfer=None,
-            blocked_by=None,
-            request=types.SimpleNamespace(
-                prompt_tokens=PROMPT_TOKENS,
-                answer_tokens=100,
-                answer_hint=20,
-                after_event=None,
-            ),
+            seconds=30.0,
+            now=now,
+            most_endpoints=4,
+            request={
+                'prompt_tokens': PROMPT_TOKENS,
+                'answer_tokens': 100,
+                'answer_hint': 20,
+            },
         )
         self.outcome.requests += 1
         self.budget.count_request(now)
@@ -290,13 +281,20 @@
         if choice is None:
             stream.attempt = None
             return False
-        attempt = attemptwatching.Attempt(
-            'r', choice.endpoint, choice.stages, now + 30.0
-        )
-        attempt.tokens = choice.tokens
+        attempt = successors.attempt_for(stream.job, choice)
+        attempt.rank = None
+        self.selector.reserve(attempt)
+        self._begin(stream, attempt)
+        return True
+
+    def _begin(self, stream, attempt):
+        """Send an attempt that is counted in the load of its endpoints."""
+        now = self.clock.now
+        progress = stream.job.progress
+        progress.tries += 1
+        progress.sent_to += 1
         attempt.sent_at = attempt.last_event_at = now
         stream.attempt = attempt
-        self.selector.reserve(attempt)
         self.attempts.append(attempt)
         attempt.check_at = now + self.selector.first_event_timeout(
             stream.job, attempt
@@ -307,7 +305,6 @@
             self._start(stream, attempt)
         else:
             self.waiting[name].append((stream, attempt))
-        return True
 
     def _start(self, stream, attempt):
         name = attempt.endpoint.id
@@ -368,8 +365,6 @@
             self.at(attempt.check_at, self._check, stream, attempt)
             return
         self._end(stream)
-        service = None if stream.events else stream.job.service.name
-        if self.budget.take_retry(now, 1, service):
-            self.outcome.moved += 1
-            stream.job.avoid.add(attempt.endpoint.id)
-            self._send(stream)
+        self.outcome.moved += 1
+        attempts.count_given_up(attempt.successor.cause, stream.job.progress)
+        self._begin(stream, attempt.successor.attempt)
--- a/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
+++ b/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
@@ -108,6 +108,9 @@
     attempt.check_at = clock.now + selecting.FIRST_EVENT_TIMEOUT
     attempt.explained_seconds = selecting.FIRST_EVENT_TIMEOUT
     scenario.selector.find_alternative = lambda attempt, now: attempt.stages
+    scenario.selector.choose_other = lambda job, attempt, now: (
+        selecting.Choice(attempt.endpoint, attempt.stages)
+    )
     event_times._first_seconds = lambda *chain: 0.3
     handler.querier.check = lambda endpoints, *options: {
         e.id: enginestatus.Reply.ANSWERED for e in endpoints
@@ -382,8 +385,9 @@
     if job is None:
         job = types.SimpleNamespace(
             service=types.SimpleNamespace(name='chat', model=model),
-            progress=types.SimpleNamespace(delivering=is_delivering),
+            exchange=types.SimpleNamespace(headers_sent=is_delivering),
             has_refused_retry=False,
+            successor=None,
         )
     assert forwarder._take_retry(job, forwarder.clock())
     forwarder.sender.on_decided(job, True)
--- a/packages/gateway/ibisring_gateway/tests/test_stalls.py
+++ b/packages/gateway/ibisring_gateway/tests/test_stalls.py
@@ -1,5 +1,6 @@
 """Tests of detecting lost stages and rerouting around them."""
 
+import itertools
 import time
 
 import pytest
@@ -7,10 +8,12 @@
 from ibisring_gateway import attemptwatching
 from ibisring_gateway import ports
 from ibisring_gateway import selecting
-from ibisring_gateway import stalls as doctor_module
+from ibisring_gateway import stalls
 from ibisring_gateway.tests import builders
+from ibisring_gateway.tests import jobbuilders
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import chains
+from ibisring_policy.gateway import retrybudget
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
 
@@ -45,13 +48,16 @@
         self.view = builders.make_view(self.endpoints, table)
         self.watcher = _Watcher()
         self.selector = selecting.make_selector(self.view)
-        self.handler = doctor_module.make_stall_handler(
+        self.handler = stalls.make_stall_handler(
             self.view,
             self.engines,
             self.selector,
             self.watcher,
             builders.Metrics(),
         )
+        self.handler.successors = jobbuilders.make_successors(
+            self.view, self.selector
+        )
         self.attempt = self.new_attempt('r1')
 
     def new_attempt(self, name):
@@ -61,6 +67,12 @@
             for e in self.chain
         )
         attempt = attemptwatching.Attempt(name, self.chain[0], stages, 1e12)
+        attempt.job = jobbuilders.make_job(
+            jobbuilders.Exchange(headers_sent=True),
+            service=self.view.snapshot.index.services['model'],
+            most_endpoints=4,
+        )
+        attempt.job.progress.tries = attempt.job.progress.sent_to = 1
         attempt.events = 5
         attempt.tokens = 10.0
         attempt.last_event_at = time.monotonic() - 0.1
@@ -105,12 +117,33 @@
     assert scenario.view.estimates.is_dead('m')
 
 
-def test_lost_first_stage_aborts_the_attempt(scenario):
+def _other_chain():
+    return [
+        _engine('h2', 0, 40, card='big'),
+        _engine('t2', 40, 80, card='big'),
+    ]
+
+
+def test_attempt_with_a_lost_first_stage_goes_on_elsewhere():
+    scenario = Scenario(*_other_chain())
     scenario.engines.unreachable.add('h:1')
     scenario.handler.handle(scenario.attempt)
     scenario.settle()
     assert scenario.attempt.result is attempts.Result.SILENT
+    successor = scenario.attempt.successor
+    assert successor.cause is attempts.Cause.LOST
+    assert successor.choice.endpoint.id == 'h2'
     assert scenario.engines.rerouted == []
+    scenario.handler.stop()
+
+
+def test_lost_first_stage_without_another_chain_ends_nothing(scenario):
+    """Failure: a stream is cut off since an engine is silent for a second."""
+    scenario.engines.unreachable.add('h:1')
+    scenario.handler.handle(scenario.attempt)
+    scenario.settle()
+    assert scenario.attempt.result is None
+    assert scenario.attempt.check_at > time.monotonic()
 
 
 def test_stream_is_not_aborted_while_no_other_chain_has_room():
@@ -292,3 +325,113 @@
     scenario.handler.handle(scenario.attempt)
     scenario.settle()
     assert not any(map(scenario.view.estimates.is_dead, ('h', 'm', 't', 'm2')))
+
+
+def _forbid(job, why):
+    """Take something that a request needs to go on elsewhere."""
+    progress = job.progress
+    if why == 'route':
+        progress.repeatable = False
+    elif why == 'tries':
+        progress.tries = attempts.MAX_TRIES
+    elif why == 'moves':
+        progress.moves = attempts.MAX_MOVES
+    elif why == 'moved':
+        progress.is_moved = True
+    elif why == 'time':
+        job.deadline = time.monotonic()
+    elif why == 'numbers':
+        job.splitter.has_unnumbered = True
+
+
+def _silence(scenario, cause):
+    """Make the attempt silent; return what gives it up."""
+    handler, attempt = scenario.handler, scenario.attempt
+    attempt.is_behind = True
+    attempt.checks = stalls.MAX_CHECKS + 1
+    if cause is attempts.Cause.LOST:
+        scenario.engines.unreachable.add('h:1')
+    elif cause is attempts.Cause.UNLOADED:
+        scenario.engines.result = ports.OrderResult.CONFLICT
+        scenario.replace('t', holding=None)
+        return handler.run_checks
+    scenario.selector.event_times.should_move = lambda *chain: True
+    return lambda: handler.handle(attempt)
+
+
+CAUSES = (
+    attempts.Cause.SILENT,
+    attempts.Cause.LOST,
+    attempts.Cause.UNLOADED,
+)
+LIMITS = ('route', 'tries', 'time', 'numbers', 'budget')
+
+
+@pytest.mark.parametrize(
+    ('cause', 'why'),
+    [
+        *itertools.product(CAUSES, LIMITS),
+        (attempts.Cause.SILENT, 'moves'),
+        (attempts.Cause.UNLOADED, 'moves'),
+        (attempts.Cause.SILENT, 'moved'),
+    ],
+)
+def test_silent_attempt_is_not_ended_if_its_request_may_not_go_on(cause, why):
+    """Failure: a stream of a sound engine that pauses is cut off."""
+    scenario = Scenario(*_other_chain())
+    if why == 'budget':
+        scenario.handler.successors.retry_budget = (
+            retrybudget.make_retry_budget(10.0, 0.2, 0.5)
+        )
+    _forbid(scenario.attempt.job, why)
+    _silence(scenario, cause)()
+    scenario.settle()
+    assert scenario.attempt.result is None
+    scenario.handler.stop()
+
+
+@pytest.mark.parametrize('cause', CAUSES)
+def test_silent_attempt_ends_for_a_successor_with_all_it_needs(cause):
+    scenario = Scenario(*_other_chain())
+    _silence(scenario, cause)()
+    scenario.settle()
+    successor = scenario.attempt.successor
+    assert scenario.attempt.result is attempts.Result.SILENT
+    assert successor.cause is cause
+    assert successor.choice.endpoint.id == 'h2'
+    scenario.handler.stop()
+
+
+def test_streams_silent_together_share_the_room_and_the_retries():
+    """Failure: all streams of an engine are ended for the same free place."""
+    scenario = Scenario(*_other_chain())
+    budget = retrybudget.make_retry_budget(10.0, 0.2, 3.0)
+    scenario.handler.successors.retry_budget = budget
+    scenario.engines.unreachable.add('h:1')
+    streams = [scenario.new_attempt(f's{n}') for n in range(8)]
+    for attempt in streams:
+        scenario.handler.handle(attempt)
+    scenario.settle()
+    ended = [each for each in streams if each.result is not None]
+    assert len(ended) == 3
+    assert all(each.successor is not None for each in ended)
+    scenario.handler.stop()
+
+
+def test_retry_of_an_attempt_that_ends_by_itself_is_given_back():
+    """Failure: attempts that end meanwhile use up the retries of others."""
+    scenario = Scenario(*_other_chain())
+    budget = scenario.handler.successors.retry_budget
+    now = time.monotonic()
+    before = budget.remaining(now, 1)
+    successor = scenario.handler.successors.prepare(
+        scenario.attempt, attempts.Cause.SILENT
+    )
+    assert budget.remaining(now, 1) == before - 1
+    scenario.attempt.settle()
+    assert not scenario.attempt.hand_over(successor)
+    scenario.handler.successors.cancel(successor)
+    assert budget.remaining(now, 1) == before
+    loads = scenario.view.estimates.own_tokens()
+    assert not loads.get('h2')
+    scenario.handler.stop()
--- a/packages/policy/ibisring_policy/gateway/attempts.py
+++ b/packages/policy/ibisring_policy/gateway/attempts.py
@@ -1,10 +1,13 @@
-"""Decides what a request does after a failed attempt."""
+"""Decides what follows a failed attempt, and whether one may be given up."""
 
 __all__ = [
     'Result',
     'NextStep',
+    'Cause',
     'Progress',
     'decide',
+    'may_give_up',
+    'count_given_up',
     'tries_left',
 ]
 
@@ -49,14 +52,30 @@
     DROP = 'drop'
 
 
+class Cause(enum.StrEnum):
+    """Why this router would end an attempt that may still be answered.
+
+    With `LOST` a stage of it doesn't answer status queries either; with
+    `UNLOADED` it keeps an engine from loading the layers that it was ordered
+    to hold; with `FAILED` its answer is an error of the endpoint.
+    """
+
+    SILENT = 'silent'
+    LOST = 'lost'
+    UNLOADED = 'unloaded'
+    FAILED = 'failed'
+
+
 class Progress(msgspec.Struct, kw_only=True):
     """State of a request on which the decision depends.
 
     `tries` counts connection attempts, `refusals` those of them that the
-    endpoint refused, `sent_to` the endpoints that the request was sent to;
-    `may_have_run` is set once one of them may have begun to execute it, and
-    `delivering` once the caller has received the head of a response.
-    `time_left` is in seconds.
+    endpoint refused, `moves` those that this router gave up though nothing
+    showed that the endpoint was lost, `sent_to` the endpoints that the
+    request was sent to; `is_moved` says that no event has come since the last
+    of these moves; `may_have_run` is set once one of them may have begun
+    to execute it, and `delivering` once the caller has received the head of a
+    response.  `time_left` is in seconds.
     """
 
     repeatable: bool
@@ -64,6 +83,8 @@
     max_endpoints: int
     tries: int = 0
     refusals: int = 0
+    moves: int = 0
+    is_moved: bool = False
     sent_to: int = 0
     may_have_run: bool = False
     delivering: bool = False
@@ -71,12 +92,18 @@
     has_retry_budget: bool = True
 
 
+# Causes that show nothing against the endpoint.
+_MOVES = (Cause.SILENT, Cause.UNLOADED)
+CONTINUING = (NextStep.RETRY, NextStep.RESUME)
 # Connection attempts for one request: each may take the connect timeout.
 MAX_TRIES = 4
 # Refusals that a stream under way may meet in addition, and the pause between
 # two attempts then: engines that are full have room again soon.
 MAX_REFUSALS = 6
 REFUSAL_PAUSE_SECONDS = 0.1
+# Attempts of a request that may be given up for a silence alone.  They don't
+# count as tries: a slow endpoint must not use up what a lost one needs.
+MAX_MOVES = 3
 # A retry with less time left than this would miss the deadline as well.
 MIN_TIME_LEFT_SECONDS = 0.03
 
@@ -112,6 +139,43 @@
     return NextStep.RETRY
 
 
+def may_give_up(cause, progress):
+    """Return whether this router may end an attempt that is under way.
+
+    Parameters
+    ----------
+    cause : Cause
+    progress : Progress
+        With `has_retry_budget` if a retry is set aside for the request.
+
+    Returns
+    -------
+    bool
+
+    Notes
+    -----
+    Ending an attempt can't be taken back, and a silent endpoint may go on
+    within a second.  So an attempt is ended only if `decide` then sends the
+    request elsewhere; otherwise the endpoint, the caller or the deadline ends
+    it.  The move itself is no try, but one must be left in case the next
+    endpoint can't be reached.  A request is moved once in a silence: a second
+    move would begin so late that the caller has left.
+    """
+    if cause in _MOVES and progress.moves >= MAX_MOVES:
+        return False
+    if cause is Cause.SILENT and progress.is_moved:
+        return False
+    after = msgspec.structs.replace(progress, may_have_run=True)
+    return decide(Result.SILENT, after) in CONTINUING
+
+
+def count_given_up(cause, progress):
+    """Count an attempt that this router has given up."""
+    if cause in _MOVES:
+        progress.moves += 1
+        progress.is_moved = True
+
+
 _FINAL_RESULTS = (Result.DEADLINE, Result.SUSPECTED, Result.TURNED_AWAY)
 
 
@@ -133,11 +197,12 @@
     A stream under way may be refused more often: giving up would lose its
     whole response, while a refusal only costs a short delay.
     """
+    tries = progress.tries - progress.moves
     if not progress.delivering:
-        return max(0, MAX_TRIES - progress.tries)
+        return max(0, MAX_TRIES - tries)
     if progress.refusals >= MAX_REFUSALS:
         return 0
-    return max(0, MAX_TRIES - progress.tries + progress.refusals)
+    return max(0, MAX_TRIES - tries + progress.refusals)
 
 
 def _give_up(progress):
--- a/packages/policy/ibisring_policy/gateway/retrybudget.py
+++ b/packages/policy/ibisring_policy/gateway/retrybudget.py
@@ -78,6 +78,11 @@
         if self.rate is not None:
             self.credit -= 1.0
 
+    def put_back(self):
+        """Undo `take` for a retry that was not made."""
+        if self.rate is not None:
+            self.credit = min(BURST_RETRIES, self.credit + 1.0)
+
     def _advance(self, now, max_rate):
         """Add the credit of the time passed, and let the rate lapse."""
         while self.rate is not None and self.lapse_at <= now:
@@ -219,6 +224,23 @@
         self.retry_times.append(now)
         return True
 
+    def give_back(self, taken_at, service=None):
+        """Take back a retry that was allowed and not made.
+
+        Parameters
+        ----------
+        taken_at : float
+            When `take_retry` allowed it.
+        service : str or None
+            As given to `take_retry`.
+        """
+        if taken_at not in self.retry_times:
+            return
+        self.retry_times.remove(taken_at)
+        damper = self.dampers.get(service)
+        if damper is not None:
+            damper.put_back()
+
     def note_outcome(self, service, taken_at, refused, now):
         """Lower or raise a service's rate after the outcome of a retry.
 
