--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -30,7 +30,8 @@
 from ibisring_gateway import storefollowing
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
-from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import endings
+from ibisring_policy.gateway import retrybudget
 from ibisring_policy.gateway import shutdown
 from ibisring_records import exceptions
 from ibisring_records import routing
@@ -80,10 +81,10 @@
         self.rank_monitor = rankroom.make_monitor(self.view, self.metrics)
         self.connections = upstream.make_connection_pool()
         self.watcher = attemptwatching.make_watcher(self._on_stall)
-        self.retry_budget = attempts.make_retry_budget(
+        self.retry_budget = retrybudget.make_retry_budget(
             settings.repeat_window_s,
-            settings.repeat_ratio * attempts.RATIO_SHARE,
-            settings.repeat_slack * attempts.SLACK_SHARE,
+            settings.repeat_ratio * retrybudget.RATIO_SHARE,
+            settings.repeat_slack * retrybudget.SLACK_SHARE,
         )
         self._make_forwarder()
         self._set_slow_detection()
@@ -398,6 +399,20 @@
                 elapsed, self.forwarder.active, self.settings.grace_s
             ):
                 break
+        for attempt in self.watcher.attempts():
+            logs.event(
+                LOG,
+                'request',
+                id=attempt.request_id,
+                outcome='broken_off',
+                ended_by=endings.Party.ROUTER.value,
+                why='the process exits',
+                endpoint=attempt.endpoint.id,
+                silent_ms=round(
+                    1000.0 * attempt.silent_seconds(time.monotonic())
+                ),
+                events=attempt.events,
+            )
         logs.event(
             LOG,
             'ended',
