Check the decisions on a request over all their inputs

What follows a failed attempt was tested by examples, and for some flags. When a draining process may exit is checked with hypothesis, and at its limits.

--- /dev/null
+++ b/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
@@ -0,0 +1,129 @@
+"""Checks the decisions about a request over all their inputs."""
+
+import itertools
+
+import hypothesis
+from hypothesis import strategies
+from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import shutdown
+from ibisring_policy.gateway.tests import mutations
+from ibisring_policy.gateway.tests import promises
+import pytest
+
+NEXT_STEP = ['decide', '_may_retry', 'tries_left', '_give_up']
+FLAGS = (False, True)
+ENDPOINTS = (1, 2)
+SENT_TO = (0, 1, 2)
+TIMES_LEFT = (
+    -1.0,
+    attempts.MIN_TIME_LEFT_SECONDS - 0.001,
+    attempts.MIN_TIME_LEFT_SECONDS,
+)
+# One more than the limits tell apart.
+TRIES = range(attempts.MAX_TRIES + attempts.MAX_REFUSALS + 2)
+REFUSALS = range(attempts.MAX_REFUSALS + 2)
+SECONDS = strategies.floats(0.0, 100.0)
+
+
+def _all_progress():
+    """Yield all states of a request that the decisions tell apart."""
+    flags = itertools.product(FLAGS, repeat=5)
+    counts = [
+        (tries, refusals)
+        for tries, refusals in itertools.product(TRIES, REFUSALS)
+        if refusals <= tries
+    ]
+    for flag, limits, (tries, refusals) in itertools.product(
+        flags,
+        itertools.product(ENDPOINTS, SENT_TO, TIMES_LEFT),
+        counts,
+    ):
+        repeatable, stream, may_have_run, delivering, has_budget = flag
+        max_endpoints, sent_to, time_left = limits
+        yield attempts.Progress(
+            repeatable=repeatable,
+            stream=stream,
+            max_endpoints=max_endpoints,
+            tries=tries,
+            refusals=refusals,
+            sent_to=sent_to,
+            may_have_run=may_have_run,
+            delivering=delivering,
+            time_left=time_left,
+            has_retry_budget=has_budget,
+        )
+
+
+def test_next_step_keeps_its_promises_in_all_states():
+    """Guards against requests that run twice, or are given up too early."""
+    for progress in _all_progress():
+        for result in attempts.Result:
+            step = attempts.decide(result, progress)
+            broken = promises.of_next_step(result, progress, step)
+            assert not broken, (broken, result, progress, step)
+
+
+@hypothesis.given(SECONDS, strategies.integers(0, 3), SECONDS)
+def test_exit_keeps_its_promises(elapsed, active, grace):
+    """Guards against answers that a draining process cuts."""
+    exits = shutdown.may_exit(elapsed, active, grace)
+    assert not promises.of_exit(elapsed, active, grace, exits)
+
+
+@hypothesis.given(
+    SECONDS,
+    strategies.sampled_from([-0.001, 0.0, 0.001]),
+    strategies.integers(0, 3),
+)
+def test_exit_keeps_its_promises_at_its_limits(grace, offset, active):
+    """Guards against a limit that is missed by rounding."""
+    for limit in (
+        grace / 2.0,
+        shutdown.ACCEPT_SECONDS,
+        grace - shutdown.MARGIN_SECONDS,
+    ):
+        elapsed = limit + offset
+        exits = shutdown.may_exit(elapsed, active, grace)
+        assert not promises.of_exit(elapsed, active, grace, exits)
+
+
+@hypothesis.given(SECONDS, SECONDS, strategies.integers(0, 3), SECONDS)
+def test_exit_is_not_taken_back(elapsed, later, active, grace):
+    """Guards against a process that ends only if it is asked in time."""
+    if shutdown.may_exit(elapsed, active, grace):
+        for fewer in range(active + 1):
+            assert shutdown.may_exit(elapsed + later, fewer, grace)
+
+
+def _breaks_a_next_step(module):
+    for progress in _all_progress():
+        for result in attempts.Result:
+            step = module.decide(result, progress)
+            if promises.of_next_step(result, progress, step):
+                return True
+    return False
+
+
+def _breaks_an_exit(module):
+    seconds = (0.0, 1.0, 2.0, 3.0, 7.0, 8.0)
+    for elapsed, active in itertools.product(seconds, (0, 1)):
+        exits = module.may_exit(elapsed, active, 8.0)
+        if promises.of_exit(elapsed, active, 8.0, exits):
+            return True
+    return False
+
+
+@pytest.mark.parametrize(
+    'mutation', mutations.make_mutations(attempts, NEXT_STEP), ids=str
+)
+def test_promises_tell_a_changed_next_step(mutation):
+    """Guards against promises that a wrong decision keeps."""
+    assert _breaks_a_next_step(mutation.module)
+
+
+@pytest.mark.parametrize(
+    'mutation', mutations.make_mutations(shutdown, ['may_exit']), ids=str
+)
+def test_promises_tell_a_changed_exit(mutation):
+    """Guards against promises that a wrong decision keeps."""
+    assert _breaks_an_exit(mutation.module)
