Run a small machine of router, endpoints and caller through all interleavings

Each decision was tested alone. The machine runs one request of each kind (runs once, repeatable, stream that may be resumed or not) through all interleavings of up to six steps: endpoints that send, pause and go on, crash, lose a stage or leave, SIGTERM, a changed configuration, a caller that leaves, another request that takes the retry.

attempts.decide and shutdown.may_exit keep all promises. Whether an attempt may be given up is a parameter of the machine; by default it is decided as `decide` would after the loss.

--- a/packages/policy/ibisring_policy/gateway/tests/promises.py
+++ b/packages/policy/ibisring_policy/gateway/tests/promises.py
@@ -10,10 +10,12 @@
     'of_giving_up',
     'of_exit',
     'may_continue',
+    'may_continue_elsewhere',
 ]
 
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import shutdown
+import msgspec
 
 Result = attempts.Result
 NextStep = attempts.NextStep
@@ -112,11 +114,20 @@
     -------
     list of str
     """
-    if may_give_up and not may_continue(Result.SILENT, progress):
+    if may_give_up and not may_continue_elsewhere(progress):
         return ['nothing sound is given up before its successor is allowed']
     return []
 
 
+def may_continue_elsewhere(progress):
+    """Return whether a request whose running attempt is given up may go on.
+
+    Its endpoint may have begun to run it, whether or not that is known yet.
+    """
+    after = msgspec.structs.replace(progress, may_have_run=True)
+    return may_continue(Result.SILENT, after)
+
+
 def of_exit(elapsed, active, grace, exits):
     """Return the promises that a draining process breaks.
 
--- /dev/null
+++ b/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
@@ -0,0 +1,110 @@
+"""Checks the decisions together, over all interleavings of a few steps.
+
+Run with ``-rP`` to see the shortest sequence that finds each mutation.
+"""
+
+from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import shutdown
+from ibisring_policy.gateway.tests import mutations
+from ibisring_policy.gateway.tests import smallmachine
+import pytest
+
+NEXT_STEP = ['decide', '_may_retry', 'tries_left', '_give_up']
+STEPS = {
+    'send',
+    'head',
+    'event',
+    'pause',
+    'end',
+    'a crashes',
+    'b crashes',
+    'a later stage crashes',
+    'a leaves',
+    'b leaves',
+    'SIGTERM',
+    'a second passes',
+    'the configuration changes',
+    'time runs out',
+    'the caller leaves',
+    'the end is noticed',
+    'another request takes a retry',
+}
+
+
+def _find(decisions):
+    """Return the shortest sequence that breaks a promise, and print it."""
+    finding = smallmachine.search(decisions).finding
+    print(finding)
+    return finding
+
+
+def test_decisions_keep_their_promises_in_all_interleavings():
+    """Guards against decisions that are sound each, but not together."""
+    found = smallmachine.search(smallmachine.make_decisions())
+    print(found.states, 'states,', found.transitions, 'transitions')
+    assert found.finding is None, str(found.finding)
+    assert found.taken == STEPS
+
+
+@pytest.mark.parametrize(
+    'mutation', mutations.make_mutations(attempts, NEXT_STEP), ids=str
+)
+def test_machine_finds_a_changed_next_step(mutation):
+    """Guards against a machine that doesn't reach a branch."""
+    assert _find(smallmachine.make_decisions(mutation.module))
+
+
+@pytest.mark.parametrize(
+    'mutation', mutations.make_mutations(shutdown, ['may_exit']), ids=str
+)
+def test_machine_finds_a_changed_exit(mutation):
+    """Guards against a machine that doesn't reach a branch."""
+    may_exit = mutation.module.may_exit
+    assert _find(smallmachine.make_decisions(may_exit=may_exit))
+
+
+def test_machine_finds_an_attempt_given_up_without_permission():
+    """Guards against ending the answer of a sound, silent endpoint.
+
+    It would have gone on within a second; nothing may follow it.
+    """
+
+    def always(progress, is_lost):
+        return True
+
+    finding = _find(smallmachine.make_decisions(may_give_up=always))
+    assert 'pause' in finding.steps
+
+
+def test_machine_finds_an_attempt_given_up_as_if_it_had_not_run():
+    """Guards against asking whether a request may go on before its loss.
+
+    Until its head arrives, nothing is known of its execution; once it is
+    given up, it may have run.
+    """
+
+    def as_known(progress, is_lost):
+        step = attempts.decide(attempts.Result.SILENT, progress)
+        return step is attempts.NextStep.RETRY
+
+    finding = _find(smallmachine.make_decisions(may_give_up=as_known))
+    assert finding.start.kind is smallmachine.Kind.ONCE
+
+
+def test_machine_finds_a_retry_that_is_taken_too_late():
+    """Guards against silent streams that share one retry.
+
+    Each is given up since the budget has a retry, which another takes first.
+    """
+    finding = _find(smallmachine.make_decisions(takes_retry_first=False))
+    assert 'another request takes a retry' in finding.steps
+
+
+def test_machine_finds_a_lost_attempt_that_is_kept():
+    """Guards against waiting for an endpoint that is known to be lost."""
+
+    def never(progress, is_lost):
+        return False
+
+    finding = _find(smallmachine.make_decisions(may_give_up=never))
+    assert 'a later stage crashes' in finding.steps
