gateway: a read after discarded history counts as a change

The store may discard its history at any time. If it does so just after it has removed a row, the routers that read it for the others get 410 and read everything again. What was removed is in no item of that read, so they told the others that nothing had changed since the newest item: those took their state, which has the removed endpoint, for the present one, and kept sending requests there until the process ended.

The newest version of such a read is now its position, so that routers with an older state ask for the present one.

--- a/packages/gateway/ibisring_gateway/storefollowing.py
+++ b/packages/gateway/ibisring_gateway/storefollowing.py
@@ -43,6 +43,8 @@
         the table.
     changed_by : int
         Position after which nothing changed up to `position`.
+    has_gap : bool
+        Whether changes after the last known position can't be read any more.
     """
 
     def __init__(self, name, source, is_table, followers, tell_directory):
@@ -54,6 +56,7 @@
         self.clock = followers.clock
         self.position = None
         self.changed_by = 0
+        self.has_gap = False
         self.call_started_at = 0.0
         self.is_stopped = False
         self.wake = threading.Event()
@@ -85,6 +88,7 @@
         except ports.HistoryExpired as error:
             LOG.info('history_gone', extra={'facts': {'why': error.detail}})
             self.position = None
+            self.has_gap = True
             self.followers.answered(self.name, True)
             # Also if it relies on readers: what they send follows positions
             # that this router doesn't have.
@@ -115,6 +119,13 @@
         else:
             page = self.source.changes(position, wait)
         changed = bool(page.items)
+        newest = page.newest_version
+        if self.has_gap:
+            # What was removed in the gap is in no item.  By the items alone,
+            # routers that rely on this one would take a state that has it for
+            # the present one.
+            newest = page.position
+            self.has_gap = False
         self.followers.note_era(positions.era(page.position))
         self.followers.record_read(self, page.position, whole or changed)
         self.followers.answered(self.name, changed)
@@ -129,7 +140,7 @@
                 is_table=self.is_table,
                 position=page.position,
                 waited=self.clock() - self.call_started_at,
-                newest_version=page.newest_version,
+                newest_version=newest,
             )
         )
         return changed
--- a/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
@@ -22,13 +22,14 @@
     def __init__(self):
         self.errors = []
         self.calls = []
+        self.page = ports.Page(7, [])
         self.cancelled = 0
 
     def _answer(self, call):
         self.calls.append(call)
         if self.errors:
             raise self.errors.pop(0)
-        return ports.Page(7, [])
+        return self.page
 
     def read_all(self):
         return self._answer('all')
@@ -106,6 +107,29 @@
     assert table.source.calls[-1] == 'all' and len(messages) == 2
 
 
+def test_read_after_discarded_history_counts_as_a_change():
+    """Guards against removed endpoints that other routers keep for good.
+
+    What was removed in the discarded history is in no item that was read, so
+    that the newest of these is older than the state of the other routers.
+    """
+    followers, messages = _followers()
+    endpoints = followers.members['endpoints']
+    endpoints.source.page = ports.Page(7, [], 3)
+    endpoints.read_once()
+    assert messages[-1].newest_version == 3
+    endpoints.source.errors = [ports.HistoryExpired('too old')]
+    endpoints._follow()
+    endpoints.source.page = ports.Page(9, [], 3)
+    endpoints._follow()
+    assert messages[-1].newest_version == 9
+    endpoints.source.page = ports.Page(10, [], 10)
+    endpoints.read_once()
+    endpoints.source.page = ports.Page(12, [], 0)
+    endpoints.read_once()
+    assert messages[-1].newest_version == 0
+
+
 def test_polling_slot_may_depend_on_the_store_status():
     """Failure: deadlock, after which a router never calls the store again.
 
