Small machine: three endpoints, and routes that allow fewer

With two endpoints the machine could not tell an endpoint that takes requests from one that the route still allows. If an attempt is given up for an endpoint beyond the route's number, the stream goes back to the one that was sound, and uses up its tries: found by (stream, one of one endpoints: send, pause). Requests may also begin after a first loss.

--- a/packages/policy/ibisring_policy/gateway/tests/smallmachine.py
+++ b/packages/policy/ibisring_policy/gateway/tests/smallmachine.py
@@ -1,4 +1,4 @@
-"""A small machine of a router, two endpoints and a caller of one request.
+"""A small machine of a router, three endpoints and a caller of one request.
 
 It runs the decision functions through all interleavings of a few steps, and
 checks the promises on what the caller and the endpoints have seen.  Where
@@ -29,7 +29,7 @@
 NextStep = attempts.NextStep
 
 STEPS_LIMIT = 6
-ENDPOINTS = (0, 1)
+ENDPOINTS = (0, 1, 2)
 MAX_ENDPOINTS = (1, 2)
 # Events of a whole stream.
 EVENTS = 2
@@ -115,7 +115,7 @@
     avoid: frozenset = frozenset()
     may_have_run: bool = False
     delivering: bool = False
-    endpoints: tuple = (Health.UP, Health.UP)
+    endpoints: tuple = (Health.UP, Health.UP, Health.UP)
     run: Run | None = None
     runs: int = 0
     position: int = 0
@@ -135,6 +135,10 @@
     may_give_up : callable
         Whether to give up an attempt that its endpoint might still finish;
         takes an `attempts.Progress` and whether a stage is known to be lost.
+    has_alternative : callable
+        Whether a running attempt has a successor; takes its endpoint, those
+        that the request was sent to, the number that its route allows and
+        those that are up.
     may_exit : callable
         As `shutdown.may_exit`.
     takes_retry_first : bool
@@ -142,11 +146,25 @@
         the attempt is given up, and not once it has ended.
     """
 
-    __slots__ = ('decide', 'may_give_up', 'may_exit', 'takes_retry_first')
+    __slots__ = (
+        'decide',
+        'may_give_up',
+        'has_alternative',
+        'may_exit',
+        'takes_retry_first',
+    )
 
-    def __init__(self, decide, may_give_up, may_exit, takes_retry_first):
+    def __init__(
+        self,
+        decide,
+        may_give_up,
+        has_alternative,
+        may_exit,
+        takes_retry_first,
+    ):
         self.decide = decide
         self.may_give_up = may_give_up
+        self.has_alternative = has_alternative
         self.may_exit = may_exit
         self.takes_retry_first = takes_retry_first
 
@@ -174,7 +192,8 @@
         return (
             f'{start.kind.value}, budget {start.budget}, '
             f'{start.time_left} s left, {start.tries} tries, '
-            f'{start.refusals} refusals, {start.max_endpoints} endpoints: '
+            f'{start.refusals} refusals, {len(start.sent_to)} of '
+            f'{start.max_endpoints} endpoints: '
             f'{", ".join(self.steps)} -> {"; ".join(self.broken)}'
         )
 
@@ -247,10 +266,10 @@
             'nothing is sent for a caller that has left',
             not state.is_caller_gone,
         )
-        untried = [e for e in ENDPOINTS if e not in state.avoid]
-        if not untried:
+        endpoint = _next_endpoint(state)
+        if endpoint is None:
             return self._use_up_tries(state)
-        return self._send_to(_change(state, tries=state.tries + 1), untried[0])
+        return self._send_to(_change(state, tries=state.tries + 1), endpoint)
 
     def _use_up_tries(self, state):
         state = _change(
@@ -344,17 +363,25 @@
     def _consider_giving_up(self, state, is_lost):
         """Give up an attempt if that is decided and another may take it."""
         run = state.run
-        others = set(ENDPOINTS) - state.avoid - {run.endpoint}
-        is_up = any(state.endpoints[e] is Health.UP for e in others)
-        if not is_up:
-            return state
         progress = _progress(state)
-        if not self.decisions.may_give_up(progress, is_lost):
+        is_allowed = bool(_usable(state) - {run.endpoint})
+        has_alternative = self.decisions.has_alternative(
+            run.endpoint, state.sent_to, state.max_endpoints, _up(state)
+        )
+        if not (
+            has_alternative and self.decisions.may_give_up(progress, is_lost)
+        ):
             self.check(
                 'what is lost is given up if its successor is allowed',
-                not (is_lost and promises.may_continue_elsewhere(progress)),
+                not is_lost
+                or not is_allowed
+                or not promises.may_continue_elsewhere(progress),
             )
             return state
+        self.check(
+            'nothing sound is given up before its successor is allowed',
+            is_allowed,
+        )
         takes_retry = self.decisions.takes_retry_first
         state = _change(state, budget=state.budget - takes_retry)
         return _change_run(state, is_given_up=True, has_retry=takes_retry)
@@ -485,6 +512,34 @@
         return _change(state, stopping=stopping, has_exited=exits)
 
 
+def _up(state):
+    """Return the endpoints that take requests."""
+    return {e for e in ENDPOINTS if state.endpoints[e] is Health.UP}
+
+
+def _allowed(state):
+    """Return the endpoints that the route allows for the next attempt."""
+    if len(state.sent_to) < state.max_endpoints:
+        return set(ENDPOINTS)
+    return set(state.sent_to) if state.kind.is_stream else set()
+
+
+def _usable(state):
+    """Return the endpoints that would take the next attempt."""
+    usable = _up(state) & _allowed(state)
+    return usable if state.kind.is_stream else usable - state.avoid
+
+
+def _next_endpoint(state):
+    """Return where the next attempt goes, None if there is no endpoint.
+
+    A stream may return to an endpoint that only lost an answer.
+    """
+    untried = _allowed(state) - state.avoid
+    again = _usable(state) if state.kind.is_stream else ()
+    return min(untried, default=min(again, default=None))
+
+
 def _must_not_repeat(state):
     return state.runs and not state.kind.is_repeatable
 
@@ -511,7 +566,7 @@
         'another request takes a retry': router.take_retry,
     }
     for endpoint in ENDPOINTS:
-        name = 'ab'[endpoint]
+        name = 'abc'[endpoint]
         steps[f'{name} crashes'] = _at(router.crash, endpoint)
         steps[f'{name} leaves'] = _at(router.leave, endpoint)
     return steps
@@ -552,7 +607,7 @@
         (attempts.MAX_REFUSALS - 1, attempts.MAX_REFUSALS - 1),
     ]
     times = (attempts.MIN_TIME_LEFT_SECONDS / 2.0, 1.0)
-    return [
+    starts = [
         State(
             kind=kind,
             budget=budget,
@@ -565,6 +620,24 @@
             itertools.product(Kind, (0, 1), times, MAX_ENDPOINTS, counts)
         )
     ]
+    return starts + [_after_loss(each) for each in starts if _may_lose(each)]
+
+
+def _may_lose(start):
+    return start.kind.is_repeatable and start.max_endpoints > 1
+
+
+def _after_loss(start):
+    """Return the state after a first attempt whose endpoint has crashed."""
+    return _change(
+        start,
+        tries=start.tries + 1,
+        sent_to=frozenset(ENDPOINTS[:1]),
+        avoid=frozenset(ENDPOINTS[:1]),
+        endpoints=(Health.DOWN, Health.UP, Health.UP),
+        may_have_run=True,
+        runs=1,
+    )
 
 
 def search(decisions, limit=STEPS_LIMIT):
@@ -612,12 +685,18 @@
     values = {
         'decide': module.decide,
         'may_give_up': _make_may_give_up(module),
+        'has_alternative': _has_alternative,
         'may_exit': shutdown.may_exit,
         'takes_retry_first': True,
     }
     return Decisions(**{**values, **changes})
 
 
+def _has_alternative(endpoint, sent_to, max_endpoints, up):
+    allowed = up if len(sent_to) < max_endpoints else up & sent_to
+    return bool(allowed - {endpoint})
+
+
 def _make_may_give_up(module):
     def may_give_up(progress, is_lost):
         after = msgspec.structs.replace(progress, may_have_run=True)
--- a/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
@@ -18,9 +18,11 @@
     'end',
     'a crashes',
     'b crashes',
+    'c crashes',
     'a later stage crashes',
     'a leaves',
     'b leaves',
+    'c leaves',
     'SIGTERM',
     'a second passes',
     'the configuration changes',
@@ -100,6 +102,20 @@
     assert 'another request takes a retry' in finding.steps
 
 
+def test_machine_finds_an_alternative_that_the_route_forbids():
+    """Guards against giving up an attempt for an endpoint it can't go to.
+
+    The route's number of endpoints is used up: the stream would go back to
+    the endpoint that was sound, and use up its tries.
+    """
+
+    def any_other(endpoint, sent_to, max_endpoints, up):
+        return bool(up - {endpoint})
+
+    finding = _find(smallmachine.make_decisions(has_alternative=any_other))
+    assert finding.start.sent_to or finding.start.max_endpoints == 1
+
+
 def test_machine_finds_a_lost_attempt_that_is_kept():
     """Guards against waiting for an endpoint that is known to be lost."""
 
