--- a/packages/policy/ibisring_policy/gateway/tests/smallmachine.py
+++ b/packages/policy/ibisring_policy/gateway/tests/smallmachine.py
@@ -139,6 +139,9 @@
         Whether a running attempt has a successor; takes its endpoint, those
         that the request was sent to, the number that its route allows and
         those that are up.
+    may_replace : callable
+        Whether to send a request elsewhere in place of passing on the error
+        that an endpoint answered; takes an `attempts.Progress`.
     may_exit : callable
         As `shutdown.may_exit`.
     takes_retry_first : bool
@@ -150,6 +153,7 @@
         'decide',
         'may_give_up',
         'has_alternative',
+        'may_replace',
         'may_exit',
         'takes_retry_first',
     )
@@ -159,12 +163,14 @@
         decide,
         may_give_up,
         has_alternative,
+        may_replace,
         may_exit,
         takes_retry_first,
     ):
         self.decide = decide
         self.may_give_up = may_give_up
         self.has_alternative = has_alternative
+        self.may_replace = may_replace
         self.may_exit = may_exit
         self.takes_retry_first = takes_retry_first
 
@@ -337,6 +343,22 @@
         )
         return _change(state, run=None, outcome=Outcome.COMPLETE)
 
+    def fail(self, state):
+        """Have the endpoint answer with an error."""
+        run = state.run
+        if run is None or not run.has_head or state.kind.is_stream:
+            return None
+        if run.is_silent or run.is_paused:
+            return None
+        if not self.decisions.may_replace(_progress(state)):
+            return _change(state, run=None, outcome=Outcome.COMPLETE)
+        after = self._lose(state, Result.LOST)
+        self.check(
+            'no answer is given up before its successor is allowed',
+            after.outcome is None,
+        )
+        return after
+
     def pause(self, state):
         """Have the endpoint pause; it may go on later."""
         run = state.run
@@ -558,6 +580,7 @@
         'event': router.event,
         'pause': router.pause,
         'end': router.end,
+        'error': router.fail,
         'a later stage crashes': router.lose_stage,
         'the configuration changes': router.configure,
         'time runs out': router.time_out,
@@ -686,6 +709,7 @@
         'decide': module.decide,
         'may_give_up': _make_may_give_up(module),
         'has_alternative': _has_alternative,
+        'may_replace': _make_may_replace(module),
         'may_exit': shutdown.may_exit,
         'takes_retry_first': True,
     }
@@ -703,3 +727,10 @@
         return module.decide(Result.SILENT, after) in promises.CONTINUING
 
     return may_give_up
+
+
+def _make_may_replace(module):
+    def may_replace(progress):
+        return module.decide(Result.LOST, progress) in promises.CONTINUING
+
+    return may_replace
--- a/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
@@ -16,6 +16,7 @@
     'event',
     'pause',
     'end',
+    'error',
     'a crashes',
     'b crashes',
     'c crashes',
@@ -116,6 +117,21 @@
     assert finding.start.sent_to or finding.start.max_endpoints == 1
 
 
+def test_machine_finds_an_error_answer_that_is_replaced_without_a_retry():
+    """Guards against an endpoint's own answer that its caller doesn't get.
+
+    It is given up since the route allows another endpoint, but the budget
+    has no retry left.
+    """
+
+    def as_route_allows(progress):
+        is_open = progress.sent_to < progress.max_endpoints
+        return progress.repeatable and is_open
+
+    finding = _find(smallmachine.make_decisions(may_replace=as_route_allows))
+    assert 'error' in finding.steps
+
+
 def test_machine_finds_a_lost_attempt_that_is_kept():
     """Guards against waiting for an endpoint that is known to be lost."""
 
