--- a/packages/policy/ibisring_policy/gateway/tests/machinesteps.py
+++ b/packages/policy/ibisring_policy/gateway/tests/machinesteps.py
@@ -237,11 +237,9 @@
 
     def terminate(self, state):
         """Send SIGTERM to the router."""
-        return (
-            None
-            if state.stopping is not None
-            else machinestate.change(state, stopping=0)
-        )
+        if state.stopping is not None:
+            return None
+        return machinestate.change(state, stopping=0)
 
     def time_out(self, state):
         """Have the request's time run out."""
@@ -274,10 +272,13 @@
         progress.has_retry_budget = has_budget
         allowed = promises.may_continue(result, progress)
         if step in promises.CONTINUING:
-            if not state.is_caller_gone and not machinestate.must_not_repeat(
-                state
-            ):
-                self.check('within the limits on attempts', allowed)
+            # Sending breaks another promise then.
+            is_told_later = state.is_caller_gone or (
+                machinestate.must_not_repeat(state)
+            )
+            self.check(
+                'within the limits on attempts', allowed or is_told_later
+            )
             if takes_budget and not has_retry:
                 state = machinestate.change(
                     state, budget=max(0, state.budget - 1)
