Pass an endpoint's error on unless its successor is set aside

What callers saw: with no retries left, 504 of the router in place of the endpoint's own 500. Cause: the error answer was dropped if the route allowed another endpoint; the limit on retries was asked afterwards. Now the error is dropped only for a successor.

--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -40,6 +40,8 @@
     on_decided : callable
         Called with a job and a bool when an endpoint has decided on its
         attempt: True if the attempt was refused, False if accepted.
+    successors : successors.Successors or None
+        Without them an error answer is never replaced by another attempt.
     """
 
     def __init__(self, view, codec, connections, selector, screen):
@@ -51,6 +53,7 @@
         self.on_limit = lambda: None
         self.on_leaving = lambda endpoint: None
         self.on_decided = lambda job, refused: None
+        self.successors = None
         self.clock = view.clock
 
     def send(self, job, attempt):
@@ -326,7 +329,7 @@
                 failed and answer.backoff is None,
                 self.clock(),
             )
-        if failed and self._may_retry(job):
+        if failed and self._may_retry(job) and self._replace_error(attempt):
             job.avoid.add(attempt.endpoint.id)
             return attempts.Result.LOST
         job.answer = answer
@@ -362,6 +365,18 @@
             > 2 * attempts.MIN_TIME_LEFT_SECONDS
         )
 
+    def _replace_error(self, attempt):
+        """Give an error answer up for a successor, if there is one."""
+        if self.successors is None:
+            return False
+        successor = self.successors.prepare(attempt, attempts.Cause.FAILED)
+        if successor is None:
+            return False
+        if attempt.hand_over(successor, attempts.Result.LOST):
+            return True
+        self.successors.cancel(successor)
+        return False
+
     def _relay_stream(self, job, attempt, response, answer):
         """Relay events as they arrive."""
 
