Judge the end of an answer in one pure function

What proves that an answer is whole was decided in three places: the length in read_plain, half an event in relay_events, the endpoint's port in the sender. answerends.judge now states it for all framings, and direct and relayed answers, plain ones and streams, go through relaying.check_end. Framings move to the policy package, which decides by them.

An answer relayed by another router that is framed by the close of its connection is no longer taken for whole: routers always mark the end. No other change in behaviour.

--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -27,7 +27,7 @@
 
 import msgspec
 
-from ibisring_gateway import framing as framing_module
+from ibisring_policy.gateway import framing as framing_module
 from ibisring_records import exceptions
 
 
--- a/packages/gateway/ibisring_gateway/relaying.py
+++ b/packages/gateway/ibisring_gateway/relaying.py
@@ -3,19 +3,21 @@
 __all__ = [
     'read_plain',
     'relay_events',
-    'finish_stream',
+    'check_end',
     'stream_headers',
     'answer_fault',
 ]
 
-from ibisring_gateway import events
 from ibisring_gateway import upstream
+from ibisring_policy.gateway import answerends
+from ibisring_policy.gateway import framing
+import msgspec
 
 # Plain answers up to this size in bytes are buffered until complete.
 MAX_BUFFERED_BYTES = 1 << 20
 
 
-def read_plain(attempt, response, answer):
+def read_plain(attempt, response, answer, find_process=None):
     """Read the whole body of a plain answer.
 
     Parameters
@@ -23,6 +25,8 @@
     attempt : attemptwatching.Attempt
     response : urllib3.HTTPResponse
     answer : ports.Answer
+    find_process : callable or None
+        See `check_end`.
 
     Returns
     -------
@@ -46,17 +50,12 @@
                 'the answer exceeds the buffer limit', True
             )
     _check_not_aborted(attempt)
-    if answer.length is not None and answer.length != size:
-        raise upstream.ConnectionFailed(
-            'the body does not match its Content-Length', True
-        )
+    check_end(answer, size, False, find_process)
     return b''.join(chunks)
 
 
-def relay_events(job, attempt, response, answer, on_event):
-    """Relay the events of a stream as they arrive, until it ends.
-
-    `finish_stream` ends it for the caller.
+def relay_events(job, attempt, response, answer, on_event, find_process=None):
+    """Relay the events of a stream as they arrive, and end it if it is whole.
 
     Parameters
     ----------
@@ -66,6 +65,8 @@
     answer : ports.Answer
     on_event : callable
         Called after each event that has arrived whole.
+    find_process : callable or None
+        See `check_end`.
 
     Raises
     ------
@@ -75,10 +76,12 @@
     """
     exchange = job.exchange
     job.splitter.restart()
+    size = 0
     while True:
         chunk = upstream.read_chunk(response)
         if not chunk:
             break
+        size += len(chunk)
         complete = job.splitter.feed(chunk)
         if not complete:
             continue
@@ -87,11 +90,42 @@
             exchange.begin(answer.status, stream_headers(answer.headers))
         exchange.write(complete)
     _check_not_aborted(attempt)
-    if job.splitter.is_inside_event:
-        raise events.StreamBroken('the stream ends inside an event')
+    check_end(answer, size, job.splitter.is_inside_event, find_process)
+    _finish_stream(job, answer)
 
 
-def finish_stream(job, answer):
+def check_end(answer, size, is_inside_event, find_process=None):
+    """Check that an answer is known to be whole.
+
+    Parameters
+    ----------
+    answer : ports.Answer
+    size : int
+        Bytes received of the body, whose end was read without an error.
+    is_inside_event : bool
+        Whether it ended inside an event of a stream.
+    find_process : callable or None
+        Returns the `answerends.Process` of the endpoint, which is only asked
+        for where it matters; None if that can't be found out.
+
+    Raises
+    ------
+    ConnectionFailed
+    """
+    has_length = answer.length in (None, size)
+    evidence = answerends.Evidence(
+        framing=answer.framing,
+        has_mark=has_length and answer.framing is not framing.Framing.CLOSE,
+        is_inside_event=is_inside_event,
+    )
+    if find_process is not None and answerends.depends_on_process(evidence):
+        evidence = msgspec.structs.replace(evidence, process=find_process())
+    if answerends.judge(evidence) is answerends.End.SOUND:
+        return
+    raise upstream.ConnectionFailed(f'the end is not sound: {evidence}', True)
+
+
+def _finish_stream(job, answer):
     """Write what follows the last event of a stream that is complete."""
     exchange = job.exchange
     if not exchange.headers_sent:
--- a/packages/gateway/ibisring_gateway/relaysending.py
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -285,7 +285,6 @@
                 answer,
                 lambda: self._record_event(job, attempt),
             )
-            relaying.finish_stream(job, answer)
         else:
             body = relaying.read_plain(attempt, response, answer)
             job.record_chunk(self.clock())
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -12,6 +12,7 @@
 from ibisring_gateway import exchange as exchange_module
 from ibisring_gateway import liveness
 from ibisring_gateway import partscreening
+from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import suspects
 from ibisring_records import exceptions
 from ibisring_router import logs
@@ -229,15 +230,21 @@
             self.on_update()
         return finding
 
-    def has_ended(self, endpoint):
-        """Return whether the process of an endpoint ended unexpectedly.
+    def process_after_answer(self, endpoint):
+        """Return what is known of an endpoint's process after its answer.
 
         One that leaves closes its port after its last answer.
+
+        Returns
+        -------
+        answerends.Process
         """
         known = self.view.snapshot.endpoints.get(endpoint.id)
         if known is None or self.view.snapshot.is_leaving(endpoint):
-            return False
-        return self.prober.has_ended(endpoint)
+            return answerends.Process.RUNNING
+        if self.prober.has_ended(endpoint):
+            return answerends.Process.EXITED
+        return answerends.Process.RUNNING
 
     def _record_unresolved(self, job, endpoint, is_cut_off):
         """Record a loss that a later start of the endpoint may explain."""
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -2,10 +2,10 @@
 
 __all__ = ['Sender', 'make_sender']
 
+import functools
 import logging
 
 from ibisring_gateway import events
-from ibisring_gateway import framing
 from ibisring_gateway import relaying
 from ibisring_gateway import selecting
 from ibisring_gateway import upstream
@@ -313,8 +313,9 @@
     def _relay_plain(self, job, attempt, response, answer):
         """Relay a plain answer once it is complete."""
         try:
-            body = relaying.read_plain(attempt, response, answer)
-            self._check_end(attempt, answer)
+            body = relaying.read_plain(
+                attempt, response, answer, self._find_process(attempt)
+            )
         except upstream.ConnectionFailed as error:
             return self._handle_lost_answer(job, attempt, error)
         self.screen.record_answer(job, attempt)
@@ -334,22 +335,11 @@
         job.exchange.answer(answer.status, answer.headers, body)
         return None
 
-    def _check_end(self, attempt, answer):
-        """Check that an answer didn't end because its endpoint crashed.
-
-        Where only the connection's close marks the end, a crash between two
-        events, or anywhere in a plain body, looks like it.
-
-        Raises
-        ------
-        ConnectionFailed
-        """
-        if answer.framing is not framing.Framing.CLOSE:
-            return
-        if self.screen.has_ended(attempt.endpoint):
-            raise upstream.ConnectionFailed(
-                'the endpoint ended with its answer', True
-            )
+    def _find_process(self, attempt):
+        """Return what finds out whether an endpoint's process runs on."""
+        return functools.partial(
+            self.screen.process_after_answer, attempt.endpoint
+        )
 
     def _may_retry(self, job):
         """Return whether another endpoint may replace an error answer."""
@@ -372,9 +362,14 @@
             self.screen.record_event(job, attempt, now)
 
         try:
-            relaying.relay_events(job, attempt, response, answer, on_event)
-            self._check_end(attempt, answer)
-            relaying.finish_stream(job, answer)
+            relaying.relay_events(
+                job,
+                attempt,
+                response,
+                answer,
+                on_event,
+                self._find_process(attempt),
+            )
         except (upstream.ConnectionFailed, events.StreamBroken) as error:
             return self._handle_lost_answer(job, attempt, error)
         self.screen.record_whole_answer(job, attempt)
--- a/packages/gateway/ibisring_gateway/tests/test_screening.py
+++ b/packages/gateway/ibisring_gateway/tests/test_screening.py
@@ -8,11 +8,13 @@
 from ibisring_gateway import liveness
 from ibisring_gateway import screening
 from ibisring_gateway.tests import builders
+from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
 
 Finding = liveness.Finding
+Process = answerends.Process
 DIGEST = b'12345678'
 
 
@@ -169,18 +171,18 @@
 
 
 @pytest.mark.parametrize(
-    ('state', 'has_ended'),
+    ('state', 'process'),
     [
-        (routing.EndpointState.READY, True),
-        (routing.EndpointState.DRAINING, False),
-        (None, False),
+        (routing.EndpointState.READY, Process.EXITED),
+        (routing.EndpointState.DRAINING, Process.RUNNING),
+        (None, Process.RUNNING),
     ],
 )
-def test_endpoint_that_leaves_has_not_crashed(state, has_ended):
+def test_endpoint_that_leaves_has_not_crashed(state, process):
     """Guards against a last answer that is taken for a broken one."""
     endpoint = build.endpoint('e1')
     known = [build.endpoint('e1', state=state)] if state else []
     view = builders.make_view(known)
     prober = _Prober(Finding.CRASHED)
     screen = screening.make_screen(view, prober, builders.Metrics())
-    assert screen.has_ended(endpoint) is has_ended
+    assert screen.process_after_answer(endpoint) is process
--- a/packages/gateway/ibisring_gateway/tests/test_sending.py
+++ b/packages/gateway/ibisring_gateway/tests/test_sending.py
@@ -3,13 +3,14 @@
 import socket
 
 from ibisring_gateway import attemptwatching
-from ibisring_gateway import framing
 from ibisring_gateway import jobs
 from ibisring_gateway import ports
 from ibisring_gateway import selecting
 from ibisring_gateway import sending
 from ibisring_gateway.tests import builders
+from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import framing
 from ibisring_policy.gateway import routetable
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
@@ -86,8 +87,8 @@
     def check_lost_answer(self, job, attempt):
         """Check nothing."""
 
-    def has_ended(self, endpoint):
-        return True
+    def process_after_answer(self, endpoint):
+        return answerends.Process.EXITED
 
 
 class _Exchange:
--- a/packages/gateway/ibisring_gateway/tests/test_framing.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_framing.py
@@ -2,7 +2,7 @@
 
 import pytest
 
-from ibisring_gateway import framing
+from ibisring_policy.gateway import framing
 
 
 @pytest.mark.parametrize(
