Check the end of an answer also where its endpoint is leaving

An endpoint that leaves serves on for its drain time and exits; its exit ends the connections of the answers that still run. Where only the connection's close marks an answer's end, such an answer was taken for whole, since the port of a leaving endpoint was not looked at.

test_answer_ends drains a server, lets it send part of an answer and exit.

--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -233,14 +233,14 @@
     def process_after_answer(self, endpoint):
         """Return what is known of an endpoint's process after its answer.
 
-        One that leaves closes its port after its last answer.
+        One that leaves serves on with its port open until it exits, and its
+        exit cuts what still runs.
 
         Returns
         -------
         answerends.Process
         """
-        known = self.view.snapshot.endpoints.get(endpoint.id)
-        if known is None or self.view.snapshot.is_leaving(endpoint):
+        if endpoint.id not in self.view.snapshot.endpoints:
             return answerends.Process.RUNNING
         if self.prober.has_ended(endpoint):
             return answerends.Process.EXITED
