Check the end of an answer also where its endpoint's entry is gone

Some servers never say that they are leaving: their entry is removed, they serve on for the drain time and exit. And the entry of a server that did say so may be removed before the end of its last answers has been judged. Both were taken for a proper end without a look at the port. Now the registry doesn't matter: only the port shows that the process runs on.

--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -233,15 +233,13 @@
     def process_after_answer(self, endpoint):
         """Return what is known of an endpoint's process after its answer.
 
-        One that leaves serves on with its port open until it exits, and its
-        exit cuts what still runs.
+        One that leaves, or whose entry is gone, serves on with its port open
+        until it exits, and its exit cuts what still runs.
 
         Returns
         -------
         answerends.Process
         """
-        if endpoint.id not in self.view.snapshot.endpoints:
-            return answerends.Process.RUNNING
         if self.prober.has_ended(endpoint):
             return answerends.Process.EXITED
         return answerends.Process.RUNNING
--- a/packages/gateway/ibisring_gateway/tests/test_screening.py
+++ b/packages/gateway/ibisring_gateway/tests/test_screening.py
@@ -170,19 +170,12 @@
     assert tracked.endpoints_at_risk(b'another!') == set()
 
 
-@pytest.mark.parametrize(
-    ('state', 'process'),
-    [
-        (routing.EndpointState.READY, Process.EXITED),
-        (routing.EndpointState.DRAINING, Process.EXITED),
-        (None, Process.RUNNING),
-    ],
-)
-def test_answer_of_an_endpoint_whose_port_is_closed(state, process):
+@pytest.mark.parametrize('state', [*routing.EndpointState, None])
+def test_answer_of_an_endpoint_whose_port_is_closed(state):
     """Guards against an answer cut by an exit that is taken for whole."""
     endpoint = build.endpoint('e1')
     known = [build.endpoint('e1', state=state)] if state else []
     view = builders.make_view(known)
     prober = _Prober(Finding.CRASHED)
     screen = screening.make_screen(view, prober, builders.Metrics())
-    assert screen.process_after_answer(endpoint) is process
+    assert screen.process_after_answer(endpoint) is Process.EXITED
