Take no answer for whole because a closed port has no witness

A port that is closed or silent shows no crash to a router that reaches no other endpoint. The end of an answer was judged by the same rule: a stream cut by the exit of the only server of a deployment, or while the router's links were cut, was framed as complete. What shows no crash doesn't show either that the process runs on, so that these are now two questions. A silent port is tried three times, since a lost packet must not break off a sound answer.

test_endpoint_has_not_ended_if_no_other_is_reached stated the old rule.

--- a/packages/gateway/ibisring_gateway/liveness.py
+++ b/packages/gateway/ibisring_gateway/liveness.py
@@ -6,6 +6,9 @@
 something listens, which need not be that process.  A port that is closed or
 silent shows nothing to a router that reaches no other endpoint either: its own
 links may be cut.
+
+Whether an answer is whole is another question, see `answerends`: what shows
+nothing of a crash doesn't show that the process runs on either.
 """
 
 __all__ = ['Finding', 'Prober', 'make_prober']
@@ -16,6 +19,7 @@
 import socket
 import time
 
+from ibisring_policy.gateway import answerends
 from ibisring_records import exceptions
 
 LOG = logging.getLogger(__name__)
@@ -24,6 +28,8 @@
 TIMEOUT_SECONDS = 0.05
 # Pause before the result is confirmed; the caller waits for it, too.
 CONFIRM_SECONDS = 0.03
+# Connections tried to a silent port: packets may be lost.
+MAX_CONNECTS = 3
 # Other endpoints tried if one is not reached.
 MAX_WITNESSES = 3
 
@@ -88,11 +94,11 @@
             return Finding.UNKNOWN
         return self._compare_start(endpoint)
 
-    def has_ended(self, endpoint):
-        """Return whether an endpoint's port is closed.
+    def find_process(self, endpoint):
+        """Return whether an endpoint's process runs on after an answer.
 
-        This is one connection and no pause: the end of an answer waits for
-        it.  A port that is silent or open shows nothing.
+        The end of an answer waits for this, so that it is one connection and
+        no pause unless the port is silent.
 
         Parameters
         ----------
@@ -100,16 +106,18 @@
 
         Returns
         -------
-        bool
-            False also if no other endpoint is reached.
+        answerends.Process
         """
-        try:
-            _connect(endpoint)
-        except ConnectionRefusedError:
-            return self._reaches_another(endpoint)
-        except OSError as error:
-            LOG.debug('whether %s has ended: %s', endpoint.id, error)
-        return False
+        for _ in range(MAX_CONNECTS):
+            try:
+                _connect(endpoint)
+            except ConnectionRefusedError:
+                return answerends.Process.EXITED
+            except OSError as error:
+                LOG.debug('whether %s has exited: %s', endpoint.id, error)
+            else:
+                return answerends.Process.RUNNING
+        return answerends.Process.UNKNOWN
 
     def _reaches_another(self, endpoint):
         """Return whether a connection to some other endpoint opens."""
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -12,7 +12,6 @@
 from ibisring_gateway import exchange as exchange_module
 from ibisring_gateway import liveness
 from ibisring_gateway import partscreening
-from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import suspects
 from ibisring_records import exceptions
 from ibisring_router import logs
@@ -240,9 +239,7 @@
         -------
         answerends.Process
         """
-        if self.prober.has_ended(endpoint):
-            return answerends.Process.EXITED
-        return answerends.Process.RUNNING
+        return self.prober.find_process(endpoint)
 
     def _record_unresolved(self, job, endpoint, is_cut_off):
         """Record a loss that a later start of the endpoint may explain."""
--- a/packages/gateway/ibisring_gateway/tests/test_liveness.py
+++ b/packages/gateway/ibisring_gateway/tests/test_liveness.py
@@ -5,6 +5,7 @@
 from ibisring_gateway import liveness
 from ibisring_gateway import ports
 from ibisring_gateway.tests import builders
+from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway.tests import builders as build
 import pytest
 
@@ -27,6 +28,7 @@
 
 
 Finding = liveness.Finding
+Process = answerends.Process
 
 
 def _address(listener):
@@ -118,14 +120,35 @@
     assert _prober(engines).check(engine) is Finding.UNKNOWN
 
 
-def test_endpoint_has_ended_if_its_port_is_closed(listener):
+def test_process_has_exited_if_its_port_is_closed(listener):
     endpoint = _closed_endpoint('x')
     other = build.endpoint('y', address=_address(listener))
-    assert _prober(builders.Engines(), [other]).has_ended(endpoint)
-    assert not _prober(builders.Engines(), [endpoint]).has_ended(other)
+    prober = _prober(builders.Engines(), [endpoint, other])
+    assert prober.find_process(endpoint) is Process.EXITED
+    assert prober.find_process(other) is Process.RUNNING
 
 
-def test_endpoint_has_not_ended_if_no_other_is_reached():
-    """Guards against own links that are taken for a crash."""
+def test_process_behind_a_closed_port_is_not_proven_to_run():
+    """Guards against a cut answer that looks whole for want of a witness."""
     endpoint, other = _closed_endpoint('x'), _closed_endpoint('y')
-    assert not _prober(builders.Engines(), [other]).has_ended(endpoint)
+    for others in ([], [other]):
+        prober = _prober(builders.Engines(), others)
+        assert prober.find_process(endpoint) is Process.EXITED
+        assert prober.check(endpoint) is Finding.CUT_OFF
+
+
+@pytest.mark.parametrize(
+    ('lost', 'process'), [(1, Process.RUNNING), (99, Process.UNKNOWN)]
+)
+def test_process_behind_a_silent_port(monkeypatch, lost, process):
+    """Guards against a cut answer that looks whole as links are cut."""
+    failures = [TimeoutError('timed out')] * lost
+
+    def connect(address, timeout):
+        if failures:
+            raise failures.pop()
+        return socket.socket()
+
+    monkeypatch.setattr(socket, 'create_connection', connect)
+    prober = _prober(builders.Engines())
+    assert prober.find_process(build.endpoint('x')) is process
--- a/packages/gateway/ibisring_gateway/tests/test_screening.py
+++ b/packages/gateway/ibisring_gateway/tests/test_screening.py
@@ -29,8 +29,8 @@
         self.checked += 1
         return self.finding
 
-    def has_ended(self, endpoint):
-        return True
+    def find_process(self, endpoint):
+        return Process.EXITED
 
 
 def _screen(finding=Finding.CRASHED):
