Wait for the port of an exiting endpoint to close

A process that exits may end its connections a moment before it closes its port. A router that connects in between took the cut answer for a whole one. Where an exit is due, since the endpoint leaves or its entry is gone, the port is now looked at 50 ms after the answer's end.

--- a/packages/gateway/ibisring_gateway/liveness.py
+++ b/packages/gateway/ibisring_gateway/liveness.py
@@ -28,6 +28,9 @@
 TIMEOUT_SECONDS = 0.05
 # Pause before the result is confirmed; the caller waits for it, too.
 CONFIRM_SECONDS = 0.03
+# Time in which an exiting process has closed its port after it has ended its
+# connections.
+EXIT_SECONDS = 0.05
 # Connections tried to a silent port: packets may be lost.
 MAX_CONNECTS = 3
 # Other endpoints tried if one is not reached.
@@ -94,20 +97,25 @@
             return Finding.UNKNOWN
         return self._compare_start(endpoint)
 
-    def find_process(self, endpoint):
+    def find_process(self, endpoint, is_exit_due=False):
         """Return whether an endpoint's process runs on after an answer.
 
         The end of an answer waits for this, so that it is one connection and
-        no pause unless the port is silent.
+        no pause unless the port is silent or the process is about to exit.
 
         Parameters
         ----------
         endpoint : routing.Endpoint
+        is_exit_due : bool
+            Whether the process is expected to exit.  One that does may end
+            its connections a moment before it closes its port.
 
         Returns
         -------
         answerends.Process
         """
+        if is_exit_due:
+            self.sleep(EXIT_SECONDS)
         for _ in range(MAX_CONNECTS):
             try:
                 _connect(endpoint)
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -239,7 +239,10 @@
         -------
         answerends.Process
         """
-        return self.prober.find_process(endpoint)
+        snapshot = self.view.snapshot
+        is_exit_due = endpoint.id not in snapshot.endpoints
+        is_exit_due |= snapshot.is_leaving(endpoint)
+        return self.prober.find_process(endpoint, is_exit_due)
 
     def _record_unresolved(self, job, endpoint, is_cut_off):
         """Record a loss that a later start of the endpoint may explain."""
--- a/packages/gateway/ibisring_gateway/tests/test_liveness.py
+++ b/packages/gateway/ibisring_gateway/tests/test_liveness.py
@@ -137,6 +137,20 @@
         assert prober.check(endpoint) is Finding.CUT_OFF
 
 
+def test_process_whose_port_closes_last_has_exited(listener):
+    """Guards against a cut answer that looks whole while its server exits."""
+    endpoint = build.endpoint('x', address=_address(listener))
+    prober = _prober(builders.Engines(), (), lambda s: listener.close())
+    assert prober.find_process(endpoint, True) is Process.EXITED
+
+
+@pytest.mark.parametrize('is_exit_due', [False, True])
+def test_process_with_an_open_port_runs(listener, is_exit_due):
+    endpoint = build.endpoint('x', address=_address(listener))
+    found = _prober(builders.Engines()).find_process(endpoint, is_exit_due)
+    assert found is Process.RUNNING
+
+
 @pytest.mark.parametrize(
     ('lost', 'process'), [(1, Process.RUNNING), (99, Process.UNKNOWN)]
 )
--- a/packages/gateway/ibisring_gateway/tests/test_screening.py
+++ b/packages/gateway/ibisring_gateway/tests/test_screening.py
@@ -29,7 +29,8 @@
         self.checked += 1
         return self.finding
 
-    def find_process(self, endpoint):
+    def find_process(self, endpoint, is_exit_due):
+        self.is_exit_due = is_exit_due
         return Process.EXITED
 
 
@@ -179,3 +180,5 @@
     prober = _Prober(Finding.CRASHED)
     screen = screening.make_screen(view, prober, builders.Metrics())
     assert screen.process_after_answer(endpoint) is Process.EXITED
+    is_ready = state is routing.EndpointState.READY
+    assert prober.is_exit_due is not is_ready
