Test that a relayed answer without an end is lost

Routers always mark the end of an answer that they relay, so that one whose end only the close of the connection marks is not known to be whole.

--- a/packages/gateway/ibisring_gateway/tests/test_relaysending.py
+++ b/packages/gateway/ibisring_gateway/tests/test_relaysending.py
@@ -12,6 +12,7 @@
 from ibisring_gateway.tests import builders
 from ibisring_gateway import upstream
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import framing
 from ibisring_policy.gateway import relays
 from ibisring_policy.gateway import routetable
 from ibisring_policy.gateway.tests import builders as build
@@ -26,6 +27,7 @@
         return {'Host': request.host}
 
     def decode_answer(self, status, headers):
+        length = headers.get('Content-Length')
         return ports.Answer(
             status=status,
             headers=list(headers.items()),
@@ -34,7 +36,8 @@
             wrong_endpoint=False,
             delimited=True,
             signed='Signed' in headers,
-            length=int(headers.get('Content-Length', 0)),
+            length=int(length) if length is not None else None,
+            framing=framing.find(headers),
         )
 
 
@@ -49,6 +52,12 @@
     def answer(self, status, headers, body):
         self.answers.append((status, body))
 
+    def begin(self, status, headers):
+        self.headers_sent = True
+
+    def write(self, data):
+        self.answers.append(data)
+
 
 class _Router:
     """Another router, that writes given bytes before and after the body."""
@@ -134,6 +143,18 @@
     assert b'Ibisring-Relayed-By: r1' in router.received
 
 
+@pytest.mark.parametrize(
+    'kind', [routing.RequestKind.ONCE, routing.RequestKind.STREAM]
+)
+def test_a_relayed_answer_without_an_end_is_lost(watcher, kind):
+    """Guards against an answer cut between routers that looks whole."""
+    cut = b'HTTP/1.1 200 x\r\nSigned: 1\r\n\r\n: half\n'
+    router = _Router(CONTINUE, cut)
+    job, result = send(watcher, router, kind)
+    assert result is attempts.Result.LOST
+    assert job.exchange.answers == []
+
+
 def test_a_frozen_router_has_not_been_handed_the_request(watcher):
     """Guards against a request that runs when a frozen router wakes up."""
     router = _Router(b'', b'')
