Take a 204 or 304 without a length for one that has no body

Its end is the end of its headers, yet it counted as framed by the close of its connection: its endpoint's port was looked at, and a whole answer would be given up if that port was silent or closed. The test failed on the code before, whose find knew no status (a TypeError).

--- a/packages/policy/ibisring_policy/gateway/framing.py
+++ b/packages/policy/ibisring_policy/gateway/framing.py
@@ -9,6 +9,9 @@
 
 import enum
 
+# No content, not modified.
+_STATUSES_WITHOUT_BODY = frozenset((204, 304))
+
 
 class Framing(enum.StrEnum):
     """What marks the end of a body.
@@ -21,13 +24,17 @@
     CLOSE = 'close'
 
 
-def find(headers):
-    """Return how a body with these headers is framed.
+def find(headers, status=200):
+    """Return how the body of an answer is framed.
+
+    An answer whose status allows no body ends with its headers, as with a
+    length of zero.
 
     Parameters
     ----------
     headers : mapping
         Of an answer; looked up by the names' usual spelling.
+    status : int
 
     Returns
     -------
@@ -40,6 +47,8 @@
     >>> find({}).value
     'close'
     """
+    if status in _STATUSES_WITHOUT_BODY:
+        return Framing.LENGTH
     if 'chunked' in headers.get('Transfer-Encoding', '').lower():
         return Framing.CHUNKS
     if headers.get('Content-Length', '').strip().isdigit():
--- a/packages/policy/ibisring_policy/gateway/tests/test_framing.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_framing.py
@@ -20,3 +20,9 @@
 )
 def test_framing_of_a_body(headers, expected):
     assert framing.find(headers) is expected
+
+
+@pytest.mark.parametrize('status', [204, 304])
+def test_answer_that_has_no_body_ends_with_its_headers(status):
+    """Guards against a look at the port for an answer without a body."""
+    assert framing.find({}, status) is framing.Framing.LENGTH
