--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -235,15 +235,20 @@
             self.on_update()
         return finding
 
-    def has_ended(self, endpoint):
-        """Return whether the process of an endpoint ended unexpectedly.
+    def process_after_answer(self, endpoint):
+        """Return what is known of an endpoint's process after its answer.
 
-        One that leaves closes its port after its last answer.
+        One that leaves, or whose entry is gone, serves on with its port open
+        until it exits, and its exit cuts what still runs.
+
+        Returns
+        -------
+        answerends.Process
         """
-        known = self.view.snapshot.endpoints.get(endpoint.id)
-        if known is None or self.view.snapshot.is_leaving(endpoint):
-            return False
-        return self.prober.has_ended(endpoint)
+        snapshot = self.view.snapshot
+        is_exit_due = endpoint.id not in snapshot.endpoints
+        is_exit_due |= snapshot.is_leaving(endpoint)
+        return self.prober.find_process(endpoint, is_exit_due)
 
     def _record_unresolved(self, job, endpoint, is_cut_off):
         """Record a loss that a later start of the endpoint may explain."""
