Take callers and idle connections for what poll says of them

Cause: `serving.is_gone` and `upstream._has_no_data` asked select.select, which raises ValueError for descriptors from 1,024 on. The error was read as "the caller has left" and as "the idle connection is unusable": waiting callers with such descriptors were closed without an answer, and no idle connection to an endpoint was used again.

Change: `ibisring_web.sockets` asks poll, for both. A caller is gone only if the kernel reports an end or an error of its connection; if the state can't be determined, it is not gone. The end is also seen behind unread data.

--- a/packages/gateway/ibisring_gateway/queueing.py
+++ b/packages/gateway/ibisring_gateway/queueing.py
@@ -14,7 +14,7 @@
 from ibisring_policy.gateway import requestqueue
 from ibisring_records import exceptions
 from ibisring_router import logs
-from ibisring_web import serving
+from ibisring_web import sockets
 
 LOG = logging.getLogger(__name__)
 # Share of its route's objective for which a request may wait for a chain; the
@@ -309,7 +309,7 @@
 
 
 def _check_caller(job, when):
-    if serving.is_gone(job.exchange.socket):
+    if sockets.is_gone(job.exchange.socket):
         raise exchange_module.CallerDisconnected(when)
 
 
--- a/packages/gateway/ibisring_gateway/relayrouting.py
+++ b/packages/gateway/ibisring_gateway/relayrouting.py
@@ -7,7 +7,7 @@
 from ibisring_gateway import exchange as exchange_module
 from ibisring_gateway import relaymarks
 from ibisring_records import exceptions
-from ibisring_web import serving
+from ibisring_web import sockets
 
 # Longest time for which a started stream waits until a router or an endpoint
 # is in reach, and interval of the checks.
@@ -94,7 +94,7 @@
         end = min(job.deadline, self.clock() + WAIT_SECONDS)
         while self.clock() < end:
             time.sleep(POLL_SECONDS)
-            if serving.is_gone(job.exchange.socket):
+            if sockets.is_gone(job.exchange.socket):
                 raise exchange_module.CallerDisconnected(
                     'while its stream waited for a way'
                 )
--- a/packages/gateway/ibisring_gateway/upstream.py
+++ b/packages/gateway/ibisring_gateway/upstream.py
@@ -10,18 +10,16 @@
     'read_chunk',
 ]
 
-import logging
-import select
 import socket
 import threading
 import time
 
 from ibisring_gateway import responsehead
+from ibisring_web import sockets
 from urllib3 import connection as urllib3_connection
 from urllib3 import exceptions as urllib3_exceptions
 from urllib3 import util as urllib3_util
 
-LOG = logging.getLogger(__name__)
 # Seconds.  The network round trip to an endpoint takes a millisecond or two;
 # this leaves a margin for a busy one, and is short enough to try another
 # endpoint within the caller's objective.
@@ -120,7 +118,10 @@
                 if not idle:
                     return None
                 conn, idle_since = idle.pop()
-            if now - idle_since < MAX_IDLE_SECONDS and _has_no_data(conn):
+            is_recent = now - idle_since < MAX_IDLE_SECONDS
+            # Data after a complete answer belongs to no request, and its end
+            # means that the endpoint has closed the connection.
+            if is_recent and not sockets.has_input(conn.sock):
                 conn.reused = True
                 return conn
             conn.close()
@@ -180,20 +181,6 @@
 _HTTP_ERRORS = (urllib3_connection.HTTPException,)
 
 
-def _has_no_data(conn):
-    """Return whether an idle connection has nothing to read.
-
-    Data after a complete answer belongs to no request, and end of file
-    means that the endpoint has closed the connection.
-    """
-    try:
-        readable, _, _ = select.select([conn.sock], [], [], 0)
-    except (OSError, ValueError, TypeError) as error:
-        LOG.debug('idle connection is unusable: %s', error)
-        return False
-    return not readable
-
-
 def read_chunk(response):
     """Return the next chunk of a body, b'' at its end.
 
--- a/packages/web/ibisring_web/serving.py
+++ b/packages/web/ibisring_web/serving.py
@@ -8,11 +8,10 @@
     'is_gone',
 ]
 
-import select
-import socket
 import threading
 
 from cheroot import wsgi
+from ibisring_web import sockets
 
 SOCKET_KEY = 'ibisring.socket'
 DEFAULT_BACKLOG = 1024
@@ -107,19 +106,12 @@
     Notes
     -----
     While nothing is written to a caller, its leaving raises no error here.
-    Work for it would go on and hold engine slots.  A readable socket that
-    yields no byte is at its end.
+    Work for it would go on and hold engine slots.
     """
     sock = environ.get(SOCKET_KEY)
-    return sock is not None and is_gone(sock)
+    return sock is not None and sockets.is_gone(sock)
 
 
 def is_gone(sock):
-    """Say whether the other side of a connection has closed it."""
-    try:
-        readable, _, _ = select.select([sock], [], [], 0)
-        if not readable:
-            return False
-        return sock.recv(1, socket.MSG_PEEK) == b''
-    except (OSError, ValueError):
-        return True
+    """Return whether a caller is gone, see `sockets.is_gone`."""
+    return sockets.is_gone(sock)
