--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -1,11 +1,9 @@
-"""HTTP server side: a caller's request and its answer, on cheroot."""
+"""A caller's request and its answer, on cheroot."""
 
 __all__ = [
     'Exchange',
     'BodyTooLarge',
     'CallerDisconnected',
-    'make_server',
-    'apply_limits',
 ]
 
 import http
@@ -14,18 +12,10 @@
 import struct
 
 from cheroot import errors as cheroot_errors
-from cheroot import server as cheroot_server
-from cheroot.workers import threadpool
 
 from ibisring_records import exceptions
 
 LOG = logging.getLogger(__name__)
-# Connections that the kernel may queue; cheroot's default of 5 resets a
-# burst of new ones.
-LISTEN_BACKLOG = 1024
-# By default cheroot keeps 10 connections alive and closes all others after
-# each answer, so callers would need a new connection for each request.
-MAX_IDLE_CONNECTIONS = 100000
 # Zero seconds: the connection is reset when it is closed.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 # Hop-by-hop headers apply to one connection only and are not forwarded.
@@ -200,94 +190,3 @@
     def close_after(self):
         """Close the connection after this answer."""
         self.request.close_connection = True
-
-
-class _Server(cheroot_server.HTTPServer):
-    """Logs cheroot's errors as structured lines.
-
-    Attributes
-    ----------
-    bound_socket : socket.socket or None
-        Used in place of a new one.
-    """
-
-    bound_socket = None
-
-    def bind(self, family, type, proto=0):
-        if self.bound_socket is None:
-            return super().bind(family, type, proto)
-        self.socket = self.bound_socket
-        return self.socket
-
-    def error_log(self, msg='', level=logging.INFO, traceback=False):
-        LOG.log(level, 'caller_connection', extra={'facts': {'said': msg}})
-
-
-def make_server(address, threads, handler, limits, bound_socket=None):
-    """Make a cheroot server.
-
-    Parameters
-    ----------
-    address : str
-        'IP:PORT'
-    threads : (int, int)
-        Initial and maximum number of threads.
-    handler : callable
-        Called with an `Exchange` in a worker thread of the server.
-    limits : routing.CallerLimits
-    bound_socket : socket.socket or None
-        Already bound to the address.
-
-    Returns
-    -------
-    cheroot.server.HTTPServer
-        Not yet started.
-    """
-
-    class Gateway(cheroot_server.Gateway):
-        def respond(self):
-            handler(Exchange(self.req))
-
-    host, _, port = address.rpartition(':')
-    server = _Server((host, int(port)), Gateway)
-    server.bound_socket = bound_socket
-    server.requests = GrowingPool(server, min=threads[0], max=threads[1])
-    server.request_queue_size = LISTEN_BACKLOG
-    server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
-    server.server_name = 'ibisring'
-    server.shutdown_timeout = 1
-    apply_limits(server, limits)
-    return server
-
-
-def apply_limits(server, limits):
-    """Apply limits to connections accepted from now on."""
-    # Callers reuse a connection for up to four fifths of the idle limit.
-    # Closing it only after the full limit avoids closing a connection on
-    # which a request is about to be sent.
-    server.timeout = limits.idle_timeout + 1.0
-    server.max_request_header_size = limits.header_bytes * 2
-    server.max_request_body_size = limits.body_bytes
-
-
-class GrowingPool(threadpool.ThreadPool):
-    """A thread pool that grows while all of its threads are busy.
-
-    Each stream occupies a thread until it ends, and the number of streams
-    depends on how many other routers are down; a pool sized for the worst
-    case would waste memory all the time.  cheroot's own pool blocks the
-    thread that accepts connections for a tenth of a second while new threads
-    start; this one doesn't.
-    """
-
-    GROWTH_STEP = 8
-
-    def put(self, obj):
-        if self.idle <= 1:
-            self.grow(self.GROWTH_STEP)
-        super().put(obj)
-
-    def grow(self, amount):
-        spare = max(self.max - len(self._threads), 0)
-        for _ in range(min(amount, spare)):
-            self._threads.append(self._spawn_worker())
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -12,8 +12,8 @@
 import pykka
 
 from ibisring_gateway import attemptwatching
+from ibisring_gateway import callerserver
 from ibisring_gateway import directory
-from ibisring_gateway import exchange
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossip
 from ibisring_gateway import linkmonitor
@@ -238,7 +238,7 @@
         """Bind all addresses; callers are served later."""
         settings = self.settings
         limits = routing.CallerLimits()
-        self.caller_server = exchange.make_server(
+        self.caller_server = callerserver.make_server(
             settings.caller_listen,
             CALLER_THREADS,
             self.forwarder.serve,
@@ -254,7 +254,9 @@
             (f'{host}:{settings.metrics_port}', (1, 4), self.serve_metrics),
         )
         for address, threads, handler in listeners:
-            server = exchange.make_server(address, threads, handler, limits)
+            server = callerserver.make_server(
+                address, threads, handler, limits
+            )
             if handler == self.serve_peer:
                 self.peer_server = server
             server.prepare()
@@ -270,7 +272,7 @@
 
     def _apply_limits(self, table):
         for server in (self.caller_server, self.peer_server):
-            exchange.apply_limits(server, table.limits)
+            callerserver.apply_limits(server, table.limits)
         self.forwarder.admitter.wake_all()
 
     def _check_placement(self):
--- a/packages/gateway/ibisring_gateway/tests/test_earlylisten.py
+++ b/packages/gateway/ibisring_gateway/tests/test_earlylisten.py
@@ -6,8 +6,8 @@
 import sys
 import threading
 
+from ibisring_gateway import callerserver
 from ibisring_gateway import earlylisten
-from ibisring_gateway import exchange
 from ibisring_records import routing
 import pytest
 
@@ -27,7 +27,7 @@
     host, port = bound.getsockname()
     caller = http.client.HTTPConnection(host, port, timeout=5.0)
     caller.request('GET', '/')
-    server = exchange.make_server(
+    server = callerserver.make_server(
         f'{host}:{port}',
         (1, 2),
         lambda call: call.answer(200, [], b'served'),
