Answer requests whose body is slow, malformed, too large or unread

Cause: cheroot's readers of bodies raise ValueError for malformed chunks and OSError for a chunk beyond the limit or a pause, and `read_body` took each of them for a caller that has left: the connection was closed without an answer. An answer before the end of a body with a length waited for the whole body, and a pause in it then cost the answer; the rest of a body in chunks was taken for the next request. Closing a connection with unread data resets it, so that the caller may lose an answer just sent.

Only the connection's end is taken for a caller that has left. An answer waits at most 0.25 s for the rest of a body; after that the connection is closed, and read for up to a second first.

--- a/packages/gateway/ibisring_gateway/callerserver.py
+++ b/packages/gateway/ibisring_gateway/callerserver.py
@@ -3,9 +3,11 @@
 __all__ = ['make_server', 'apply_limits']
 
 import logging
+import socket
 import time
 
 from cheroot import server as cheroot_server
+from ibisring_gateway import bodies
 from ibisring_gateway import exchange
 from ibisring_gateway import growingpool
 from ibisring_gateway import idleconnections
@@ -21,15 +23,48 @@
 # Longest wait for data of a request that has begun, or for a caller to take
 # data of its answer.
 SOCKET_TIMEOUT_SECONDS = 30.0
+# Longest time for which a connection is read after its last answer.
+DISCARD_SECONDS = 1.0
+READ_BYTES = 65536
 
 
 class _Connection(cheroot_server.HTTPConnection):
-    """Has a time limit of its own for each read and write."""
+    """Has a time limit of its own for each read and write.
+
+    Attributes
+    ----------
+    has_unread_input : bool
+        Whether the caller may still send what is never read.
+    """
 
     def __init__(self, server, sock, *args):
         super().__init__(server, sock, *args)
+        self.has_unread_input = False
         sock.settimeout(SOCKET_TIMEOUT_SECONDS)
 
+    def close(self):
+        """Close the connection once the caller has its answer."""
+        if self.has_unread_input:
+            _discard_input(self.socket)
+        super().close()
+
+
+def _discard_input(sock):
+    """Read a connection until the caller closes it, for a limited time.
+
+    Closing a connection with unread data resets it, and the caller would lose
+    the answer just sent.
+    """
+    end = time.monotonic() + DISCARD_SECONDS
+    try:
+        sock.shutdown(socket.SHUT_WR)
+        while time.monotonic() < end:
+            sock.settimeout(DISCARD_SECONDS)
+            if not sock.recv(READ_BYTES):
+                return
+    except OSError as error:
+        LOG.debug('the connection is not read to its end: %s', error)
+
 
 class _Server(cheroot_server.HTTPServer):
     """Logs cheroot's errors as structured lines.
@@ -90,7 +125,9 @@
 
     class Gateway(cheroot_server.Gateway):
         def respond(self):
-            handler(exchange.Exchange(self.req))
+            # cheroot would read the rest of a body that it knows of.
+            self.req.rfile = bodies.make_body(self.req)
+            handler(exchange.Exchange(self.req, self.req.rfile))
 
     host, _, port = address.rpartition(':')
     server = _Server((host, int(port)), Gateway)
--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -2,7 +2,6 @@
 
 __all__ = [
     'Exchange',
-    'BodyTooLarge',
     'CallerDisconnected',
 ]
 
@@ -11,11 +10,12 @@
 import socket
 import struct
 
-from cheroot import errors as cheroot_errors
-
+from ibisring_gateway import bodies
 from ibisring_records import exceptions
 
 LOG = logging.getLogger(__name__)
+# Longest delay of an answer by a body that it doesn't depend on.
+DISCARD_SECONDS = 0.25
 # Zero seconds: the connection is reset when it is closed.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 # Hop-by-hop headers apply to one connection only and are not forwarded.
@@ -33,10 +33,6 @@
 )
 
 
-class BodyTooLarge(exceptions.RequestTooLarge):
-    """The request's body exceeds the configured limit."""
-
-
 class CallerDisconnected(Exception):
     """The caller's connection was lost during a read or write."""
 
@@ -47,6 +43,8 @@
     Parameters
     ----------
     request : cheroot.server.HTTPRequest
+    body : bodies.Body or None
+        None if the request has none.
 
     Attributes
     ----------
@@ -62,8 +60,9 @@
         State of the request, None until its route is known.
     """
 
-    def __init__(self, request):
+    def __init__(self, request, body=None):
         self.request = request
+        self.body = body
         self.headers_sent = False
         self.ends_with_connection = False
         self.is_from_router = False
@@ -101,21 +100,16 @@
 
         Raises
         ------
-        RequestTooLarge
+        InvalidRequest
+            Including its subclasses `RequestTooLarge` and `RequestTooSlow`.
         CallerDisconnected
         """
-        rfile = self.request.rfile
+        if self.body is None:
+            return b''
         try:
-            body = rfile.read()
-        except cheroot_errors.MaxSizeExceeded as error:
-            self.request.close_connection = True
-            raise BodyTooLarge('the body is too large') from error
-        except (OSError, ValueError) as error:
+            return self.body.read()
+        except (OSError, bodies.BodyEnded) as error:
             raise CallerDisconnected(str(error)) from error
-        # Read at a connection's end, a body with a length is cut in silence.
-        if getattr(rfile, 'remaining', 0):
-            raise CallerDisconnected('the body is shorter than its length')
-        return body
 
     def begin(self, status, headers):
         """Write status line and headers; `write` sends the body.
@@ -125,6 +119,7 @@
         status : int
         headers : list of (str, str)
         """
+        self._finish_body()
         request = self.request
         try:
             phrase = http.HTTPStatus(status).phrase
@@ -145,6 +140,22 @@
         has_length = any(n.lower() == b'content-length' for n, _ in sent)
         self.ends_with_connection = not (has_length or request.chunked_write)
 
+    def _finish_body(self):
+        """Read what is left of the body, or close the connection after.
+
+        The caller's next request would begin in the middle of the body.
+        """
+        if self.body is None or self.body.is_complete:
+            return
+        try:
+            if not self.body.is_started:
+                self.body.read(DISCARD_SECONDS)
+                return
+        except (OSError, bodies.BodyEnded, exceptions.InvalidRequest) as error:
+            LOG.debug('the rest of a body is not read: %s', error)
+        self.request.close_connection = True
+        self.request.conn.has_unread_input = True
+
     def write(self, data):
         """Write a chunk of the body."""
         if not data:
--- a/packages/records/ibisring_records/exceptions.py
+++ b/packages/records/ibisring_records/exceptions.py
@@ -12,6 +12,7 @@
     'InvalidRecord',
     'InvalidSetting',
     'RequestTooLarge',
+    'RequestTooSlow',
     'Unauthorized',
     'Forbidden',
     'NotFound',
@@ -113,6 +114,14 @@
     remedy = 'send a smaller body'
 
 
+class RequestTooSlow(InvalidRequest):
+    """The request's body did not arrive in time, so it was not run."""
+
+    code = 'request_too_slow'
+    status = 408
+    remedy = 'send the whole request again without pauses'
+
+
 class Unauthorized(IbisringError):
     code = 'unauthorized'
     status = 401
