--- a/packages/gateway/ibisring_gateway/callerserver.py
+++ b/packages/gateway/ibisring_gateway/callerserver.py
@@ -132,9 +132,7 @@
     host, _, port = address.rpartition(':')
     server = _Server((host, int(port)), Gateway)
     server.bound_socket = bound_socket
-    server.requests = growingpool.GrowingPool(
-        server, min=threads[0], max=threads[1]
-    )
+    server.requests = growingpool.make_growing_pool(server, *threads)
     server.request_queue_size = LISTEN_BACKLOG
     server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
     server.server_name = 'ibisring'
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -41,7 +41,9 @@
 LOG = logging.getLogger(__name__)
 READY_PATH = '/readyz'
 METRICS_PATH = '/metrics'
-CALLER_THREADS = (16, 1200)
+# Threads at the start and at most.  Starting a thread takes milliseconds once
+# many of them run, so those of a usual burst are started before it.
+CALLER_THREADS = (256, 1200)
 READY_THREADS = (2, 8)
 # A request that another router hands over occupies a thread until it ends.
 PEER_THREADS = (2, 1200)
