Keep connections without a request from holding threads

Cause: a new connection was given to a thread before it had sent a byte, and a blank line after a request's body made a thread wait for the next request, for as long as the connection may be idle.

Change: new connections wait in the selector like idle ones; a thread that finds nothing but blank lines gives its connection back. The head of a request has the configuration's time limit for each read, so that half a head holds a thread for that long.

--- a/packages/gateway/ibisring_gateway/callerserver.py
+++ b/packages/gateway/ibisring_gateway/callerserver.py
@@ -12,6 +12,7 @@
 from ibisring_gateway import growingpool
 from ibisring_gateway import idleconnections
 from ibisring_policy.gateway import idlelimits
+from ibisring_web import sockets
 
 LOG = logging.getLogger(__name__)
 # Connections that the kernel may queue; cheroot's default of 5 resets a
@@ -23,11 +24,27 @@
 # Longest wait for data of a request that has begun, or for a caller to take
 # data of its answer.
 SOCKET_TIMEOUT_SECONDS = 30.0
+BLANK_LINE = b'\r\n'
 # Longest time for which a connection is read after its last answer.
 DISCARD_SECONDS = 1.0
 READ_BYTES = 65536
 
 
+class _Request(cheroot_server.HTTPRequest):
+    """Has a time limit for each read of its head."""
+
+    def parse_request(self):
+        sock = self.conn.socket
+        sock.settimeout(self.server.header_timeout)
+        super().parse_request()
+        sock.settimeout(SOCKET_TIMEOUT_SECONDS)
+
+    def simple_response(self, status, msg=''):
+        """Answer with an error; what follows the head is not read."""
+        self.conn.has_unread_input = True
+        super().simple_response(status, msg)
+
+
 class _Connection(cheroot_server.HTTPConnection):
     """Has a time limit of its own for each read and write.
 
@@ -37,11 +54,34 @@
         Whether the caller may still send what is never read.
     """
 
+    RequestHandlerClass = _Request
+
     def __init__(self, server, sock, *args):
         super().__init__(server, sock, *args)
         self.has_unread_input = False
         sock.settimeout(SOCKET_TIMEOUT_SECONDS)
 
+    def communicate(self):
+        """Serve a request, if one has begun.
+
+        Returns
+        -------
+        bool
+            Whether the connection is kept.
+        """
+        return not self._has_request() or super().communicate()
+
+    def _has_request(self):
+        """Return whether there is more than the blank lines between requests.
+
+        With these alone, a thread would wait for a request.
+        """
+        while self.rfile.has_data() or sockets.has_input(self.socket):
+            if not self.rfile.peek(1).startswith(BLANK_LINE):
+                return True
+            self.rfile.read1(len(BLANK_LINE))
+        return False
+
     def close(self):
         """Close the connection once the caller has its answer."""
         if self.has_unread_input:
@@ -74,9 +114,12 @@
     bound_socket : socket.socket or None
         Used in place of a new one.
     idle_limits : idlelimits.IdleLimits
+    header_timeout : float
+        Seconds.
     """
 
     bound_socket = None
+    header_timeout = 0.0
     idle_limits = None
     ConnectionClass = _Connection
 
@@ -154,5 +197,6 @@
     server.idle_limits.change(limits.idle_timeout, time.monotonic())
     # Announced to callers that speak HTTP/1.0.
     server.timeout = limits.idle_timeout
+    server.header_timeout = limits.header_timeout
     server.max_request_header_size = limits.header_bytes * 2
     server.max_request_body_size = limits.body_bytes
--- a/packages/gateway/ibisring_gateway/idleconnections.py
+++ b/packages/gateway/ibisring_gateway/idleconnections.py
@@ -53,12 +53,17 @@
 
     def _dispatch(self, descriptor, conn):
         if conn is self.server:
-            conn = self._from_server_socket(self.server.socket)
-        else:
-            # A thread reads from it until `put` is called again.
-            self._selector.unregister(descriptor)
+            self._accept()
+            return
+        # A thread reads from it until `put` is called again.
+        self._selector.unregister(descriptor)
+        self.server.process_conn(conn)
+
+    def _accept(self):
+        """Keep a new connection until its first request begins."""
+        conn = self._from_server_socket(self.server.socket)
         if conn is not None:
-            self.server.process_conn(conn)
+            self.put(conn)
 
     def close_expired(self, now):
         """Close the connections that have been idle for too long.
