Answer a request that would end without an answer

Cause: a request whose handler wrote nothing ended with a bare close, also if its caller was there, and with an ERROR line of cheroot for each caller that had left (it tried to write a head without a status).

Change: `Exchange.end` answers 504, which states nothing of what ran, and closes the connection after it, unless the caller has left.

--- a/packages/gateway/ibisring_gateway/callerserver.py
+++ b/packages/gateway/ibisring_gateway/callerserver.py
@@ -170,7 +170,9 @@
         def respond(self):
             # cheroot would read the rest of a body that it knows of.
             self.req.rfile = bodies.make_body(self.req)
-            handler(exchange.Exchange(self.req, self.req.rfile))
+            call = exchange.Exchange(self.req, self.req.rfile)
+            handler(call)
+            call.end()
 
     host, _, port = address.rpartition(':')
     server = _Server((host, int(port)), Gateway)
--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -12,10 +12,13 @@
 
 from ibisring_gateway import bodies
 from ibisring_records import exceptions
+from ibisring_web import sockets
 
 LOG = logging.getLogger(__name__)
 # Longest delay of an answer by a body that it doesn't depend on.
 DISCARD_SECONDS = 0.25
+# Says nothing of whether the request has run.
+UNANSWERED_STATUS = 504
 # Zero seconds: the connection is reset when it is closed.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 # Hop-by-hop headers apply to one connection only and are not forwarded.
@@ -198,6 +201,21 @@
         except OSError as error:
             LOG.debug('the connection is closed already: %s', error)
 
+    def end(self):
+        """End the request; a caller that is still there gets an answer."""
+        if self.headers_sent:
+            return
+        if sockets.is_gone(self.socket):
+            self.request.ready = False
+            self.request.close_connection = True
+            return
+        LOG.warning('a request to %s ended without an answer', self.target)
+        self.close_after()
+        try:
+            self.answer(UNANSWERED_STATUS, [], b'')
+        except CallerDisconnected as error:
+            LOG.debug('the caller has left meanwhile: %s', error)
+
     def close_after(self):
         """Close the connection after this answer."""
         self.request.close_connection = True
--- a/packages/gateway/ibisring_gateway/tests/test_exchange.py
+++ b/packages/gateway/ibisring_gateway/tests/test_exchange.py
@@ -3,6 +3,7 @@
 import http.client
 import io
 import socket
+import threading
 
 from ibisring_gateway import bodies
 from ibisring_gateway import exchange
@@ -10,6 +11,7 @@
 from ibisring_gateway.tests import callers
 from ibisring_records import exceptions
 from ibisring_records import routing
+from ibisring_web import sockets
 import pytest
 
 HALF_BODY = callers.HEAD + b'Content-Length: 8\r\n\r\nhalf'
@@ -160,3 +162,35 @@
             sock.sendall(callers.CHUNKED + b'100000\r\n' + bytes(1024 * 1024))
             answer = callers.receive_answer(sock)
     assert answer.startswith(b'HTTP/1.1 413 ')
+
+
+@pytest.mark.parametrize('handler', [lambda call: None, lambda c: c.abort()])
+def test_request_that_ends_unanswered_gets_an_answer(handler):
+    """Guards against a bare close where the caller waits."""
+    with callers.running(handler) as server:
+        with callers.connected(server) as sock:
+            sock.sendall(callers.HEAD + b'Content-Length: 4\r\n\r\nbody')
+            answer = callers.receive_answer(sock)
+            assert answer.startswith(b'HTTP/1.1 504 ')
+            assert b'Connection: close' in answer
+            assert sock.recv(1) == b''
+
+
+def test_caller_that_left_is_no_error(caplog):
+    """Guards against an error in the log for each caller that leaves."""
+    left = threading.Event()
+    ended = threading.Event()
+
+    def serve(call):
+        left.wait(callers.WAIT_SECONDS)
+        callers.wait_until(lambda: sockets.is_gone(call.socket))
+        call.abort()
+        ended.set()
+
+    with callers.running(serve) as server:
+        with callers.connected(server) as sock:
+            sock.sendall(callers.HEAD + b'Content-Length: 0\r\n\r\n')
+        left.set()
+        assert ended.wait(callers.WAIT_SECONDS)
+        callers.wait_until(lambda: server.requests.load == 0)
+    assert [r for r in caplog.records if r.levelname == 'ERROR'] == []
