--- /dev/null
+++ b/packages/gateway/ibisring_gateway/callerserver.py
@@ -0,0 +1,204 @@
+"""HTTP server for callers and other routers, on cheroot."""
+
+__all__ = ['make_server', 'apply_limits']
+
+import logging
+import socket
+import time
+
+from cheroot import server as cheroot_server
+from ibisring_gateway import bodies
+from ibisring_gateway import exchange
+from ibisring_gateway import growingpool
+from ibisring_gateway import idleconnections
+from ibisring_policy.gateway import idlelimits
+from ibisring_web import sockets
+
+LOG = logging.getLogger(__name__)
+# Connections that the kernel may queue; cheroot's default of 5 resets a
+# burst of new ones.
+LISTEN_BACKLOG = 1024
+# By default cheroot keeps 10 connections alive and closes all others after
+# each answer, so callers would need a new connection for each request.
+MAX_IDLE_CONNECTIONS = 100000
+# Longest wait for data of a request that has begun, or for a caller to take
+# data of its answer.
+SOCKET_TIMEOUT_SECONDS = 30.0
+BLANK_LINE = b'\r\n'
+# Longest time for which a connection is read after its last answer.
+DISCARD_SECONDS = 1.0
+READ_BYTES = 65536
+
+
+class _Request(cheroot_server.HTTPRequest):
+    """Has a time limit for each read of its head."""
+
+    def parse_request(self):
+        sock = self.conn.socket
+        sock.settimeout(self.server.header_timeout)
+        super().parse_request()
+        sock.settimeout(SOCKET_TIMEOUT_SECONDS)
+
+    def simple_response(self, status, msg=''):
+        """Answer with an error; what follows the head is not read."""
+        self.conn.has_unread_input = True
+        super().simple_response(status, msg)
+
+
+class _Connection(cheroot_server.HTTPConnection):
+    """Has a time limit of its own for each read and write.
+
+    Attributes
+    ----------
+    has_unread_input : bool
+        Whether the caller may still send what is never read.
+    """
+
+    RequestHandlerClass = _Request
+
+    def __init__(self, server, sock, *args):
+        super().__init__(server, sock, *args)
+        self.has_unread_input = False
+        sock.settimeout(SOCKET_TIMEOUT_SECONDS)
+
+    def communicate(self):
+        """Serve a request, if one has begun.
+
+        Returns
+        -------
+        bool
+            Whether the connection is kept.
+        """
+        return not self._has_request() or super().communicate()
+
+    def _has_request(self):
+        """Return whether there is more than the blank lines between requests.
+
+        With these alone, a thread would wait for a request.
+        """
+        while self.rfile.has_data() or sockets.has_input(self.socket):
+            if not self.rfile.peek(1).startswith(BLANK_LINE):
+                return True
+            self.rfile.read1(len(BLANK_LINE))
+        return False
+
+    def close(self):
+        """Close the connection once the caller has its answer."""
+        if self.has_unread_input:
+            _discard_input(self.socket)
+        super().close()
+
+
+def _discard_input(sock):
+    """Read a connection until the caller closes it, for a limited time.
+
+    Closing a connection with unread data resets it, and the caller would lose
+    the answer just sent.
+    """
+    end = time.monotonic() + DISCARD_SECONDS
+    try:
+        sock.shutdown(socket.SHUT_WR)
+        while time.monotonic() < end:
+            sock.settimeout(DISCARD_SECONDS)
+            if not sock.recv(READ_BYTES):
+                return
+    except OSError as error:
+        LOG.debug('the connection is not read to its end: %s', error)
+
+
+class _Server(cheroot_server.HTTPServer):
+    """Logs cheroot's errors as structured lines.
+
+    Attributes
+    ----------
+    bound_socket : socket.socket or None
+        Used in place of a new one.
+    idle_limits : idlelimits.IdleLimits
+    header_timeout : float
+        Seconds.
+    """
+
+    bound_socket = None
+    header_timeout = 0.0
+    idle_limits = None
+    ConnectionClass = _Connection
+
+    @property
+    def idle_connections(self):
+        """Callers' connections without a request under way."""
+        return self._connections
+
+    def prepare(self):
+        super().prepare()
+        self._connections.close()
+        self._connections = idleconnections.make_idle_connections(
+            self, self.idle_limits
+        )
+
+    def bind(self, family, type, proto=0):
+        if self.bound_socket is None:
+            return super().bind(family, type, proto)
+        self.socket = self.bound_socket
+        return self.socket
+
+    def error_log(self, msg='', level=logging.INFO, traceback=False):
+        LOG.log(level, 'caller_connection', extra={'facts': {'said': msg}})
+
+
+def make_server(address, threads, handler, limits, bound_socket=None):
+    """Make a cheroot server.
+
+    Parameters
+    ----------
+    address : str
+        'IP:PORT'
+    threads : (int, int)
+        Initial and maximum number of threads.
+    handler : callable
+        Called with an `Exchange` in a worker thread of the server.
+    limits : routing.CallerLimits
+    bound_socket : socket.socket or None
+        Already bound to the address.
+
+    Returns
+    -------
+    cheroot.server.HTTPServer
+        Not yet started.
+    """
+
+    class Gateway(cheroot_server.Gateway):
+        def respond(self):
+            # cheroot would read the rest of a body that it knows of.
+            self.req.rfile = bodies.make_body(self.req)
+            call = exchange.Exchange(self.req, self.req.rfile)
+            handler(call)
+            call.end()
+
+    host, _, port = address.rpartition(':')
+    server = _Server((host, int(port)), Gateway)
+    server.bound_socket = bound_socket
+    server.requests = growingpool.make_growing_pool(server, *threads)
+    server.request_queue_size = LISTEN_BACKLOG
+    server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
+    server.server_name = 'ibisring'
+    server.shutdown_timeout = 1
+    server.idle_limits = idlelimits.make_idle_limits(limits.idle_timeout)
+    apply_limits(server, limits)
+    return server
+
+
+def apply_limits(server, limits):
+    """Apply the limits of a configuration.
+
+    Parameters
+    ----------
+    server : cheroot.server.HTTPServer
+        Made by `make_server`.
+    limits : routing.CallerLimits
+    """
+    server.idle_limits.change(limits.idle_timeout, time.monotonic())
+    # Announced to callers that speak HTTP/1.0.
+    server.timeout = limits.idle_timeout
+    server.header_timeout = limits.header_timeout
+    server.max_request_header_size = limits.header_bytes * 2
+    server.max_request_body_size = limits.body_bytes
--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -1,11 +1,8 @@
-"""HTTP server side: a caller's request and its answer, on cheroot."""
+"""A caller's request and its answer, on cheroot."""
 
 __all__ = [
     'Exchange',
-    'BodyTooLarge',
     'CallerDisconnected',
-    'make_server',
-    'apply_limits',
 ]
 
 import http
@@ -13,19 +10,15 @@
 import socket
 import struct
 
-from cheroot import errors as cheroot_errors
-from cheroot import server as cheroot_server
-from cheroot.workers import threadpool
-
+from ibisring_gateway import bodies
 from ibisring_records import exceptions
+from ibisring_web import sockets
 
 LOG = logging.getLogger(__name__)
-# Connections that the kernel may queue; cheroot's default of 5 resets a
-# burst of new ones.
-LISTEN_BACKLOG = 1024
-# By default cheroot keeps 10 connections alive and closes all others after
-# each answer, so callers would need a new connection for each request.
-MAX_IDLE_CONNECTIONS = 100000
+# Longest delay of an answer by a body that it doesn't depend on.
+DISCARD_SECONDS = 0.25
+# Says nothing of whether the request has run.
+UNANSWERED_STATUS = 504
 # Zero seconds: the connection is reset when it is closed.
 _RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 # Hop-by-hop headers apply to one connection only and are not forwarded.
@@ -43,10 +36,6 @@
 )
 
 
-class BodyTooLarge(exceptions.RequestTooLarge):
-    """The request's body exceeds the configured limit."""
-
-
 class CallerDisconnected(Exception):
     """The caller's connection was lost during a read or write."""
 
@@ -57,6 +46,8 @@
     Parameters
     ----------
     request : cheroot.server.HTTPRequest
+    body : bodies.Body or None
+        None if the request has none.
 
     Attributes
     ----------
@@ -72,8 +63,9 @@
         State of the request, None until its route is known.
     """
 
-    def __init__(self, request):
+    def __init__(self, request, body=None):
         self.request = request
+        self.body = body
         self.headers_sent = False
         self.ends_with_connection = False
         self.is_from_router = False
@@ -111,21 +103,16 @@
 
         Raises
         ------
-        RequestTooLarge
+        InvalidRequest
+            Including its subclasses `RequestTooLarge` and `RequestTooSlow`.
         CallerDisconnected
         """
-        rfile = self.request.rfile
+        if self.body is None:
+            return b''
         try:
-            body = rfile.read()
-        except cheroot_errors.MaxSizeExceeded as error:
-            self.request.close_connection = True
-            raise BodyTooLarge('the body is too large') from error
-        except (OSError, ValueError) as error:
+            return self.body.read()
+        except (OSError, bodies.BodyEnded) as error:
             raise CallerDisconnected(str(error)) from error
-        # Read at a connection's end, a body with a length is cut in silence.
-        if getattr(rfile, 'remaining', 0):
-            raise CallerDisconnected('the body is shorter than its length')
-        return body
 
     def begin(self, status, headers):
         """Write status line and headers; `write` sends the body.
@@ -135,6 +122,7 @@
         status : int
         headers : list of (str, str)
         """
+        self._finish_body()
         request = self.request
         try:
             phrase = http.HTTPStatus(status).phrase
@@ -155,6 +143,22 @@
         has_length = any(n.lower() == b'content-length' for n, _ in sent)
         self.ends_with_connection = not (has_length or request.chunked_write)
 
+    def _finish_body(self):
+        """Read what is left of the body, or close the connection after.
+
+        The caller's next request would begin in the middle of the body.
+        """
+        if self.body is None or self.body.is_complete:
+            return
+        try:
+            if not self.body.is_started:
+                self.body.read(DISCARD_SECONDS)
+                return
+        except (OSError, bodies.BodyEnded, exceptions.InvalidRequest) as error:
+            LOG.debug('the rest of a body is not read: %s', error)
+        self.request.close_connection = True
+        self.request.conn.has_unread_input = True
+
     def write(self, data):
         """Write a chunk of the body."""
         if not data:
@@ -197,97 +201,21 @@
         except OSError as error:
             LOG.debug('the connection is closed already: %s', error)
 
+    def end(self):
+        """End the request; a caller that is still there gets an answer."""
+        if self.headers_sent:
+            return
+        if sockets.is_gone(self.socket):
+            self.request.ready = False
+            self.request.close_connection = True
+            return
+        LOG.warning('a request to %s ended without an answer', self.target)
+        self.close_after()
+        try:
+            self.answer(UNANSWERED_STATUS, [], b'')
+        except CallerDisconnected as error:
+            LOG.debug('the caller has left meanwhile: %s', error)
+
     def close_after(self):
         """Close the connection after this answer."""
         self.request.close_connection = True
-
-
-class _Server(cheroot_server.HTTPServer):
-    """Logs cheroot's errors as structured lines.
-
-    Attributes
-    ----------
-    bound_socket : socket.socket or None
-        Used in place of a new one.
-    """
-
-    bound_socket = None
-
-    def bind(self, family, type, proto=0):
-        if self.bound_socket is None:
-            return super().bind(family, type, proto)
-        self.socket = self.bound_socket
-        return self.socket
-
-    def error_log(self, msg='', level=logging.INFO, traceback=False):
-        LOG.log(level, 'caller_connection', extra={'facts': {'said': msg}})
-
-
-def make_server(address, threads, handler, limits, bound_socket=None):
-    """Make a cheroot server.
-
-    Parameters
-    ----------
-    address : str
-        'IP:PORT'
-    threads : (int, int)
-        Initial and maximum number of threads.
-    handler : callable
-        Called with an `Exchange` in a worker thread of the server.
-    limits : routing.CallerLimits
-    bound_socket : socket.socket or None
-        Already bound to the address.
-
-    Returns
-    -------
-    cheroot.server.HTTPServer
-        Not yet started.
-    """
-
-    class Gateway(cheroot_server.Gateway):
-        def respond(self):
-            handler(Exchange(self.req))
-
-    host, _, port = address.rpartition(':')
-    server = _Server((host, int(port)), Gateway)
-    server.bound_socket = bound_socket
-    server.requests = GrowingPool(server, min=threads[0], max=threads[1])
-    server.request_queue_size = LISTEN_BACKLOG
-    server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
-    server.server_name = 'ibisring'
-    server.shutdown_timeout = 1
-    apply_limits(server, limits)
-    return server
-
-
-def apply_limits(server, limits):
-    """Apply limits to connections accepted from now on."""
-    # Callers reuse a connection for up to four fifths of the idle limit.
-    # Closing it only after the full limit avoids closing a connection on
-    # which a request is about to be sent.
-    server.timeout = limits.idle_timeout + 1.0
-    server.max_request_header_size = limits.header_bytes * 2
-    server.max_request_body_size = limits.body_bytes
-
-
-class GrowingPool(threadpool.ThreadPool):
-    """A thread pool that grows while all of its threads are busy.
-
-    Each stream occupies a thread until it ends, and the number of streams
-    depends on how many other routers are down; a pool sized for the worst
-    case would waste memory all the time.  cheroot's own pool blocks the
-    thread that accepts connections for a tenth of a second while new threads
-    start; this one doesn't.
-    """
-
-    GROWTH_STEP = 8
-
-    def put(self, obj):
-        if self.idle <= 1:
-            self.grow(self.GROWTH_STEP)
-        super().put(obj)
-
-    def grow(self, amount):
-        spare = max(self.max - len(self._threads), 0)
-        for _ in range(min(amount, spare)):
-            self._threads.append(self._spawn_worker())
