Soak: sound engines that pause

The soak's engines never paused, so it could not show that the router cuts streams of engines that fall silent for a second and go on. Only planned work runs beside it; the lowest three bits of the seed choose a scarce retry budget, SIGTERM and SIGHUP, and configurations. Half of the streams may not be resumed. No stream of a sound engine with time left may be cut or be answered with a failure of the router.

--- a/packages/soak/ibisring_soak/__main__.py
+++ b/packages/soak/ibisring_soak/__main__.py
@@ -43,6 +43,11 @@
     breaks: bool = typer.Option(
         False, help='Engines break off streams, and answer without a length.'
     ),
+    pauses: bool = typer.Option(
+        False,
+        help='Sound engines pause, beside planned work only; the three lowest'
+        ' bits of the seed: scarce retries, signals, configurations.',
+    ),
     folder: pathlib.Path = typer.Option(
         pathlib.Path('soak-runs'), help='Settings and logs, by seed.'
     ),
@@ -68,6 +73,7 @@
             restores,
             cuts,
             breaks,
+            pauses,
         )
         failed_runs += bool(outcome.violations)
         print(
--- a/packages/soak/ibisring_soak/callers.py
+++ b/packages/soak/ibisring_soak/callers.py
@@ -12,12 +12,16 @@
 from ibisring_soak import records
 
 LOG = logging.getLogger(__name__)
-# Method, path and share of all requests, by kind.
+# Method and path, by kind.
 REQUEST_KINDS = {
-    'stream': ('POST', '/stream/x', 0.45),
-    'once': ('POST', '/once/x', 0.35),
-    'safe': ('GET', '/safe/x', 0.2),
+    'stream': ('POST', '/stream/x'),
+    'single': ('POST', '/single/x'),
+    'once': ('POST', '/once/x'),
+    'safe': ('GET', '/safe/x'),
 }
+# Share of all requests, by kind, and the shares where endpoints pause.
+SHARES = {'stream': 0.45, 'once': 0.35, 'safe': 0.2}
+PAUSE_SHARES = {'stream': 0.45, 'single': 0.45, 'once': 0.05, 'safe': 0.05}
 # A caller gives up after this time without a byte.
 READ_TIMEOUT_SECONDS = 2.5
 CALL_INTERVAL_SECONDS = 0.15
@@ -36,10 +40,13 @@
     ----------
     world : world.World
     seed, count : int
+    shares : dict of str to float
+        Share of all requests, by kind.
     """
 
-    def __init__(self, world, seed, count):
+    def __init__(self, world, seed, count, shares):
         self.world = world
+        self.shares = shares
         self.stopped = threading.Event()
         self.threads = [
             threading.Thread(
@@ -89,8 +96,7 @@
         return rng.choice(available or routers)
 
     def _make_call(self, rng, name, router):
-        shares = [share for _, _, share in REQUEST_KINDS.values()]
-        kind = rng.choices(list(REQUEST_KINDS), shares)[0]
+        kind = rng.choices(list(self.shares), list(self.shares.values()))[0]
         keys = self.world.keys()
         if self.world.revoked and rng.random() < REVOKED_KEY_SHARE:
             keys = sorted(self.world.revoked)
@@ -105,7 +111,7 @@
 
     def _send(self, conn, call, rng):
         """Send a request; True if the connection can be reused."""
-        method, path, _ = REQUEST_KINDS[call.kind]
+        method, path = REQUEST_KINDS[call.kind]
         if call.route:
             path = f'/{call.route}/x'
         headers = running.headers(
@@ -118,7 +124,8 @@
             call.status = response.status
             call.signed = running.is_signed(response.headers)
             call.response_id = running.response_request_id(response.headers)
-            if call.kind == 'stream' and rng.random() < ABANDONED_STREAM_SHARE:
+            is_stream = call.kind in records.STREAM_KINDS
+            if is_stream and rng.random() < ABANDONED_STREAM_SHARE:
                 time.sleep(ABANDON_AFTER_SECONDS)
                 call.abandoned = True
                 return False
@@ -130,12 +137,12 @@
             call.abandoned = True
         except (OSError, http.client.HTTPException) as error:
             LOG.debug('request %s failed: %s', call.id, error)
-        if call.kind == 'stream':
+        if call.kind in records.STREAM_KINDS:
             reply = running.Reply(call.status, {}, call.body, call.complete)
             call.events = reply.event_data() if call.status == 200 else []
         return call.complete and not response.will_close
 
 
-def make_callers(world, seed, count=10):
+def make_callers(world, seed, count=10, shares=None):
     """Make `Callers`; ``start()`` starts them."""
-    return Callers(world, seed, count)
+    return Callers(world, seed, count, shares or SHARES)
--- a/packages/soak/ibisring_soak/guarantees.py
+++ b/packages/soak/ibisring_soak/guarantees.py
@@ -1,9 +1,10 @@
 """Checks the router's guarantees against a run's history."""
 
-__all__ = ['Violation', 'check']
+__all__ = ['check']
 
 from ibisring_soak import ratelimits
-import msgspec
+from ibisring_soak import records
+from ibisring_soak import soundness
 
 # Statuses which guarantee that a request has not run and never will.
 NOT_RUN_STATUSES = (408, 421, 429, 503)
@@ -11,9 +12,7 @@
 # without disruption before that is required of it.
 APPLY_SECONDS = 2.0
 UNDISRUPTED_SECONDS = 3.0
-# Time from the end of all faults until requests are served as before, and the
-# share of them that must be.
-RECOVERY_SECONDS = 12.0
+# Share of the requests that must be served after the recovery.
 SERVED_SHARE = 0.9
 # How often a poison request may still run after all routers have been
 # informed.
@@ -22,16 +21,6 @@
 # way, and how many of a router may reach it later.
 UNDER_WAY_SECONDS = 0.5
 MAX_DURING_BACKOFF = 2
-# Allowance beyond the grace time, for the operating system to reap a process.
-EXIT_SLACK_SECONDS = 1.0
-
-
-class Violation(msgspec.Struct, frozen=True):
-    """A violated guarantee."""
-
-    guarantee: str
-    request: str
-    detail: str
 
 
 def check(history):
@@ -43,7 +32,7 @@
 
     Returns
     -------
-    list of Violation
+    list of records.Violation
     """
     runs = {}
     for run in history.runs:
@@ -63,12 +52,15 @@
     found.extend(_limits(history))
     found.extend(_backoffs(history))
     found.extend(_announced_leaves(history))
+    found.extend(soundness.check_streams(history, runs))
     found.extend(
-        Violation('a process exits only on a signal', '', crash)
+        records.Violation('a process exits only on a signal', '', crash)
         for crash in history.crashes
     )
     found.extend(
-        Violation('layers fit into the memory of the card', name, 'overloaded')
+        records.Violation(
+            'layers fit into the memory of the card', name, 'overloaded'
+        )
         for name in history.overloaded
     )
     return found
@@ -79,36 +71,45 @@
     if not 200 <= call.status < 300 or not call.complete:
         return
     if not call.signed:
-        yield Violation('a success is signed', call.id, str(call.status))
+        yield records.Violation(
+            'a success is signed', call.id, str(call.status)
+        )
     if call.response_id != call.id:
-        yield Violation(
+        yield records.Violation(
             'a response has the id of its request', call.id, call.response_id
         )
-    if call.kind == 'stream':
+    if call.kind in records.STREAM_KINDS:
         expected = [f'word-{n}' for n in range(1, call.expected_events + 1)]
         if call.events != expected:
             detail = (
                 f'{len(call.events)} of {call.expected_events}:'
                 f' {call.events[:50]}'
             )
-            yield Violation(
+            yield records.Violation(
                 'a stream is complete and in order', call.id, detail
             )
     elif call.body.split()[-1:] != [call.id.encode()]:
         detail = call.body[:80].decode('latin-1')
-        yield Violation('a body belongs to its request', call.id, detail)
+        yield records.Violation(
+            'a body belongs to its request', call.id, detail
+        )
 
 
 def _run_counts(call, runs):
     """Non-idempotent requests run at most once, refused ones never."""
     descriptions = [f'{run.endpoint} after {run.after}' for run in runs]
-    if call.kind == 'once' and len(runs) > 1:
-        yield Violation('runs at most once', call.id, ', '.join(descriptions))
-    if call.kind == 'once' and runs and call.status in NOT_RUN_STATUSES:
+    if call.kind in records.ONCE_KINDS and len(runs) > 1:
+        yield records.Violation(
+            'runs at most once', call.id, ', '.join(descriptions)
+        )
+    is_once = call.kind in records.ONCE_KINDS
+    if is_once and runs and call.status in NOT_RUN_STATUSES:
         detail = f'{call.status}, ran at {descriptions[0]}'
-        yield Violation('refused means not run', call.id, detail)
+        yield records.Violation('refused means not run', call.id, detail)
     if call.status in (401, 403, 404) and runs:
-        yield Violation('denied means not run', call.id, descriptions[0])
+        yield records.Violation(
+            'denied means not run', call.id, descriptions[0]
+        )
 
 
 def _known_callers(history):
@@ -116,9 +117,11 @@
     keys = {call.id: call.key for call in history.calls}
     for run in history.runs:
         if run.request not in keys:
-            yield Violation('runs only requests of callers', run.request, '')
+            yield records.Violation(
+                'runs only requests of callers', run.request, ''
+            )
         elif run.account != account_of(keys[run.request]):
-            yield Violation(
+            yield records.Violation(
                 'runs for the account of the key', run.request, run.account
             )
 
@@ -137,7 +140,7 @@
                 break
             reached = end
         if run.chain and reached != history.layers:
-            yield Violation(
+            yield records.Violation(
                 'layers once and in order', run.request, str(run.chain)
             )
 
@@ -169,7 +172,9 @@
             since = change.at - UNDISRUPTED_SECONDS
             if not _is_disrupted(history, targets, since, run.at):
                 detail = f'{run.at - change.at:.2f} s after'
-                yield Violation(f'{change.kind} is applied', call.id, detail)
+                yield records.Violation(
+                    f'{change.kind} is applied', call.id, detail
+                )
 
 
 def _added_routes(history):
@@ -186,7 +191,9 @@
             continue
         if not _is_disrupted(history, targets, since, call.ended_at):
             detail = f'{call.status} from {call.router} {late:.2f} s after'
-            yield Violation('an added route is applied', call.id, detail)
+            yield records.Violation(
+                'an added route is applied', call.id, detail
+            )
 
 
 def _poison_requests(history):
@@ -207,7 +214,7 @@
         detail = (
             f'{len(late)} runs after {len(history.endpoint_crashes)} crashes'
         )
-        yield Violation('a poison request is blocked', '', detail)
+        yield records.Violation('a poison request is blocked', '', detail)
 
 
 def _limits(history):
@@ -237,7 +244,9 @@
                 f'{count} in {ratelimits.WINDOW_SECONDS} s'
                 f' at {span.rate} per second'
             )
-            yield Violation('a limit is enforced', span.endpoint, detail)
+            yield records.Violation(
+                'a limit is enforced', span.endpoint, detail
+            )
 
 
 def _sent_arrivals(history):
@@ -275,7 +284,7 @@
             ]
             if len(late) > MAX_DURING_BACKOFF:
                 detail = f'{len(late)} of {router} in {asked.backoff} s'
-                yield Violation('a backoff is kept', endpoint, detail)
+                yield records.Violation('a backoff is kept', endpoint, detail)
 
 
 def _announced_leaves(history):
@@ -299,7 +308,9 @@
                 continue
             if not _is_recently_started(history, router, each.at):
                 detail = f'{late:.2f} s after, from {router}'
-                yield Violation('a leave is applied', each.request, detail)
+                yield records.Violation(
+                    'a leave is applied', each.request, detail
+                )
 
 
 def _is_recently_started(history, router, now):
@@ -311,7 +322,7 @@
         name == router
         and at
         <= now
-        <= at + seconds + UNDISRUPTED_SECONDS + EXIT_SLACK_SECONDS
+        <= at + seconds + UNDISRUPTED_SECONDS + records.EXIT_SLACK_SECONDS
         for name, at, seconds in history.terminations
     )
 
@@ -320,9 +331,9 @@
     """A terminated process exits in time and truncates no response."""
     for router, at, seconds in history.terminations:
         target = f'router {router}'
-        late = seconds > history.grace_seconds + EXIT_SLACK_SECONDS
+        late = seconds > history.grace_seconds + records.EXIT_SLACK_SECONDS
         if late and not _is_disrupted(history, (target,), at, at + seconds):
-            yield Violation(
+            yield records.Violation(
                 'a shutdown ends in time', router, f'{seconds:.2f} s'
             )
         targets = ('store', 'callers', 'endpoints', target)
@@ -335,14 +346,14 @@
             if _is_disrupted(history, targets, since, call.ended_at):
                 continue
             if call.status == 200 and not call.complete:
-                yield Violation(
+                yield records.Violation(
                     'a shutdown truncates no response', call.id, router
                 )
 
 
 def _recovery(history):
     """After the last fault, requests are served as before."""
-    since = history.faults_ended_at + RECOVERY_SECONDS
+    since = history.faults_ended_at + history.recovery_seconds
     revoked = {c.name for c in history.store_changes if c.kind == 'revoked'}
     late = [
         call
@@ -354,7 +365,7 @@
     ]
     served = [c for c in late if c.status == 200 and c.complete]
     if not late:
-        yield Violation(
+        yield records.Violation(
             'requests are served after recovery',
             '',
             'no requests after the recovery time',
@@ -362,4 +373,6 @@
     elif len(served) < SERVED_SHARE * len(late):
         statuses = sorted({c.status for c in late})
         detail = f'{len(served)} of {len(late)} served, {statuses}'
-        yield Violation('requests are served after recovery', '', detail)
+        yield records.Violation(
+            'requests are served after recovery', '', detail
+        )
--- a/packages/soak/ibisring_soak/injecting.py
+++ b/packages/soak/ibisring_soak/injecting.py
@@ -37,8 +37,8 @@
         self.lock = threading.Lock()
         self.threads = []
 
-    def run(self, faults):
-        """Inject all faults, and return when the last one has ended."""
+    def run(self, faults, seconds):
+        """Inject all faults; return after their time and the last one."""
         started_at = time.monotonic()
         for fault in faults:
             time.sleep(max(0.0, started_at + fault.start - time.monotonic()))
@@ -52,6 +52,7 @@
             self.threads.append(thread)
         for thread in self.threads:
             thread.join()
+        time.sleep(max(0.0, started_at + seconds - time.monotonic()))
         self.history.faults_ended_at = time.monotonic()
 
     def _inject(self, fault):
--- a/packages/soak/ibisring_soak/records.py
+++ b/packages/soak/ibisring_soak/records.py
@@ -9,10 +9,21 @@
     'Leave',
     'Relay',
     'History',
+    'Violation',
+    'EXIT_SLACK_SECONDS',
+    'ONCE_KINDS',
+    'STREAM_KINDS',
 ]
 
 import msgspec
 
+# Kinds of routes whose answers are streams, and whose requests run at most
+# once; streams of the kind 'single' may not be resumed.
+STREAM_KINDS = ('stream', 'single')
+ONCE_KINDS = ('once', 'single')
+# Allowance beyond the grace time, for the operating system to reap a process.
+EXIT_SLACK_SECONDS = 1.0
+
 
 class Call(msgspec.Struct):
     """A request of a caller and its response; times are monotonic seconds.
@@ -118,6 +129,9 @@
     endpoints crashed on the poison request, `crashes_until_known` how many
     may do so until all routers refuse it.  `crashes` holds the processes that
     exited unexpectedly.  `layers` is the number of layers of the model.
+    `is_sound` is whether all endpoints go on with what they have begun.
+    `recovery_seconds` is the time from the end of all faults until requests
+    are served as before.
     """
 
     calls: list[Call] = []
@@ -136,3 +150,13 @@
     faults_ended_at: float = 0.0
     layers: int = 0
     grace_seconds: float = 0.0
+    is_sound: bool = False
+    recovery_seconds: float = 12.0
+
+
+class Violation(msgspec.Struct, frozen=True):
+    """A violated guarantee."""
+
+    guarantee: str
+    request: str
+    detail: str
--- a/packages/soak/ibisring_soak/schedule.py
+++ b/packages/soak/ibisring_soak/schedule.py
@@ -1,6 +1,6 @@
 """Draws the faults of a run, their targets and times from a seed."""
 
-__all__ = ['Fault', 'KINDS', 'make_schedule']
+__all__ = ['Fault', 'KINDS', 'make_planned', 'make_schedule']
 
 import random
 
@@ -82,7 +82,7 @@
         return self.start + self.duration
 
 
-def make_schedule(seed, seconds):
+def make_schedule(seed, seconds, kinds=KINDS):
     """Draw the faults of a run.
 
     Parameters
@@ -90,6 +90,8 @@
     seed : int
     seconds : float
         All faults end by then.
+    kinds : dict of str to dict
+        Weight of each kind to draw, by group.
 
     Returns
     -------
@@ -105,15 +107,30 @@
     """
     rng = random.Random(seed)
     faults = []
+    groups = {group: GROUP_WEIGHTS[group] for group in kinds}
     start = rng.uniform(*INTERVAL_SECONDS)
     while start + DURATION_SECONDS[0] < seconds:
-        group = _draw_weighted(rng, GROUP_WEIGHTS)
-        kind = _draw_weighted(rng, KINDS[group])
+        group = _draw_weighted(rng, groups)
+        kind = _draw_weighted(rng, kinds[group])
         duration = min(rng.uniform(*DURATION_SECONDS), seconds - start)
         faults.append(Fault(start, group, kind, rng.random(), duration))
         start += rng.uniform(*INTERVAL_SECONDS)
     return faults
 
 
+def make_planned(seed, seconds):
+    """Draw planned work only; eight seeds in a row have each mixture.
+
+    Bit 1 of the seed tells whether routers get signals, bit 2 whether the
+    configuration changes.
+    """
+    kinds = {}
+    if seed & 2:
+        kinds['router'] = {'terminate': 3.0, 'reload': 1.0}
+    if seed & 4:
+        kinds['configuration'] = KINDS['configuration']
+    return make_schedule(seed, seconds, kinds) if kinds else []
+
+
 def _draw_weighted(rng, weights):
     return rng.choices(list(weights), list(weights.values()))[0]
--- a/packages/soak/ibisring_soak/soaking.py
+++ b/packages/soak/ibisring_soak/soaking.py
@@ -13,6 +13,7 @@
 from ibisring_soak import guarantees
 from ibisring_soak import injecting
 from ibisring_soak import partload
+from ibisring_soak import pausing
 from ibisring_soak import poison as poison_module
 from ibisring_soak import ratelimits
 from ibisring_soak import schedule
@@ -21,6 +22,9 @@
 
 # Time after the recovery whose calls the recovery check is based on.
 RECOVERY_SAMPLE_SECONDS = 3.0
+# The same where only planned work came: a router that restarts is ready.
+PLANNED_RECOVERY_SECONDS = 3.0
+SCARCE_RETRIES = {'repeat_ratio': 0.02, 'repeat_slack': 1.0}
 
 
 class Outcome(msgspec.Struct):
@@ -57,6 +61,7 @@
     restores=False,
     cuts=False,
     breaks=False,
+    pauses=False,
 ):
     """Run the soak once.
 
@@ -84,16 +89,32 @@
         Whether routers lose their links to endpoints.
     breaks : bool
         Whether engines answer without a length, and break off some streams.
+    pauses : bool
+        Whether sound engines pause, beside planned work only.
 
     Returns
     -------
     Outcome
     """
     faults = schedule.make_schedule(seed, seconds)
-    world = world_module.make_world(folder, routers, engines, own_links=cuts)
+    shares = callers_module.SHARES
+    site, settings = None, None
+    if pauses:
+        faults = schedule.make_planned(seed, seconds)
+        shares = callers_module.PAUSE_SHARES
+        site = pausing.PausingSite()
+        settings = SCARCE_RETRIES if seed & 1 else None
+    world = world_module.make_world(
+        folder, routers, engines, own_links=cuts, site=site, settings=settings
+    )
+    if pauses:
+        world.history.is_sound = True
+        world.history.recovery_seconds = PLANNED_RECOVERY_SECONDS
     try:
         world.start()
-        caller_threads = callers_module.make_callers(world, seed, callers)
+        caller_threads = callers_module.make_callers(
+            world, seed, callers, shares
+        )
         caller_threads.start()
         disruptions = []
         if poison:
@@ -110,12 +131,14 @@
             disruptions.append(cuts_module.LinkCutter(world, seed))
         if breaks:
             disruptions.append(brokenstreams.StreamBreaker(world, seed))
+        if pauses:
+            disruptions.append(pausing.EnginePauser(world, seed))
         for disruption in disruptions:
             disruption.start()
-        injecting.make_injector(world).run(faults)
+        injecting.make_injector(world).run(faults, seconds)
         for disruption in disruptions:
             disruption.stop()
-        time.sleep(guarantees.RECOVERY_SECONDS + RECOVERY_SAMPLE_SECONDS)
+        time.sleep(world.history.recovery_seconds + RECOVERY_SAMPLE_SECONDS)
         caller_threads.stop()
         history = world.collect()
     finally:
--- a/packages/soak/ibisring_soak/tests/test_soak.py
+++ b/packages/soak/ibisring_soak/tests/test_soak.py
@@ -57,8 +57,31 @@
     assert outcome.violations == []
 
 
+@pytest.mark.parametrize('seed', [8003, 8004])
+def test_guarantees_hold_while_sound_engines_pause(seed, tmp_path):
+    """Guards against streams that are cut as engines are silent for 1.5 s."""
+    outcome = soaking.soak(seed, 4.0, tmp_path, callers=20, pauses=True)
+    assert outcome.violations == []
+
+
 def test_faults_overlap_and_affect_all_groups():
     faults = schedule.make_schedule(5, 200.0)
     assert {fault.group for fault in faults} == set(schedule.KINDS)
     pairs = zip(faults, faults[1:])
     assert sum(a.end > b.start for a, b in pairs) > len(faults) / 3
+
+
+def test_planned_work_has_each_mixture_of_groups():
+    found = [
+        frozenset(f.group for f in schedule.make_planned(seed, 60.0))
+        for seed in range(8)
+    ]
+    work = frozenset({'router', 'configuration'})
+    assert set(found) == {
+        frozenset(),
+        frozenset({'router'}),
+        frozenset({'configuration'}),
+        work,
+    }
+    kinds = {fault.kind for fault in schedule.make_planned(6, 60.0)}
+    assert not kinds & {'kill', 'pause'}
--- a/packages/soak/ibisring_soak/world.py
+++ b/packages/soak/ibisring_soak/world.py
@@ -28,6 +28,10 @@
 ENGINE_LAYERS = 8
 DOMAINS = ('a', 'b')
 ACCOUNTS = 6
+# A stream that may not be resumed.
+SINGLE_ROUTE = standin.route(
+    'single', 'streaming', standin.MODEL_SERVICE, 10000
+)
 
 
 class Router:
@@ -46,7 +50,14 @@
     """
 
     def __init__(
-        self, name, domain, store, folder, history, endpoint_links=None
+        self,
+        name,
+        domain,
+        store,
+        folder,
+        history,
+        endpoint_links=None,
+        settings=None,
     ):
         self.name = name
         self.history = history
@@ -63,6 +74,7 @@
             name,
             failure_domain=domain,
             grace_s=GRACE_SECONDS,
+            **(settings or {}),
         )
         self.caller_link = proxy.make_proxy(
             f'127.0.0.1:{self.process.caller_port}'
@@ -158,10 +170,23 @@
     routers, engines, services : int
     own_links : bool
         Whether each router has links of its own to endpoints.
+    site : standin.Site or None
+        None makes one.
+    settings : dict or None
+        More settings of the routers.
     """
 
-    def __init__(self, folder, routers, engines, services, own_links=False):
-        self.site = standin.Site()
+    def __init__(
+        self,
+        folder,
+        routers,
+        engines,
+        services,
+        own_links=False,
+        site=None,
+        settings=None,
+    ):
+        self.site = site or standin.Site()
         self.history = records.History(
             layers=standin.LAYERS, grace_seconds=GRACE_SECONDS
         )
@@ -183,6 +208,7 @@
                 folder,
                 self.history,
                 self._make_links() if own_links else None,
+                settings,
             )
             for number in range(routers)
         ]
@@ -252,7 +278,7 @@
         ]
         self.site.configure(
             version=self.version,
-            routes=standin.default_routes() + more,
+            routes=[*standin.default_routes(), SINGLE_ROUTE, *more],
             tenants=tenants,
         )
 
@@ -307,6 +333,14 @@
     return string.ascii_lowercase[number % count]
 
 
-def make_world(folder, routers=3, engines=8, services=3, own_links=False):
+def make_world(
+    folder,
+    routers=3,
+    engines=8,
+    services=3,
+    own_links=False,
+    site=None,
+    settings=None,
+):
     """Make a `World`; ``start()`` starts it."""
-    return World(folder, routers, engines, services, own_links)
+    return World(folder, routers, engines, services, own_links, site, settings)
