Soak: endpoints that leave and cut answers of every framing

A whole answer must still be whole and belong to its request. The options of a run are a structure of their own now.

--- a/packages/soak/ibisring_soak/__main__.py
+++ b/packages/soak/ibisring_soak/__main__.py
@@ -48,6 +48,11 @@
         help='Sound engines pause, beside planned work only; the three lowest'
         ' bits of the seed: scarce retries, signals, configurations.',
     ),
+    exits: bool = typer.Option(
+        False,
+        help='Endpoints that leave cut their answers, of any framing, at any'
+        ' byte; beside planned work only, chosen as with --pauses.',
+    ),
     folder: pathlib.Path = typer.Option(
         pathlib.Path('soak-runs'), help='Settings and logs, by seed.'
     ),
@@ -66,14 +71,15 @@
             routers,
             engines,
             callers,
-            poison,
-            limits,
-            backoffs,
-            leaves,
-            restores,
-            cuts,
-            breaks,
-            pauses,
+            poison=poison,
+            limits=limits,
+            backoffs=backoffs,
+            leaves=leaves,
+            restores=restores,
+            cuts=cuts,
+            breaks=breaks,
+            pauses=pauses,
+            exits=exits,
         )
         failed_runs += bool(outcome.violations)
         print(
--- a/packages/soak/ibisring_soak/callers.py
+++ b/packages/soak/ibisring_soak/callers.py
@@ -19,9 +19,9 @@
     'once': ('POST', '/once/x'),
     'safe': ('GET', '/safe/x'),
 }
-# Share of all requests, by kind, and the shares where endpoints pause.
+# Share of all requests, by kind, and the shares beside planned work.
 SHARES = {'stream': 0.45, 'once': 0.35, 'safe': 0.2}
-PAUSE_SHARES = {'stream': 0.45, 'single': 0.45, 'once': 0.05, 'safe': 0.05}
+PLANNED_SHARES = {'stream': 0.4, 'single': 0.4, 'once': 0.1, 'safe': 0.1}
 # A caller gives up after this time without a byte.
 READ_TIMEOUT_SECONDS = 2.5
 CALL_INTERVAL_SECONDS = 0.15
--- a/packages/soak/ibisring_soak/pausing.py
+++ b/packages/soak/ibisring_soak/pausing.py
@@ -1,6 +1,6 @@
 """Sound engines that fall silent for about a second, and go on."""
 
-__all__ = ['EnginePauser', 'PausingEngine', 'PausingSite']
+__all__ = ['EnginePauser', 'PausingEngine', 'PausingSite', 'event']
 
 import time
 
@@ -21,6 +21,11 @@
 POLL_SECONDS = 0.01
 
 
+def event(number):
+    """Return the bytes of an event of a stream."""
+    return f'id: {number}\ndata: word-{number}\n\n'.encode()
+
+
 class PausingEngine(standin.Engine):
     """A model server that can preempt streams, or be silent as a whole.
 
@@ -33,11 +38,13 @@
         the order of their starts.
     """
 
+    event_seconds_by_default = EVENT_SECONDS
+
     def __init__(self, *arguments):
         self.silent_until = 0.0
         self.running = {}
         super().__init__(*arguments)
-        self.event_seconds = EVENT_SECONDS
+        self.event_seconds = self.event_seconds_by_default
 
     def preempt(self, share, seconds):
         """Have the newest streams pause while others go on."""
@@ -71,7 +78,7 @@
                 time.sleep(self.event_seconds)
                 while self._is_stalled(request_id, path):
                     time.sleep(POLL_SECONDS)
-                yield f'id: {number}\ndata: word-{number}\n\n'.encode()
+                yield event(number)
         finally:
             self.running.pop(request_id, None)
 
@@ -90,17 +97,30 @@
 class PausingSite(standin.Site):
     """A site whose model servers are `PausingEngine`."""
 
+    engine_class = PausingEngine
+    service_class = standin.Service
+
     def add_engine(
         self, name, zone='a', layers=16, map_address=None, threads=THREADS
     ):
         """Start a model server, see `standin.Site`."""
-        engine = PausingEngine(self, name, zone, f'card-{layers + 1}', threads)
+        card = f'card-{layers + 1}'
+        engine = self.engine_class(self, name, zone, card, threads)
         if map_address is not None:
             engine.address = map_address(engine.address)
         self.engines[name] = engine
         engine.register()
         return engine
 
+    def add_service(self, name, map_address=None):
+        """Start a server of the plain service."""
+        service = self.service_class(self, name)
+        if map_address is not None:
+            service.address = map_address(service.address)
+        self.services[name] = service
+        self.store.put('servers', name, service.entry())
+        return service
+
 
 class EnginePauser(disruptions.Disruption):
     """Has engines preempt streams, or fall silent, one time after another.
--- a/packages/soak/ibisring_soak/soaking.py
+++ b/packages/soak/ibisring_soak/soaking.py
@@ -1,6 +1,6 @@
 """Runs one soak: injects faults under load, lets it recover, checks it."""
 
-__all__ = ['Outcome', 'soak']
+__all__ = ['Options', 'Outcome', 'soak']
 
 import collections
 import time
@@ -10,6 +10,7 @@
 from ibisring_soak import brokenstreams
 from ibisring_soak import callers as callers_module
 from ibisring_soak import cuts as cuts_module
+from ibisring_soak import exits
 from ibisring_soak import guarantees
 from ibisring_soak import injecting
 from ibisring_soak import partload
@@ -38,6 +39,49 @@
     runs: int
 
 
+class Options(msgspec.Struct, kw_only=True):
+    """What disrupts a run beside the faults of its schedule.
+
+    Attributes
+    ----------
+    poison : str
+        Kind of the route of a request that crashes its endpoints, 'part' for
+        requests that share nothing but a part that does so, '' for none.
+    limits : bool
+        Whether endpoints declare rate limits from time to time.
+    backoffs : bool
+        Whether endpoints ask for backoff from time to time.
+    leaves : bool
+        Whether endpoints leave that say so in their answers only.
+    restores : bool
+        Whether the store comes back from copies that lack writes.
+    cuts : bool
+        Whether routers lose their links to endpoints.
+    breaks : bool
+        Whether engines answer without a length, and break off some streams.
+    pauses : bool
+        Whether sound engines pause, beside planned work only.
+    exits : bool
+        Whether endpoints that leave cut their answers, beside planned work
+        only.
+    """
+
+    poison: str = ''
+    limits: bool = False
+    backoffs: bool = False
+    leaves: bool = False
+    restores: bool = False
+    cuts: bool = False
+    breaks: bool = False
+    pauses: bool = False
+    exits: bool = False
+
+    @property
+    def is_planned(self):
+        """Whether no fault comes beside planned work."""
+        return self.pauses or self.exits
+
+
 PART = 'part'
 
 
@@ -47,21 +91,50 @@
     return poison_module.PoisonCaller(world, kind)
 
 
+def _make_disruptions(world, seed, options):
+    makers = {
+        'limits': ratelimits.LimitChanger,
+        'backoffs': backoffs_module.BackoffChanger,
+        'leaves': announcements.LeaveAnnouncer,
+        'restores': announcements.StoreRestorer,
+        'cuts': cuts_module.LinkCutter,
+        'breaks': brokenstreams.StreamBreaker,
+        'pauses': pausing.EnginePauser,
+        'exits': exits.EndpointLeaver,
+    }
+    made = [
+        maker(world, seed)
+        for name, maker in makers.items()
+        if getattr(options, name)
+    ]
+    if options.poison:
+        made.insert(0, _make_poison(world, options.poison))
+    return made
+
+
+def _make_world(seed, folder, routers, engines, options):
+    site = None
+    if options.exits:
+        site = exits.LeavingSite()
+    elif options.pauses:
+        site = pausing.PausingSite()
+    is_scarce = options.is_planned and seed & 1
+    world = world_module.make_world(
+        folder,
+        routers,
+        engines,
+        own_links=options.cuts,
+        site=site,
+        settings=SCARCE_RETRIES if is_scarce else None,
+    )
+    if options.is_planned:
+        world.history.recovery_seconds = PLANNED_RECOVERY_SECONDS
+    world.history.is_sound = options.pauses and not options.exits
+    return world
+
+
 def soak(
-    seed,
-    seconds,
-    folder,
-    routers=3,
-    engines=8,
-    callers=10,
-    poison='',
-    limits=False,
-    backoffs=False,
-    leaves=False,
-    restores=False,
-    cuts=False,
-    breaks=False,
-    pauses=False,
+    seed, seconds, folder, routers=3, engines=8, callers=10, **option_values
 ):
     """Run the soak once.
 
@@ -70,69 +143,31 @@
     seed : int
         Determines the faults and their times.
     seconds : float
-        Duration of the faults; calls go on for 15 s more.
+        Duration of the faults; calls go on for some seconds more.
     folder : pathlib.Path
         Settings and logs of the processes.
     routers, engines, callers : int
-    poison : str
-        Kind of the route of a request that crashes its endpoints, 'part' for
-        requests that share nothing but a part that does so, '' for none.
-    limits : bool
-        Whether endpoints declare rate limits from time to time.
-    backoffs : bool
-        Whether endpoints ask for backoff from time to time.
-    leaves : bool
-        Whether endpoints leave that say so in their answers only.
-    restores : bool
-        Whether the store comes back from copies that lack writes.
-    cuts : bool
-        Whether routers lose their links to endpoints.
-    breaks : bool
-        Whether engines answer without a length, and break off some streams.
-    pauses : bool
-        Whether sound engines pause, beside planned work only.
+    **option_values
+        Values of `Options`.
 
     Returns
     -------
     Outcome
     """
+    options = Options(**option_values)
     faults = schedule.make_schedule(seed, seconds)
     shares = callers_module.SHARES
-    site, settings = None, None
-    if pauses:
+    if options.is_planned:
         faults = schedule.make_planned(seed, seconds)
-        shares = callers_module.PAUSE_SHARES
-        site = pausing.PausingSite()
-        settings = SCARCE_RETRIES if seed & 1 else None
-    world = world_module.make_world(
-        folder, routers, engines, own_links=cuts, site=site, settings=settings
-    )
-    if pauses:
-        world.history.is_sound = True
-        world.history.recovery_seconds = PLANNED_RECOVERY_SECONDS
+        shares = callers_module.PLANNED_SHARES
+    world = _make_world(seed, folder, routers, engines, options)
     try:
         world.start()
         caller_threads = callers_module.make_callers(
             world, seed, callers, shares
         )
         caller_threads.start()
-        disruptions = []
-        if poison:
-            disruptions.append(_make_poison(world, poison))
-        if limits:
-            disruptions.append(ratelimits.LimitChanger(world, seed))
-        if backoffs:
-            disruptions.append(backoffs_module.BackoffChanger(world, seed))
-        if leaves:
-            disruptions.append(announcements.LeaveAnnouncer(world, seed))
-        if restores:
-            disruptions.append(announcements.StoreRestorer(world, seed))
-        if cuts:
-            disruptions.append(cuts_module.LinkCutter(world, seed))
-        if breaks:
-            disruptions.append(brokenstreams.StreamBreaker(world, seed))
-        if pauses:
-            disruptions.append(pausing.EnginePauser(world, seed))
+        disruptions = _make_disruptions(world, seed, options)
         for disruption in disruptions:
             disruption.start()
         injecting.make_injector(world).run(faults, seconds)
@@ -147,6 +182,9 @@
         f'{call.kind} {call.status}{"" if call.complete else " incomplete"}'
         for call in history.calls
     )
+    if options.exits:
+        for framing, count in world.site.cuts.items():
+            statuses[f'answers cut, {framing}'] = count
     return Outcome(
         seed=seed,
         faults=faults,
--- a/packages/soak/ibisring_soak/tests/test_soak.py
+++ b/packages/soak/ibisring_soak/tests/test_soak.py
@@ -64,6 +64,14 @@
     assert outcome.violations == []
 
 
+@pytest.mark.parametrize('seed', [8100, 8102])
+def test_guarantees_hold_while_endpoints_cut_their_answers(seed, tmp_path):
+    """Guards against answers that look complete though their endpoint left."""
+    outcome = soaking.soak(seed, 5.0, tmp_path, callers=24, exits=True)
+    assert outcome.violations == []
+    assert any('answers cut' in kind for kind in outcome.statuses)
+
+
 def test_faults_overlap_and_affect_all_groups():
     faults = schedule.make_schedule(5, 200.0)
     assert {fault.group for fault in faults} == set(schedule.KINDS)
