Soak: kept connections in thousands, and bodies that fall silent

--kept N holds N connections at the first router and uses bursts of them; half of them are idle after a body in chunks.

--- a/packages/soak/ibisring_soak/__main__.py
+++ b/packages/soak/ibisring_soak/__main__.py
@@ -53,6 +53,19 @@
         help='Endpoints that leave cut their answers, of any framing, at any'
         ' byte; beside planned work only, chosen as with --pauses.',
     ),
+    halves: int = typer.Option(
+        0,
+        min=0,
+        help='Largest number of requests at the same time that fall silent in'
+        ' the middle of their bodies; beside planned work only, chosen as'
+        ' with --pauses.',
+    ),
+    kept: int = typer.Option(
+        0,
+        min=0,
+        help='Kept connections at the first router; beside planned work only,'
+        ' chosen as with --pauses.',
+    ),
     folder: pathlib.Path = typer.Option(
         pathlib.Path('soak-runs'), help='Settings and logs, by seed.'
     ),
@@ -80,6 +93,8 @@
             breaks=breaks,
             pauses=pauses,
             exits=exits,
+            halves=halves,
+            kept=kept,
         )
         failed_runs += bool(outcome.violations)
         print(
--- a/packages/soak/ibisring_soak/callers.py
+++ b/packages/soak/ibisring_soak/callers.py
@@ -1,6 +1,6 @@
 """Callers with persistent connections that record their responses."""
 
-__all__ = ['Callers', 'make_callers']
+__all__ = ['Callers', 'REQUEST_KINDS', 'make_callers', 'send']
 
 import http.client
 import logging
@@ -84,7 +84,7 @@
             if call.kind == 'safe' and call_count % 2 and self.world.added:
                 call.route = self.world.added[-1]
             self.world.history.calls.append(call)
-            reusable = self._send(conn, call, rng)
+            reusable = send(conn, call, rng)
             call.ended_at = time.monotonic()
             if not reusable or rng.random() < 0.1:
                 conn.close()
@@ -109,38 +109,55 @@
             expected_events=rng.randint(*EVENTS_PER_STREAM),
         )
 
-    def _send(self, conn, call, rng):
-        """Send a request; True if the connection can be reused."""
-        method, path = REQUEST_KINDS[call.kind]
-        if call.route:
-            path = f'/{call.route}/x'
-        headers = running.headers(
-            call.id, call.expected_events, Credential=call.key
-        )
-        body = b'body' if method == 'POST' else None
-        try:
-            conn.request(method, path, body, headers)
-            response = conn.getresponse()
-            call.status = response.status
-            call.signed = running.is_signed(response.headers)
-            call.response_id = running.response_request_id(response.headers)
-            is_stream = call.kind in records.STREAM_KINDS
-            if is_stream and rng.random() < ABANDONED_STREAM_SHARE:
-                time.sleep(ABANDON_AFTER_SECONDS)
-                call.abandoned = True
-                return False
-            call.body = response.read()
-            call.complete = True
-        except http.client.IncompleteRead as error:
-            call.body = error.partial
-        except TimeoutError:
+
+def send(conn, call, rng, body=None):
+    """Send a request and record the response.
+
+    Parameters
+    ----------
+    conn : http.client.HTTPConnection
+    call : records.Call
+        Gets the response.
+    rng : random.Random
+    body : iterator of bytes or None
+        Sent in chunks; None sends a short body with a length.
+
+    Returns
+    -------
+    bool
+        Whether the connection can be reused.
+    """
+    method, path = REQUEST_KINDS[call.kind]
+    if call.route:
+        path = f'/{call.route}/x'
+    headers = running.headers(
+        call.id, call.expected_events, Credential=call.key
+    )
+    if body is None and method == 'POST':
+        body = b'body'
+    try:
+        conn.request(method, path, body, headers)
+        response = conn.getresponse()
+        call.status = response.status
+        call.signed = running.is_signed(response.headers)
+        call.response_id = running.response_request_id(response.headers)
+        is_stream = call.kind in records.STREAM_KINDS
+        if is_stream and rng.random() < ABANDONED_STREAM_SHARE:
+            time.sleep(ABANDON_AFTER_SECONDS)
             call.abandoned = True
-        except (OSError, http.client.HTTPException) as error:
-            LOG.debug('request %s failed: %s', call.id, error)
-        if call.kind in records.STREAM_KINDS:
-            reply = running.Reply(call.status, {}, call.body, call.complete)
-            call.events = reply.event_data() if call.status == 200 else []
-        return call.complete and not response.will_close
+            return False
+        call.body = response.read()
+        call.complete = True
+    except http.client.IncompleteRead as error:
+        call.body = error.partial
+    except TimeoutError:
+        call.abandoned = True
+    except (OSError, http.client.HTTPException) as error:
+        LOG.debug('request %s failed: %s', call.id, error)
+    if call.kind in records.STREAM_KINDS:
+        reply = running.Reply(call.status, {}, call.body, call.complete)
+        call.events = reply.event_data() if call.status == 200 else []
+    return call.complete and not response.will_close
 
 
 def make_callers(world, seed, count=10, shares=None):
--- a/packages/soak/ibisring_soak/guarantees.py
+++ b/packages/soak/ibisring_soak/guarantees.py
@@ -52,7 +52,7 @@
     found.extend(_limits(history))
     found.extend(_backoffs(history))
     found.extend(_announced_leaves(history))
-    found.extend(soundness.check_streams(history, runs))
+    found.extend(soundness.check(history, runs))
     found.extend(
         records.Violation('a process exits only on a signal', '', crash)
         for crash in history.crashes
--- a/packages/soak/ibisring_soak/pausing.py
+++ b/packages/soak/ibisring_soak/pausing.py
@@ -95,11 +95,28 @@
 
 
 class PausingSite(standin.Site):
-    """A site whose model servers are `PausingEngine`."""
+    """A site whose model servers are `PausingEngine`.
+
+    Attributes
+    ----------
+    limits : dict of str to int
+        Limits of callers in place of the usual ones.
+    """
 
     engine_class = PausingEngine
     service_class = standin.Service
 
+    def __init__(self):
+        super().__init__()
+        self.limits = {}
+
+    def configure(self, **changes):
+        """Write a configuration with the site's own limits."""
+        config = standin.configuration(**changes)
+        config['Limits'] |= self.limits
+        self.last_configuration = config
+        self.store.put('op', 'config', config)
+
     def add_engine(
         self, name, zone='a', layers=16, map_address=None, threads=THREADS
     ):
--- a/packages/soak/ibisring_soak/records.py
+++ b/packages/soak/ibisring_soak/records.py
@@ -7,19 +7,22 @@
     'StoreChange',
     'LimitSpan',
     'Leave',
+    'HalfRequest',
     'Relay',
     'History',
     'Violation',
     'EXIT_SLACK_SECONDS',
     'ONCE_KINDS',
+    'PLAIN_KINDS',
     'STREAM_KINDS',
 ]
 
 import msgspec
 
-# Kinds of routes whose answers are streams, and whose requests run at most
-# once; streams of the kind 'single' may not be resumed.
+# Kinds of routes whose answers are streams or not, and whose requests run at
+# most once; streams of the kind 'single' may not be resumed.
 STREAM_KINDS = ('stream', 'single')
+PLAIN_KINDS = ('once', 'safe')
 ONCE_KINDS = ('once', 'single')
 # Allowance beyond the grace time, for the operating system to reap a process.
 EXIT_SLACK_SECONDS = 1.0
@@ -119,6 +122,21 @@
     at: float
 
 
+class HalfRequest(msgspec.Struct, frozen=True):
+    """A request whose body never arrived whole.
+
+    `is_ended` is whether it was answered or its connection closed until
+    `ended_at`, `is_typed` whether an answer was an error with a code.
+    """
+
+    id: str
+    router: str
+    sent_at: float
+    ended_at: float
+    is_ended: bool
+    is_typed: bool
+
+
 class History(msgspec.Struct):
     """All observations of a run, and its disruptions.
 
@@ -131,7 +149,8 @@
     exited unexpectedly.  `layers` is the number of layers of the model.
     `is_sound` is whether all endpoints go on with what they have begun.
     `recovery_seconds` is the time from the end of all faults until requests
-    are served as before.
+    are served as before.  `closed_channels` counts the kept connections that
+    the first router closed while they were idle.
     """
 
     calls: list[Call] = []
@@ -152,6 +171,8 @@
     grace_seconds: float = 0.0
     is_sound: bool = False
     recovery_seconds: float = 12.0
+    closed_channels: int = 0
+    half_requests: list[HalfRequest] = []
 
 
 class Violation(msgspec.Struct, frozen=True):
--- a/packages/soak/ibisring_soak/soaking.py
+++ b/packages/soak/ibisring_soak/soaking.py
@@ -12,7 +12,9 @@
 from ibisring_soak import cuts as cuts_module
 from ibisring_soak import exits
 from ibisring_soak import guarantees
+from ibisring_soak import halfbodies
 from ibisring_soak import injecting
+from ibisring_soak import keptchannels
 from ibisring_soak import partload
 from ibisring_soak import pausing
 from ibisring_soak import poison as poison_module
@@ -64,6 +66,12 @@
     exits : bool
         Whether endpoints that leave cut their answers, beside planned work
         only.
+    halves : int
+        Largest number of requests at the same time that fall silent in the
+        middle of their bodies, beside planned work only; 0 for none.
+    kept : int
+        Number of kept connections at the first router, beside planned work
+        only; 0 for none.
     """
 
     poison: str = ''
@@ -75,11 +83,13 @@
     breaks: bool = False
     pauses: bool = False
     exits: bool = False
+    halves: int = 0
+    kept: int = 0
 
     @property
     def is_planned(self):
         """Whether no fault comes beside planned work."""
-        return self.pauses or self.exits
+        return bool(self.pauses or self.exits or self.halves or self.kept)
 
 
 PART = 'part'
@@ -109,6 +119,10 @@
     ]
     if options.poison:
         made.insert(0, _make_poison(world, options.poison))
+    if options.halves:
+        made.append(halfbodies.BodyStaller(world, seed, options.halves))
+    if options.kept:
+        made.insert(0, keptchannels.ChannelKeeper(world, seed, options.kept))
     return made
 
 
@@ -116,20 +130,25 @@
     site = None
     if options.exits:
         site = exits.LeavingSite()
-    elif options.pauses:
+    elif options.is_planned:
         site = pausing.PausingSite()
-    is_scarce = options.is_planned and seed & 1
+    settings = {}
+    if options.is_planned and seed & 1:
+        settings |= SCARCE_RETRIES
+    if options.kept:
+        site.limits = keptchannels.LIMITS
+        settings |= keptchannels.SETTINGS
     world = world_module.make_world(
         folder,
         routers,
         engines,
         own_links=options.cuts,
         site=site,
-        settings=SCARCE_RETRIES if is_scarce else None,
+        settings=settings,
     )
     if options.is_planned:
         world.history.recovery_seconds = PLANNED_RECOVERY_SECONDS
-    world.history.is_sound = options.pauses and not options.exits
+    world.history.is_sound = options.is_planned and not options.exits
     return world
 
 
--- a/packages/soak/ibisring_soak/soundness.py
+++ b/packages/soak/ibisring_soak/soundness.py
@@ -1,6 +1,6 @@
-"""Checks that streams of sound endpoints are not ended while they pause."""
+"""Checks that what sound endpoints and callers go on with is not ended."""
 
-__all__ = ['check_streams']
+__all__ = ['check']
 
 from ibisring_soak import records
 
@@ -11,12 +11,14 @@
 USED_TIME_SHARE = 0.7
 USED_GRACE_SHARE = 5 / 6
 CALL_SECONDS = 8.0
-# Time in which a request on a kept connection may cross the router's close.
+# Time in which a request on a kept connection may cross the close of a router
+# that shuts down, and in which such a router is back.
 CROSSING_SECONDS = 0.5
+RESTART_SECONDS = 5.0
 
 
-def check_streams(history, runs):
-    """Find the streams that a router ended though their endpoints went on.
+def check(history, runs):
+    """Find the requests that a router ended though their endpoints went on.
 
     Parameters
     ----------
@@ -31,24 +33,40 @@
     if not history.is_sound:
         return
     for call in history.calls:
-        if call.kind in records.STREAM_KINDS and not call.abandoned:
-            yield from _check_stream(history, call, runs.get(call.id, []))
+        own_runs = runs.get(call.id, [])
+        if _may_end(history, call, own_runs):
+            continue
+        if call.kind in records.PLAIN_KINDS:
+            yield from _check_plain(call, own_runs)
+        elif call.kind in records.STREAM_KINDS and not call.abandoned:
+            yield from _check_stream(call, own_runs)
+    yield from _check_channels(history)
+    yield from _check_half_requests(history)
 
 
-def _check_stream(history, call, runs):
-    """A stream with time left is neither cut nor answered with a failure."""
+def _may_end(history, call, runs):
+    """Return whether a request may end without an answer."""
     seconds = call.ended_at - call.sent_at
     if not call.ended_at or seconds > USED_TIME_SHARE * CALL_SECONDS:
-        return
+        return True
     if not runs and seconds <= CROSSING_SECONDS:
-        return
-    if _is_at_end_of_grace(history, call):
-        return
-    detail = (
-        f'{call.kind}, {call.status} after {len(call.events)} of'
-        f' {call.expected_events} events and {seconds:.2f} s, {call.router},'
-        f' ran at {", ".join(run.endpoint for run in runs) or "no endpoint"}'
-    )
+        if _ends_with_router(history, call, 0.0, RESTART_SECONDS):
+            return True
+    since = USED_GRACE_SHARE * history.grace_seconds
+    return _ends_with_router(history, call, since, records.EXIT_SLACK_SECONDS)
+
+
+def _check_plain(call, runs):
+    """A plain request is answered, if only with a failure."""
+    if not call.complete:
+        yield records.Violation(
+            'a request is answered', call.id, _describe(call, runs)
+        )
+
+
+def _check_stream(call, runs):
+    """A stream with time left is neither cut nor answered with a failure."""
+    detail = _describe(call, runs)
     if not call.complete:
         yield records.Violation('a sound stream is not cut', call.id, detail)
     elif runs and call.status in FAILURE_STATUSES:
@@ -57,11 +75,49 @@
         )
 
 
-def _is_at_end_of_grace(history, call):
+def _describe(call, runs):
+    events = ''
+    if call.kind in records.STREAM_KINDS:
+        events = f' after {len(call.events)} of {call.expected_events} events'
+    endpoints = ', '.join(run.endpoint for run in runs) or 'no endpoint'
+    return (
+        f'{call.kind}, {call.status}{events} and'
+        f' {call.ended_at - call.sent_at:.2f} s, {call.router},'
+        f' ran at {endpoints}'
+    )
+
+
+def _check_channels(history):
+    """Kept connections stay open within their idle limit."""
+    if history.closed_channels and not history.terminations:
+        yield records.Violation(
+            'a kept connection stays open', '', str(history.closed_channels)
+        )
+
+
+def _check_half_requests(history):
+    """A body that never arrives ends its request, with a typed error if any.
+
+    None of them may run; that holds for all requests that are no calls.
+    """
+    for request in history.half_requests:
+        if not request.is_ended:
+            yield records.Violation(
+                'a silent body ends its request', request.id, request.router
+            )
+        if not request.is_typed:
+            yield records.Violation(
+                'a silent body gets a typed error', request.id, request.router
+            )
+
+
+def _ends_with_router(history, call, since, until):
+    """Return whether a request ended as its router shut down.
+
+    `since` is in seconds from the signal, `until` from the router's exit.
+    """
     return any(
         name == call.router
-        and at + USED_GRACE_SHARE * history.grace_seconds
-        <= call.ended_at
-        <= at + seconds + records.EXIT_SLACK_SECONDS
+        and at + since <= call.ended_at <= at + seconds + until
         for name, at, seconds in history.terminations
     )
--- a/packages/soak/ibisring_soak/tests/test_soak.py
+++ b/packages/soak/ibisring_soak/tests/test_soak.py
@@ -72,6 +72,20 @@
     assert any('answers cut' in kind for kind in outcome.statuses)
 
 
+def test_guarantees_hold_with_1100_kept_connections(tmp_path):
+    """Guards against channels closed for what `select` can't watch."""
+    outcome = soaking.soak(
+        8304, 4.0, tmp_path, engines=4, callers=4, kept=1100
+    )
+    assert outcome.violations == []
+
+
+def test_guarantees_hold_with_bodies_that_fall_silent(tmp_path):
+    """Guards against threads that wait for bodies as others wait for them."""
+    outcome = soaking.soak(8200, 4.0, tmp_path, callers=6, halves=40)
+    assert outcome.violations == []
+
+
 def test_faults_overlap_and_affect_all_groups():
     faults = schedule.make_schedule(5, 200.0)
     assert {fault.group for fault in faults} == set(schedule.KINDS)
--- a/packages/soak/ibisring_soak/tests/test_soundness.py
+++ b/packages/soak/ibisring_soak/tests/test_soundness.py
@@ -1,6 +1,7 @@
 """Streams that end though their sound endpoint goes on are found."""
 
 from ibisring_soak import guarantees
+from ibisring_soak import records
 from ibisring_soak.tests import builders
 import pytest
 
@@ -39,14 +40,38 @@
 
 
 def test_a_request_that_crosses_the_close_is_allowed():
-    assert _check(_stream(status=0), runs=0) == []
+    ends = {'terminations': [('r1', 99.0, 3.0)]}
+    assert _check(_stream(status=0), runs=0, **ends) == []
+    assert _check(_stream(status=0), runs=0) == [CUT]
     late = _stream(status=0, ended_at=101.0)
-    assert _check(late, runs=0) == [CUT]
+    assert _check(late, runs=0, **ends) == [CUT]
+
+
+@pytest.mark.parametrize('abandoned', [True, False])
+def test_a_plain_request_without_an_answer_is_found(abandoned):
+    lost = builders.call(status=0, complete=False, abandoned=abandoned)
+    assert _check(lost) == ['a request is answered']
+
+
+def test_a_kept_connection_that_is_closed_is_found():
+    closed = _check(builders.call(), closed_channels=1)
+    assert closed == ['a kept connection stays open']
+    ends = [('r1', 99.0, 3.0)]
+    assert _check(builders.call(), closed_channels=1, terminations=ends) == []
+
+
+def test_a_half_request_that_is_held_or_gets_no_typed_error_is_found():
+    held = records.HalfRequest('h1', 'r1', 100.0, 109.0, False, True)
+    found = _check(builders.call(), half_requests=[held])
+    assert found == ['a silent body ends its request']
+    untyped = records.HalfRequest('h1', 'r1', 100.0, 106.0, True, False)
+    found = _check(builders.call(), half_requests=[untyped])
+    assert found == ['a silent body gets a typed error']
 
 
 @pytest.mark.parametrize(('at', 'is_found'), [(98.0, True), (96.5, False)])
 def test_a_stream_at_the_end_of_the_grace_time_is_allowed(at, is_found):
-    found = _check(_stream(), terminations=[('r1', at, 4.0)])
+    found = _check(_stream(), terminations=[('r1', at, 3.9)])
     assert (CUT in found) is is_found
 
 
