--- a/packages/soak/ibisring_soak/callers.py
+++ b/packages/soak/ibisring_soak/callers.py
@@ -1,6 +1,6 @@
 """Callers with persistent connections that record their responses."""
 
-__all__ = ['Callers', 'make_callers']
+__all__ = ['Callers', 'REQUEST_KINDS', 'make_callers', 'send']
 
 import http.client
 import logging
@@ -12,12 +12,16 @@
 from ibisring_soak import records
 
 LOG = logging.getLogger(__name__)
-# Method, path and share of all requests, by kind.
+# Method and path, by kind.
 REQUEST_KINDS = {
-    'stream': ('POST', '/stream/x', 0.45),
-    'once': ('POST', '/once/x', 0.35),
-    'safe': ('GET', '/safe/x', 0.2),
+    'stream': ('POST', '/stream/x'),
+    'single': ('POST', '/single/x'),
+    'once': ('POST', '/once/x'),
+    'safe': ('GET', '/safe/x'),
 }
+# Share of all requests, by kind, and the shares beside planned work.
+SHARES = {'stream': 0.45, 'once': 0.35, 'safe': 0.2}
+PLANNED_SHARES = {'stream': 0.4, 'single': 0.4, 'once': 0.1, 'safe': 0.1}
 # A caller gives up after this time without a byte.
 READ_TIMEOUT_SECONDS = 2.5
 CALL_INTERVAL_SECONDS = 0.15
@@ -36,10 +40,13 @@
     ----------
     world : world.World
     seed, count : int
+    shares : dict of str to float
+        Share of all requests, by kind.
     """
 
-    def __init__(self, world, seed, count):
+    def __init__(self, world, seed, count, shares):
         self.world = world
+        self.shares = shares
         self.stopped = threading.Event()
         self.threads = [
             threading.Thread(
@@ -77,7 +84,7 @@
             if call.kind == 'safe' and call_count % 2 and self.world.added:
                 call.route = self.world.added[-1]
             self.world.history.calls.append(call)
-            reusable = self._send(conn, call, rng)
+            reusable = send(conn, call, rng)
             call.ended_at = time.monotonic()
             if not reusable or rng.random() < 0.1:
                 conn.close()
@@ -89,8 +96,7 @@
         return rng.choice(available or routers)
 
     def _make_call(self, rng, name, router):
-        shares = [share for _, _, share in REQUEST_KINDS.values()]
-        kind = rng.choices(list(REQUEST_KINDS), shares)[0]
+        kind = rng.choices(list(self.shares), list(self.shares.values()))[0]
         keys = self.world.keys()
         if self.world.revoked and rng.random() < REVOKED_KEY_SHARE:
             keys = sorted(self.world.revoked)
@@ -103,39 +109,57 @@
             expected_events=rng.randint(*EVENTS_PER_STREAM),
         )
 
-    def _send(self, conn, call, rng):
-        """Send a request; True if the connection can be reused."""
-        method, path, _ = REQUEST_KINDS[call.kind]
-        if call.route:
-            path = f'/{call.route}/x'
-        headers = running.headers(
-            call.id, call.expected_events, Credential=call.key
-        )
-        body = b'body' if method == 'POST' else None
-        try:
-            conn.request(method, path, body, headers)
-            response = conn.getresponse()
-            call.status = response.status
-            call.signed = running.is_signed(response.headers)
-            call.response_id = running.response_request_id(response.headers)
-            if call.kind == 'stream' and rng.random() < ABANDONED_STREAM_SHARE:
-                time.sleep(ABANDON_AFTER_SECONDS)
-                call.abandoned = True
-                return False
-            call.body = response.read()
-            call.complete = True
-        except http.client.IncompleteRead as error:
-            call.body = error.partial
-        except TimeoutError:
-            call.abandoned = True
-        except (OSError, http.client.HTTPException) as error:
-            LOG.debug('request %s failed: %s', call.id, error)
-        if call.kind == 'stream':
-            reply = running.Reply(call.status, {}, call.body, call.complete)
-            call.events = reply.event_data() if call.status == 200 else []
-        return call.complete and not response.will_close
 
+def send(conn, call, rng, body=None):
+    """Send a request and record the response.
 
-def make_callers(world, seed, count=10):
+    Parameters
+    ----------
+    conn : http.client.HTTPConnection
+    call : records.Call
+        Gets the response.
+    rng : random.Random
+    body : iterator of bytes or None
+        Sent in chunks; None sends a short body with a length.
+
+    Returns
+    -------
+    bool
+        Whether the connection can be reused.
+    """
+    method, path = REQUEST_KINDS[call.kind]
+    if call.route:
+        path = f'/{call.route}/x'
+    headers = running.headers(
+        call.id, call.expected_events, Credential=call.key
+    )
+    if body is None and method == 'POST':
+        body = b'body'
+    try:
+        conn.request(method, path, body, headers)
+        response = conn.getresponse()
+        call.status = response.status
+        call.signed = running.is_signed(response.headers)
+        call.response_id = running.response_request_id(response.headers)
+        is_stream = call.kind in records.STREAM_KINDS
+        if is_stream and rng.random() < ABANDONED_STREAM_SHARE:
+            time.sleep(ABANDON_AFTER_SECONDS)
+            call.abandoned = True
+            return False
+        call.body = response.read()
+        call.complete = True
+    except http.client.IncompleteRead as error:
+        call.body = error.partial
+    except TimeoutError:
+        call.abandoned = True
+    except (OSError, http.client.HTTPException) as error:
+        LOG.debug('request %s failed: %s', call.id, error)
+    if call.kind in records.STREAM_KINDS:
+        reply = running.Reply(call.status, {}, call.body, call.complete)
+        call.events = reply.event_data() if call.status == 200 else []
+    return call.complete and not response.will_close
+
+
+def make_callers(world, seed, count=10, shares=None):
     """Make `Callers`; ``start()`` starts them."""
-    return Callers(world, seed, count)
+    return Callers(world, seed, count, shares or SHARES)
