Send no body in answer to a HEAD request

Cause: the router's own answers, such as a refusal, had their body also where the request was HEAD; its bytes stand where the caller expects the head of its next answer.

Change: `Exchange.answer` writes the head alone.

Shown: `test_answer_to_a_head_request_has_no_body` fails with the commit before and passes now.

--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -174,7 +174,9 @@
         length = ('Content-Length', str(len(body)))
         kept = [h for h in headers if h[0].lower() != 'content-length']
         self.begin(status, [*kept, length])
-        self.write(body)
+        # The caller would take a body for the beginning of its next answer.
+        if self.method != 'HEAD':
+            self.write(body)
 
     def abort(self):
         """Truncate the answer so that the caller can't take it as complete.
--- a/packages/gateway/ibisring_gateway/tests/test_exchange.py
+++ b/packages/gateway/ibisring_gateway/tests/test_exchange.py
@@ -194,3 +194,14 @@
         assert ended.wait(callers.WAIT_SECONDS)
         callers.wait_until(lambda: server.requests.load == 0)
     assert [r for r in caplog.records if r.levelname == 'ERROR'] == []
+
+
+def test_answer_to_a_head_request_has_no_body():
+    """Guards against a body that is taken for the next answer."""
+    with callers.running(lambda call: call.answer(503, [], b'no')) as server:
+        with callers.connected(server) as sock:
+            for _ in range(2):
+                sock.sendall(b'HEAD / HTTP/1.1\r\nHost: a\r\n\r\n')
+                answer = sock.recv(65536)
+                assert answer.startswith(b'HTTP/1.1 503 ')
+                assert answer.endswith(b'\r\n\r\n')
