Check when an attempt may be given up over all its inputs

attempts.may_give_up and count_given_up get promises of their own: nothing sound is given up before its successor is allowed, a slow endpoint is left a few times only and once in a silence, it doesn't use up what a lost one needs, and nothing that may go on elsewhere is waited for without need. Moves are an input of the next step too.

--- a/packages/policy/ibisring_policy/gateway/tests/machinedecisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/machinedecisions.py
@@ -4,10 +4,6 @@
 
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import shutdown
-from ibisring_policy.gateway.tests import promises
-import msgspec
-
-Result = attempts.Result
 
 
 class Decisions:
@@ -17,16 +13,12 @@
     ----------
     decide : callable
         As `attempts.decide`.
-    may_give_up : callable
-        Whether to give up an attempt that its endpoint might still finish;
-        takes an `attempts.Progress` and whether a stage is known to be lost.
+    may_give_up, count_given_up : callable
+        As in `attempts`.
     has_alternative : callable
         Whether a running attempt has a successor; takes its endpoint, those
         that the request was sent to, the number that its route allows and
         those that are up.
-    may_replace : callable
-        Whether to send a request elsewhere in place of passing on the error
-        that an endpoint answered; takes an `attempts.Progress`.
     may_exit : callable
         As `shutdown.may_exit`.
     takes_retry_first : bool
@@ -37,8 +29,8 @@
     __slots__ = (
         'decide',
         'may_give_up',
+        'count_given_up',
         'has_alternative',
-        'may_replace',
         'may_exit',
         'takes_retry_first',
     )
@@ -47,15 +39,15 @@
         self,
         decide,
         may_give_up,
+        count_given_up,
         has_alternative,
-        may_replace,
         may_exit,
         takes_retry_first,
     ):
         self.decide = decide
         self.may_give_up = may_give_up
+        self.count_given_up = count_given_up
         self.has_alternative = has_alternative
-        self.may_replace = may_replace
         self.may_exit = may_exit
         self.takes_retry_first = takes_retry_first
 
@@ -72,9 +64,9 @@
     """
     values = {
         'decide': module.decide,
-        'may_give_up': _make_may_give_up(module),
+        'may_give_up': module.may_give_up,
+        'count_given_up': module.count_given_up,
         'has_alternative': _has_alternative,
-        'may_replace': _make_may_replace(module),
         'may_exit': shutdown.may_exit,
         'takes_retry_first': True,
     }
@@ -84,18 +76,3 @@
 def _has_alternative(endpoint, sent_to, max_endpoints, up):
     allowed = up if len(sent_to) < max_endpoints else up & sent_to
     return bool(allowed - {endpoint})
-
-
-def _make_may_give_up(module):
-    def may_give_up(progress, is_lost):
-        after = msgspec.structs.replace(progress, may_have_run=True)
-        return module.decide(Result.SILENT, after) in promises.CONTINUING
-
-    return may_give_up
-
-
-def _make_may_replace(module):
-    def may_replace(progress):
-        return module.decide(Result.LOST, progress) in promises.CONTINUING
-
-    return may_replace
--- a/packages/policy/ibisring_policy/gateway/tests/machinestate.py
+++ b/packages/policy/ibisring_policy/gateway/tests/machinestate.py
@@ -75,8 +75,8 @@
 
     `position` is the last event that it has made, `is_stalled` whether a later
     stage of its chain is lost, so that it makes no more.  The router may have
-    given it up, with a retry taken for its successor or not, while the thread
-    that reads its answer doesn't know yet.
+    given it up for some cause, with a retry taken for its successor or not,
+    while the thread that reads its answer doesn't know yet.
     """
 
     endpoint: int
@@ -84,13 +84,13 @@
     has_head: bool = False
     is_paused: bool = False
     is_stalled: bool = False
-    is_given_up: bool = False
+    cause: attempts.Cause | None = None
     has_retry: bool = False
 
     @property
     def is_silent(self):
         """Whether nothing more of its answer reaches the router."""
-        return self.is_stalled or self.is_given_up
+        return self.is_stalled or self.cause is not None
 
 
 class State(msgspec.Struct, frozen=True, kw_only=True):
@@ -102,10 +102,12 @@
 
     kind: Kind
     budget: int
-    time_left: float
     max_endpoints: int
+    time_left: float = 1.0
     tries: int = 0
     refusals: int = 0
+    moves: int = 0
+    is_moved: bool = False
     sent_to: frozenset = frozenset()
     avoid: frozenset = frozenset()
     may_have_run: bool = False
@@ -126,23 +128,20 @@
     Some of its attempts have been used up before, so that the limits on them
     are within reach of a few steps.
     """
-    counts = [
-        (0, 0),
-        (attempts.MAX_TRIES - 1, 0),
-        (attempts.MAX_REFUSALS - 1, attempts.MAX_REFUSALS - 1),
+    moves = attempts.MAX_MOVES
+    refusals = attempts.MAX_REFUSALS - 1
+    used = [
+        {},
+        {'time_left': attempts.MIN_TIME_LEFT_SECONDS / 2.0},
+        {'tries': attempts.MAX_TRIES - 1},
+        {'tries': refusals, 'refusals': refusals},
+        {'tries': moves, 'moves': moves},
+        {'tries': 1, 'moves': 1, 'is_moved': True},
     ]
-    times = (attempts.MIN_TIME_LEFT_SECONDS / 2.0, 1.0)
     fresh = [
-        State(
-            kind=kind,
-            budget=budget,
-            time_left=time_left,
-            max_endpoints=most,
-            tries=tries,
-            refusals=refusals,
-        )
-        for kind, budget, time_left, most, (tries, refusals) in (
-            itertools.product(Kind, (0, 1), times, MAX_ENDPOINTS, counts)
+        State(kind=kind, budget=budget, max_endpoints=most, **values)
+        for kind, budget, most, values in itertools.product(
+            Kind, (0, 1), MAX_ENDPOINTS, used
         )
     ]
     return fresh + [_after_loss(each) for each in fresh if _may_lose(each)]
@@ -185,6 +184,8 @@
         max_endpoints=state.max_endpoints,
         tries=state.tries,
         refusals=state.refusals,
+        moves=state.moves,
+        is_moved=state.is_moved,
         sent_to=len(state.sent_to),
         may_have_run=state.may_have_run,
         delivering=state.delivering,
--- a/packages/policy/ibisring_policy/gateway/tests/machinesteps.py
+++ b/packages/policy/ibisring_policy/gateway/tests/machinesteps.py
@@ -10,6 +10,7 @@
 from ibisring_policy.gateway.tests import machinestate
 from ibisring_policy.gateway.tests import promises
 
+Cause = attempts.Cause
 Result = attempts.Result
 NextStep = attempts.NextStep
 
@@ -99,7 +100,7 @@
         state = machinestate.change_run(
             state, position=position, is_paused=False
         )
-        return machinestate.change(state, position=position)
+        return machinestate.change(state, position=position, is_moved=False)
 
     def end(self, state):
         """Have the endpoint end its answer."""
@@ -123,16 +124,12 @@
             return None
         if run.is_silent or run.is_paused:
             return None
-        if not self.decisions.may_replace(machinestate.progress(state)):
-            return machinestate.change(
-                state, run=None, outcome=machinestate.Outcome.COMPLETE
-            )
-        after = self._lose(state, Result.LOST)
-        self.check(
-            'no answer is given up before its successor is allowed',
-            after.outcome is None,
+        after = self._consider_giving_up(state, Cause.FAILED)
+        if after.run.cause is not None:
+            return after
+        return machinestate.change(
+            state, run=None, outcome=machinestate.Outcome.COMPLETE
         )
-        return after
 
     def pause(self, state):
         """Have the endpoint pause; it may go on later."""
@@ -140,7 +137,7 @@
         if run is None or run.is_paused or run.is_silent:
             return None
         state = machinestate.change_run(state, is_paused=True)
-        return self._consider_giving_up(state, is_lost=False)
+        return self._consider_giving_up(state, Cause.SILENT)
 
     def lose_stage(self, state):
         """Lose a later stage of the chain, so that the attempt stalls."""
@@ -148,55 +145,56 @@
         if run is None or run.is_silent or not state.kind.is_stream:
             return None
         state = machinestate.change_run(state, is_stalled=True)
-        return self._consider_giving_up(state, is_lost=True)
+        return self._consider_giving_up(state, Cause.LOST)
 
     def configure(self, state):
         """Order the endpoint to hold other layers once it has ended this."""
         run = state.run
         if run is None or run.is_silent or not state.kind.is_stream:
             return None
-        return self._consider_giving_up(state, is_lost=False)
+        return self._consider_giving_up(state, Cause.UNLOADED)
 
-    def _consider_giving_up(self, state, is_lost):
+    def _consider_giving_up(self, state, cause):
         """Give up an attempt if that is decided and another may take it."""
         run = state.run
         progress = machinestate.progress(state)
-        is_allowed = bool(machinestate.usable(state) - {run.endpoint})
         has_alternative = self.decisions.has_alternative(
             run.endpoint,
             state.sent_to,
             state.max_endpoints,
             machinestate.up(state),
         )
-        if not (
-            has_alternative and self.decisions.may_give_up(progress, is_lost)
-        ):
-            self.check(
-                'what is lost is given up if its successor is allowed',
-                not is_lost
-                or not is_allowed
-                or not promises.may_continue_elsewhere(progress),
-            )
-            return state
-        self.check(
-            'nothing sound is given up before its successor is allowed',
-            is_allowed,
+        gives_up = has_alternative and self.decisions.may_give_up(
+            cause, progress
         )
+        is_allowed = bool(machinestate.usable(state) - {run.endpoint})
+        if gives_up:
+            self.check(promises.GIVEN_UP, is_allowed)
+        if is_allowed:
+            self.broken += promises.of_giving_up(cause, progress, gives_up)
+        if not gives_up:
+            return state
         takes_retry = self.decisions.takes_retry_first
         state = machinestate.change(state, budget=state.budget - takes_retry)
         return machinestate.change_run(
-            state, is_given_up=True, has_retry=takes_retry
+            state, cause=cause, has_retry=takes_retry
         )
 
     def notice(self, state):
         """Have the thread that reads an answer notice that it is given up."""
-        if state.run is None or not state.run.is_given_up:
+        if state.run is None or state.run.cause is None:
             return None
-        after = self._lose(state, Result.SILENT)
-        self.check(
-            'nothing sound is given up before its successor is allowed',
-            after.outcome is None,
+        cause = state.run.cause
+        progress = machinestate.progress(state)
+        self.decisions.count_given_up(cause, progress)
+        self.broken += promises.of_counting(
+            cause, machinestate.progress(state), progress
+        )
+        state = machinestate.change(
+            state, moves=progress.moves, is_moved=progress.is_moved
         )
+        after = self._lose(state, Result.SILENT)
+        self.check(promises.GIVEN_UP, after.outcome is None)
         return after
 
     def take_retry(self, state):
@@ -223,7 +221,7 @@
         )
         if state.run is None or state.run.endpoint != endpoint:
             return state
-        if state.run.is_given_up:
+        if state.run.cause is not None:
             return self.notice(state)
         return self._lose(state, Result.LOST)
 
--- a/packages/policy/ibisring_policy/gateway/tests/promises.py
+++ b/packages/policy/ibisring_policy/gateway/tests/promises.py
@@ -6,8 +6,11 @@
 
 __all__ = [
     'CONTINUING',
+    'GIVEN_UP',
+    'MOVED',
     'of_next_step',
     'of_giving_up',
+    'of_counting',
     'of_exit',
     'may_continue',
     'may_continue_elsewhere',
@@ -17,10 +20,15 @@
 from ibisring_policy.gateway import shutdown
 import msgspec
 
+Cause = attempts.Cause
 Result = attempts.Result
 NextStep = attempts.NextStep
 
 CONTINUING = (NextStep.RETRY, NextStep.RESUME)
+GIVEN_UP = 'nothing sound is given up before its successor is allowed'
+MOVED = 'a lost or silent endpoint is not waited for without need'
+# Causes that show that an endpoint will not bring the answer.
+_PROVEN = (Cause.LOST, Cause.FAILED)
 # Ends of an answer of which the caller has had a part.
 _AFTER_HEAD = (NextStep.RESUME, NextStep.ABORT, NextStep.DROP)
 # Results after which nothing may be sent: nobody waits, there is no time, or
@@ -94,18 +102,22 @@
 
 
 def _has_used_tries(progress):
+    """Return whether no try is left; moves off slow endpoints are none."""
+    tries = progress.tries - progress.moves
     if not progress.delivering:
-        return progress.tries >= attempts.MAX_TRIES
-    others = progress.tries - progress.refusals
+        return tries >= attempts.MAX_TRIES
     is_refused_too_often = progress.refusals >= attempts.MAX_REFUSALS
-    return is_refused_too_often or others >= attempts.MAX_TRIES
+    return (
+        is_refused_too_often or tries - progress.refusals >= attempts.MAX_TRIES
+    )
 
 
-def of_giving_up(progress, may_give_up):
+def of_giving_up(cause, progress, may_give_up):
     """Return the promises that giving up a running attempt breaks.
 
     Parameters
     ----------
+    cause : attempts.Cause
     progress : attempts.Progress
     may_give_up : bool
         The decision for an attempt that its endpoint might still finish.
@@ -114,9 +126,40 @@
     -------
     list of str
     """
-    if may_give_up and not may_continue_elsewhere(progress):
-        return ['nothing sound is given up before its successor is allowed']
-    return []
+    may_continue_after = may_continue_elsewhere(progress)
+    is_bounded = _is_within_moves(cause, progress)
+    kept = {
+        GIVEN_UP: may_continue_after or not may_give_up,
+        'a slow endpoint is left a few times only': (
+            is_bounded or not may_give_up
+        ),
+        MOVED: may_give_up or not (may_continue_after and is_bounded),
+    }
+    return [name for name, is_kept in kept.items() if not is_kept]
+
+
+def _is_within_moves(cause, progress):
+    if cause in _PROVEN:
+        return True
+    if cause is Cause.SILENT and progress.is_moved:
+        return False
+    return progress.moves < attempts.MAX_MOVES
+
+
+def of_counting(cause, before, after):
+    """Return the promises that counting an attempt given up breaks.
+
+    Parameters
+    ----------
+    cause : attempts.Cause
+    before, after : attempts.Progress
+    """
+    is_move = cause not in _PROVEN
+    is_counted = after.moves == before.moves + is_move
+    is_noted = after.is_moved == (is_move or before.is_moved)
+    if is_counted and is_noted:
+        return []
+    return ['what a lost endpoint needs is not used up by a slow one']
 
 
 def may_continue_elsewhere(progress):
--- a/packages/policy/ibisring_policy/gateway/tests/smallmachine.py
+++ b/packages/policy/ibisring_policy/gateway/tests/smallmachine.py
@@ -19,7 +19,7 @@
 
     Attributes
     ----------
-    start : State
+    start : machinestate.State
     steps : tuple of str
     broken : list of str
         Promises broken by the last step.
@@ -37,7 +37,8 @@
         return (
             f'{start.kind.value}, budget {start.budget}, '
             f'{start.time_left} s left, {start.tries} tries, '
-            f'{start.refusals} refusals, {len(start.sent_to)} of '
+            f'{start.refusals} refusals, {start.moves} moves, '
+            f'{len(start.sent_to)} of '
             f'{start.max_endpoints} endpoints: '
             f'{", ".join(self.steps)} -> {"; ".join(self.broken)}'
         )
--- a/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
@@ -8,9 +8,11 @@
 from ibisring_policy.gateway import shutdown
 from ibisring_policy.gateway.tests import mutations
 from ibisring_policy.gateway.tests import promises
+import msgspec
 import pytest
 
 NEXT_STEP = ['decide', '_may_retry', 'tries_left', '_give_up']
+GIVING_UP = ['may_give_up']
 FLAGS = (False, True)
 ENDPOINTS = (1, 2)
 SENT_TO = (0, 1, 2)
@@ -22,21 +24,36 @@
 # One more than the limits tell apart.
 TRIES = range(attempts.MAX_TRIES + attempts.MAX_REFUSALS + 2)
 REFUSALS = range(attempts.MAX_REFUSALS + 2)
+MOVES = tuple(
+    itertools.product((0, attempts.MAX_MOVES - 1, attempts.MAX_MOVES), FLAGS)
+)
 SECONDS = strategies.floats(0.0, 100.0)
 
 
-def _all_progress():
-    """Yield all states of a request that the decisions tell apart."""
+def _all_progress(all_moves=((0, False), (1, False))):
+    """Yield all states of a request that the decisions tell apart.
+
+    Parameters
+    ----------
+    all_moves : iterable of (int, bool)
+        Moves off slow endpoints, and whether there was one in this silence.
+    """
     flags = itertools.product(FLAGS, repeat=5)
     counts = [
         (tries, refusals)
         for tries, refusals in itertools.product(TRIES, REFUSALS)
         if refusals <= tries
     ]
-    for flag, limits, (tries, refusals) in itertools.product(
+    for (
+        flag,
+        limits,
+        (tries, refusals),
+        (moves, is_moved),
+    ) in itertools.product(
         flags,
         itertools.product(ENDPOINTS, SENT_TO, TIMES_LEFT),
         counts,
+        all_moves,
     ):
         repeatable, stream, may_have_run, delivering, has_budget = flag
         max_endpoints, sent_to, time_left = limits
@@ -46,6 +63,8 @@
             max_endpoints=max_endpoints,
             tries=tries,
             refusals=refusals,
+            moves=moves,
+            is_moved=is_moved,
             sent_to=sent_to,
             may_have_run=may_have_run,
             delivering=delivering,
@@ -63,6 +82,40 @@
             assert not broken, (broken, result, progress, step)
 
 
+def test_giving_up_keeps_its_promises_in_all_states():
+    """Guards against sound answers that are ended, and lost ones that stay."""
+    for progress in _all_progress(MOVES):
+        for cause in attempts.Cause:
+            may_give_up = attempts.may_give_up(cause, progress)
+            broken = promises.of_giving_up(cause, progress, may_give_up)
+            assert not broken, (broken, cause, progress)
+
+
+def test_what_is_given_up_is_followed_by_what_was_promised():
+    """Guards against a request that ends though it was to go on elsewhere.
+
+    The decision after the end has other inputs than the one before.
+    """
+    for progress in _all_progress(MOVES):
+        for cause in attempts.Cause:
+            if attempts.may_give_up(cause, progress):
+                after = msgspec.structs.replace(progress, may_have_run=True)
+                attempts.count_given_up(cause, after)
+                step = attempts.decide(attempts.Result.SILENT, after)
+                assert step in promises.CONTINUING, (cause, progress)
+
+
+@pytest.mark.parametrize('cause', attempts.Cause)
+@pytest.mark.parametrize(('moves', 'is_moved'), MOVES)
+def test_counting_keeps_its_promises(cause, moves, is_moved):
+    """Guards against a slow endpoint that uses up what a lost one needs."""
+    values = {'repeatable': True, 'stream': True, 'max_endpoints': 2}
+    before = attempts.Progress(**values, moves=moves, is_moved=is_moved)
+    after = attempts.Progress(**values, moves=moves, is_moved=is_moved)
+    attempts.count_given_up(cause, after)
+    assert not promises.of_counting(cause, before, after)
+
+
 @hypothesis.given(SECONDS, strategies.integers(0, 3), SECONDS)
 def test_exit_keeps_its_promises(elapsed, active, grace):
     """Guards against answers that a draining process cuts."""
@@ -104,6 +157,15 @@
     return False
 
 
+def _breaks_a_promise_of_giving_up(module):
+    for progress in _all_progress(MOVES):
+        for cause in attempts.Cause:
+            may_give_up = module.may_give_up(cause, progress)
+            if promises.of_giving_up(cause, progress, may_give_up):
+                return True
+    return False
+
+
 def _breaks_an_exit(module):
     seconds = (0.0, 1.0, 2.0, 3.0, 7.0, 8.0)
     for elapsed, active in itertools.product(seconds, (0, 1)):
@@ -121,6 +183,14 @@
     assert _breaks_a_next_step(mutation.module)
 
 
+@pytest.mark.parametrize(
+    'mutation', mutations.make_mutations(attempts, GIVING_UP), ids=str
+)
+def test_promises_tell_a_changed_giving_up(mutation):
+    """Guards against promises that a wrong decision keeps."""
+    assert _breaks_a_promise_of_giving_up(mutation.module)
+
+
 @pytest.mark.parametrize(
     'mutation', mutations.make_mutations(shutdown, ['may_exit']), ids=str
 )
--- a/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
@@ -8,10 +8,18 @@
 from ibisring_policy.gateway.tests import machinedecisions
 from ibisring_policy.gateway.tests import machinestate
 from ibisring_policy.gateway.tests import mutations
+from ibisring_policy.gateway.tests import promises
 from ibisring_policy.gateway.tests import smallmachine
 import pytest
 
-NEXT_STEP = ['decide', '_may_retry', 'tries_left', '_give_up']
+DECISIONS = [
+    'decide',
+    '_may_retry',
+    'tries_left',
+    '_give_up',
+    'may_give_up',
+    'count_given_up',
+]
 STEPS = {
     'send',
     'head',
@@ -52,9 +60,9 @@
 
 
 @pytest.mark.parametrize(
-    'mutation', mutations.make_mutations(attempts, NEXT_STEP), ids=str
+    'mutation', mutations.make_mutations(attempts, DECISIONS), ids=str
 )
-def test_machine_finds_a_changed_next_step(mutation):
+def test_machine_finds_a_changed_decision(mutation):
     """Guards against a machine that doesn't reach a branch."""
     assert _find(machinedecisions.make_decisions(mutation.module))
 
@@ -74,7 +82,7 @@
     It would have gone on within a second; nothing may follow it.
     """
 
-    def always(progress, is_lost):
+    def always(cause, progress):
         return True
 
     finding = _find(machinedecisions.make_decisions(may_give_up=always))
@@ -88,7 +96,7 @@
     given up, it may have run.
     """
 
-    def as_known(progress, is_lost):
+    def as_known(cause, progress):
         step = attempts.decide(attempts.Result.SILENT, progress)
         return step is attempts.NextStep.RETRY
 
@@ -126,12 +134,14 @@
     has no retry left.
     """
 
-    def as_route_allows(progress):
+    def as_route_allows(cause, progress):
+        if cause is not attempts.Cause.FAILED:
+            return attempts.may_give_up(cause, progress)
         is_open = progress.sent_to < progress.max_endpoints
         return progress.repeatable and is_open
 
     finding = _find(
-        machinedecisions.make_decisions(may_replace=as_route_allows)
+        machinedecisions.make_decisions(may_give_up=as_route_allows)
     )
     assert 'error' in finding.steps
 
@@ -139,8 +149,8 @@
 def test_machine_finds_a_lost_attempt_that_is_kept():
     """Guards against waiting for an endpoint that is known to be lost."""
 
-    def never(progress, is_lost):
+    def never(cause, progress):
         return False
 
     finding = _find(machinedecisions.make_decisions(may_give_up=never))
-    assert 'a later stage crashes' in finding.steps
+    assert finding.broken == [promises.MOVED]
