--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -12,8 +12,8 @@
 import pykka
 
 from ibisring_gateway import attemptwatching
+from ibisring_gateway import callerserver
 from ibisring_gateway import directory
-from ibisring_gateway import exchange
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossip
 from ibisring_gateway import linkmonitor
@@ -42,7 +42,9 @@
 LOG = logging.getLogger(__name__)
 READY_PATH = '/readyz'
 METRICS_PATH = '/metrics'
-CALLER_THREADS = (16, 1200)
+# Threads at the start and at most.  Starting a thread takes milliseconds once
+# many of them run, so those of a usual burst are started before it.
+CALLER_THREADS = (256, 1200)
 READY_THREADS = (2, 8)
 # A request that another router hands over occupies a thread until it ends.
 PEER_THREADS = (2, 1200)
@@ -240,7 +242,7 @@
         """Bind all addresses; callers are served later."""
         settings = self.settings
         limits = routing.CallerLimits()
-        self.caller_server = exchange.make_server(
+        self.caller_server = callerserver.make_server(
             settings.caller_listen,
             CALLER_THREADS,
             self.forwarder.serve,
@@ -256,7 +258,9 @@
             (f'{host}:{settings.metrics_port}', (1, 4), self.serve_metrics),
         )
         for address, threads, handler in listeners:
-            server = exchange.make_server(address, threads, handler, limits)
+            server = callerserver.make_server(
+                address, threads, handler, limits
+            )
             if handler == self.serve_peer:
                 self.peer_server = server
             server.prepare()
@@ -272,7 +276,7 @@
 
     def _apply_limits(self, table):
         for server in (self.caller_server, self.peer_server):
-            exchange.apply_limits(server, table.limits)
+            callerserver.apply_limits(server, table.limits)
         self.forwarder.admitter.wake_all()
 
     def _check_placement(self):
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -2,10 +2,10 @@
 
 __all__ = ['Sender', 'make_sender']
 
+import functools
 import logging
 
 from ibisring_gateway import events
-from ibisring_gateway import framing
 from ibisring_gateway import relaying
 from ibisring_gateway import selecting
 from ibisring_gateway import upstream
@@ -40,6 +40,8 @@
     on_decided : callable
         Called with a job and a bool when an endpoint has decided on its
         attempt: True if the attempt was refused, False if accepted.
+    successors : successors.Successors or None
+        Without them an error answer is never replaced by another attempt.
     """
 
     def __init__(self, view, codec, connections, selector, screen):
@@ -51,6 +53,7 @@
         self.on_limit = lambda: None
         self.on_leaving = lambda endpoint: None
         self.on_decided = lambda job, refused: None
+        self.successors = None
         self.clock = view.clock
 
     def send(self, job, attempt):
@@ -313,8 +316,9 @@
     def _relay_plain(self, job, attempt, response, answer):
         """Relay a plain answer once it is complete."""
         try:
-            body = relaying.read_plain(attempt, response, answer)
-            self._check_end(attempt, answer)
+            body = relaying.read_plain(
+                attempt, response, answer, self._find_process(attempt)
+            )
         except upstream.ConnectionFailed as error:
             return self._handle_lost_answer(job, attempt, error)
         self.screen.record_answer(job, attempt)
@@ -326,7 +330,7 @@
                 failed and answer.backoff is None,
                 self.clock(),
             )
-        if failed and self._may_retry(job):
+        if failed and self._may_retry(job) and self._replace_error(attempt):
             job.avoid.add(attempt.endpoint.id)
             return attempts.Result.LOST
         job.answer = answer
@@ -334,22 +338,11 @@
         job.exchange.answer(answer.status, answer.headers, body)
         return None
 
-    def _check_end(self, attempt, answer):
-        """Check that an answer didn't end because its endpoint crashed.
-
-        Where only the connection's close marks the end, a crash between two
-        events, or anywhere in a plain body, looks like it.
-
-        Raises
-        ------
-        ConnectionFailed
-        """
-        if answer.framing is not framing.Framing.CLOSE:
-            return
-        if self.screen.has_ended(attempt.endpoint):
-            raise upstream.ConnectionFailed(
-                'the endpoint ended with its answer', True
-            )
+    def _find_process(self, attempt):
+        """Return what finds out whether an endpoint's process runs on."""
+        return functools.partial(
+            self.screen.process_after_answer, attempt.endpoint
+        )
 
     def _may_retry(self, job):
         """Return whether another endpoint may replace an error answer."""
@@ -362,6 +355,18 @@
             > 2 * attempts.MIN_TIME_LEFT_SECONDS
         )
 
+    def _replace_error(self, attempt):
+        """Give an error answer up for a successor, if there is one."""
+        if self.successors is None:
+            return False
+        successor = self.successors.prepare(attempt, attempts.Cause.FAILED)
+        if successor is None:
+            return False
+        if attempt.hand_over(successor, attempts.Result.LOST):
+            return True
+        self.successors.cancel(successor)
+        return False
+
     def _relay_stream(self, job, attempt, response, answer):
         """Relay events as they arrive."""
 
@@ -372,9 +377,14 @@
             self.screen.record_event(job, attempt, now)
 
         try:
-            relaying.relay_events(job, attempt, response, answer, on_event)
-            self._check_end(attempt, answer)
-            relaying.finish_stream(job, answer)
+            relaying.relay_events(
+                job,
+                attempt,
+                response,
+                answer,
+                on_event,
+                self._find_process(attempt),
+            )
         except (upstream.ConnectionFailed, events.StreamBroken) as error:
             return self._handle_lost_answer(job, attempt, error)
         self.screen.record_whole_answer(job, attempt)
--- a/packages/gateway/ibisring_gateway/tests/test_screening.py
+++ b/packages/gateway/ibisring_gateway/tests/test_screening.py
@@ -8,11 +8,13 @@
 from ibisring_gateway import liveness
 from ibisring_gateway import screening
 from ibisring_gateway.tests import builders
+from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
 
 Finding = liveness.Finding
+Process = answerends.Process
 DIGEST = b'12345678'
 
 
@@ -27,8 +29,9 @@
         self.checked += 1
         return self.finding
 
-    def has_ended(self, endpoint):
-        return True
+    def find_process(self, endpoint, is_exit_due):
+        self.is_exit_due = is_exit_due
+        return Process.EXITED
 
 
 def _screen(finding=Finding.CRASHED):
@@ -168,19 +171,14 @@
     assert tracked.endpoints_at_risk(b'another!') == set()
 
 
-@pytest.mark.parametrize(
-    ('state', 'has_ended'),
-    [
-        (routing.EndpointState.READY, True),
-        (routing.EndpointState.DRAINING, False),
-        (None, False),
-    ],
-)
-def test_endpoint_that_leaves_has_not_crashed(state, has_ended):
-    """Guards against a last answer that is taken for a broken one."""
+@pytest.mark.parametrize('state', [*routing.EndpointState, None])
+def test_answer_of_an_endpoint_whose_port_is_closed(state):
+    """Guards against an answer cut by an exit that is taken for whole."""
     endpoint = build.endpoint('e1')
     known = [build.endpoint('e1', state=state)] if state else []
     view = builders.make_view(known)
     prober = _Prober(Finding.CRASHED)
     screen = screening.make_screen(view, prober, builders.Metrics())
-    assert screen.has_ended(endpoint) is has_ended
+    assert screen.process_after_answer(endpoint) is Process.EXITED
+    is_ready = state is routing.EndpointState.READY
+    assert prober.is_exit_due is not is_ready
--- a/packages/soak/ibisring_soak/__main__.py
+++ b/packages/soak/ibisring_soak/__main__.py
@@ -43,6 +43,29 @@
     breaks: bool = typer.Option(
         False, help='Engines break off streams, and answer without a length.'
     ),
+    pauses: bool = typer.Option(
+        False,
+        help='Sound engines pause, beside planned work only; the three lowest'
+        ' bits of the seed: scarce retries, signals, configurations.',
+    ),
+    exits: bool = typer.Option(
+        False,
+        help='Endpoints that leave cut their answers, of any framing, at any'
+        ' byte; beside planned work only, chosen as with --pauses.',
+    ),
+    halves: int = typer.Option(
+        0,
+        min=0,
+        help='Largest number of requests at the same time that fall silent in'
+        ' the middle of their bodies; beside planned work only, chosen as'
+        ' with --pauses.',
+    ),
+    kept: int = typer.Option(
+        0,
+        min=0,
+        help='Kept connections at the first router; beside planned work only,'
+        ' chosen as with --pauses.',
+    ),
     folder: pathlib.Path = typer.Option(
         pathlib.Path('soak-runs'), help='Settings and logs, by seed.'
     ),
@@ -61,13 +84,17 @@
             routers,
             engines,
             callers,
-            poison,
-            limits,
-            backoffs,
-            leaves,
-            restores,
-            cuts,
-            breaks,
+            poison=poison,
+            limits=limits,
+            backoffs=backoffs,
+            leaves=leaves,
+            restores=restores,
+            cuts=cuts,
+            breaks=breaks,
+            pauses=pauses,
+            exits=exits,
+            halves=halves,
+            kept=kept,
         )
         failed_runs += bool(outcome.violations)
         print(
--- a/packages/soak/ibisring_soak/soaking.py
+++ b/packages/soak/ibisring_soak/soaking.py
@@ -1,6 +1,6 @@
 """Runs one soak: injects faults under load, lets it recover, checks it."""
 
-__all__ = ['Outcome', 'soak']
+__all__ = ['Options', 'Outcome', 'soak']
 
 import collections
 import time
@@ -10,9 +10,13 @@
 from ibisring_soak import brokenstreams
 from ibisring_soak import callers as callers_module
 from ibisring_soak import cuts as cuts_module
+from ibisring_soak import exits
 from ibisring_soak import guarantees
+from ibisring_soak import halfbodies
 from ibisring_soak import injecting
+from ibisring_soak import keptchannels
 from ibisring_soak import partload
+from ibisring_soak import pausing
 from ibisring_soak import poison as poison_module
 from ibisring_soak import ratelimits
 from ibisring_soak import schedule
@@ -21,6 +25,9 @@
 
 # Time after the recovery whose calls the recovery check is based on.
 RECOVERY_SAMPLE_SECONDS = 3.0
+# The same where only planned work came: a router that restarts is ready.
+PLANNED_RECOVERY_SECONDS = 3.0
+SCARCE_RETRIES = {'repeat_ratio': 0.02, 'repeat_slack': 1.0}
 
 
 class Outcome(msgspec.Struct):
@@ -34,6 +41,32 @@
     runs: int
 
 
+class Options(msgspec.Struct, kw_only=True):
+    """What disrupts a run beside its schedule; the command line explains it.
+
+    `poison` is the kind of a route, 'part', or '' for none; `halves` and
+    `kept` are numbers, 0 for none.  The last four run beside planned work
+    only.
+    """
+
+    poison: str = ''
+    limits: bool = False
+    backoffs: bool = False
+    leaves: bool = False
+    restores: bool = False
+    cuts: bool = False
+    breaks: bool = False
+    pauses: bool = False
+    exits: bool = False
+    halves: int = 0
+    kept: int = 0
+
+    @property
+    def is_planned(self):
+        """Whether no fault comes beside planned work."""
+        return bool(self.pauses or self.exits or self.halves or self.kept)
+
+
 PART = 'part'
 
 
@@ -43,20 +76,59 @@
     return poison_module.PoisonCaller(world, kind)
 
 
+def _make_disruptions(world, seed, options):
+    makers = {
+        'limits': ratelimits.LimitChanger,
+        'backoffs': backoffs_module.BackoffChanger,
+        'leaves': announcements.LeaveAnnouncer,
+        'restores': announcements.StoreRestorer,
+        'cuts': cuts_module.LinkCutter,
+        'breaks': brokenstreams.StreamBreaker,
+        'pauses': pausing.EnginePauser,
+        'exits': exits.EndpointLeaver,
+    }
+    made = [
+        maker(world, seed)
+        for name, maker in makers.items()
+        if getattr(options, name)
+    ]
+    if options.poison:
+        made.insert(0, _make_poison(world, options.poison))
+    if options.halves:
+        made.append(halfbodies.BodyStaller(world, seed, options.halves))
+    if options.kept:
+        made.insert(0, keptchannels.ChannelKeeper(world, seed, options.kept))
+    return made
+
+
+def _make_world(seed, folder, routers, engines, options):
+    site = None
+    if options.exits:
+        site = exits.LeavingSite()
+    elif options.is_planned:
+        site = pausing.PausingSite()
+    settings = {}
+    if options.is_planned and seed & 1:
+        settings |= SCARCE_RETRIES
+    if options.kept:
+        site.limits = keptchannels.LIMITS
+        settings |= keptchannels.SETTINGS
+    world = world_module.make_world(
+        folder,
+        routers,
+        engines,
+        own_links=options.cuts,
+        site=site,
+        settings=settings,
+    )
+    if options.is_planned and not options.exits:
+        world.history.is_sound = True
+        world.history.recovery_seconds = PLANNED_RECOVERY_SECONDS
+    return world
+
+
 def soak(
-    seed,
-    seconds,
-    folder,
-    routers=3,
-    engines=8,
-    callers=10,
-    poison='',
-    limits=False,
-    backoffs=False,
-    leaves=False,
-    restores=False,
-    cuts=False,
-    breaks=False,
+    seed, seconds, folder, routers=3, engines=8, callers=10, **option_values
 ):
     """Run the soak once.
 
@@ -65,57 +137,38 @@
     seed : int
         Determines the faults and their times.
     seconds : float
-        Duration of the faults; calls go on for 15 s more.
+        Duration of the faults; calls go on for some seconds more.
     folder : pathlib.Path
         Settings and logs of the processes.
     routers, engines, callers : int
-    poison : str
-        Kind of the route of a request that crashes its endpoints, 'part' for
-        requests that share nothing but a part that does so, '' for none.
-    limits : bool
-        Whether endpoints declare rate limits from time to time.
-    backoffs : bool
-        Whether endpoints ask for backoff from time to time.
-    leaves : bool
-        Whether endpoints leave that say so in their answers only.
-    restores : bool
-        Whether the store comes back from copies that lack writes.
-    cuts : bool
-        Whether routers lose their links to endpoints.
-    breaks : bool
-        Whether engines answer without a length, and break off some streams.
+    **option_values
+        Values of `Options`.
 
     Returns
     -------
     Outcome
     """
+    options = Options(**option_values)
     faults = schedule.make_schedule(seed, seconds)
-    world = world_module.make_world(folder, routers, engines, own_links=cuts)
+    shares = callers_module.SHARES
+    if options.is_planned:
+        faults = schedule.make_planned(seed, seconds)
+        shares = callers_module.PLANNED_SHARES
+    world = _make_world(seed, folder, routers, engines, options)
     try:
         world.start()
-        caller_threads = callers_module.make_callers(world, seed, callers)
+        caller_threads = callers_module.make_callers(
+            world, seed, callers, shares
+        )
         caller_threads.start()
-        disruptions = []
-        if poison:
-            disruptions.append(_make_poison(world, poison))
-        if limits:
-            disruptions.append(ratelimits.LimitChanger(world, seed))
-        if backoffs:
-            disruptions.append(backoffs_module.BackoffChanger(world, seed))
-        if leaves:
-            disruptions.append(announcements.LeaveAnnouncer(world, seed))
-        if restores:
-            disruptions.append(announcements.StoreRestorer(world, seed))
-        if cuts:
-            disruptions.append(cuts_module.LinkCutter(world, seed))
-        if breaks:
-            disruptions.append(brokenstreams.StreamBreaker(world, seed))
+        disruptions = _make_disruptions(world, seed, options)
         for disruption in disruptions:
             disruption.start()
-        injecting.make_injector(world).run(faults)
+        injecting.make_injector(world).run(faults, seconds)
         for disruption in disruptions:
             disruption.stop()
-        time.sleep(guarantees.RECOVERY_SECONDS + RECOVERY_SAMPLE_SECONDS)
+        world.history.faults_ended_at = time.monotonic()
+        time.sleep(world.history.recovery_seconds + RECOVERY_SAMPLE_SECONDS)
         caller_threads.stop()
         history = world.collect()
     finally:
@@ -124,6 +177,9 @@
         f'{call.kind} {call.status}{"" if call.complete else " incomplete"}'
         for call in history.calls
     )
+    if options.exits:
+        for framing, count in world.site.cuts.items():
+            statuses[f'answers cut, {framing}'] = count
     return Outcome(
         seed=seed,
         faults=faults,
