Check ends of answers and closing of idle connections with the other decisions

The small machine takes answerends.judge as a decision: connections of endpoints that crash or end their answer, framed by chunks and by their close.

Closing an idle connection gets promises as well: none is closed while its caller may go by a limit that allows its use, before or after changes of the limit, and unused ones are closed.

--- a/packages/policy/ibisring_policy/gateway/tests/machinedecisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/machinedecisions.py
@@ -2,6 +2,7 @@
 
 __all__ = ['Decisions', 'make_decisions']
 
+from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import shutdown
 
@@ -19,6 +20,8 @@
         Whether a running attempt has a successor; takes its endpoint, those
         that the request was sent to, the number that its route allows and
         those that are up.
+    judge : callable
+        As `answerends.judge`.
     may_exit : callable
         As `shutdown.may_exit`.
     takes_retry_first : bool
@@ -31,6 +34,7 @@
         'may_give_up',
         'count_given_up',
         'has_alternative',
+        'judge',
         'may_exit',
         'takes_retry_first',
     )
@@ -41,6 +45,7 @@
         may_give_up,
         count_given_up,
         has_alternative,
+        judge,
         may_exit,
         takes_retry_first,
     ):
@@ -48,6 +53,7 @@
         self.may_give_up = may_give_up
         self.count_given_up = count_given_up
         self.has_alternative = has_alternative
+        self.judge = judge
         self.may_exit = may_exit
         self.takes_retry_first = takes_retry_first
 
@@ -67,6 +73,7 @@
         'may_give_up': module.may_give_up,
         'count_given_up': module.count_given_up,
         'has_alternative': _has_alternative,
+        'judge': answerends.judge,
         'may_exit': shutdown.may_exit,
         'takes_retry_first': True,
     }
--- a/packages/policy/ibisring_policy/gateway/tests/machinestate.py
+++ b/packages/policy/ibisring_policy/gateway/tests/machinestate.py
@@ -23,6 +23,7 @@
 import itertools
 
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import framing as framing_module
 from ibisring_policy.gateway.tests import promises
 import msgspec
 
@@ -119,6 +120,7 @@
     is_caller_gone: bool = False
     stopping: int | None = None
     has_exited: bool = False
+    framing: framing_module.Framing = framing_module.Framing.CHUNKS
     outcome: Outcome | None = None
 
 
@@ -137,6 +139,7 @@
         {'tries': refusals, 'refusals': refusals},
         {'tries': moves, 'moves': moves},
         {'tries': 1, 'moves': 1, 'is_moved': True},
+        {'framing': framing_module.Framing.CLOSE},
     ]
     fresh = [
         State(kind=kind, budget=budget, max_endpoints=most, **values)
--- a/packages/policy/ibisring_policy/gateway/tests/machinesteps.py
+++ b/packages/policy/ibisring_policy/gateway/tests/machinesteps.py
@@ -6,7 +6,9 @@
 
 __all__ = ['successors']
 
+from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import framing
 from ibisring_policy.gateway.tests import machinestate
 from ibisring_policy.gateway.tests import promises
 
@@ -109,6 +111,8 @@
             return None
         if state.kind.is_stream and run.position < machinestate.EVENTS:
             return None
+        is_whole = self._is_whole(state, answerends.Process.RUNNING, True)
+        self.check('a whole answer is passed on', is_whole)
         self.check(
             'nothing broken looks complete',
             not state.kind.is_stream or state.position == machinestate.EVENTS,
@@ -117,6 +121,16 @@
             state, run=None, outcome=machinestate.Outcome.COMPLETE
         )
 
+    def _is_whole(self, state, process, is_ended):
+        """Decide whether an answer is whole after its connection's end."""
+        is_marked = state.framing is not framing.Framing.CLOSE
+        evidence = answerends.Evidence(
+            framing=state.framing,
+            has_mark=is_marked and is_ended,
+            process=process,
+        )
+        return self.decisions.judge(evidence) is answerends.End.SOUND
+
     def fail(self, state):
         """Have the endpoint answer with an error."""
         run = state.run
@@ -223,6 +237,10 @@
             return state
         if state.run.cause is not None:
             return self.notice(state)
+        if state.run.has_head:
+            exited = answerends.Process.EXITED
+            looks_whole = self._is_whole(state, exited, False)
+            self.check('nothing broken looks complete', not looks_whole)
         return self._lose(state, Result.LOST)
 
     def leave(self, state, endpoint):
--- a/packages/policy/ibisring_policy/gateway/tests/promises.py
+++ b/packages/policy/ibisring_policy/gateway/tests/promises.py
@@ -12,11 +12,13 @@
     'of_giving_up',
     'of_counting',
     'of_exit',
+    'of_closing',
     'may_continue',
     'may_continue_elsewhere',
 ]
 
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import idlelimits
 from ibisring_policy.gateway import shutdown
 import msgspec
 
@@ -202,3 +204,31 @@
         'an idle process ends': bool(active) or is_accepting or exits,
     }
     return [name for name, is_kept in kept.items() if not is_kept]
+
+
+def of_closing(idle, limits, closes):
+    """Return the promises that closing an idle connection breaks.
+
+    Parameters
+    ----------
+    idle : float
+        Seconds since the connection was used.
+    limits : list of float
+        Those by which its caller may go, in seconds.
+    closes : bool
+        The decision.
+
+    Returns
+    -------
+    list of str
+    """
+    longest = max(limits)
+    kept = {
+        'no connection is closed while its caller may use it': (
+            not closes or idle > longest
+        ),
+        'unused connections are closed': (
+            closes or idle <= longest + idlelimits.MARGIN_SECONDS
+        ),
+    }
+    return [name for name, is_kept in kept.items() if not is_kept]
--- a/packages/policy/ibisring_policy/gateway/tests/smallmachine.py
+++ b/packages/policy/ibisring_policy/gateway/tests/smallmachine.py
@@ -39,7 +39,8 @@
             f'{start.time_left} s left, {start.tries} tries, '
             f'{start.refusals} refusals, {start.moves} moves, '
             f'{len(start.sent_to)} of '
-            f'{start.max_endpoints} endpoints: '
+            f'{start.max_endpoints} endpoints, '
+            f'framed by {start.framing.value}: '
             f'{", ".join(self.steps)} -> {"; ".join(self.broken)}'
         )
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
@@ -1,10 +1,12 @@
 """Checks the decisions about a request over all their inputs."""
 
 import itertools
+import math
 
 import hypothesis
 from hypothesis import strategies
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import idlelimits
 from ibisring_policy.gateway import shutdown
 from ibisring_policy.gateway.tests import mutations
 from ibisring_policy.gateway.tests import promises
@@ -148,6 +150,68 @@
             assert shutdown.may_exit(elapsed + later, fewer, grace)
 
 
+class _History:
+    """Limits on idle connections, and when each came into force."""
+
+    def __init__(self, first):
+        self.limits = idlelimits.make_idle_limits(first)
+        self.changes = [(0.0, first)]
+
+    def change(self, seconds, now):
+        """Put another limit in force."""
+        self.limits.change(seconds, now)
+        self.changes.append((now, seconds))
+
+    def known_at(self, now):
+        """Return the limits by which a caller may go at some time."""
+        since = now - idlelimits.OVERLAP_SECONDS
+        ends = [at for at, _ in self.changes[1:]] + [math.inf]
+        return [
+            seconds
+            for (at, seconds), end in zip(self.changes, ends)
+            if at <= now and end > since
+        ]
+
+
+@hypothesis.given(
+    strategies.lists(
+        strategies.tuples(
+            strategies.sampled_from([0.5, 5.0, 20.0, 40.0]),
+            strategies.sampled_from([1.0, 2.0, 15.0, 60.0]),
+        ),
+        min_size=1,
+        max_size=6,
+    ),
+    strategies.integers(0, 5),
+    strategies.sampled_from([0.4, 4.0, 14.0, 16.5, 59.0, 61.5]),
+)
+def test_closing_keeps_its_promises(steps, used_in, idle):
+    """Guards against a close on which a caller's request arrives.
+
+    The limit changes before the connection is used, and while it is idle.
+    """
+    history = _History(steps[0][1])
+    now = 0.0
+    times = []
+    for pause, seconds in steps:
+        now += pause
+        times.append(now)
+    used = times[min(used_in, len(times) - 1)] + 0.1
+    at_use = None
+    for at, (_, seconds) in zip(times, steps):
+        if at > used + idle:
+            break
+        if at > used and at_use is None:
+            at_use = history.limits.longest(used)
+        history.change(seconds, at)
+    if at_use is None:
+        at_use = history.limits.longest(used)
+    now = used + idle
+    closes = history.limits.is_expired(used, at_use, now)
+    limits = [*history.known_at(used), *history.known_at(now)]
+    assert not promises.of_closing(idle, limits, closes)
+
+
 def _breaks_a_next_step(module):
     for progress in _all_progress():
         for result in attempts.Result:
--- a/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
@@ -3,6 +3,7 @@
 Run with ``-rP`` to see the shortest sequence that finds each mutation.
 """
 
+from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import shutdown
 from ibisring_policy.gateway.tests import machinedecisions
@@ -67,6 +68,15 @@
     assert _find(machinedecisions.make_decisions(mutation.module))
 
 
+@pytest.mark.parametrize(
+    'mutation', mutations.make_mutations(answerends, ['judge']), ids=str
+)
+def test_machine_finds_a_changed_judgement_of_an_end(mutation):
+    """Guards against a machine that doesn't reach a branch."""
+    judge = mutation.module.judge
+    assert _find(machinedecisions.make_decisions(judge=judge))
+
+
 @pytest.mark.parametrize(
     'mutation', mutations.make_mutations(shutdown, ['may_exit']), ids=str
 )
