A service that leaves the table breaks off none of its streams

What callers would see: a stream under way is broken off, or a request gets 500, beside a change of the configuration. Cause: the endpoint's service was looked up in the table in force; once a table without it is applied, a refusal in the worker, or a search for another chain, raised KeyError, and the exception ended the answer. Now such a service has no other chain, and the attempt stays.

test_service_that_leaves_the_table_breaks_off_no_stream fails with KeyError on the code before, passes now.

--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -417,7 +417,9 @@
         """
         service = attempt.endpoint.service
         snapshot = self.view.snapshot
-        model = snapshot.index.services[service].model
+        model = self._model(service)
+        if model is None:
+            return None
         endpoints = snapshot.by_service.get(service, ())
         kept = {s.endpoint for s in attempt.stages if s.endpoint not in lost}
         domains = self._chain_domains(attempt)
@@ -449,6 +451,11 @@
             holders = [h for h in holders if h.id not in used]
         return tuple(stages)
 
+    def _model(self, service):
+        """Return a service's model, None if a new table has no such one."""
+        found = self.view.snapshot.index.services.get(service)
+        return found.model if found is not None else None
+
     def _chain_domains(self, attempt):
         """Return the failure domains of an attempt's chain."""
         by_id = self.view.snapshot.endpoints
@@ -571,13 +578,13 @@
     def _memory_share(self, attempt, name):
         """Return the estimated share of an engine's memory in use."""
         snapshot = self.view.snapshot
-        service = snapshot.index.services[attempt.endpoint.service]
+        model = self._model(attempt.endpoint.service)
         endpoint = snapshot.endpoints.get(name)
-        if service.model is None or endpoint is None:
+        if model is None or endpoint is None:
             return 1.0
         now = self.view.clock()
         table = self.view.estimates
-        for holder in table.holders([endpoint], service.model, now):
+        for holder in table.holders([endpoint], model, now):
             return holder.used / holder.capacity if holder.capacity else 1.0
         return 1.0
 
@@ -625,7 +632,9 @@
         """Return a chain with room at another first stage, or None."""
         snapshot = self.view.snapshot
         service = attempt.endpoint.service
-        model = snapshot.index.services[service].model
+        model = self._model(service)
+        if model is None:
+            return None
         endpoints = snapshot.by_service.get(service, ())
         with self.view.lock:
             holders = self.view.estimates.holders(
--- a/packages/gateway/ibisring_gateway/tests/test_stalls.py
+++ b/packages/gateway/ibisring_gateway/tests/test_stalls.py
@@ -2,6 +2,7 @@
 
 import itertools
 import time
+import types
 
 import pytest
 
@@ -435,3 +436,21 @@
     loads = scenario.view.estimates.own_tokens()
     assert not loads.get('h2')
     scenario.handler.stop()
+
+
+def test_service_that_leaves_the_table_breaks_off_no_stream():
+    """Failure: a refusal or a silence is an error once a table is applied."""
+    scenario = Scenario(*_other_chain())
+    scenario.view.snapshot.index.services.clear()
+    answer = types.SimpleNamespace(wrong_endpoint=False, backoff=None)
+    with scenario.view.lock:
+        scenario.selector.record_refusal(
+            scenario.attempt, 'm', answer, time.monotonic()
+        )
+    assert not scenario.selector.has_alternative(
+        scenario.attempt, time.monotonic()
+    )
+    scenario.engines.unreachable.add('m:1')
+    scenario.handler._check_stages(scenario.attempt)
+    assert scenario.attempt.result is None
+    scenario.handler.stop()
