--- a/packages/soak/ibisring_soak/keptchannels.py
+++ b/packages/soak/ibisring_soak/keptchannels.py
@@ -20,6 +20,7 @@
 # Longer than a request may stay unanswered.
 READ_TIMEOUT_SECONDS = 6.5
 WORKERS = 160
+OPENED_AT_ONCE = 40
 # Requests of a burst: more than the engines have room for at once.
 BURST = (40, 160)
 INTERVAL_SECONDS = (0.3, 1.5)
@@ -50,6 +51,8 @@
 class ChannelKeeper(disruptions.Disruption):
     """Holds channels at the first router, and uses many of them at once.
 
+    Bodies come in chunks, and channels stay idle after them.
+
     Parameters
     ----------
     world : world.World
@@ -76,12 +79,7 @@
         self.opened.wait()
 
     def _loop(self):
-        # Every other channel stays idle after a body in chunks.
-        opening = [
-            self._submit(channel, 'once' if number % 2 else 'safe')
-            for number, channel in enumerate(self.channels)
-        ]
-        concurrent.futures.wait(opening)
+        self._open()
         self.opened.set()
         while not self.stopped.wait(self.rng.uniform(*INTERVAL_SECONDS)):
             count = min(self.rng.randint(*BURST), len(self.channels))
@@ -96,6 +94,17 @@
         for channel in self.channels:
             channel.conn.close()
 
+    def _open(self):
+        """Open a few channels at a time, every other one with a body."""
+        for first in range(0, len(self.channels), OPENED_AT_ONCE):
+            opening = [
+                self._submit(channel, 'once' if number % 2 else 'safe')
+                for number, channel in enumerate(
+                    self.channels[first : first + OPENED_AT_ONCE]
+                )
+            ]
+            concurrent.futures.wait(opening)
+
     def _draw_kind(self):
         return self.rng.choices(list(SHARES), list(SHARES.values()))[0]
 
