Blame no request for the exit of a leaving endpoint

A request whose answer was lost is a suspect if its endpoint's port is closed. That an endpoint leaves was considered only for requests whose prompts have parts. Since answers framed by the close of their connection count as lost when a leaving endpoint exits, a plain request that three planned exits have cut would be refused as the cause of crashes.

test_exit_of_a_leaving_endpoint_is_no_crash failed on the code before.

--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -260,8 +260,11 @@
     def _may_be_cause(self, job, attempt):
         """Return whether the request may have caused a crash.
 
-        A stream of which some endpoint has delivered a part is not the cause.
+        A stream of which some endpoint has delivered a part is not the cause,
+        nor is any request of the exit of an endpoint that leaves.
         """
+        if self.view.snapshot.is_leaving(attempt.endpoint):
+            return False
         if job.exchange.headers_sent or job.request.after_event:
             return False
         return self.clock() - attempt.sent_at < suspects.LOST_ANSWER_SECONDS
--- a/packages/gateway/ibisring_gateway/tests/test_screening.py
+++ b/packages/gateway/ibisring_gateway/tests/test_screening.py
@@ -182,3 +182,13 @@
     assert screen.process_after_answer(endpoint) is Process.EXITED
     is_ready = state is routing.EndpointState.READY
     assert prober.is_exit_due is not is_ready
+
+
+def test_exit_of_a_leaving_endpoint_is_no_crash():
+    """Guards against refusing a body that planned exits have cut."""
+    leaving = build.endpoint('e1', state=routing.EndpointState.DRAINING)
+    view = builders.make_view([leaving])
+    prober = _Prober(Finding.CRASHED)
+    screen = screening.make_screen(view, prober, builders.Metrics())
+    screen.check_lost_answer(_job(screen), _attempt(screen))
+    assert _crashes(screen) == 0
