Take half the size of a chunk not for the last chunk

http.client takes the end of a connection for the end of a line. The size of a chunk with leading zeros, or the last one itself, that is cut reads as zero: an answer broken off there was whole. Only a size whose line was received to its end counts now.

--- a/packages/gateway/ibisring_gateway/responsehead.py
+++ b/packages/gateway/ibisring_gateway/responsehead.py
@@ -1,11 +1,12 @@
-"""Checks that the headers of an answer were received whole.
+"""Checks that the lines that frame an answer were received whole.
 
 `http.client` takes the end of a connection for the blank line after the
 headers.  An answer that is cut there would be one with fewer headers and no
-body.
+body.  It also takes it for the end of a line, and a chunk size with leading
+zeros that is cut would be that of the last chunk.
 """
 
-__all__ = ['CheckedResponse', 'HeadTruncated']
+__all__ = ['CheckedResponse', 'HeadTruncated', 'ChunkSizeTruncated']
 
 import http.client
 
@@ -16,12 +17,19 @@
     """The connection ended before the end of the headers."""
 
 
+class ChunkSizeTruncated(http.client.HTTPException):
+    """The connection ended inside the size of a chunk."""
+
+
 class CheckedResponse(http.client.HTTPResponse):
-    """A response that raises `HeadTruncated` if its headers are not whole."""
+    """A response that raises an exception if a line of it is not whole.
+
+    `HeadTruncated` concerns the headers, `ChunkSizeTruncated` the body.
+    """
 
     def begin(self):
         """Read the status line and the headers."""
-        head = _HeadReader(self.fp)
+        head = _LineReader(self.fp)
         self.fp = head
         try:
             super().begin()
@@ -31,8 +39,20 @@
         if head.last_line not in _BLANK_LINES:
             raise HeadTruncated('the connection ended inside the headers')
 
+    def _read_next_chunk_size(self):
+        line = _LineReader(self.fp)
+        self.fp = line
+        try:
+            size = super()._read_next_chunk_size()
+        finally:
+            if self.fp is line:
+                self.fp = line.reader
+        if not line.last_line.endswith(b'\n'):
+            raise ChunkSizeTruncated('the connection ended in a chunk size')
+        return size
+
 
-class _HeadReader:
+class _LineReader:
     """Reads lines and remembers the last one."""
 
     def __init__(self, reader):
