Release the use of a rank that two attempts without a size share

A request without Token-Usage counts nothing. An attempt and its successor overlap, and the second release raised KeyError: the request ended as an error.

--- a/packages/policy/ibisring_policy/gateway/rankshares.py
+++ b/packages/policy/ibisring_policy/gateway/rankshares.py
@@ -115,9 +115,11 @@
     def release(self, service, rank, amount):
         """Undo `reserve`."""
         use = self.own[service]
-        use[rank] -= amount
-        if use[rank] <= 0:
-            del use[rank]
+        left = use.get(rank, 0) - amount
+        if left > 0:
+            use[rank] = left
+        else:
+            use.pop(rank, None)
 
     def use_to_send(self):
         """Return what this router's requests use.
--- a/packages/policy/ibisring_policy/gateway/tests/test_rankshares.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_rankshares.py
@@ -152,3 +152,13 @@
     shares.reserve(CHAT, URGENT, 5)
     assert shares.use_to_send() == {}
     assert shares.share(CHAT, LOW, 100.0) == 1.0
+
+
+def test_overlapping_attempts_without_a_size_are_released():
+    """Guards against a request that ends as an error while it is moved."""
+    shares = _shares()
+    for _ in range(2):
+        shares.reserve(CHAT, LOW, 0)
+    for _ in range(2):
+        shares.release(CHAT, LOW, 0)
+    assert shares.own[CHAT] == {}
