Look for no silent endpoint while the caller takes an event

The time of the next check was set before the event was written, which may block for seconds if the caller reads slowly. Then a sound stream was given up as silent. Found by the review, by reading; the test asserts that no check is due during a write.

--- a/packages/gateway/ibisring_gateway/relaying.py
+++ b/packages/gateway/ibisring_gateway/relaying.py
@@ -86,9 +86,12 @@
         if not complete:
             continue
         on_event()
+        # A caller that reads slowly must not look like a silent endpoint.
+        check_at, attempt.check_at = attempt.check_at, None
         if not exchange.headers_sent:
             exchange.begin(answer.status, stream_headers(answer.headers))
         exchange.write(complete)
+        attempt.check_at = check_at
     _check_not_aborted(attempt)
     check_end(answer, size, job.splitter.is_inside_event, find_process)
     _finish_stream(job, answer)
