Exit only after the last chunk of the last answer has been written

A request counts as ended before cheroot writes the last chunk, so that the process could exit in between, and the caller would have a stream without its end. The process waits for one more interval of its polls. Found by the review, by reading; there is no test, the window is a few microseconds.

--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -404,6 +404,8 @@
                 elapsed, self.forwarder.active, self.settings.grace_s
             ):
                 break
+        # The last chunk of an answer is written after it counts as ended.
+        time.sleep(SHUTDOWN_POLL_SECONDS)
         for attempt in self.watcher.attempts():
             logs.event(
                 LOG,
