Replace no stages of an ended attempt; note silent plain endpoints

The stages now change only while the attempt runs, under its lock. A silent plain request that stays counts once against its endpoint, as one that was moved did before, so that others go elsewhere.

--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -126,7 +126,7 @@
             if attempt.stages:
                 self._check_stages(attempt)
             elif not self._give_up(attempt, attempts.Cause.SILENT):
-                attempt.check_at = self.clock() + PLAIN_RECHECK_SECONDS
+                self._keep_plain(attempt)
         except Exception:
             LOG.exception(
                 'stage check failed for request %s', attempt.request_id
@@ -134,6 +134,18 @@
         finally:
             attempt.is_checking = False
 
+    def _keep_plain(self, attempt):
+        """Keep a silent plain request; others prefer other endpoints."""
+        now = self.clock()
+        attempt.check_at = now + PLAIN_RECHECK_SECONDS
+        attempt.checks += 1
+        is_known = attempt.endpoint.id in self.view.snapshot.endpoints
+        if attempt.checks == 1 and is_known:
+            with self.view.lock:
+                self.view.estimates.note_response(
+                    attempt.endpoint.id, True, now
+                )
+
     def _give_up(self, attempt, cause):
         """End an attempt if its request goes on elsewhere.
 
@@ -151,7 +163,7 @@
             self.metrics.count(f'given_up.{cause}')
             return True
         self.successors.cancel(successor)
-        return True
+        return attempt.result is not None
 
     def _check_stages(self, attempt):
         attempt.checks += 1
@@ -499,9 +511,10 @@
         if result not in (ports.OrderResult.BEGUN, ports.OrderResult.DONE):
             return False
         attempt.blocked = None
-        if attempt.result is None:
-            self.selector.change_stages(attempt, stages)
-            attempt.check_at = self.clock() + REPLACEMENT_PAUSE_SECONDS
+        with attempt.lock:
+            if attempt.result is None and not attempt.is_over:
+                self.selector.change_stages(attempt, stages)
+                attempt.check_at = self.clock() + REPLACEMENT_PAUSE_SECONDS
         return True
 
 
