--- a/packages/gateway/ibisring_gateway/attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/attemptwatching.py
@@ -168,11 +168,14 @@
         Returns
         -------
         bool
-            False if it has ended otherwise; the successor is not used then.
+            False if it has ended otherwise or goes on; the successor is not
+            used then.
         """
         with self.lock:
             if self.result is not None or self.is_over:
                 return False
+            if self.events != successor.events:
+                return False
             self.result = end
             self.successor = successor
             if self.socket is not None:
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -201,6 +201,8 @@
             while True:
                 result = self._send_attempt(job)
                 job.last_result = result
+                if result is not attempts.Result.NOT_SENT:
+                    job.retry = None
                 if result is None:
                     return
                 step = self._decide(job, result)
@@ -214,6 +216,8 @@
                     self._wait_before_resume(job)
         finally:
             self._cancel_successor(job)
+            if job.retry is not None:
+                self.successors.give_back(job.retry)
 
     def _decide(self, job, result):
         """Return the next step after an attempt without a whole answer."""
@@ -254,6 +258,8 @@
         successor, job.successor = job.successor, None
         if successor is not None:
             self.successors.cancel(successor)
+            if job.retry is successor.retry:
+                job.retry = None
 
     def _retries_left(self):
         with self.view.lock:
@@ -267,14 +273,13 @@
         The outcome is noted only where it may lower a rate: a stream under
         way is retried for other reasons than a new request.
         """
-        is_damped = successors.damped_service(job) is not None
         if job.successor is not None:
-            now = job.successor.taken_at
-            is_damped = job.successor.damped_service is not None
-            is_allowed = True
-        else:
-            is_allowed = self.successors.take_retry(job, now)
-        job.retried_at = now if is_allowed and is_damped else None
+            job.retry = job.successor.retry
+        elif job.retry is None:
+            job.retry = self.successors.take_retry(job, now)
+        is_allowed = job.retry is not None
+        is_damped = is_allowed and job.retry.service is not None
+        job.retried_at = job.retry.taken_at if is_damped else None
         return is_allowed
 
     def _note_retry(self, job, refused):
@@ -336,10 +341,12 @@
         attempts.Result or None
             None if the caller has its final answer.
         """
-        if not self.screen.wait_until_allowed(job):
-            return attempts.Result.SUSPECTED
         if job.successor is not None:
+            if self.screen.is_refused(job):
+                return attempts.Result.SUSPECTED
             return self._send_to_successor(job)
+        if not self.screen.wait_until_allowed(job):
+            return attempts.Result.SUSPECTED
         try:
             peer = self.relay_routing.choose(job)
         except relayrouting.NobodyInReach:
@@ -367,12 +374,12 @@
 
     def _send_reserved(self, job, choice, attempt):
         """Send an attempt that is counted in the load of its endpoints."""
-        if choice.wait:
-            time.sleep(choice.wait)
-        job.chain = _chain_text(choice.stages)
-        self.screen.record_start(job, attempt)
         self.watcher.add(job.exchange.socket, attempt)
         try:
+            if choice.wait:
+                time.sleep(choice.wait)
+            job.chain = _chain_text(choice.stages)
+            self.screen.record_start(job, attempt)
             return self.sender.send(job, attempt)
         finally:
             self.watcher.remove(job.exchange.socket)
@@ -413,8 +420,7 @@
 
     def _use_up_tries(self, job):
         """End a request for which there is nothing left to try."""
-        job.progress.refusals = attempts.MAX_REFUSALS
-        job.progress.tries = attempts.MAX_TRIES
+        attempts.use_up(job.progress)
         return attempts.Result.NOT_SENT
 
 
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -69,6 +69,9 @@
     last_result : attempts.Result or None
         Result of the last attempt; None before it, or if its answer was
         relayed to the end.
+    retry : successors.Retry or None
+        Taken from the limit on retries, and not yet used by an attempt that
+        was sent.
     successor : successors.Successor or None
         What was set aside as its last attempt was given up.
     rank : tuple of int
@@ -82,6 +85,7 @@
 
     # Values before the first attempt.
     last_result = None
+    retry = None
     successor = None
     transfer = None
     blocked_by = None
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -120,6 +120,15 @@
                     'while the suspect request waited'
                 )
 
+    def may_move(self, job):
+        """Return whether a request may go to another endpoint at once."""
+        is_started = job.exchange.headers_sent
+        if is_started and not job.features:
+            return True
+        found = self.restriction(job)
+        must_wait = found.is_settling if is_started else found.must_wait
+        return not (found.refused_until or must_wait)
+
     def is_refused(self, job):
         """Return whether a request may not be sent to an endpoint."""
         if job.exchange.headers_sent and not job.features:
--- a/packages/gateway/ibisring_gateway/successors.py
+++ b/packages/gateway/ibisring_gateway/successors.py
@@ -4,7 +4,13 @@
 set aside: the limits of its route, a retry, and an endpoint with room.
 """
 
-__all__ = ['Successor', 'Successors', 'make_successors', 'attempt_for']
+__all__ = [
+    'Retry',
+    'Successor',
+    'Successors',
+    'make_successors',
+    'attempt_for',
+]
 
 import msgspec
 
@@ -12,16 +18,32 @@
 from ibisring_policy.gateway import attempts
 
 
+class Retry:
+    """A retry taken from the limit on them.
+
+    Attributes
+    ----------
+    taken_at : float
+    service : str or None
+        Service whose lowered rate it was taken from as well.
+    """
+
+    __slots__ = ('taken_at', 'service')
+
+    def __init__(self, taken_at, service):
+        self.taken_at = taken_at
+        self.service = service
+
+
 class Successor:
     """What was set aside for a request whose attempt is given up.
 
     Attributes
     ----------
     cause : attempts.Cause
-    taken_at : float
-        When the retry was taken from the limit on retries.
-    damped_service : str or None
-        Service whose lowered rate of retries it was taken from.
+    events : int
+        Events of the attempt to be given up, which stays if one more comes.
+    retry : Retry
     choice : selecting.Choice or None
         None if the request goes to another router.
     attempt : attemptwatching.Attempt or None
@@ -29,19 +51,12 @@
     peer : relays.Candidate or None
     """
 
-    __slots__ = (
-        'cause',
-        'taken_at',
-        'damped_service',
-        'choice',
-        'attempt',
-        'peer',
-    )
+    __slots__ = ('cause', 'events', 'retry', 'choice', 'attempt', 'peer')
 
-    def __init__(self, cause, taken_at, damped_service):
+    def __init__(self, cause, events):
         self.cause = cause
-        self.taken_at = taken_at
-        self.damped_service = damped_service
+        self.events = events
+        self.retry = None
         self.choice = None
         self.attempt = None
         self.peer = None
@@ -97,36 +112,48 @@
             return None
         if not attempts.may_give_up(cause, self._progress(job, now)):
             return None
-        if self.screen.is_refused(job):
-            return None
-        successor = self._take_retry(job, cause, now)
-        if successor is None:
+        if not self.screen.may_move(job) or not self._has_retry(now):
             return None
+        successor = Successor(cause, attempt.events)
         if not self._find_way(job, attempt, successor, now):
-            self.cancel(successor)
             return None
+        successor.retry = self.take_retry(job, now)
+        if successor.retry is None:
+            return None
+        if successor.choice is not None:
+            successor.attempt = attempt_for(job, successor.choice)
+            self.selector.reserve(successor.attempt)
         return successor
 
     def cancel(self, successor):
         """Return what was set aside for a request."""
         if successor.attempt is not None:
             self.selector.release(successor.attempt)
+        self.give_back(successor.retry)
+
+    def give_back(self, retry):
+        """Return a retry that no attempt has used."""
         with self.view.lock:
-            self.retry_budget.give_back(
-                successor.taken_at, successor.damped_service
-            )
+            self.retry_budget.give_back(retry.taken_at, retry.service)
 
     def take_retry(self, job, now):
         """Take a retry from the limit on them.
 
         Returns
         -------
-        bool
+        Retry or None
         """
+        service = damped_service(job)
         with self.view.lock:
-            return self.retry_budget.take_retry(
-                now, self.count_routers(), damped_service(job)
+            is_allowed = self.retry_budget.take_retry(
+                now, self.count_routers(), service
             )
+        return Retry(now, service) if is_allowed else None
+
+    def _has_retry(self, now):
+        """Return whether a search for a way is worth its time."""
+        with self.view.lock:
+            return self.retry_budget.remaining(now, self.count_routers()) > 0
 
     def _progress(self, job, now):
         is_numbered = not job.splitter.has_unnumbered
@@ -138,11 +165,6 @@
             has_retry_budget=True,
         )
 
-    def _take_retry(self, job, cause, now):
-        if not self.take_retry(job, now):
-            return None
-        return Successor(cause, now, damped_service(job))
-
     def _find_way(self, job, attempt, successor, now):
         """Choose where a request goes on; False if there is no way."""
         if self._needs_router(job):
@@ -152,11 +174,9 @@
                 )
             return successor.peer is not None
         choice = self.selector.choose_other(job, attempt, now)
-        if choice is None:
+        if choice is None or (job.exchange.headers_sent and choice.wait):
             return False
         successor.choice = choice
-        successor.attempt = attempt_for(job, choice)
-        self.selector.reserve(successor.attempt)
         return True
 
     def _needs_router(self, job):
--- a/packages/gateway/ibisring_gateway/tests/jobbuilders.py
+++ b/packages/gateway/ibisring_gateway/tests/jobbuilders.py
@@ -68,6 +68,10 @@
 class Screen:
     """A screen that refuses no request."""
 
+    def may_move(self, job):
+        """Allow everything."""
+        return True
+
     def is_refused(self, job):
         """Refuse nothing."""
         return False
--- a/packages/gateway/ibisring_gateway/tests/test_relaying.py
+++ b/packages/gateway/ibisring_gateway/tests/test_relaying.py
@@ -4,8 +4,8 @@
 
 from ibisring_gateway import attemptwatching
 from ibisring_gateway import relaying
-from ibisring_gateway import upstream
 from ibisring_gateway.tests import jobbuilders
+from ibisring_gateway import upstream
 from ibisring_policy.gateway import framing
 
 
--- a/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
+++ b/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
@@ -388,6 +388,7 @@
             exchange=types.SimpleNamespace(headers_sent=is_delivering),
             has_refused_retry=False,
             successor=None,
+            retry=None,
         )
     assert forwarder._take_retry(job, forwarder.clock())
     forwarder.sender.on_decided(job, True)
--- a/packages/policy/ibisring_policy/gateway/attempts.py
+++ b/packages/policy/ibisring_policy/gateway/attempts.py
@@ -8,6 +8,7 @@
     'decide',
     'may_give_up',
     'count_given_up',
+    'use_up',
     'tries_left',
 ]
 
@@ -165,10 +166,21 @@
         return False
     if cause is Cause.SILENT and progress.is_moved:
         return False
-    after = msgspec.structs.replace(progress, may_have_run=True)
+    # What follows is decided again a moment later.
+    after = msgspec.structs.replace(
+        progress,
+        may_have_run=True,
+        time_left=progress.time_left - MIN_TIME_LEFT_SECONDS,
+    )
     return decide(Result.SILENT, after) in CONTINUING
 
 
+def use_up(progress):
+    """Leave a request no further connection attempt."""
+    progress.refusals = MAX_REFUSALS
+    progress.tries = MAX_TRIES + progress.moves
+
+
 def count_given_up(cause, progress):
     """Count an attempt that this router has given up."""
     if cause in _MOVES:
--- a/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
@@ -19,6 +19,7 @@
 ENDPOINTS = (1, 2)
 SENT_TO = (0, 1, 2)
 TIMES_LEFT = (
+    2.0 * attempts.MIN_TIME_LEFT_SECONDS,
     -1.0,
     attempts.MIN_TIME_LEFT_SECONDS - 0.001,
     attempts.MIN_TIME_LEFT_SECONDS,
