Take a caller of unknown state for present in the watcher, too

poll's POLLNVAL of a closed descriptor counted as a caller that has left, whose request ends without an answer. Only an end, a hangup or an error of the connection counts now, as in ibisring_web.sockets. test_caller_whose_descriptor_is_closed_has_not_left fails on the code before.

--- a/packages/gateway/ibisring_gateway/attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/attemptwatching.py
@@ -18,6 +18,7 @@
 MIN_SLEEP_SECONDS = 0.005
 MAX_SLEEP_SECONDS = 0.05
 IDLE_SLEEP_SECONDS = 1.0
+_DISCONNECT_BITS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _DISCONNECT_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -213,10 +214,14 @@
 
 
 def _has_disconnected(fd):
-    """Return whether the caller on a socket has closed its side."""
+    """Return whether the caller on a socket has closed or reset its side.
+
+    False if that can't be determined: whoever is taken for gone gets no
+    answer.
+    """
     poller = select.poll()
     poller.register(fd, select.POLLRDHUP)
-    return bool(poller.poll(0))
+    return any(events & _DISCONNECT_BITS for _, events in poller.poll(0))
 
 
 class Watcher:
--- a/packages/gateway/ibisring_gateway/tests/test_attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/tests/test_attemptwatching.py
@@ -98,3 +98,12 @@
     events = watcher.epoll.poll(0)
     assert ours.fileno() in [fd for fd, _ in events]
     watcher.remove(ours)
+
+
+def test_caller_whose_descriptor_is_closed_has_not_left():
+    """Failure: an unknown state of a caller ends its request unanswered."""
+    left, right = socket.socketpair()
+    descriptor = left.fileno()
+    left.close()
+    right.close()
+    assert not attemptwatching._has_disconnected(descriptor)
