Soak: an endpoint that exits closes its port as it cuts its answers

The stand-in cut its answers and kept its port open for 0.7 s more, which no process that exits does: the router asked the port, and took the answers framed by the close for whole. What is checked is unchanged.

--- a/packages/soak/ibisring_soak/exits.py
+++ b/packages/soak/ibisring_soak/exits.py
@@ -240,6 +240,8 @@
         history.disruptions.append(
             ('endpoints', time.monotonic(), time.monotonic() + CUT_SECONDS)
         )
+        # A process that exits closes its port with its connections.
+        server.listener.server.socket.close()
         server.has_exited = True
         time.sleep(CUT_SECONDS)
         site.remove(server.name)
