Spend a retry as its attempt is sent, not as it ends

A caller that left while its retry was being answered raised an exception past the place that spent the retry, so that it was given back though an endpoint had got it: more retries than the limit allows.

--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -70,8 +70,8 @@
         Result of the last attempt; None before it, or if its answer was
         relayed to the end.
     retry : successors.Retry or None
-        Taken from the limit on retries, and not yet used by an attempt that
-        was sent.
+        Taken from the limit on retries, and not yet spent: an attempt that
+        was sent spends it, however it ends.
     successor : successors.Successor or None
         What was set aside as its last attempt was given up.
     rank : tuple of int
--- a/packages/gateway/ibisring_gateway/relaysending.py
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -276,6 +276,7 @@
 
     def _relay(self, job, attempt, response, answer):
         """Relay an endpoint's answer."""
+        job.retry = None
         job.progress.may_have_run = True
         fault = relaying.answer_fault(answer)
         if job.exchange.headers_sent and answer.status != 200:
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -85,6 +85,7 @@
             # It said so since it was chosen.
             return self._withdraw(attempt, conn)
         self._set_timeouts(job, attempt)
+        job.retry = None
         if endpoint.id not in job.sent_to:
             job.sent_to.append(endpoint.id)
         job.progress.sent_to = len(job.sent_to)
--- a/packages/gateway/ibisring_gateway/tests/test_sending.py
+++ b/packages/gateway/ibisring_gateway/tests/test_sending.py
@@ -266,3 +266,11 @@
     )
     assert made.send() is attempts.Result.NOT_SENT
     assert made.connections.sent == []
+
+
+def test_retry_of_a_request_that_was_sent_is_spent():
+    """Failure: retries whose callers leave meanwhile count as not made."""
+    made = _Attempt(_Codec())
+    made.job.retry = 'a retry'
+    made.send()
+    assert made.job.retry is None
--- a/packages/gateway/ibisring_gateway/tests/test_successors.py
+++ b/packages/gateway/ibisring_gateway/tests/test_successors.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from ibisring_gateway import exchange
 from ibisring_gateway import forwarding
 from ibisring_gateway import successors
 from ibisring_gateway.tests import builders
@@ -91,6 +92,24 @@
     assert forwarder._retries_left() == 3
 
 
+@pytest.mark.parametrize('is_sent', [False, True])
+def test_caller_that_leaves_gives_back_a_retry_not_sent(is_sent):
+    """Failure: more retries reach endpoints than the limit allows."""
+    job = _started_job()
+    forwarder = _forwarder(1.0)
+    job.retry = forwarder.successors.take_retry(job, forwarder.clock())
+
+    def leave(job):
+        if is_sent:
+            job.retry = None
+        raise exchange.CallerDisconnected('gone')
+
+    forwarder._send_attempt = leave
+    with pytest.raises(exchange.CallerDisconnected):
+        forwarder._run_attempts(job)
+    assert forwarder._retries_left() == (0 if is_sent else 1)
+
+
 @pytest.mark.parametrize('moves', range(attempts.MAX_MOVES + 1))
 @pytest.mark.parametrize('delivering', [False, True])
 def test_moves_leave_no_try_once_the_tries_are_used_up(moves, delivering):
