Soak: the proxy of an endpoint that exits closes its port

Cause: routers reach the soak's endpoints by proxies. Conclusion: the stand-in was at fault; what is checked is unchanged.

--- a/packages/soak/ibisring_soak/exits.py
+++ b/packages/soak/ibisring_soak/exits.py
@@ -241,7 +241,7 @@
             ('endpoints', time.monotonic(), time.monotonic() + CUT_SECONDS)
         )
         # A process that exits closes its port with its connections.
-        server.listener.server.socket.close()
+        self.world.proxies[server.name].close_port()
         server.has_exited = True
         time.sleep(CUT_SECONDS)
         site.remove(server.name)
