--- a/packages/gateway/ibisring_gateway/bodies.py
+++ b/packages/gateway/ibisring_gateway/bodies.py
@@ -8,7 +8,7 @@
 from ibisring_records import exceptions
 
 # Longest wait for the next data of a body, and for the whole of it.
-PAUSE_SECONDS = 10.0
+PAUSE_SECONDS = 5.0
 BODY_SECONDS = 60.0
 READ_BYTES = 65536
 # Bytes of a line that says how long a chunk is.
