--- a/packages/policy/ibisring_policy/gateway/adaptivetimeout.py
+++ b/packages/policy/ibisring_policy/gateway/adaptivetimeout.py
@@ -16,8 +16,8 @@
 MEAN_WEIGHT = 0.125
 DEVIATION_WEIGHT = 0.25
 DEVIATIONS = 4.0
-# The timeout grows by this factor after a false timeout, as in TCP: answers
-# after the timeout are not measured, so that the estimate would not adapt.
+# The timeout grows by this factor after a false timeout, as in TCP: the
+# estimate adapts to answers that arrive in time only.
 BACKOFF_FACTOR = 1.5
 
 
