Exit if the start fails

Callers saw neither an answer nor a refusal: their connections waited at a router whose start had failed.

Cause: an exception in the start ended the main thread only. Threads of the callers' server were already running, and they keep the interpreter alive with its bound port, so that nothing started the process again. Seen as a router that could start no more threads (29,300 on the machine) and stayed for 60 s.

Change: a start that fails is logged and ends the process at once.

--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -42,6 +42,7 @@
 LOG = logging.getLogger(__name__)
 READY_PATH = '/readyz'
 METRICS_PATH = '/metrics'
+EXIT_START_FAILED = 1
 # Threads at the start and at most.  Starting a thread takes milliseconds once
 # many of them run, so those of a usual burst are started before it.
 CALLER_THREADS = (256, 1200)
@@ -352,7 +353,7 @@
         for signal_number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
             signal.signal(signal_number, self._on_signal)
         self.signals[:0] = early_signals
-        self.start()
+        self._start_or_exit()
         while True:
             while self.signals:
                 signal_number = self.signals.pop(0)
@@ -364,6 +365,19 @@
             self.signalled.wait()
             self.signalled.clear()
 
+    def _start_or_exit(self):
+        """Start; exit at once if that fails, so that it is tried again.
+
+        The threads already started would keep the process alive with a bound
+        port, and callers would wait for answers that never come.
+        """
+        try:
+            self.start()
+        except Exception:
+            LOG.critical('start_failed', exc_info=True)
+            self.log_writer.listener.stop()
+            os._exit(EXIT_START_FAILED)
+
     def _on_signal(self, signal_number, frame):
         self.signals.append(signal_number)
         self.signalled.set()
