--- a/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
+++ b/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
@@ -8,6 +8,7 @@
 import pytest
 
 from ibisring_gateway import bottlenecks
+from ibisring_gateway import chainsearch
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossipmessages
 from ibisring_gateway import gossipreceiving
@@ -231,7 +232,7 @@
     job, choice = _choose(selector)
     assert choice is None and job.blocked_by.pairs
     # The first one, the further ones, and that within one domain.
-    assert len(searches) == 1 + selecting.MAX_FURTHER_SEARCHES + 1
+    assert len(searches) == 1 + chainsearch.MAX_FURTHER_SEARCHES + 1
 
 
 @pytest.mark.parametrize(('share', 'is_refused'), [(0.97, 0), (1.04, 1)])
