Announce the close of a connection in its last answer

Callers that sent a request after an answer of a router that shuts down got a bare close.

Cause: the connection was marked to be closed after the answer had been written, so the answer didn't say so, and a caller that keeps to the protocol sent its next request on it.

Change: an answer that begins while the router shuts down announces the close. A connection whose answer began before is kept for its next request, which gets such an answer. The same for the answer to an internal error.

--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -59,6 +59,8 @@
         Whether another router handed the request over.
     list_extra_headers : callable
         Returns headers to add to the answer, as (name, value) pairs.
+    is_last : callable
+        Returns whether an answer that begins is the connection's last one.
     job : jobs.Job or None
         State of the request, None until its route is known.
     """
@@ -70,6 +72,7 @@
         self.ends_with_connection = False
         self.is_from_router = False
         self.list_extra_headers = list
+        self.is_last = bool
         self.job = None
         self.status = 0
         self.sent = 0
@@ -123,6 +126,8 @@
         headers : list of (str, str)
         """
         self._finish_body()
+        if self.is_last():
+            self.close_after()
         request = self.request
         try:
             phrase = http.HTTPStatus(status).phrase
@@ -219,5 +224,9 @@
             LOG.debug('the caller has left meanwhile: %s', error)
 
     def close_after(self):
-        """Close the connection after this answer."""
+        """Close the connection after this answer.
+
+        To be called before the answer begins, which announces the close: a
+        caller that doesn't know of it may send a request that is lost.
+        """
         self.request.close_connection = True
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -100,6 +100,7 @@
         """Serve one request; called in a worker thread of the server."""
         started = self.clock()
         request_id = ''
+        exchange.is_last = self._is_stopping
         with self.view.lock:
             self.active += 1
         try:
@@ -126,13 +127,15 @@
             self.metrics.count('internal_errors')
             LOG.exception('request_failed %s', request_id)
             error = exceptions.IbisringError('an internal error')
+            if not exchange.headers_sent:
+                exchange.close_after()
             self._send_error(exchange, request_id, error, started)
-            exchange.close_after()
         finally:
             with self.view.lock:
                 self.active -= 1
-            if self.stopping_at is not None:
-                exchange.close_after()
+
+    def _is_stopping(self):
+        return self.stopping_at is not None
 
     def _send_error(self, exchange, request_id, error, started):
         if exchange.headers_sent:
@@ -142,8 +145,6 @@
             exchange.abort()
             self.log.write_broken_off(request_id, error, started, exchange.job)
             return
-        if self.stopping_at is not None:
-            exchange.close_after()
         if exchange.is_from_router:
             relayrouting.mark_error(exchange, error)
         status, headers, body = self.codec.encode_error(request_id, error)
