Refuse no request by the limits of a configuration that wasn't read

Callers got 413 for a body over 4 MiB at a router that had started during an outage of the store, which tells them never to try again; 503 was due.

Cause: until the table is read, the limits of a default configuration held, and the body was read before it was known that there is no table.

Change: before the table is read, no limit of it holds, and the answer is 503 before a body is read.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -109,6 +109,10 @@
             )
             request_id = request.id
             mark = relayrouting.accept_mark(exchange, request, self.view.name)
+            if not self.view.is_ready:
+                raise exceptions.NotReady(
+                    'no configuration yet', NOT_READY_RETRY_SECONDS
+                )
             request.body = exchange.read_body()
             self._serve(exchange, request, started, mark)
         except exceptions.IbisringError as error:
@@ -159,10 +163,6 @@
 
     def _serve(self, exchange, request, started, mark):
         snapshot = self.view.snapshot
-        if not self.view.is_ready:
-            raise exceptions.NotReady(
-                'no configuration yet', NOT_READY_RETRY_SECONDS
-            )
         if mark is not None and mark.table_version > snapshot.version:
             raise exceptions.TableBehind(
                 f'{mark.sender} has table {mark.table_version}'
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -49,6 +49,9 @@
 READY_THREADS = (2, 8)
 # A request that another router hands over occupies a thread until it ends.
 PEER_THREADS = (2, 1200)
+# Until a configuration is read; no body is read before either.  A limit that
+# is too low would refuse for good what the configuration allows.
+UNKNOWN_LIMITS = routing.CallerLimits(header_bytes=262144, body_bytes=0)
 # Interval of the periodic placement check, in addition to the one after each
 # change: finds orders without effect and engines that died silently.
 CHECK_SECONDS = 0.25
@@ -242,7 +245,7 @@
     def _listen(self):
         """Bind all addresses; callers are served later."""
         settings = self.settings
-        limits = routing.CallerLimits()
+        limits = UNKNOWN_LIMITS
         self.caller_server = callerserver.make_server(
             settings.caller_listen,
             CALLER_THREADS,
