--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -42,9 +42,9 @@
 LOG = logging.getLogger(__name__)
 READY_PATH = '/readyz'
 METRICS_PATH = '/metrics'
-# Threads at the start and at most.  Starting a thread takes milliseconds once
-# many of them run, so those of a usual burst are started before it.
-CALLER_THREADS = (256, 1200)
+# Threads at the start and at most.  A machine has tens of routers, and its
+# limit of threads may be as low as 32,768.
+CALLER_THREADS = (16, 1200)
 READY_THREADS = (2, 8)
 # A request that another router hands over occupies a thread until it ends.
 PEER_THREADS = (2, 1200)
@@ -321,6 +321,9 @@
         """Serve counters and quantiles as text."""
         counters = self.metrics.counters
         counters['log_lines_dropped'] = self.log_writer.dropped
+        counters['thread_starts_failed'] = sum(
+            server.requests.failed_starts for server in self.servers
+        )
         counters['gossip_bytes_told'] = self.gossip.bytes_sent
         counters['gossip_bytes_heard'] = self.gossip.bytes_received
         with self.view.lock:
