Pool of threads: read the time of the next try once

Cause: another thread may reset it between two reads, and the exception would end the thread that accepts callers. Found by reading; not seen in a run.

--- a/packages/gateway/ibisring_gateway/growingpool.py
+++ b/packages/gateway/ibisring_gateway/growingpool.py
@@ -71,7 +71,9 @@
                 self.grow(self.missing())
 
     def _may_start(self):
-        return self.retry_at is None or self.clock() >= self.retry_at
+        # Read once: another thread may reset it meanwhile.
+        retry_at = self.retry_at
+        return retry_at is None or self.clock() >= retry_at
 
     def take(self):
         """Return the next connection; the one taken before is done with."""
