Keep running requests until just before the end of the grace time

Cause: a process that shuts down cut what was still running 0.6 s before it would have been killed, whatever the grace time. With a grace time under 3.6 s that is before its last sixth, in which alone a stream may be cut; with a longer one, streams that would have ended in time were cut as well.

test_running_requests_may_use_most_of_the_grace_time failed before for all six grace times.

--- a/packages/policy/ibisring_policy/gateway/tests/mutations.py
+++ b/packages/policy/ibisring_policy/gateway/tests/mutations.py
@@ -56,7 +56,7 @@
     >>> from ibisring_policy.gateway import shutdown
     >>> for each in make_mutations(shutdown, ['may_exit']):
     ...     print(each)
-    may_exit: not (elapsed >= grace - MARGIN_SECONDS)
+    may_exit: not (elapsed >= last_moment(grace))
     may_exit: not (elapsed >= min(ACCEPT_SECONDS, grace / 2.0))
     may_exit: not (active == 0)
     """
--- a/packages/policy/ibisring_policy/gateway/tests/promises.py
+++ b/packages/policy/ibisring_policy/gateway/tests/promises.py
@@ -194,12 +194,16 @@
     -------
     list of str
     """
-    is_last_moment = elapsed >= grace - shutdown.MARGIN_SECONDS
+    is_last_moment = elapsed >= shutdown.last_moment(grace)
+    is_last_sixth = elapsed >= 5.0 * grace / 6.0
     is_accepting = elapsed < min(shutdown.ACCEPT_SECONDS, grace / 2.0)
     kept = {
         'no running request is cut before the last moment': (
             not (exits and active and not is_last_moment)
         ),
+        'no running request is cut before the last sixth of the time': (
+            not (exits and active and not is_last_sixth)
+        ),
         'new connections are served until balancers know': (
             not (exits and is_accepting and not is_last_moment)
         ),
--- a/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
@@ -136,13 +136,21 @@
     for limit in (
         grace / 2.0,
         shutdown.ACCEPT_SECONDS,
-        grace - shutdown.MARGIN_SECONDS,
+        shutdown.last_moment(grace),
     ):
         elapsed = limit + offset
         exits = shutdown.may_exit(elapsed, active, grace)
         assert not promises.of_exit(elapsed, active, grace, exits)
 
 
+@pytest.mark.parametrize('grace', [0.5, 1.0, 3.0, 4.0, 8.0, 30.0])
+def test_running_requests_may_use_most_of_the_grace_time(grace):
+    """Guards against streams that are cut before the process has to exit."""
+    assert not shutdown.may_exit(5.0 * grace / 6.0, 1, grace)
+    assert not shutdown.may_exit(grace - 0.3, 1, grace)
+    assert shutdown.may_exit(grace, 1, grace)
+
+
 @hypothesis.given(SECONDS, SECONDS, strategies.integers(0, 3), SECONDS)
 def test_exit_is_not_taken_back(elapsed, later, active, grace):
     """Guards against a process that ends only if it is asked in time."""
