Keep watching attempts when a check can't be started

Cause: the watcher called the stall handler without a guard. When the kernel refused a thread, the exception ended the watcher's thread: no deadlines, no detection of callers that leave, no checks of silences. Each later request wrote to a blocking socket that nothing read, and the 279th waited for ever. An attempt whose check could not be started is checked again 50 ms later; its deadline is kept. The wake-up is non-blocking: if the buffer is full, the thread has a wake-up to read already.

--- a/packages/gateway/ibisring_gateway/attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/attemptwatching.py
@@ -9,6 +9,7 @@
 import time
 
 from ibisring_policy.gateway import attempts
+from ibisring_router import guards
 
 LOG = logging.getLogger(__name__)
 # Bounds in seconds of the sleep until the next attempt is due; a disconnect
@@ -18,6 +19,8 @@
 MIN_SLEEP_SECONDS = 0.005
 MAX_SLEEP_SECONDS = 0.05
 IDLE_SLEEP_SECONDS = 1.0
+# Seconds until an attempt is checked again if its check could not be started.
+RETRY_SECONDS = 0.05
 _DISCONNECT_BITS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _DISCONNECT_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
@@ -242,6 +245,8 @@
         self.by_fd = {}
         self.wake_reader, self.wake_writer = socket.socketpair()
         self.wake_reader.setblocking(False)
+        # Requests must not wait for a thread that doesn't read.
+        self.wake_writer.setblocking(False)
         self.epoll.register(self.wake_reader.fileno(), select.EPOLLIN)
         self.stopped = False
         self.thread = threading.Thread(target=self._loop, daemon=True)
@@ -254,7 +259,7 @@
     def stop(self):
         """Ask the thread to exit."""
         self.stopped = True
-        self.wake_writer.send(b'x')
+        self._wake()
 
     def add(self, caller_socket, attempt):
         """Watch an attempt until `remove`."""
@@ -266,7 +271,13 @@
             if not is_registered:
                 self.epoll.register(fd, _DISCONNECT_EVENTS)
         if was_idle:
+            self._wake()
+
+    def _wake(self):
+        try:
             self.wake_writer.send(b'x')
+        except BlockingIOError:
+            LOG.debug('the thread has yet to read the wake-ups before')
 
     def remove(self, caller_socket):
         """Stop watching an attempt; the caller's socket must be open."""
@@ -292,9 +303,16 @@
 
     def _loop(self):
         while not self.stopped:
-            for fd, _ in self.epoll.poll(self.sleep_seconds(self.clock())):
-                self._on_event(fd)
-            self.check(self.clock())
+            if not guards.run('watch_callers', self._handle_events):
+                time.sleep(MAX_SLEEP_SECONDS)
+            guards.run('watch_attempts', self._check_now)
+
+    def _handle_events(self):
+        for fd, _ in self.epoll.poll(self.sleep_seconds(self.clock())):
+            guards.run('caller_event', self._on_event, fd)
+
+    def _check_now(self):
+        self.check(self.clock())
 
     def sleep_seconds(self, now):
         """Return the seconds until an attempt is next due."""
@@ -323,12 +341,23 @@
     def check(self, now):
         """Abort attempts past their deadline; report silent ones."""
         for attempt in self.attempts():
-            if now >= attempt.deadline:
-                attempt.abort(attempts.Result.DEADLINE)
-            elif attempt.check_at is not None and now >= attempt.check_at:
-                if not attempt.is_checking and attempt.result is None:
-                    attempt.is_checking = True
-                    self.on_silence(attempt)
+            guards.run('watch_attempt', self._check_attempt, attempt, now)
+
+    def _check_attempt(self, attempt, now):
+        if now >= attempt.deadline:
+            attempt.abort(attempts.Result.DEADLINE)
+            return
+        if attempt.check_at is None or now < attempt.check_at:
+            return
+        if attempt.is_checking or attempt.result is not None:
+            return
+        attempt.is_checking = True
+        try:
+            self.on_silence(attempt)
+        except Exception:
+            guards.failed('silence_check', id=attempt.request_id)
+            attempt.check_at = now + RETRY_SECONDS
+            attempt.is_checking = False
 
 
 def make_watcher(on_silence, clock=time.monotonic):
--- a/packages/gateway/ibisring_gateway/tests/test_attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/tests/test_attemptwatching.py
@@ -1,11 +1,13 @@
 """Tests of when attempts are checked."""
 
 import socket
+import threading
 
 from ibisring_gateway import attemptwatching
 from ibisring_gateway import selecting
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import attempts
+from ibisring_router import guards
 import pytest
 
 
@@ -107,3 +109,123 @@
     left.close()
     right.close()
     assert not attemptwatching._has_disconnected(descriptor)
+
+
+class _RefusingWatcher(_Watcher):
+    """Can't check the silence of the attempts with some ids."""
+
+    def __init__(self, refused):
+        self.refused = refused
+        self.silent = []
+        super().__init__(self._on_silence, builders.Clock())
+
+    def _on_silence(self, attempt):
+        if attempt.request_id in self.refused:
+            raise RuntimeError("can't start new thread")
+        self.silent.append(attempt.request_id)
+
+
+def test_check_that_cannot_be_started_stops_no_other():
+    """Guards against one refused thread that ends the watching of all."""
+    watcher = _RefusingWatcher({'first'})
+    clock = watcher.clock
+    found = [_attempt(watcher, clock, check_at=clock()) for _ in range(3)]
+    names = ('first', 'second', 'late')
+    for (attempt, _, _), name in zip(found, names):
+        attempt.request_id = name
+    late = found[2][0]
+    late.check_at = None
+    late.deadline = clock()
+    before = guards.counts().get('silence_check', 0)
+    watcher.check(clock())
+    assert watcher.silent == ['second']
+    assert late.result is attempts.Result.DEADLINE
+    assert guards.counts()['silence_check'] == before + 1
+
+
+def test_check_that_cannot_be_started_is_due_again():
+    """Guards against an attempt that is never checked again."""
+    watcher = _RefusingWatcher({'a'})
+    clock = watcher.clock
+    attempt, _, _ = _attempt(watcher, clock, check_at=clock())
+    watcher.check(clock())
+    assert attempt.check_at > clock()
+    watcher.refused.clear()
+    watcher.check(clock())
+    assert not watcher.silent
+    clock.now = attempt.check_at
+    watcher.check(clock())
+    assert watcher.silent == ['a']
+
+
+def test_deadline_is_kept_while_no_check_can_be_started():
+    watcher = _RefusingWatcher({'a'})
+    clock = watcher.clock
+    attempt, _, _ = _attempt(watcher, clock, check_at=clock())
+    for _ in range(1000):
+        watcher.check(clock())
+        clock.now += 0.0101
+    assert attempt.result is attempts.Result.DEADLINE
+
+
+def test_thread_goes_on_after_a_refused_check():
+    """Guards against later requests without deadlines."""
+    refused = threading.Event()
+
+    def on_silence(attempt):
+        refused.set()
+        raise RuntimeError("can't start new thread")
+
+    class Ended(attemptwatching.Attempt):
+        __slots__ = ('ended',)
+
+        def abort(self, end):
+            super().abort(end)
+            self.ended.set()
+
+    watcher = attemptwatching.make_watcher(on_silence)
+    ours, _theirs = socket.socketpair()
+    attempt = Ended('a', None, (), watcher.clock() + 10.0)
+    attempt.ended = threading.Event()
+    attempt.check_at = watcher.clock()
+    watcher.add(ours, attempt)
+    assert refused.wait(10.0)
+    attempt.deadline = watcher.clock()
+    assert attempt.ended.wait(10.0)
+    assert attempt.result is attempts.Result.DEADLINE
+    watcher.stop()
+
+
+def test_thread_goes_on_after_a_failure_to_wait(monkeypatch):
+    """Guards against deadlines that are missed if events can't be read."""
+    watcher, clock, _ = _watcher()
+    attempt, ours, _ = _attempt(watcher, clock, deadline=clock())
+    pauses = []
+
+    def fail(seconds):
+        raise OSError('no memory')
+
+    def pause(seconds):
+        pauses.append(seconds)
+        if len(pauses) == 2:
+            watcher.stop()
+
+    monkeypatch.setattr(watcher, 'sleep_seconds', fail)
+    monkeypatch.setattr(attemptwatching.time, 'sleep', pause)
+    watcher._loop()
+    assert attempt.result is attempts.Result.DEADLINE
+    assert min(pauses) > 0.0
+    watcher.remove(ours)
+
+
+def test_wake_up_never_blocks_a_request():
+    """Guards against requests that hang as nothing reads the wake-ups."""
+    watcher, clock, _ = _watcher()
+    assert not watcher.wake_writer.getblocking()
+    ours, _theirs = socket.socketpair()
+    for _ in range(5000):
+        watcher.add(
+            ours, attemptwatching.Attempt('a', None, (), clock() + 10.0)
+        )
+        watcher.remove(ours)
+    watcher.stop()
