Don't lose or double checks when a pool can't start a thread

Cause: ThreadPoolExecutor.submit raises if no thread can be started, but has queued the task by then. A check that is tried again runs twice; an attempt that was to be moved off an engine stayed marked as being checked, and was never checked again; of several orders some were sent and none was recorded; a check that raised was due again at once. Change: WorkerPool goes by the threads that it has. Without any, submit raises and the task is never run. The placer's calls run in its own thread then.

--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -7,6 +7,7 @@
 import logging
 
 from ibisring_gateway import ports
+from ibisring_gateway import workerpool
 from ibisring_policy.gateway import adaptivetimeout
 from ibisring_policy.gateway import estimates
 from ibisring_records import exceptions
@@ -73,9 +74,9 @@
         # these queries: in a shared pool, when many requests fall silent
         # together, all threads would wait for a free one and every stage
         # would seem lost.
-        self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
+        self.pool = workerpool.make_worker_pool(WORKERS)
         # Second queries of silent engines must not delay first ones.
-        self.second_pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
+        self.second_pool = workerpool.make_worker_pool(WORKERS)
         self.recent_queries = {}
         self.recent_second_queries = {}
         self.on_answer = lambda endpoint, started: None
--- a/packages/gateway/ibisring_gateway/linkmonitor.py
+++ b/packages/gateway/ibisring_gateway/linkmonitor.py
@@ -2,12 +2,12 @@
 
 __all__ = ['LinkMonitor', 'make_link_monitor']
 
-import concurrent.futures
 import logging
 import math
 import random
 
 from ibisring_gateway import upstream
+from ibisring_gateway import workerpool
 from ibisring_policy.gateway import links
 from ibisring_router import logs
 
@@ -43,7 +43,7 @@
         self.rng = random.Random()
         self.on_change = lambda: None
         self.probed_at = {}
-        self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
+        self.pool = workerpool.make_worker_pool(WORKERS)
 
     def stop(self):
         """Shut the thread pool down without waiting."""
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -2,13 +2,13 @@
 
 __all__ = ['CheckPlacement', 'Placer']
 
-import concurrent.futures
 import logging
 import random
 import time
 
 from ibisring_gateway import directory
 from ibisring_gateway import ports
+from ibisring_gateway import workerpool
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import layers
 from ibisring_policy.gateway import presence
@@ -74,7 +74,7 @@
         self.send_to_directory = send_to_directory
         self.on_outage_suspected = on_outage_suspected
         self.min_pool_requests = min_pool_requests
-        self.pool = concurrent.futures.ThreadPoolExecutor(MAX_CONCURRENT_CALLS)
+        self.pool = workerpool.make_worker_pool(MAX_CONCURRENT_CALLS)
         self.view = view
         self.engines = engines
         self.metrics = metrics
@@ -246,7 +246,7 @@
         """
         ordered = [e for e in usable if e.id in self.orders.pending]
         for endpoint, status in zip(
-            ordered, self.pool.map(self._query_status, ordered)
+            ordered, self.pool.run_all(self._query_status, ordered)
         ):
             if status is None:
                 continue
@@ -372,7 +372,7 @@
             e for e, _ in planned if self.orders.accepted_orders(e) is None
         ]
         for endpoint, status in zip(
-            unknown, self.pool.map(self._query_status, unknown)
+            unknown, self.pool.run_all(self._query_status, unknown)
         ):
             self._record_order_count(endpoint, status)
         now = time.monotonic()
@@ -389,7 +389,7 @@
             if self.orders.is_unloading(e, now)
         ]
         ready = _due_orders(ready, pools, model, broken, waiting)
-        results = list(self.pool.map(self._send_order, ready))
+        results = self.pool.run_all(self._send_order, ready)
         for (endpoint, holding), result in zip(ready, results):
             if result is not None:
                 seconds = _load_seconds(endpoint, holding, model)
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -7,14 +7,15 @@
 
 __all__ = ['NoWayRound', 'StallHandler', 'make_stall_handler']
 
-import concurrent.futures
 import logging
 import threading
 
 from ibisring_gateway import enginestatus
 from ibisring_gateway import ports
+from ibisring_gateway import workerpool
 from ibisring_policy.gateway import attempts
 from ibisring_records import routing
+from ibisring_router import guards
 from ibisring_router import logs
 
 LOG = logging.getLogger(__name__)
@@ -102,7 +103,7 @@
         self.selector = selector
         self.metrics = metrics
         self.clock = view.clock
-        self.pool = concurrent.futures.ThreadPoolExecutor(WORKERS)
+        self.pool = workerpool.make_worker_pool(WORKERS)
         self.querier = enginestatus.make_status_querier(view, engines, metrics)
         # By service: its endpoints, when they were looked at, and which of
         # them were excluded.
@@ -128,9 +129,8 @@
             elif not self._give_up(attempt, attempts.Cause.SILENT):
                 self._keep_plain(attempt)
         except Exception:
-            LOG.exception(
-                'stage check failed for request %s', attempt.request_id
-            )
+            guards.failed('stage_check', id=attempt.request_id)
+            attempt.check_at = self.clock() + RECHECK_SECONDS
         finally:
             attempt.is_checking = False
 
@@ -429,8 +429,7 @@
                 if leaving == attempt.unmovable_stages:
                     continue
                 if leaving and attempt.reroutes < MAX_REROUTES:
-                    attempt.is_checking = True
-                    self.pool.submit(self._move_off, attempt, leaving)
+                    self._start_move(attempt, leaving)
         with self.view.lock:
             now = self.clock()
             names = self.view.estimates.dead_to_probe(snapshot.endpoints, now)
@@ -443,6 +442,14 @@
             if name in snapshot.endpoints:
                 self.querier.refresh_slowdown(snapshot.endpoints[name])
 
+    def _start_move(self, attempt, leaving):
+        attempt.is_checking = True
+        try:
+            self.pool.submit(self._move_off, attempt, leaving)
+        except RuntimeError:
+            guards.failed('start_move', id=attempt.request_id)
+            attempt.is_checking = False
+
     def _move_off(self, attempt, leaving):
         try:
             is_first_leaving = attempt.endpoint.id in leaving
@@ -454,9 +461,7 @@
                 # at every check, so that failing tries don't use up moves.
                 attempt.unmovable_stages = leaving
         except Exception:
-            LOG.exception(
-                'rerouting failed for request %s', attempt.request_id
-            )
+            guards.failed('move_off', id=attempt.request_id)
         finally:
             attempt.is_checking = False
 
--- a/packages/gateway/ibisring_gateway/tests/test_placing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_placing.py
@@ -8,6 +8,7 @@
 from ibisring_gateway import placing
 from ibisring_gateway import ports
 from ibisring_gateway.tests import builders
+from ibisring_gateway.tests import threadrefusals
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import layers
 from ibisring_policy.gateway import presence
@@ -376,3 +377,14 @@
     _check(placer)
     assert engines.placed
     assert {name[0] for name, _, _ in engines.placed} == {'b'}
+
+
+def test_orders_are_sent_and_recorded_without_a_new_thread():
+    """Guards against orders sent but not recorded, which are sent again."""
+    engines = builders.Engines()
+    remaining = [e for e in _endpoints() if e.id != LOST]
+    placer = _placer(builders.make_view(remaining), engines=engines)
+    with threadrefusals.no_new_threads():
+        _check(placer, times=5)
+    names = [name for name, _, _ in engines.placed]
+    assert names and len(names) == len(set(names))
--- a/packages/gateway/ibisring_gateway/tests/test_stalls.py
+++ b/packages/gateway/ibisring_gateway/tests/test_stalls.py
@@ -12,6 +12,7 @@
 from ibisring_gateway import stalls
 from ibisring_gateway.tests import builders
 from ibisring_gateway.tests import jobbuilders
+from ibisring_gateway.tests import threadrefusals
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import chains
 from ibisring_policy.gateway import retrybudget
@@ -520,3 +521,36 @@
     assert estimate.consecutive_failures == 1
     assert scenario.attempt.result is None
     scenario.handler.stop()
+
+
+def test_check_without_a_thread_is_made_later_and_once(scenario):
+    """Guards against a lost stage that is replaced twice, or never."""
+    scenario.engines.unreachable.add('m:1')
+    attempt = scenario.attempt
+    with threadrefusals.no_new_threads(), pytest.raises(RuntimeError):
+        scenario.handler.handle(attempt)
+    scenario.handler.handle(attempt)
+    scenario.settle()
+    assert _names(attempt.stages) == ['h', 'm2', 't']
+    assert len(scenario.engines.rerouted) == 1
+
+
+def test_check_that_fails_is_due_again(scenario):
+    """Guards against checks that follow one another without a pause."""
+    attempt = scenario.attempt
+    attempt.is_checking = True
+    with threadrefusals.no_new_threads():
+        scenario.handler._check(attempt)
+    assert not attempt.is_checking and attempt.result is None
+    assert attempt.check_at > scenario.view.clock()
+
+
+def test_move_without_a_thread_is_made_at_the_next_check(scenario):
+    """Guards against a stream that stays with an engine until it exits."""
+    scenario.replace('m', state=routing.EndpointState.DRAINING)
+    with threadrefusals.no_new_threads():
+        scenario.handler.run_checks()
+    assert not scenario.attempt.is_checking
+    scenario.handler.run_checks()
+    scenario.settle()
+    assert _names(scenario.attempt.stages) == ['h', 'm2', 't']
