--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -100,6 +100,7 @@
         """Serve one request; called in a worker thread of the server."""
         started = self.clock()
         request_id = ''
+        exchange.is_last = self._is_stopping
         with self.view.lock:
             self.active += 1
         try:
@@ -108,6 +109,10 @@
             )
             request_id = request.id
             mark = relayrouting.accept_mark(exchange, request, self.view.name)
+            if not self.view.is_ready:
+                raise exceptions.NotReady(
+                    'no configuration yet', NOT_READY_RETRY_SECONDS
+                )
             request.body = exchange.read_body()
             self._serve(exchange, request, started, mark)
         except exceptions.IbisringError as error:
@@ -126,13 +131,15 @@
             self.metrics.count('internal_errors')
             LOG.exception('request_failed %s', request_id)
             error = exceptions.IbisringError('an internal error')
+            if not exchange.headers_sent:
+                exchange.close_after()
             self._send_error(exchange, request_id, error, started)
-            exchange.close_after()
         finally:
             with self.view.lock:
                 self.active -= 1
-            if self.stopping_at is not None:
-                exchange.close_after()
+
+    def _is_stopping(self):
+        return self.stopping_at is not None
 
     def _send_error(self, exchange, request_id, error, started):
         if exchange.headers_sent:
@@ -142,8 +149,6 @@
             exchange.abort()
             self.log.write_broken_off(request_id, error, started, exchange.job)
             return
-        if self.stopping_at is not None:
-            exchange.close_after()
         if exchange.is_from_router:
             relayrouting.mark_error(exchange, error)
         status, headers, body = self.codec.encode_error(request_id, error)
@@ -158,10 +163,6 @@
 
     def _serve(self, exchange, request, started, mark):
         snapshot = self.view.snapshot
-        if not self.view.is_ready:
-            raise exceptions.NotReady(
-                'no configuration yet', NOT_READY_RETRY_SECONDS
-            )
         if mark is not None and mark.table_version > snapshot.version:
             raise exceptions.TableBehind(
                 f'{mark.sender} has table {mark.table_version}'
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -43,12 +43,15 @@
 READY_PATH = '/readyz'
 METRICS_PATH = '/metrics'
 EXIT_START_FAILED = 1
-# Threads at the start and at most.  Starting a thread takes milliseconds once
-# many of them run, so those of a usual burst are started before it.
-CALLER_THREADS = (256, 1200)
+# Threads at the start and at most.  A machine has tens of routers, and its
+# limit of threads may be as low as 32,768.
+CALLER_THREADS = (16, 1200)
 READY_THREADS = (2, 8)
 # A request that another router hands over occupies a thread until it ends.
 PEER_THREADS = (2, 1200)
+# Until a configuration is read; no body is read before either.  A limit that
+# is too low would refuse for good what the configuration allows.
+UNKNOWN_LIMITS = routing.CallerLimits(header_bytes=262144, body_bytes=0)
 # Interval of the periodic placement check, in addition to the one after each
 # change: finds orders without effect and engines that died silently.
 CHECK_SECONDS = 0.25
@@ -242,7 +245,7 @@
     def _listen(self):
         """Bind all addresses; callers are served later."""
         settings = self.settings
-        limits = routing.CallerLimits()
+        limits = UNKNOWN_LIMITS
         self.caller_server = callerserver.make_server(
             settings.caller_listen,
             CALLER_THREADS,
@@ -322,6 +325,9 @@
         """Serve counters and quantiles as text."""
         counters = self.metrics.counters
         counters['log_lines_dropped'] = self.log_writer.dropped
+        counters['thread_starts_failed'] = sum(
+            server.requests.failed_starts for server in self.servers
+        )
         counters['gossip_bytes_told'] = self.gossip.bytes_sent
         counters['gossip_bytes_heard'] = self.gossip.bytes_received
         with self.view.lock:
