Run each periodic check, whatever fails before it

Cause: the periodic checks were one sequence. With a placer that had ended, its first line raised each time, and the checks of stalls, links and ranks stopped. The report of an endpoint that leaves raised from the handling of its answer, and the caller got 500 in place of the answer. An exception while the settings were reloaded ended the main thread. Change: each of them is guarded. The metrics address counts what the guards caught, as step_failed.

--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -35,6 +35,7 @@
 from ibisring_policy.gateway import shutdown
 from ibisring_records import exceptions
 from ibisring_records import routing
+from ibisring_router import guards
 from ibisring_router import logs
 from ibisring_router import metrics
 from ibisring_router import periodic
@@ -274,9 +275,9 @@
     def _report_leaving(self, endpoint):
         """Have the directory stop using an endpoint that says it leaves."""
         if not self.view.snapshot.is_leaving(endpoint):
-            self.directory.tell(
-                directory.LeavingReport(endpoint.id, endpoint.started)
-            )
+            report = directory.LeavingReport(endpoint.id, endpoint.started)
+            # The endpoint's answer goes to the caller in any case.
+            guards.run('report_leaving', self.directory.tell, report)
 
     def _apply_limits(self, table):
         for server in (self.caller_server, self.peer_server):
@@ -295,12 +296,16 @@
             self.view.domain_links.set_fleet(counts, total, now)
 
     def _run_periodic_checks(self):
-        self._check_placement()
-        self._update_fleet()
+        """Run each check, also if one before it failed."""
+        guards.run('check_placement', self._check_placement)
+        guards.run('update_fleet', self._update_fleet)
+        guards.run('tick', self._tick)
+        guards.run('check_stalls', self.stall_handler.run_checks)
+        guards.run('check_links', self.link_monitor.run_checks)
+        guards.run('check_ranks', self.rank_monitor.run_checks)
+
+    def _tick(self):
         self.directory.tell(directory.Tick())
-        self.stall_handler.run_checks()
-        self.link_monitor.run_checks()
-        self.rank_monitor.run_checks()
 
     def serve_ready(self, call):
         """Answer a readiness check: 200 if new connections are accepted."""
@@ -328,6 +333,8 @@
         counters['thread_starts_failed'] = sum(
             server.requests.failed_starts for server in self.servers
         )
+        for step, times in guards.counts().items():
+            counters[f'step_failed.{step}'] = times
         counters['gossip_bytes_told'] = self.gossip.bytes_sent
         counters['gossip_bytes_heard'] = self.gossip.bytes_received
         with self.view.lock:
@@ -364,7 +371,7 @@
             while self.signals:
                 signal_number = self.signals.pop(0)
                 if signal_number == signal.SIGHUP:
-                    self.reload(path)
+                    guards.run('reload', self.reload, path)
                 else:
                     self.shut_down()
                     return
