Guard the loops of gossip, peers and followers

Cause: an exception while a datagram of another router was applied ended the receiving of gossip for good, one while a message was built ended the sending, and one in the computation of a pause ended a follower. A failing read of the list of routers kept the peers' loop from catching up. Change: each step is guarded and followed by a pause if it failed. The loops that had a guard of their own use the shared one, whose log lines are bounded. Looked at without a change: the log writer (its handler catches what a write raises), the links' and the stalls' pools, the accepting loop of cheroot.

--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -16,9 +16,12 @@
 from ibisring_policy.gateway import gossipschedule
 from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import storereaders
+from ibisring_router import guards
 
 LOG = logging.getLogger(__name__)
 MAX_DATAGRAM_BYTES = 60000
+# Pause after a message that could not be handled; others wait in the kernel.
+RECEIVE_PAUSE_SECONDS = 0.005
 
 
 class Gossip:
@@ -92,10 +95,14 @@
                 gossipschedule.CHECK_SECONDS * self.rng.uniform(0.8, 1.2)
             )
             self.wake.clear()
-            try:
-                self._send()
-            except OSError as error:
-                LOG.debug('sending gossip failed: %s', error)
+            if not guards.run('gossip_send', self._send_due):
+                self.stopped.wait(gossipschedule.CHECK_SECONDS)
+
+    def _send_due(self):
+        try:
+            self._send()
+        except OSError as error:
+            LOG.debug('sending gossip failed: %s', error)
 
     def _message(self, now):
         """Build the message that describes this router now."""
@@ -311,17 +318,20 @@
 
     def _receive_loop(self):
         while not self.stopped.is_set():
-            try:
-                data, source = self.socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
-                self.bytes_received += len(data)
-                message = gossipmessages.decode(data)
-            except OSError as error:
-                LOG.debug('receiving gossip failed: %s', error)
-                self.stopped.wait(gossipschedule.CHECK_SECONDS)
-                continue
-            except msgspec.MsgspecError as error:
-                LOG.warning('unreadable gossip message: %s', error)
-                continue
+            if not guards.run('gossip_receive', self._receive_next):
+                self.stopped.wait(RECEIVE_PAUSE_SECONDS)
+
+    def _receive_next(self):
+        try:
+            data, source = self.socket.recvfrom(MAX_DATAGRAM_BYTES + 1)
+            self.bytes_received += len(data)
+            message = gossipmessages.decode(data)
+        except OSError as error:
+            LOG.debug('receiving gossip failed: %s', error)
+            self.stopped.wait(gossipschedule.CHECK_SECONDS)
+        except msgspec.MsgspecError as error:
+            LOG.warning('unreadable gossip message: %s', error)
+        else:
             self.receiver.receive(message, source)
 
 
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -20,6 +20,7 @@
 from ibisring_policy.gateway import storereaders
 from ibisring_records import exceptions
 from ibisring_records import routing
+from ibisring_router import guards
 from ibisring_router import logs
 from ibisring_web import calls
 
@@ -279,13 +280,10 @@
         """Update role and state until stopped."""
         while not self.stopped.wait(TICK_SECONDS * self.rng.uniform(0.8, 1.2)):
             now = self.view.clock()
-            try:
-                if now >= self.next_list_at:
-                    self._refresh_list(now)
-                self._update_role(now)
-                self._catch_up(now)
-            except Exception:
-                LOG.exception('peers_failed')
+            if now >= self.next_list_at:
+                guards.run('list_routers', self._refresh_list, now)
+            guards.run('store_role', self._update_role, now)
+            guards.run('catch_up', self._catch_up, now)
 
     def _catch_up(self, now):
         """Fetch newer state of others if it has not arrived by gossip."""
--- a/packages/gateway/ibisring_gateway/storefollowing.py
+++ b/packages/gateway/ibisring_gateway/storefollowing.py
@@ -13,6 +13,7 @@
 from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import storereaders
 from ibisring_records import exceptions
+from ibisring_router import guards
 from ibisring_router import logs
 
 LOG = logging.getLogger(__name__)
@@ -64,16 +65,16 @@
     def run(self):
         """Follow the source until stopped."""
         while not self.is_stopped:
-            delay = self.followers.delay(self.name)
-            if delay > 0.0:
-                self.pause(delay)
-                continue
-            try:
-                self._follow()
-            except Exception:
-                LOG.exception('following_failed')
+            if not guards.run(f'follow_{self.name}', self._step):
                 self.pause(ERROR_PAUSE_SECONDS)
 
+    def _step(self):
+        delay = self.followers.delay(self.name)
+        if delay > 0.0:
+            self.pause(delay)
+        else:
+            self._follow()
+
     def pause(self, seconds):
         """Wait for some seconds, or until `wake` is set."""
         self.wake.wait(seconds)
--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -1,5 +1,7 @@
 """Tests of gossip messages, also between routers of two releases."""
 
+import types
+
 import msgspec
 
 from ibisring_gateway import directory
@@ -214,3 +216,53 @@
     _, told = _receive(view, leaving={'x': 5, 'y': 3}, endpoints_era=0)
     reports = [e for e in told if isinstance(e, directory.LeavingReport)]
     assert [(e.id, e.started) for e in reports] == [('x', 5)]
+
+
+class _Socket:
+    """Has datagrams to receive; closed after the last one."""
+
+    def __init__(self, datagrams, on_end):
+        self.datagrams = list(datagrams)
+        self.on_end = on_end
+
+    def recvfrom(self, size):
+        if not self.datagrams:
+            self.on_end()
+            raise OSError('closed')
+        return self.datagrams.pop(0), ('127.0.0.1', 9)
+
+
+def test_message_that_can_not_be_applied_ends_no_receiving():
+    """Guards against a router that hears of no state until it restarts."""
+    router = _make_gossip(builders.make_view([]))
+    names = ['r1', 'r2', 'r3']
+    messages = [gossipmessages.Message(each, {}, []) for each in names]
+    router.socket = _Socket(
+        map(gossipmessages.encode, messages), router.stopped.set
+    )
+    received = []
+
+    def receive(message, source):
+        received.append(message.router)
+        if message.router == 'r1':
+            raise RuntimeError('the directory is dead')
+
+    router.receiver = types.SimpleNamespace(receive=receive)
+    router._receive_loop()
+    assert received == names
+
+
+def test_failed_message_ends_no_sending(monkeypatch):
+    """Guards against a router that the others take for gone."""
+    router = _make_gossip(builders.make_view([]))
+    sent = []
+
+    def send():
+        sent.append(None)
+        if len(sent) == 2:
+            router.stopped.set()
+        raise RuntimeError('the state changed while it was read')
+
+    monkeypatch.setattr(router, '_send', send)
+    router.run()
+    assert len(sent) == 2
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -215,3 +215,24 @@
         progress.queried(number, not progress.queried_store)
         from_store.append(progress.queried_store)
     assert from_store == [True, False, True, False]
+
+
+def test_failed_step_keeps_no_other_from_running(monkeypatch):
+    """Guards against old state that is kept as the list can't be read."""
+    router_peers = _make_peers()
+    calls = []
+
+    def fail(now):
+        calls.append('list')
+        if len(calls) == 2:
+            router_peers.stop()
+        raise RuntimeError("can't start new thread")
+
+    def catch_up(now):
+        calls.append('catch_up')
+        router_peers.stop()
+
+    monkeypatch.setattr(router_peers, '_refresh_list', fail)
+    monkeypatch.setattr(router_peers, '_catch_up', catch_up)
+    router_peers.run()
+    assert calls == ['list', 'catch_up']
--- a/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
@@ -218,3 +218,22 @@
     followers.clock.now += 1.0
     followers.note_era(1)
     assert followers.members['table'].source.cancelled == 1
+
+
+def test_follower_goes_on_after_a_failure_to_wait(monkeypatch):
+    """Guards against a table that is never read again."""
+    followers, messages = _followers()
+    follower = followers.members['table']
+    monkeypatch.setattr(follower, 'pause', lambda seconds: None)
+    delays = iter([RuntimeError("can't start new thread"), 0.0])
+
+    def delay(name):
+        value = next(delays)
+        if isinstance(value, Exception):
+            raise value
+        follower.is_stopped = True
+        return value
+
+    monkeypatch.setattr(followers, 'delay', delay)
+    follower.run()
+    assert [type(each) for each in messages] == [directory.ReadResult]
--- a/packages/router/ibisring_router/periodic.py
+++ b/packages/router/ibisring_router/periodic.py
@@ -2,12 +2,12 @@
 
 __all__ = ['Periodic', 'start', 'stop_all']
 
-import logging
 import random
 import threading
 import time
 
-LOG = logging.getLogger(__name__)
+from ibisring_router import guards
+
 JITTER_RATIO = 0.1
 STOP_TIMEOUT_SECONDS = 5.0
 
@@ -34,10 +34,7 @@
         while not self.stopped.wait(
             self.interval * rng.uniform(1 - JITTER_RATIO, 1 + JITTER_RATIO)
         ):
-            try:
-                self.function()
-            except Exception:
-                LOG.exception('periodic_failed')
+            guards.run('periodic', self.function)
 
 
 def start(interval, function):
