Hold a moved stream until its deadline, not until six refusals

Cause: a stream that this router had taken from an endpoint by its own choice was cut after six refusals by successors, after 1.3 s without room, or as soon as a refused attempt left no retry in the budget. The endpoint it was taken from might have gone on.

Change: `attempts.is_held` says that no event has come since an attempt that this router gave up, and that no endpoint has lost one since. Such a stream is sent again, with pauses of 0.1 to 0.4 s, until its deadline or until its caller leaves. Attempts that no endpoint has run count neither as tries nor as refusals; each that is sent takes its retry from the budget as before. Without a retry the new step `WAIT` decides again after a pause. A retry is given back while a held stream searches for room. An endpoint that loses the stream ends the hold; the limits on lost, suspected and drained ones are as before.

The machine went through 256,556 states and 755,990 transitions without a finding, and found all mutations. The tests of packages/gateway without test_rankroom passed in one run.

The three new tests of test_successors failed before, and so did the new ones of test_decisions and test_smallmachine for want of the decision.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -20,6 +20,7 @@
 from ibisring_records import exceptions
 from ibisring_router import logs
 from ibisring_web import serving
+import msgspec
 
 LOG = logging.getLogger(__name__)
 # The final answer is sent this long before the caller's own time limit, so
@@ -199,40 +200,69 @@
         """Send attempts until the request has its final answer."""
         try:
             while True:
+                before = msgspec.structs.replace(job.progress)
                 result = self._send_attempt(job)
                 job.last_result = result
                 if result is not attempts.Result.NOT_SENT:
                     job.retry = None
                 if result is None:
                     return
+                self._count_in_vain(job, result, before)
                 step = self._decide(job, result)
+                if step is attempts.NextStep.WAIT:
+                    step = self._wait_for_retry(job, result)
                 if step not in attempts.CONTINUING:
                     self._end_unanswered(job, result, step)
                     return
-                if (
-                    step is attempts.NextStep.RESUME
-                    and result is attempts.Result.REFUSED
-                ):
-                    self._wait_before_resume(job)
+                self._pause(job, result, step)
         finally:
             self._cancel_successor(job)
-            if job.retry is not None:
-                self.successors.give_back(job.retry)
+            self._give_back_retry(job)
+
+    def _count_in_vain(self, job, result, before):
+        """Count the attempts of a held request that have not run."""
+        if not attempts.is_in_vain(result, job.progress):
+            job.in_vain = 0
+            return
+        job.in_vain += 1
+        attempts.uncount(before, job.progress)
+        # Kept during a search for room, it would be missing to others.
+        self._give_back_retry(job)
+
+    def _wait_for_retry(self, job, result):
+        """Wait until a held request gets a retry, and return what follows."""
+        step = attempts.NextStep.WAIT
+        while step is attempts.NextStep.WAIT:
+            job.in_vain += 1
+            self._pause(job, result, step)
+            step = self._choose_step(job, result)
+        self._log_attempt(job, result, step)
+        return step
+
+    def _give_back_retry(self, job):
+        retry, job.retry = job.retry, None
+        if retry is not None:
+            self.successors.give_back(retry)
 
     def _decide(self, job, result):
         """Return the next step after an attempt without a whole answer."""
+        attempts.note_result(result, job.progress)
+        if result is attempts.Result.SILENT and job.successor is not None:
+            attempts.count_given_up(job.successor.cause, job.progress)
+        step = self._choose_step(job, result)
+        self._log_attempt(job, result, step)
+        return step
+
+    def _choose_step(self, job, result):
         now = self.clock()
         progress = job.progress
         progress.time_left = job.deadline - now
         progress.delivering = job.exchange.headers_sent
         progress.has_retry_budget = True
-        if result is attempts.Result.SILENT and job.successor is not None:
-            attempts.count_given_up(job.successor.cause, progress)
         step = attempts.decide(result, progress)
         if step in attempts.CONTINUING and progress.sent_to:
             progress.has_retry_budget = self._take_retry(job, now)
             step = attempts.decide(result, progress)
-        self._log_attempt(job, result, step)
         return step
 
     def _log_attempt(self, job, result, step):
@@ -293,9 +323,12 @@
                 job.service.name, taken_at, refused, self.clock()
             )
 
-    def _wait_before_resume(self, job):
-        """Wait before a started stream is retried after a refusal."""
-        time.sleep(attempts.REFUSAL_PAUSE_SECONDS)
+    def _pause(self, job, result, step):
+        """Wait before a started stream is sent again, if it must."""
+        seconds = attempts.pause_seconds(result, step, job.in_vain)
+        if not seconds:
+            return
+        time.sleep(max(0.0, min(seconds, job.deadline - self.clock())))
         if serving.is_gone(job.exchange.socket):
             raise exchange_module.CallerDisconnected('between two attempts')
 
--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -69,6 +69,8 @@
     last_result : attempts.Result or None
         Result of the last attempt; None before it, or if its answer was
         relayed to the end.
+    in_vain : int
+        Attempts since one last ran, see `attempts.pause_seconds`.
     retry : successors.Retry or None
         Taken from the limit on retries, and not yet spent: an attempt that
         was sent spends it, however it ends.
@@ -85,6 +87,7 @@
 
     # Values before the first attempt.
     last_result = None
+    in_vain = 0
     retry = None
     successor = None
     transfer = None
@@ -166,7 +169,7 @@
             pause = now - self.last_chunk_at
             self.longest_pause = max(self.longest_pause, pause)
         self.last_chunk_at = now
-        self.progress.is_moved = False
+        attempts.note_event(self.progress)
 
     @property
     def rank_text(self):
--- a/packages/gateway/ibisring_gateway/tests/test_successors.py
+++ b/packages/gateway/ibisring_gateway/tests/test_successors.py
@@ -75,6 +75,50 @@
     assert not job.exchange.is_aborted
 
 
+@pytest.mark.parametrize('result', [Result.REFUSED, Result.NOT_SENT])
+def test_moved_stream_outlasts_refusals_and_missing_room(result, monkeypatch):
+    """Failure: a stream of an engine that pauses is cut by its successors."""
+    pauses = []
+    monkeypatch.setattr(forwarding.time, 'sleep', pauses.append)
+    job = _started_job()
+    forwarder = _forwarder(50.0)
+    sent = _play(forwarder, job, Result.SILENT, *[result] * 20, None)
+    assert len(sent) == 22 and not job.exchange.is_aborted
+    assert len(pauses) >= 20 - attempts.MAX_TRIES
+    spent = 20 if result is Result.REFUSED else 0
+    assert forwarder._retries_left() == 50 - 1 - spent
+
+
+def test_moved_stream_waits_for_a_retry(monkeypatch):
+    """Failure: a moved stream is cut as others have used up the retries."""
+    job = _started_job()
+    forwarder = _forwarder(1.0)
+    pauses = []
+
+    def sleep(seconds):
+        pauses.append(seconds)
+        if len(pauses) == 9:
+            forwarder.retry_budget.retry_times.clear()
+
+    monkeypatch.setattr(forwarding.time, 'sleep', sleep)
+    sent = _play(forwarder, job, Result.SILENT, Result.REFUSED, None)
+    assert len(sent) == 3 and not job.exchange.is_aborted
+    assert all(pauses)
+
+
+def test_deadline_ends_the_wait_of_a_moved_stream(monkeypatch):
+    job = _started_job()
+    forwarder = _forwarder(1.0)
+    forwarder.retry_budget.seconds = 100.0
+    now = forwarder.clock()
+    waited = []
+    monkeypatch.setattr(forwarding.time, 'sleep', waited.append)
+    forwarder.clock = lambda: now + sum(waited)
+    _play(forwarder, job, Result.SILENT, Result.REFUSED)
+    assert job.exchange.is_aborted
+    assert 19.0 < sum(waited) < 21.0
+
+
 def test_retry_is_spent_by_what_was_sent():
     job = _started_job()
     forwarder = _forwarder(1.0)
--- a/packages/policy/ibisring_policy/gateway/attempts.py
+++ b/packages/policy/ibisring_policy/gateway/attempts.py
@@ -8,7 +8,13 @@
     'decide',
     'may_give_up',
     'count_given_up',
+    'note_event',
+    'note_result',
+    'is_held',
+    'is_in_vain',
+    'uncount',
     'use_up',
+    'pause_seconds',
     'tries_left',
 ]
 
@@ -42,7 +48,7 @@
 
     `REFUSE` guarantees to the caller that nothing was executed; `UNKNOWN`
     does not.  `ABORT` breaks off a response that has begun, so that it can't
-    be taken for a complete one.
+    be taken for a complete one.  `WAIT` is to decide again after a pause.
     """
 
     RETRY = 'elsewhere'
@@ -50,6 +56,7 @@
     REFUSE = 'refuse'
     UNKNOWN = 'unknown'
     ABORT = 'break'
+    WAIT = 'wait'
     DROP = 'drop'
 
 
@@ -74,9 +81,11 @@
     endpoint refused, `moves` those that this router gave up though nothing
     showed that the endpoint was lost, `sent_to` the endpoints that the
     request was sent to; `is_moved` says that no event has come since the last
-    of these moves; `may_have_run` is set once one of them may have begun
-    to execute it, and `delivering` once the caller has received the head of a
-    response.  `time_left` is in seconds.
+    of these moves, `is_given_up` that none has since this router gave up an
+    attempt, for whatever cause, and no endpoint has lost one since;
+    `may_have_run` is set once one of them may have begun to execute it, and
+    `delivering` once the caller has received the head of a response.
+    `time_left` is in seconds.
     """
 
     repeatable: bool
@@ -86,6 +95,7 @@
     refusals: int = 0
     moves: int = 0
     is_moved: bool = False
+    is_given_up: bool = False
     sent_to: int = 0
     may_have_run: bool = False
     delivering: bool = False
@@ -102,6 +112,9 @@
 # two attempts then: engines that are full have room again soon.
 MAX_REFUSALS = 6
 REFUSAL_PAUSE_SECONDS = 0.1
+# Longest pause between two attempts of a held stream: its caller waits about
+# two seconds for the next event.
+MAX_PAUSE_SECONDS = 0.4
 # Attempts of a request that may be given up for a silence alone.  They don't
 # count as tries: a slow endpoint must not use up what a lost one needs.
 MAX_MOVES = 3
@@ -133,8 +146,11 @@
         return _give_up(progress)
     if progress.may_have_run and not progress.repeatable:
         return _give_up(progress)
-    if not _may_retry(result, progress):
+    if not _may_retry(progress):
         return _give_up(progress)
+    # Sending a request that no endpoint has received yet is not a retry.
+    if progress.sent_to and not progress.has_retry_budget:
+        return NextStep.WAIT if is_held(progress) else _give_up(progress)
     if progress.delivering:
         return NextStep.RESUME if progress.stream else NextStep.ABORT
     return NextStep.RETRY
@@ -176,31 +192,95 @@
 
 
 def use_up(progress):
-    """Leave a request no further connection attempt."""
+    """Leave a request no further connection attempt, unless it is held."""
+    if is_held(progress):
+        return
     progress.refusals = MAX_REFUSALS
     progress.tries = MAX_TRIES + progress.moves
 
 
 def count_given_up(cause, progress):
     """Count an attempt that this router has given up."""
+    progress.is_given_up = True
     if cause in _MOVES:
         progress.moves += 1
         progress.is_moved = True
 
 
+def note_event(progress):
+    """Note that an event of the answer has come."""
+    progress.is_moved = False
+    progress.is_given_up = False
+
+
+def note_result(result, progress):
+    """Note how an attempt has failed, before it is counted as given up."""
+    if result not in _NOT_RUN:
+        progress.is_given_up = False
+
+
+def is_held(progress):
+    """Return whether a request isn't ended for want of an endpoint.
+
+    Its attempt might have gone on, had this router not given it up, and the
+    caller would lose what it has received.  So refusals, missing room and a
+    used up retry budget end it no more than they end an attempt that runs:
+    its deadline, its caller, or an endpoint that loses it does.
+    """
+    return progress.is_given_up and progress.delivering and progress.stream
+
+
+def is_in_vain(result, progress):
+    """Return whether no endpoint has run an attempt of a held request."""
+    return is_held(progress) and result in _NOT_RUN
+
+
+def uncount(before, progress):
+    """Take back what an attempt that was in vain has counted.
+
+    Otherwise refusals would use up the tries that the stream needs when its
+    next endpoint is lost.
+
+    Parameters
+    ----------
+    before : Progress
+        State before the attempt.
+    progress : Progress
+    """
+    progress.tries = before.tries
+    progress.refusals = before.refusals
+
+
+def pause_seconds(result, step, in_vain):
+    """Return the seconds to wait before a request's next step.
+
+    Parameters
+    ----------
+    result : Result
+    step : NextStep
+    in_vain : int
+        Attempts of a held request since one last ran, and waits for a retry.
+    """
+    is_full = result is Result.REFUSED and step is NextStep.RESUME
+    if step is not NextStep.WAIT and not is_full and in_vain <= MAX_TRIES:
+        return 0.0
+    pause = REFUSAL_PAUSE_SECONDS * max(1, in_vain - MAX_REFUSALS)
+    return min(MAX_PAUSE_SECONDS, pause)
+
+
 _FINAL_RESULTS = (Result.DEADLINE, Result.SUSPECTED, Result.TURNED_AWAY)
+# Results of attempts that no endpoint has run.
+_NOT_RUN = (Result.NOT_SENT, Result.REFUSED)
 
 
-def _may_retry(result, progress):
+def _may_retry(progress):
     if not tries_left(progress):
         return False
     if progress.time_left < MIN_TIME_LEFT_SECONDS:
         return False
     # A stream may return to an endpoint that it was sent to before, with a
     # chain of other stages: that does not count as a further endpoint.
-    is_open = progress.stream or progress.sent_to < progress.max_endpoints
-    # Sending a request that no endpoint has received yet is not a retry.
-    return is_open and (progress.has_retry_budget or not progress.sent_to)
+    return progress.stream or progress.sent_to < progress.max_endpoints
 
 
 def tries_left(progress):
--- a/packages/policy/ibisring_policy/gateway/tests/machinedecisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/machinedecisions.py
@@ -14,7 +14,9 @@
     ----------
     decide : callable
         As `attempts.decide`.
-    may_give_up, count_given_up : callable
+    may_give_up, count_given_up, is_held, is_in_vain : callable
+        As in `attempts`.
+    note_result, uncount, use_up : callable
         As in `attempts`.
     has_alternative : callable
         Whether a running attempt has a successor; takes its endpoint, those
@@ -33,29 +35,20 @@
         'decide',
         'may_give_up',
         'count_given_up',
+        'is_held',
+        'is_in_vain',
+        'note_result',
+        'uncount',
+        'use_up',
         'has_alternative',
         'judge',
         'may_exit',
         'takes_retry_first',
     )
 
-    def __init__(
-        self,
-        decide,
-        may_give_up,
-        count_given_up,
-        has_alternative,
-        judge,
-        may_exit,
-        takes_retry_first,
-    ):
-        self.decide = decide
-        self.may_give_up = may_give_up
-        self.count_given_up = count_given_up
-        self.has_alternative = has_alternative
-        self.judge = judge
-        self.may_exit = may_exit
-        self.takes_retry_first = takes_retry_first
+    def __init__(self, **values):
+        for name in self.__slots__:
+            setattr(self, name, values[name])
 
 
 def make_decisions(module=attempts, **changes):
@@ -72,6 +65,11 @@
         'decide': module.decide,
         'may_give_up': module.may_give_up,
         'count_given_up': module.count_given_up,
+        'is_held': module.is_held,
+        'is_in_vain': module.is_in_vain,
+        'note_result': module.note_result,
+        'uncount': module.uncount,
+        'use_up': module.use_up,
         'has_alternative': _has_alternative,
         'judge': answerends.judge,
         'may_exit': shutdown.may_exit,
--- a/packages/policy/ibisring_policy/gateway/tests/machinestate.py
+++ b/packages/policy/ibisring_policy/gateway/tests/machinestate.py
@@ -29,6 +29,19 @@
 
 ENDPOINTS = (0, 1, 2)
 MAX_ENDPOINTS = (1, 2)
+# A stream that was moved off its endpoint, after many refusals.
+_HELD = {
+    'tries': attempts.MAX_REFUSALS + 1,
+    'refusals': attempts.MAX_REFUSALS - 1,
+    'moves': 1,
+    'is_moved': True,
+    'is_given_up': True,
+    'delivering': True,
+    'may_have_run': True,
+    'sent_to': frozenset(ENDPOINTS[:1]),
+    'avoid': frozenset(ENDPOINTS[:1]),
+    'runs': 1,
+}
 # Events of a whole stream.
 EVENTS = 2
 
@@ -98,7 +111,8 @@
     """State of the whole machine.
 
     `runs` counts how often an endpoint began to run the request, `position` is
-    the last event that the caller has, `stopping` the seconds since SIGTERM.
+    the last event that the caller has, `stopping` the seconds since SIGTERM;
+    with `waits_after` a held request waits for a retry, after this result.
     """
 
     kind: Kind
@@ -109,12 +123,14 @@
     refusals: int = 0
     moves: int = 0
     is_moved: bool = False
+    is_given_up: bool = False
     sent_to: frozenset = frozenset()
     avoid: frozenset = frozenset()
     may_have_run: bool = False
     delivering: bool = False
     endpoints: tuple = (Health.UP, Health.UP, Health.UP)
     run: Run | None = None
+    waits_after: attempts.Result | None = None
     runs: int = 0
     position: int = 0
     is_caller_gone: bool = False
@@ -147,7 +163,13 @@
             Kind, (0, 1), MAX_ENDPOINTS, used
         )
     ]
-    return fresh + [_after_loss(each) for each in fresh if _may_lose(each)]
+    held = [
+        State(kind=Kind.STREAM, budget=budget, max_endpoints=1, **_HELD)
+        for budget in (0, 1)
+    ]
+    return [*fresh, *held] + [
+        _after_loss(each) for each in fresh if _may_lose(each)
+    ]
 
 
 def _may_lose(start):
@@ -189,6 +211,7 @@
         refusals=state.refusals,
         moves=state.moves,
         is_moved=state.is_moved,
+        is_given_up=state.is_given_up,
         sent_to=len(state.sent_to),
         may_have_run=state.may_have_run,
         delivering=state.delivering,
--- a/packages/policy/ibisring_policy/gateway/tests/machinesteps.py
+++ b/packages/policy/ibisring_policy/gateway/tests/machinesteps.py
@@ -34,7 +34,7 @@
 
     def send(self, state):
         """Send an attempt to the next endpoint."""
-        if state.run is not None:
+        if state.run is not None or state.waits_after is not None:
             return None
         self.check(
             'nothing is sent for a caller that has left',
@@ -43,25 +43,32 @@
         endpoint = machinestate.next_endpoint(state)
         if endpoint is None:
             return self._use_up_tries(state)
-        return self._send_to(
-            machinestate.change(state, tries=state.tries + 1), endpoint
-        )
+        return self._send_to(state, endpoint)
 
     def _use_up_tries(self, state):
+        progress = machinestate.progress(state)
+        self.decisions.use_up(progress)
         state = machinestate.change(
-            state,
-            tries=attempts.MAX_TRIES + state.moves,
-            refusals=attempts.MAX_REFUSALS,
+            state, tries=progress.tries, refusals=progress.refusals
         )
         return self._end_attempt(state, Result.NOT_SENT)
 
-    def _send_to(self, state, endpoint):
-        health = state.endpoints[endpoint]
-        if health is machinestate.Health.DOWN:
-            avoid = state.avoid | {endpoint}
-            return self._end_attempt(
-                machinestate.change(state, avoid=avoid), Result.NOT_SENT
+    def _end_not_run(self, state, before, result):
+        """End an attempt that no endpoint has run."""
+        progress = machinestate.progress(state)
+        if self.decisions.is_in_vain(result, progress):
+            self.decisions.uncount(machinestate.progress(before), progress)
+            state = machinestate.change(
+                state, tries=progress.tries, refusals=progress.refusals
             )
+        return self._end_attempt(state, result)
+
+    def _send_to(self, before, endpoint):
+        health = before.endpoints[endpoint]
+        state = machinestate.change(before, tries=before.tries + 1)
+        if health is machinestate.Health.DOWN:
+            state = machinestate.change(state, avoid=state.avoid | {endpoint})
+            return self._end_not_run(state, before, Result.NOT_SENT)
         state = machinestate.change(state, sent_to=state.sent_to | {endpoint})
         self.check(
             'within the limits on attempts',
@@ -71,7 +78,7 @@
             avoid = state.avoid | {endpoint}
             refusals = state.refusals + 1
             state = machinestate.change(state, avoid=avoid, refusals=refusals)
-            return self._end_attempt(state, Result.REFUSED)
+            return self._end_not_run(state, before, Result.REFUSED)
         self.check(
             'never run twice', state.kind.is_repeatable or not state.runs
         )
@@ -104,7 +111,9 @@
         state = machinestate.change_run(
             state, position=position, is_paused=False
         )
-        return machinestate.change(state, position=position, is_moved=False)
+        return machinestate.change(
+            state, position=position, is_moved=False, is_given_up=False
+        )
 
     def end(self, state):
         """Have the endpoint end its answer."""
@@ -207,7 +216,10 @@
             cause, machinestate.progress(state), progress
         )
         state = machinestate.change(
-            state, moves=progress.moves, is_moved=progress.is_moved
+            state,
+            moves=progress.moves,
+            is_moved=progress.is_moved,
+            is_given_up=progress.is_given_up,
         )
         after = self._lose(state, Result.SILENT)
         self.check(promises.GIVEN_UP, after.outcome is None)
@@ -219,6 +231,17 @@
             return None
         return machinestate.change(state, budget=state.budget - 1)
 
+    def free_retry(self, state):
+        """Have a retry leave the window of the budget."""
+        if state.budget:
+            return None
+        state = machinestate.change(state, budget=1)
+        result = state.waits_after
+        if result is None:
+            return state
+        state = machinestate.change(state, waits_after=None)
+        return self._end_attempt(state, result)
+
     def _lose(self, state, result):
         """End an attempt whose answer is lost."""
         run = state.run
@@ -243,6 +266,9 @@
             exited = answerends.Process.EXITED
             looks_whole = self._is_whole(state, exited, False)
             self.check('nothing broken looks complete', not looks_whole)
+        progress = machinestate.progress(state)
+        self.decisions.note_result(Result.LOST, progress)
+        state = machinestate.change(state, is_given_up=progress.is_given_up)
         return self._lose(state, Result.LOST)
 
     def leave(self, state, endpoint):
@@ -261,16 +287,18 @@
 
     def time_out(self, state):
         """Have the request's time run out."""
-        if state.run is None:
+        if state.run is None and state.waits_after is None:
             return None
         state = machinestate.change(
-            state, run=None, may_have_run=True, time_left=0.0
+            state, run=None, waits_after=None, may_have_run=True, time_left=0.0
         )
         return self._end_attempt(state, Result.DEADLINE)
 
     def caller_leaves(self, state):
         """Have the caller close its connection."""
-        state = machinestate.change(state, run=None, is_caller_gone=True)
+        state = machinestate.change(
+            state, run=None, waits_after=None, is_caller_gone=True
+        )
         return self._end_attempt(state, Result.CALLER_GONE)
 
     def _end_attempt(self, state, result, has_retry=False):
@@ -303,8 +331,18 @@
                 )
             return state
         self.check('nothing is given up that may go on', not allowed)
+        may_wait = promises.may_wait(result, progress)
+        self.check(promises.HELD, (step is NextStep.WAIT) == may_wait)
+        if step is NextStep.WAIT:
+            return machinestate.change(state, waits_after=result)
+        has_run = result not in (Result.REFUSED, Result.NOT_SENT)
+        self.check(promises.HELD, has_run or not self._is_held(state))
         return self._finish(state, step)
 
+    def _is_held(self, state):
+        has_time = state.time_left >= attempts.MIN_TIME_LEFT_SECONDS
+        return state.is_given_up and state.delivering and has_time
+
     def _finish(self, state, step):
         """Give the caller its final answer."""
         outcome = {
@@ -366,6 +404,7 @@
         'the caller leaves': router.caller_leaves,
         'the end is noticed': router.notice,
         'another request takes a retry': router.take_retry,
+        'a retry is free again': router.free_retry,
     }
     for endpoint in machinestate.ENDPOINTS:
         name = 'abc'[endpoint]
--- a/packages/policy/ibisring_policy/gateway/tests/promises.py
+++ b/packages/policy/ibisring_policy/gateway/tests/promises.py
@@ -7,6 +7,7 @@
 __all__ = [
     'CONTINUING',
     'GIVEN_UP',
+    'HELD',
     'MOVED',
     'of_next_step',
     'of_giving_up',
@@ -14,6 +15,7 @@
     'of_exit',
     'of_closing',
     'may_continue',
+    'may_wait',
     'may_continue_elsewhere',
 ]
 
@@ -28,11 +30,17 @@
 
 CONTINUING = (NextStep.RETRY, NextStep.RESUME)
 GIVEN_UP = 'nothing sound is given up before its successor is allowed'
+HELD = 'a stream that the router gave up waits until its deadline'
 MOVED = 'a lost or silent endpoint is not waited for without need'
 # Causes that show that an endpoint will not bring the answer.
 _PROVEN = (Cause.LOST, Cause.FAILED)
 # Ends of an answer of which the caller has had a part.
-_AFTER_HEAD = (NextStep.RESUME, NextStep.ABORT, NextStep.DROP)
+_AFTER_HEAD = (
+    NextStep.RESUME,
+    NextStep.ABORT,
+    NextStep.DROP,
+    NextStep.WAIT,
+)
 # Results after which nothing may be sent: nobody waits, there is no time, or
 # the request must not run.
 _FINAL = (
@@ -77,6 +85,7 @@
         'only streams are resumed': is_stream or step is not NextStep.RESUME,
         'within the limits on attempts': allowed or not continues,
         'nothing is given up that may go on': continues or not allowed,
+        HELD: (step is NextStep.WAIT) == may_wait(result, progress),
         'a caller that waits gets an answer': (
             (step is NextStep.DROP) == (result is Result.CALLER_GONE)
         ),
@@ -103,6 +112,16 @@
     return progress.stream or progress.sent_to < progress.max_endpoints
 
 
+def may_wait(result, progress):
+    """Return whether a request lacks but a retry, and is waited for."""
+    if not (progress.is_given_up and progress.delivering and progress.stream):
+        return False
+    if progress.has_retry_budget or not progress.sent_to:
+        return False
+    with_retry = msgspec.structs.replace(progress, has_retry_budget=True)
+    return may_continue(result, with_retry)
+
+
 def _has_used_tries(progress):
     """Return whether no try is left; moves off slow endpoints are none."""
     tries = progress.tries - progress.moves
@@ -162,7 +181,7 @@
     is_move = cause not in _PROVEN
     is_counted = after.moves == before.moves + is_move
     is_noted = after.is_moved == (is_move or before.is_moved)
-    if is_counted and is_noted:
+    if is_counted and is_noted and after.is_given_up:
         return []
     return ['what a lost endpoint needs is not used up by a slow one']
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
@@ -13,7 +13,7 @@
 import msgspec
 import pytest
 
-NEXT_STEP = ['decide', '_may_retry', 'tries_left', '_give_up']
+NEXT_STEP = ['decide', '_may_retry', 'tries_left', '_give_up', 'is_held']
 GIVING_UP = ['may_give_up']
 FLAGS = (False, True)
 ENDPOINTS = (1, 2)
@@ -33,13 +33,14 @@
 SECONDS = strategies.floats(0.0, 100.0)
 
 
-def _all_progress(all_moves=((0, False), (1, False))):
+def _all_progress(all_moves=((0, False), (1, False), (1, True))):
     """Yield all states of a request that the decisions tell apart.
 
     Parameters
     ----------
     all_moves : iterable of (int, bool)
-        Moves off slow endpoints, and whether there was one in this silence.
+        Moves off slow endpoints, and whether there was one in this silence;
+        it was given up then.
     """
     flags = itertools.product(FLAGS, repeat=5)
     counts = [
@@ -68,6 +69,7 @@
             refusals=refusals,
             moves=moves,
             is_moved=is_moved,
+            is_given_up=is_moved,
             sent_to=sent_to,
             may_have_run=may_have_run,
             delivering=delivering,
@@ -108,6 +110,56 @@
                 assert step in promises.CONTINUING, (cause, progress)
 
 
+def _attempt_counts(result, progress):
+    """Count an attempt as the forwarder does."""
+    before = msgspec.structs.replace(progress)
+    progress.tries += 1
+    progress.refusals += result is attempts.Result.REFUSED
+    if attempts.is_in_vain(result, progress):
+        attempts.uncount(before, progress)
+
+
+@pytest.mark.parametrize(
+    'result', [attempts.Result.REFUSED, attempts.Result.NOT_SENT]
+)
+def test_held_streams_are_cut_for_no_refusal_and_no_missing_room(result):
+    """Guards against the cut of a stream whose endpoint only paused."""
+    for progress in _all_progress():
+        if not attempts.is_held(progress):
+            continue
+        if attempts.decide(result, progress) not in promises.CONTINUING:
+            continue
+        for _ in range(attempts.MAX_REFUSALS + attempts.MAX_TRIES):
+            _attempt_counts(result, progress)
+            attempts.use_up(progress)
+            step = attempts.decide(result, progress)
+            assert step in promises.CONTINUING, progress
+
+
+@pytest.mark.parametrize('result', attempts.Result)
+def test_streams_that_an_endpoint_has_lost_are_not_held(result):
+    """Guards against a request that runs again and again on few retries."""
+    progress = attempts.Progress(
+        repeatable=True, stream=True, max_endpoints=2, is_given_up=True
+    )
+    attempts.note_result(result, progress)
+    not_run = (attempts.Result.NOT_SENT, attempts.Result.REFUSED)
+    assert progress.is_given_up is (result in not_run)
+
+
+@pytest.mark.parametrize('result', attempts.Result)
+def test_pauses_keep_their_promises(result):
+    """Guards against tight loops, and against pauses before a first move."""
+    for step, in_vain in itertools.product(attempts.NextStep, range(100)):
+        pause = attempts.pause_seconds(result, step, in_vain)
+        is_waiting = step is attempts.NextStep.WAIT
+        must_pause = is_waiting or in_vain > attempts.MAX_TRIES
+        assert pause or not must_pause
+        assert pause <= attempts.MAX_PAUSE_SECONDS
+        if result is not attempts.Result.REFUSED:
+            assert not pause or must_pause
+
+
 @pytest.mark.parametrize('cause', attempts.Cause)
 @pytest.mark.parametrize(('moves', 'is_moved'), MOVES)
 def test_counting_keeps_its_promises(cause, moves, is_moved):
--- a/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
@@ -20,6 +20,9 @@
     '_give_up',
     'may_give_up',
     'count_given_up',
+    'is_held',
+    'is_in_vain',
+    'use_up',
 ]
 STEPS = {
     'send',
@@ -42,6 +45,7 @@
     'the caller leaves',
     'the end is noticed',
     'another request takes a retry',
+    'a retry is free again',
 }
 
 
