Give back the rate limit booked for a successor that is not used

Cause: choosing a successor counted a request against the endpoint's rate limit, or took its next trial after a backoff. Nothing gave that back if the attempt ended by itself, no retry was left, the endpoint would have had to be waited for, or the choice was the present endpoint.

Change: `Limits.reserve` keeps the next times from before and after, and `give_back` restores the former where no other reservation has followed. The choice carries its reservation; `successors` and `choose_other` give it back.

Measured: the three new cases of test_stalls failed before and pass; the files test_ratelimits, test_backoffs, test_stalls, test_successors, test_selecting and test_sending pass.

--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -45,13 +45,15 @@
 class Choice(msgspec.Struct):
     """Where a request is sent; `stages` is empty for a plain service.
 
-    `wait` is the seconds until the endpoint's rate limit allows it.
+    `wait` is the seconds until the endpoint's rate limit allows it, and
+    `reservation` what it has counted against that limit.
     """
 
     endpoint: object
     stages: tuple = ()
     tokens: float = 0.0
     wait: float = 0.0
+    reservation: object = None
 
 
 class AttemptMetadata(msgspec.Struct, kw_only=True):
@@ -114,10 +116,16 @@
         choice = self.choose(job, now)
         if choice is not None and choice.endpoint.id != name:
             return choice
+        if choice is not None:
+            self.give_back(choice)
         if not was_avoided:
             job.avoid.discard(name)
         return None
 
+    def give_back(self, choice):
+        """Take back what a choice that is not used has counted."""
+        self.throttle.give_back(choice.reservation)
+
     def _endpoints(self, job):
         return self.view.snapshot.by_service.get(job.service.name, ())
 
@@ -144,9 +152,11 @@
             choice = choose(job, endpoints, now)
             if choice is None:
                 return None
-            wait = self.throttle.admit(job, choice.endpoint.id, now, max_wait)
-            if wait is not None:
-                choice.wait = wait
+            admitted = self.throttle.admit(
+                job, choice.endpoint.id, now, max_wait
+            )
+            if admitted is not None:
+                choice.wait, choice.reservation = admitted
                 return choice
             job.limited.add(choice.endpoint.id)
 
--- a/packages/gateway/ibisring_gateway/successors.py
+++ b/packages/gateway/ibisring_gateway/successors.py
@@ -119,6 +119,8 @@
             return None
         successor.retry = self.take_retry(job, now)
         if successor.retry is None:
+            if successor.choice is not None:
+                self.selector.give_back(successor.choice)
             return None
         if successor.choice is not None:
             successor.attempt = attempt_for(job, successor.choice)
@@ -129,6 +131,8 @@
         """Return what was set aside for a request."""
         if successor.attempt is not None:
             self.selector.release(successor.attempt)
+        if successor.choice is not None:
+            self.selector.give_back(successor.choice)
         self.give_back(successor.retry)
 
     def give_back(self, retry):
@@ -174,7 +178,10 @@
                 )
             return successor.peer is not None
         choice = self.selector.choose_other(job, attempt, now)
-        if choice is None or (job.exchange.headers_sent and choice.wait):
+        if choice is None:
+            return False
+        if job.exchange.headers_sent and choice.wait:
+            self.selector.give_back(choice)
             return False
         successor.choice = choice
         return True
--- a/packages/gateway/ibisring_gateway/tests/test_stalls.py
+++ b/packages/gateway/ibisring_gateway/tests/test_stalls.py
@@ -438,6 +438,31 @@
     scenario.handler.stop()
 
 
+@pytest.mark.parametrize('why', ['ended', 'retry', 'wait'])
+def test_rate_limit_booked_for_an_unused_successor_is_given_back(why):
+    """Failure: an endpoint's limit stops requests for one never sent."""
+    scenario = Scenario(*_other_chain())
+    made = scenario.handler.successors
+    now = time.monotonic()
+    limits = scenario.view.limits
+    for name in ('h', 'h2'):
+        limits.record_rate(name, 0, 0.5, now - 9.0, now - 9.0)
+        limits.wait(name, now - 9.0)
+    if why == 'wait':
+        limits.by_endpoint['h'].next_at = now + 9.0
+        limits.by_endpoint['h2'].next_at = now + 0.2
+    if why == 'retry':
+        made.take_retry = lambda job, now: None
+    before = limits.by_endpoint['h2'].next_at
+    successor = made.prepare(scenario.attempt, attempts.Cause.SILENT)
+    assert (successor is not None) is (why == 'ended')
+    if successor is not None:
+        assert limits.by_endpoint['h2'].next_at > before
+        made.cancel(successor)
+    assert limits.by_endpoint['h2'].next_at == before
+    scenario.handler.stop()
+
+
 def test_service_that_leaves_the_table_breaks_off_no_stream():
     """Failure: a refusal or a silence is an error once a table is applied."""
     scenario = Scenario(*_other_chain())
--- a/packages/gateway/ibisring_gateway/throttling.py
+++ b/packages/gateway/ibisring_gateway/throttling.py
@@ -35,20 +35,28 @@
 
         Returns
         -------
-        float or None
-            Seconds that it has to wait; None if it is not admitted.
+        (float, ratelimits.Reservation or None) or None
+            Seconds that it has to wait, and what was counted; None if it is
+            not admitted.
         """
         rank, account = job.match.priority, job.match.account
         with self.view.lock:
             limits, fairness = self.view.limits, self.view.fairness
             if not limits.is_limited(endpoint_id, now):
-                return 0.0
+                return 0.0, None
             if fairness.is_outranked(rank, account, now):
                 return None
-            wait = limits.acquire(endpoint_id, now, max_wait)
-            if wait is not None:
-                fairness.granted(rank, account, now)
-            return wait
+            reservation = limits.reserve(endpoint_id, now, max_wait)
+            if reservation is None:
+                return None
+            fairness.granted(rank, account, now)
+            return reservation.wait, reservation
+
+    def give_back(self, reservation):
+        """Take back what `admit` has counted for a request not sent."""
+        if reservation is not None:
+            with self.view.lock:
+                self.view.limits.give_back(reservation)
 
     def refuse(self, job, now):
         """Return the seconds after which a refused request may be admitted.
--- a/packages/policy/ibisring_policy/gateway/ratelimits.py
+++ b/packages/policy/ibisring_policy/gateway/ratelimits.py
@@ -12,7 +12,7 @@
 or not it has declared a rate (`backoffs`).
 """
 
-__all__ = ['Limits', 'LimitUpdate', 'make_limits']
+__all__ = ['Limits', 'LimitUpdate', 'Reservation', 'make_limits']
 
 import math
 import zlib
@@ -83,6 +83,27 @@
     domain_demand: dict[str, float] = {}
 
 
+class Reservation:
+    """The reserved sending of one request to an endpoint.
+
+    Attributes
+    ----------
+    endpoint : str
+    wait : float
+        Seconds to wait before sending it.
+    before, after : (float or None, float or None)
+        The next times by its limit and its backoff, before and after it.
+    """
+
+    __slots__ = ('endpoint', 'wait', 'before', 'after')
+
+    def __init__(self, endpoint, wait, before, after):
+        self.endpoint = endpoint
+        self.wait = wait
+        self.before = before
+        self.after = after
+
+
 class Limits:
     """Limits by endpoint id; the caller holds a lock around each call.
 
@@ -229,6 +250,49 @@
             limit.next_at = since + 1.0 / limit.share
         return wait
 
+    def reserve(self, endpoint, now, max_wait):
+        """Reserve as `acquire` does, so that it can be given back.
+
+        Returns
+        -------
+        Reservation or None
+        """
+        # A changed share changes the next time as well, which stays.
+        self.wait(endpoint, now)
+        before = self._next_times(endpoint)
+        wait = self.acquire(endpoint, now, max_wait)
+        if wait is None:
+            return None
+        return Reservation(endpoint, wait, before, self._next_times(endpoint))
+
+    def give_back(self, reservation):
+        """Undo a reservation for a request that was not sent.
+
+        One that others have followed stays: these go by it, and a request
+        that took its place would be sent at the same time as one of them.
+
+        Parameters
+        ----------
+        reservation : Reservation
+        """
+        endpoint = reservation.endpoint
+        if self._next_times(endpoint) != reservation.after:
+            return
+        next_at, trial_at = reservation.before
+        if next_at is not None:
+            self.by_endpoint[endpoint].next_at = next_at
+        if trial_at is not None:
+            self.backoffs.by_endpoint[endpoint].next_trial_at = trial_at
+
+    def _next_times(self, endpoint):
+        """Return the next times by limit and backoff, None without one."""
+        limit = self.by_endpoint.get(endpoint)
+        backoff = self.backoffs.by_endpoint.get(endpoint)
+        return (
+            limit and limit.next_at,
+            backoff and backoff.next_trial_at,
+        )
+
     def _update_share(self, endpoint, limit, now):
         """Recompute this router's share, in requests per second."""
         share = self._compute_share(endpoint, limit, now)
--- a/packages/policy/ibisring_policy/gateway/tests/test_ratelimits.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_ratelimits.py
@@ -51,6 +51,30 @@
     assert 30 <= len(sent) <= 40
 
 
+def test_a_reservation_given_back_leaves_no_trace():
+    """Guards against a request that waits for one that is never sent."""
+    limits = _limits()
+    limits.wait('e1', 10.0)
+    limits.backoffs.record('e1', 1, 8.0, 10.0)
+    waits = []
+    for _ in range(2):
+        reservation = limits.reserve('e1', 20.0, 0.0)
+        assert limits.acquire('e1', 20.0, 0.0) is None
+        waits.append(reservation.wait)
+        limits.give_back(reservation)
+    assert waits == [0.0, 0.0]
+
+
+def test_a_reservation_that_others_follow_is_not_given_back():
+    """Guards against two requests that are sent at the same time."""
+    limits = _limits()
+    limits.wait('e1', 10.0)
+    reservation = limits.reserve('e1', 20.0, 0.0)
+    wait = limits.acquire('e1', 20.0, 9.0)
+    limits.give_back(reservation)
+    assert limits.wait('e1', 20.0) > wait
+
+
 def test_an_unused_share_does_not_accumulate():
     """Failure: a router sends a burst after it was suspended."""
     limits = _limits(rate=2.0)
