Release what a request has reserved if it can't be watched

Cause: the watcher was told before the block that gives the load of an endpoint back, so that an error there would count the request for good. Change: it is told inside. Found by reading; not seen in a run, no test.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -408,8 +408,8 @@
 
     def _send_reserved(self, job, choice, attempt):
         """Send an attempt that is counted in the load of its endpoints."""
-        self.watcher.add(job.exchange.socket, attempt)
         try:
+            self.watcher.add(job.exchange.socket, attempt)
             if choice.wait:
                 time.sleep(choice.wait)
             job.chain = _chain_text(choice.stages)
