Search again if an engine leaves during the search

Callers saw a 500 or a cut stream. Cause: the search reads the endpoints twice, and where an engine of a refused chain had left in between, StopIteration ended the request. Change: then no domain is left out of the next search. Shown: test_engine_that_leaves_during_the_search_is_no_error failed before (StopIteration); 31 tests of bottlenecks passed.

--- a/packages/gateway/ibisring_gateway/bottlenecks.py
+++ b/packages/gateway/ibisring_gateway/bottlenecks.py
@@ -167,14 +167,16 @@
         return Exhausted(wait, tuple(pairs), job.transfer.megabytes)
 
     def refused_crossing(self, job, stages):
-        """Return the domains before and behind the first refused crossing."""
+        """Return the domains before and behind the first refused crossing.
+
+        Both are None if an engine of the chain has left meanwhile.
+        """
         domains = self._domains(stages)
         refused = job.transfer.refused_pairs(domainlinks.crossings(domains))
-        return next(
-            (before, behind)
-            for before, behind in zip(domains, domains[1:])
-            if (min(before, behind), max(before, behind)) in refused
-        )
+        for before, behind in zip(domains, domains[1:]):
+            if (min(before, behind), max(before, behind)) in refused:
+                return before, behind
+        return None, None
 
     def _domains(self, stages):
         endpoints = self.view.snapshot.endpoints
--- a/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
+++ b/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
@@ -235,6 +235,25 @@
     assert len(searches) == 1 + chainsearch.MAX_FURTHER_SEARCHES + 1
 
 
+def test_engine_that_leaves_during_the_search_is_no_error(monkeypatch):
+    """Guards against a stream that is cut as an engine's entry vanishes."""
+    selector = _selector()
+    view = selector.view
+    exhausted = selector.bottlenecks.link_exhausted
+
+    def vanish(job, stages, now):
+        found = exhausted(job, stages, now)
+        for stage in stages:
+            view.snapshot.endpoints.pop(stage.endpoint, None)
+        return found
+
+    monkeypatch.setattr(selector.bottlenecks, 'link_exhausted', vanish)
+    monkeypatch.setattr(
+        view.domain_links, '_wait', lambda budget, transfer, now, draw: 1.0
+    )
+    assert _choose(selector)[1] is None
+
+
 @pytest.mark.parametrize(('share', 'is_refused'), [(0.97, 0), (1.04, 1)])
 def test_requests_beyond_the_capacity_are_refused(share, is_refused):
     """Guards against requests that only delay those in flight."""
