Have the threads that take connections start the missing ones

Cause: the thread that accepts connections started each thread of a burst itself, and waits until each runs: 250 connections at a router that had been quiet had it start 242 threads before it accepted the next ones.

Change: `threadcounts` decides how many threads are missing, without a network. Each thread that takes a connection starts up to two missing ones first, so that a burst's threads double in each round, from 16 at the start. Whoever queues a connection starts a thread only if none is free or being started. The loop that accepts connections starts one each 0.5 s where an earlier start failed and no other thread will. A stopped pool starts none.

Shown: "queues 250 connections and starts none" fails with the pool of before (258 tries, not 16) and passes now; 250 requests that the endpoint holds until all have arrived are served, twice; 50 random orders of queueing, taking and starting leave no connection without a thread. packages/gateway (at a load of 15 to 40) and packages/policy pass whole.

--- a/packages/gateway/ibisring_gateway/growingpool.py
+++ b/packages/gateway/ibisring_gateway/growingpool.py
@@ -7,13 +7,10 @@
 import time
 
 from cheroot.workers import threadpool
+from ibisring_policy.gateway import threadcounts
 from ibisring_router import logs
 
 LOG = logging.getLogger(__name__)
-# Threads beyond those that the present connections need.
-SPARE_THREADS = 8
-# Pause after a thread could not be started.
-RETRY_SECONDS = 1.0
 
 
 class GrowingPool(threadpool.ThreadPool):
@@ -23,7 +20,7 @@
     depends on how many other routers are down; a pool sized for the worst
     case would waste memory all the time.  cheroot's own pool blocks the
     thread that accepts connections for a tenth of a second while new threads
-    start; this one doesn't.
+    start; here the threads that take connections start the next ones.
 
     A thread that cannot be started, at the system's limit or for lack of
     memory, is tried again later; the threads there are serve meanwhile.
@@ -38,96 +35,117 @@
 
     Attributes
     ----------
-    load : int
-        Connections that are queued or held by a thread.  Threads that look
-        idle may be about to take a queued connection, so counting those
-        would start too few in a burst, after which nothing starts more.
-    failed_starts : int
-        Times that a thread could not be started.
+    counts : threadcounts.ThreadCounts
+        Used with `lock` held.
+    holders : set of int
+        The threads that serve a connection.
     """
 
     def __init__(self, server, first, limit, clock=time.monotonic):
         super().__init__(server, min=first, max=limit)
         self.clock = clock
-        self.load = 0
-        self.failed_starts = 0
-        self.retry_at = None
+        self.counts = threadcounts.make_thread_counts(first, limit)
         self.holders = set()
+        self.is_stopping = False
         self.lock = threading.Lock()
-        self.growth_lock = threading.Lock()
         self.get = self.take
 
+    @property
+    def load(self):
+        """Connections with a request under way."""
+        return self.counts.load
+
+    @property
+    def failed_starts(self):
+        """Times that a thread could not be started."""
+        return self.counts.failed_starts
+
     def put(self, obj):
-        """Queue a connection, and start the threads that are missing."""
+        """Queue a connection for the next thread that is free."""
         with self.lock:
-            self.load += 1
+            self.counts.queued += 1
         super().put(obj)
-        self.grow_as_needed()
-
-    def grow_as_needed(self):
-        """Start the threads that are missing, unless one failed just now."""
-        if self.missing() > 0 and self._may_start():
-            with self.growth_lock:
-                self.grow(self.missing())
-
-    def _may_start(self):
-        return self.retry_at is None or self.clock() >= self.retry_at
+        with self.lock:
+            is_stuck = self.counts.is_stuck()
+        if is_stuck:
+            self.grow(1)
 
     def take(self):
         """Return the next connection; the one taken before is done with."""
         holder = threading.get_ident()
         self._release(holder)
         obj = self._queue.get()
+        if obj is threadpool._SHUTDOWNREQUEST:
+            return obj
         with self.lock:
             self.holders.add(holder)
+            self.counts.held += 1
+            self.counts.queued -= 1
+        self.grow(threadcounts.STARTS_PER_CONNECTION)
         return obj
 
     def _release(self, holder):
         with self.lock:
             if holder in self.holders:
                 self.holders.remove(holder)
-                self.load -= 1
-
-    def missing(self):
-        """Return how many threads fewer there are than are needed."""
-        needed = max(self.min, self.load + SPARE_THREADS)
-        return needed - len(self._threads)
+                self.counts.held -= 1
 
     def grow(self, amount):
-        """Start threads, within the limit, until one cannot be started."""
-        spare = max(self.max - len(self._threads), 0)
-        for _ in range(min(amount, spare)):
-            if not self._may_start():
-                return
-            try:
-                worker = self._spawn_worker()
-            except RuntimeError as error:
-                self._note_failure(error)
-                return
-            self._threads.append(worker)
-            self._note_success()
-
-    def _note_failure(self, error):
-        """Put off the next try; log the first of several failures."""
-        self.failed_starts += 1
-        if self.retry_at is None:
-            self._log('thread_start_failed', error=str(error))
-        self.retry_at = self.clock() + RETRY_SECONDS
-
-    def _note_success(self):
-        if self.retry_at is not None:
-            self.retry_at = None
+        """Start threads, as far as they are missing.
+
+        Parameters
+        ----------
+        amount : int
+            At most.
+        """
+        for _ in range(amount):
+            with self.lock:
+                if self.is_stopping or not self.counts.reserve(self.clock()):
+                    return
+            self._start_thread()
+
+    def check(self):
+        """Start a thread if none of the others will.
+
+        Called now and again, for starts that failed.
+        """
+        with self.lock:
+            is_needed = self.counts.is_stuck() or self.counts.is_incomplete()
+        if is_needed:
+            self.grow(1)
+
+    def _start_thread(self):
+        try:
+            worker = self._spawn_worker()
+        except (RuntimeError, MemoryError) as error:
+            with self.lock:
+                is_first = self.counts.note_failure(self.clock())
+            if is_first:
+                self._log('thread_start_failed', error=str(error))
+            return
+        with self.lock:
+            self._add(worker)
+            is_first = self.counts.note_success()
+        if is_first:
             self._log('thread_start_recovered', failures=self.failed_starts)
 
+    def _add(self, worker):
+        self._threads.append(worker)
+        if self.is_stopping:
+            # `stop` didn't know of it.
+            self._queue.put(threadpool._SHUTDOWNREQUEST)
+
     def _log(self, name, **facts):
         logs.event(
-            LOG,
-            name,
-            threads=len(self._threads),
-            load=self.load,
-            **facts,
+            LOG, name, threads=self.counts.threads, load=self.load, **facts
         )
 
+    def stop(self, timeout=5):
+        """Stop all threads; none is started any more."""
+        with self.lock:
+            self.is_stopping = True
+        super().stop(timeout)
+
 
 def make_growing_pool(server, first, limit):
     """Make a `GrowingPool`.
--- a/packages/gateway/ibisring_gateway/idleconnections.py
+++ b/packages/gateway/ibisring_gateway/idleconnections.py
@@ -49,7 +49,7 @@
             now = self.clock()
             if now - checked_at > expiration_interval:
                 self.close_expired(now)
-                self.server.requests.grow_as_needed()
+                self.server.requests.check()
                 checked_at = now
 
     def _dispatch(self, descriptor, conn):
