Accept connections where not even one more thread can be started

Cause: cheroot's `serve` first starts a thread that answers connections for which its queue has no room. At the system's limit of threads that raised in the thread that accepts connections, which ended; callers were accepted by the kernel and never served.

Change: the server has its own loop without that thread; the pool's queue has no bound, so it never had anything to do.

--- a/packages/gateway/ibisring_gateway/callerserver.py
+++ b/packages/gateway/ibisring_gateway/callerserver.py
@@ -135,6 +135,20 @@
             self, self.idle_limits
         )
 
+    def serve(self):
+        """Serve requests until the server is stopped.
+
+        cheroot would first start a thread for connections that its queue has
+        no room for, and end if that fails; this queue has room for all.
+        """
+        while self.ready:
+            try:
+                self._connections.run(self.expiration_interval)
+            except Exception:
+                self.error_log(
+                    'Error in HTTPServer.serve', logging.ERROR, traceback=True
+                )
+
     def bind(self, family, type, proto=0):
         if self.bound_socket is None:
             return super().bind(family, type, proto)
--- a/packages/gateway/ibisring_gateway/tests/test_growingpool.py
+++ b/packages/gateway/ibisring_gateway/tests/test_growingpool.py
@@ -249,3 +249,20 @@
         with callers.connected(server) as sock:
             sock.sendall(REQUEST)
             assert callers.receive_answer(sock).endswith(b'body')
+
+
+def test_server_that_can_start_no_more_threads_serves(monkeypatch):
+    """Guards against an accept loop that ends for want of a thread."""
+    start = threading.Thread.start
+
+    def start_from_here_only(thread):
+        if threading.current_thread() is not threading.main_thread():
+            raise RuntimeError("can't start new thread")
+        start(thread)
+
+    monkeypatch.setattr(threading.Thread, 'start', start_from_here_only)
+    with callers.running(threads=(2, 1200)) as server:
+        with contextlib.ExitStack() as opened:
+            answers = _ask_at_once(server, opened)
+            assert all(answer.endswith(b'body') for answer in answers)
+        assert len(server.requests._threads) == 2
