Test that unfinished bodies hold no thread

The tests of idle connections had bodies that were sent whole. These callers send half of a body, or one that is malformed, get their answer and keep the connection open: no thread may go on waiting for the rest.

--- a/packages/gateway/ibisring_gateway/tests/test_idlethreads.py
+++ b/packages/gateway/ibisring_gateway/tests/test_idlethreads.py
@@ -3,6 +3,7 @@
 import contextlib
 
 from ibisring_gateway.tests import callers
+from ibisring_records import exceptions
 from ibisring_records import routing
 import pytest
 
@@ -22,12 +23,21 @@
     + b'\r\n',
     'an unread body with a length': SIZED.replace(b'/', b'/early', 1),
 }
+# What is left unread of these bodies is never sent, or no longer wanted.
+UNFINISHED = {
+    'half of a body with a length': SIZED[:-2].replace(b'/', b'/early', 1),
+    'half of a chunk': (callers.CHUNKED + b'4\r\nbo').replace(
+        b'/', b'/early', 1
+    ),
+    'a chunk and half of a length': callers.CHUNKED + b'4\r\nbody\r\nx\r\n',
+}
 
 
 def _serve(call):
     """Answer before the end of the body at one path, after it elsewhere."""
     if call.target != '/early':
-        call.read_body()
+        with contextlib.suppress(exceptions.InvalidRequest):
+            call.read_body()
     call.answer(200, [], b'served')
 
 
@@ -58,6 +68,14 @@
             callers.wait_until(lambda: server.requests.load == 0)
 
 
+@pytest.mark.parametrize('sent', UNFINISHED.values(), ids=UNFINISHED)
+def test_unfinished_bodies_hold_no_thread(server, sent):
+    """Guards against threads that wait for what callers never send."""
+    with contextlib.ExitStack() as opened:
+        list(_open_idle(server, opened, sent))
+        callers.wait_until(lambda: server.requests.load == 0)
+
+
 def test_blank_lines_on_idle_connections_hold_no_thread(server):
     """Guards against a thread that waits for a request after a line."""
     with contextlib.ExitStack() as opened:
