Exit if a server accepts no connections any more

Cause: cheroot's serve() starts a thread of its own first. If that is refused, the accepting thread ends, but the port stays open and readiness says 200: callers connect through the kernel's queue, send a request and get silence. Change: whatever ends the accepting thread of a server that was not stopped is logged as accepting_ended and ends the process with code 1, so that it is started again. A process that shuts down only logs it and finishes what runs. The exit waits one second at most for its log lines: the wait for the writer's thread had no end if nobody reads the log. Shown: test_process_whose_server_accepts_nothing_exits failed on the state before after 10 s without an exit; the other three name the new method.

--- a/packages/gateway/ibisring_gateway/logwriter.py
+++ b/packages/gateway/ibisring_gateway/logwriter.py
@@ -16,6 +16,7 @@
 MAX_QUEUED_LINES = 2000
 LINES_PER_SECOND = 100.0
 BURST_LINES = 1000.0
+DRAIN_POLL_SECONDS = 0.005
 
 
 class LogWriter(logging.handlers.QueueHandler):
@@ -69,6 +70,15 @@
                 self.reported_dropped = self.dropped
             return True
 
+    def drain(self, seconds):
+        """Wait until the queued lines are written, for a limited time.
+
+        Nobody may read them any more, and the process must still exit.
+        """
+        end = time.monotonic() + seconds
+        while self.line_queue.unfinished_tasks and time.monotonic() < end:
+            time.sleep(DRAIN_POLL_SECONDS)
+
     def enqueue(self, record):
         try:
             self.line_queue.put_nowait(record)
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -43,7 +43,10 @@
 LOG = logging.getLogger(__name__)
 READY_PATH = '/readyz'
 METRICS_PATH = '/metrics'
+# Also if the process accepts no connections any more.
 EXIT_START_FAILED = 1
+# Longest time for which a process that exits waits for its log lines.
+LOG_DRAIN_SECONDS = 1.0
 # Threads at the start and at most.  A machine has tens of routers, and its
 # limit of threads may be as low as 32,768.
 CALLER_THREADS = (16, 1200)
@@ -231,7 +234,7 @@
             CHECK_SECONDS, self._run_periodic_checks
         )
         self._wait_until_ready()
-        _serve(self.caller_server)
+        self._serve(self.caller_server)
         logs.event(LOG, 'started', router=settings.router_id)
 
     def _wait_until_ready(self):
@@ -269,9 +272,36 @@
             if handler == self.serve_peer:
                 self.peer_server = server
             server.prepare()
-            _serve(server)
+            self._serve(server)
             self.servers.append(server)
 
+    def _serve(self, server):
+        """Serve a prepared server in a thread of its own."""
+        threading.Thread(
+            target=self._accept, args=(server,), daemon=True
+        ).start()
+
+    def _accept(self, server):
+        """Accept connections; exit if that ends and nobody has asked for it.
+
+        The kernel would go on accepting connections, and callers would wait
+        for answers that never come.
+        """
+        try:
+            server.serve()
+        except BaseException:
+            self._end_accepting(server)
+        else:
+            if server.ready:
+                self._end_accepting(server)
+
+    def _end_accepting(self, server):
+        address = str(server.bind_addr)
+        if self.is_shutting_down:
+            guards.failed('accept', address=address)
+        else:
+            self._exit_failed('accepting_ended', address=address)
+
     def _report_leaving(self, endpoint):
         """Have the directory stop using an endpoint that says it leaves."""
         if not self.view.snapshot.is_leaving(endpoint):
@@ -387,9 +417,13 @@
         try:
             self.start()
         except Exception:
-            LOG.critical('start_failed', exc_info=True)
-            self.log_writer.listener.stop()
-            os._exit(EXIT_START_FAILED)
+            self._exit_failed('start_failed')
+
+    def _exit_failed(self, event, **facts):
+        LOG.critical(event, exc_info=True, extra={'facts': facts})
+        if self.log_writer is not None:
+            self.log_writer.drain(LOG_DRAIN_SECONDS)
+        os._exit(EXIT_START_FAILED)
 
     def _on_signal(self, signal_number, frame):
         self.signals.append(signal_number)
@@ -474,11 +508,6 @@
             self.log_writer.listener.stop()
 
 
-def _serve(server):
-    """Serve a prepared server in a thread of its own."""
-    threading.Thread(target=server.serve, daemon=True).start()
-
-
 def make_gateway(settings, installation, caller_socket=None):
     """Make a `Gateway`; run it with ``run()`` or ``start()``."""
     return Gateway(settings, installation, caller_socket)
--- a/packages/gateway/ibisring_gateway/tests/test_logwriter.py
+++ b/packages/gateway/ibisring_gateway/tests/test_logwriter.py
@@ -3,6 +3,7 @@
 import io
 import json
 import logging
+import threading
 
 from ibisring_gateway import logwriter
 from ibisring_gateway.tests import builders
@@ -49,3 +50,25 @@
         line = json.loads(writer.line_queue.get().getMessage())
     assert line['lines_dropped_before'] == 5_000 - logwriter.BURST_LINES
     assert writer.dropped == 5_000 - logwriter.BURST_LINES
+
+
+def test_exit_does_not_wait_for_a_reader_that_reads_nothing():
+    """Guards against a process that stays as its log isn't read."""
+    is_read = threading.Event()
+
+    class Stream:
+        def write(self, text):
+            is_read.wait()
+
+        def flush(self):
+            pass
+
+    writer = logwriter.LogWriter(Stream())
+    writer.listener.start()
+    writer.handle(logging.makeLogRecord({'msg': 'a'}))
+    writer.drain(0.0)
+    assert writer.line_queue.unfinished_tasks == 1
+    is_read.set()
+    writer.drain(10.0)
+    assert writer.line_queue.unfinished_tasks == 0
+    writer.listener.stop()
--- a/packages/gateway/ibisring_gateway/tests/test_process.py
+++ b/packages/gateway/ibisring_gateway/tests/test_process.py
@@ -1,7 +1,9 @@
 """Tests of a gateway process some of whose parts fail."""
 
+import queue
 import types
 
+from cheroot import server as cheroot_server
 from ibisring_gateway import directory
 from ibisring_gateway import process
 from ibisring_gateway import settings
@@ -17,20 +19,20 @@
     installation = types.SimpleNamespace(
         engines=builders.Engines(), codec=None, leases=None
     )
-    checked = settings.check(
-        settings.Settings(
-            router_id='r0',
-            failure_domain='a',
-            host='127.0.0.1',
-            caller_listen='127.0.0.1:1',
-            ready_listen='127.0.0.1:2',
-            store='127.0.0.1:3',
-            peer_port=4,
-            metrics_port=5,
-        )
+    given = settings.Settings(
+        router_id='r0',
+        failure_domain='a',
+        host='127.0.0.1',
+        caller_listen='127.0.0.1:0',
+        ready_listen='127.0.0.1:0',
+        store='127.0.0.1:1',
+        peer_port=0,
+        metrics_port=0,
     )
-    made = process.make_gateway(checked, installation)
+    made = process.make_gateway(given, installation)
     yield made
+    for server in made.servers:
+        server.stop()
     made.watcher.stop()
     made.stall_handler.stop()
     made.link_monitor.stop()
@@ -72,3 +74,58 @@
     before = guards.counts().get('report_leaving', 0)
     gateway._report_leaving(build.endpoint('e1'))
     assert guards.counts()['report_leaving'] == before + 1
+
+
+@pytest.fixture
+def exits(monkeypatch):
+    """Collect the codes with which the process would exit."""
+    codes = queue.Queue()
+    monkeypatch.setattr(process.os, '_exit', codes.put)
+    return codes
+
+
+def _refuse_threads_of_cheroot(monkeypatch):
+    def refuse(**parameters):
+        raise RuntimeError("can't start new thread")
+
+    fake = types.SimpleNamespace(Thread=refuse)
+    monkeypatch.setattr(cheroot_server, 'threading', fake)
+
+
+def test_process_whose_server_accepts_nothing_exits(
+    gateway, exits, monkeypatch
+):
+    """Guards against callers that connect and never get an answer.
+
+    The server starts a thread of its own before it accepts connections.
+    """
+    _refuse_threads_of_cheroot(monkeypatch)
+    gateway._listen()
+    for _ in gateway.servers[1:]:
+        assert exits.get(timeout=10.0) == process.EXIT_START_FAILED
+
+
+def test_server_that_is_stopped_ends_no_process(gateway, exits):
+    gateway._listen()
+    gateway.caller_server.stop()
+    gateway._accept(gateway.caller_server)
+    assert exits.empty()
+
+
+def test_process_that_shuts_down_finishes_its_requests(
+    gateway, exits, monkeypatch
+):
+    """Guards against answers that are cut within the grace time."""
+    gateway._listen()
+    _refuse_threads_of_cheroot(monkeypatch)
+    gateway.is_shutting_down = True
+    gateway._accept(gateway.caller_server)
+    assert exits.empty()
+
+
+def test_server_that_returns_by_itself_ends_the_process(gateway, exits):
+    server = types.SimpleNamespace(
+        serve=lambda: None, ready=True, bind_addr=('127.0.0.1', 1)
+    )
+    gateway._accept(server)
+    assert exits.get_nowait() == process.EXIT_START_FAILED
