Ask a router again that is only not ready yet

Cause: a router that was not ready, or a table version behind for a moment, was excluded from the request for good, and the refusal cost a try. With no other router in reach a running stream then polled an empty set for 1.3 s and was broken off. Change: such a router is left out for 0.1 s, for all requests of the service, and asked again; its promise that the request did not run makes it no try. A started stream waits for it until its deadline, a request that has not begun for 1.3 s from the first such refusal; a later one counts as before. After three of them a request asks no sooner than every 50 ms.

--- a/packages/gateway/ibisring_gateway/jobs.py
+++ b/packages/gateway/ibisring_gateway/jobs.py
@@ -44,6 +44,12 @@
         Routers that the request was handed to.
     relays_failed : set of str
         Those that did not take it, or broke it off.
+    relays_unready : set of str
+        Those that did not take it since they were not ready for it.
+    unready_refusals : int
+        How often that happened.
+    unready_since : float or None
+        When it first happened.
     relayed_refusal : (ports.Answer, bytes) or None
         The last router's own answer that the request has not run.
     unreached_at : float or None
@@ -123,6 +129,9 @@
         self.relayed_by = None
         self.relayed_to = []
         self.relays_failed = set()
+        self.relays_unready = set()
+        self.unready_refusals = 0
+        self.unready_since = None
         self.relayed_refusal = None
         self.unreached_at = None
         self.is_cut_off = False
--- a/packages/gateway/ibisring_gateway/relayrouting.py
+++ b/packages/gateway/ibisring_gateway/relayrouting.py
@@ -13,6 +13,8 @@
 # is in reach, and interval of the checks.
 WAIT_SECONDS = 1.3
 POLL_SECONDS = 0.05
+# Routers that a request asks without a pause while they are not ready.
+MAX_UNREADY_AT_ONCE = 3
 
 
 class NobodyInReach(Exception):
@@ -55,10 +57,12 @@
             return None
         if not is_cut and not self._is_unreached(job):
             return None
+        if job.unready_refusals >= MAX_UNREADY_AT_ONCE:
+            return self._wait(job)
         peer = self.sender.choose(job)
         if peer is not None or self._may_reach(job):
             return peer
-        if job.exchange.headers_sent:
+        if job.exchange.headers_sent or self.sender.is_any_unready(job):
             return self._wait(job)
         raise NobodyInReach
 
@@ -90,9 +94,12 @@
         raise exceptions.Unreachable('this router reaches no endpoint')
 
     def _wait(self, job):
-        """Wait for a way for a started stream, which would be lost."""
-        end = min(job.deadline, self.clock() + WAIT_SECONDS)
-        while self.clock() < end:
+        """Wait for a way for a started stream, which would be lost.
+
+        Also for a request that a router will take as soon as it is ready.
+        """
+        end = self.clock() + WAIT_SECONDS
+        while self._may_wait(job, end):
             time.sleep(POLL_SECONDS)
             if sockets.is_gone(job.exchange.socket):
                 raise exchange_module.CallerDisconnected(
@@ -105,6 +112,14 @@
                 return peer
         raise NobodyInReach
 
+    def _may_wait(self, job, end):
+        now = self.clock()
+        if now >= job.deadline:
+            return False
+        if now < end:
+            return True
+        return job.exchange.headers_sent and self.sender.is_any_unready(job)
+
 
 def accept_mark(exchange, request, own_name):
     """Take the mark of another router off a request.
--- a/packages/gateway/ibisring_gateway/relaysending.py
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -30,16 +30,15 @@
 FIRST_EVENT_SECONDS = 1.2
 NEXT_EVENT_SECONDS = 1.0
 PLAIN_OBJECTIVES = 5.0
+# Longest time for which a request that has not begun is kept for routers that
+# are not ready: a caller that comes back may reach another one.
+MAX_UNREADY_SECONDS = 1.3
 MS_PER_SECOND = 1000.0
 # Statuses of other routers' errors that state that a request has not run.
 NOT_RUN_STATUSES = frozenset((400, 401, 403, 404, 408, 413, 421, 429, 503))
-# Errors that say nothing of the request: another router may serve it.
-_RETRY_CODES = frozenset(
-    (
-        exceptions.NotReady.code,
-        exceptions.Unreachable.code,
-        exceptions.TableBehind.code,
-    )
+# Errors that say nothing of the request, and soon hold no longer.
+_UNREADY_CODES = frozenset(
+    (exceptions.NotReady.code, exceptions.TableBehind.code)
 )
 _INTERIM_HEAD = b'HTTP/1.1 100'
 _EXPECT = {'Expect': '100-continue'}
@@ -118,6 +117,27 @@
                 self.view.relays.usable(self.list_candidates(), service, now)
             )
 
+    def is_any_unready(self, job):
+        """Return whether a router that was not ready may still take a job.
+
+        Parameters
+        ----------
+        job : jobs.Job
+
+        Returns
+        -------
+        bool
+        """
+        now = self.clock()
+        with self.view.lock:
+            found = self.view.relays.serving(
+                self.list_candidates(),
+                job.service.name,
+                now,
+                job.relays_failed,
+            )
+        return any(each.name in job.relays_unready for each in found)
+
     def send(self, job, peer):
         """Hand a request to a router and relay the answer.
 
@@ -132,7 +152,8 @@
             None if the caller has its final answer.
         """
         job.progress.tries += 1
-        job.relayed_to.append(peer.name)
+        if job.relayed_to[-1:] != [peer.name]:
+            job.relayed_to.append(peer.name)
         attempt = attemptwatching.Attempt(
             job.request.id, _Peer(peer.name, peer.address), (), job.deadline
         )
@@ -214,6 +235,33 @@
         )
         return attempt.result or attempts.Result.NOT_SENT
 
+    def _not_ready(self, job, attempt, why):
+        """Record that a router did not take a request yet.
+
+        It has said that the request did not run, so that this is no try.
+        """
+        now = self.clock()
+        if job.unready_since is None:
+            job.unready_since = now
+        is_over = now - job.unready_since > MAX_UNREADY_SECONDS
+        if is_over and not job.exchange.headers_sent:
+            return self._not_taken(job, attempt, why)
+        name = attempt.endpoint.id
+        job.progress.tries -= 1
+        job.unready_refusals += 1
+        job.relays_unready.add(name)
+        with self.view.lock:
+            self.view.relays.not_ready(name, job.service.name, now)
+        logs.event(
+            LOG,
+            'relay_not_ready',
+            id=job.request.id,
+            router=name,
+            why=why,
+            times=job.unready_refusals,
+        )
+        return attempt.result or attempts.Result.NOT_SENT
+
     def _lost(self, job, attempt, error):
         """Handle a failure after a request was handed over."""
         job.record_loss()
@@ -264,7 +312,9 @@
         """Handle an error of the other router itself."""
         body = relaying.read_plain(attempt, response, answer)
         code = response.headers[relaymarks.REFUSAL]
-        if code in _RETRY_CODES:
+        if code in _UNREADY_CODES:
+            return self._not_ready(job, attempt, code)
+        if code == exceptions.Unreachable.code:
             return self._not_taken(job, attempt, code)
         if answer.status not in NOT_RUN_STATUSES:
             return self._lost(job, attempt, f'{answer.status} {code}')
--- a/packages/gateway/ibisring_gateway/tests/test_relayrouting.py
+++ b/packages/gateway/ibisring_gateway/tests/test_relayrouting.py
@@ -14,10 +14,30 @@
 class _Sender:
     def __init__(self, peer):
         self.peer = peer
+        self.unready_polls = 0
+        self.chosen = 0
 
     def choose(self, job):
+        self.chosen += 1
         return self.peer
 
+    def is_any_unready(self, job):
+        self.unready_polls -= 1
+        return self.unready_polls >= 0
+
+
+class _Time:
+    """A clock that only sleeping advances."""
+
+    def __init__(self, clock):
+        self.now = clock()
+
+    def __call__(self):
+        return self.now
+
+    def sleep(self, seconds):
+        self.now += seconds
+
 
 def make(peer='r2', cut=False):
     """Return the routing of a router, and a job."""
@@ -31,6 +51,7 @@
         service=service,
         relayed_by=None,
         unreached_at=None,
+        unready_refusals=0,
         deadline=now + 9.0,
         exchange=types.SimpleNamespace(headers_sent=False),
         progress=attempts.Progress(
@@ -105,3 +126,52 @@
     exchange = types.SimpleNamespace(is_from_router=False)
     with pytest.raises(exceptions.InvalidRelay):
         relayrouting.accept_mark(exchange, request, 'r2')
+
+
+@pytest.fixture
+def waiting(monkeypatch):
+    """Give a cut router's routing and job, whose waits take no time."""
+    routing, job = make(peer=None, cut=True)
+    routing.clock = clock = _Time(routing.clock)
+    monkeypatch.setattr(relayrouting.time, 'sleep', clock.sleep)
+    monkeypatch.setattr(relayrouting.sockets, 'is_gone', lambda sock: False)
+    job.exchange.socket = None
+    return routing, job
+
+
+@pytest.mark.parametrize('is_begun', [False, True])
+def test_request_waits_for_a_router_that_is_not_ready(waiting, is_begun):
+    """Guards against a stream cut 1.3 s after a router was a table behind."""
+    routing, job = waiting
+    job.exchange.headers_sent = is_begun
+    routing.sender.unready_polls = 100
+    started = routing.clock()
+    with pytest.raises(relayrouting.NobodyInReach):
+        routing.choose(job)
+    waited = routing.clock() - started
+    longest = 100 * relayrouting.POLL_SECONDS if is_begun else 0.0
+    assert waited == pytest.approx(
+        longest + relayrouting.WAIT_SECONDS, abs=0.1
+    )
+    routing.sender.peer = 'r2'
+    assert routing.choose(job) == 'r2'
+
+
+def test_wait_for_a_router_ends_with_the_time_of_the_request(waiting):
+    routing, job = waiting
+    job.exchange.headers_sent = True
+    routing.sender.unready_polls = 100000
+    with pytest.raises(relayrouting.NobodyInReach):
+        routing.choose(job)
+    assert routing.clock() == pytest.approx(job.deadline, abs=0.1)
+
+
+def test_many_routers_that_are_not_ready_are_not_asked_at_once(waiting):
+    """Guards against a message to each router of a fleet for each request."""
+    routing, job = waiting
+    routing.sender.peer = 'r2'
+    job.unready_refusals = relayrouting.MAX_UNREADY_AT_ONCE
+    before = routing.clock()
+    assert routing.choose(job) == 'r2'
+    assert routing.clock() >= before + relayrouting.POLL_SECONDS
+    assert routing.sender.chosen == 1
--- a/packages/policy/ibisring_policy/gateway/relays.py
+++ b/packages/policy/ibisring_policy/gateway/relays.py
@@ -13,6 +13,9 @@
 HEARD_SECONDS = 2.5
 # How long a router that did not take a request is not asked for others.
 AVOID_SECONDS = 1.0
+# The same for one that will take them shortly: it has just started, or has an
+# older routing table.
+UNREADY_SECONDS = 0.1
 # Routers compared per choice, of the own domain and of the others.
 COMPARED = 2
 # Traffic between domains is expensive: a router of another one is chosen when
@@ -79,8 +82,22 @@
         }
         self.avoid_until[name, service] = now + AVOID_SECONDS
 
+    def not_ready(self, name, service, now):
+        """Record that a router did not take a request yet."""
+        before = self.avoid_until.get((name, service), 0.0)
+        until = max(before, now + UNREADY_SECONDS)
+        self.avoid_until[name, service] = until
+
     def usable(self, candidates, service, now, excluded=()):
         """Return the candidates that may serve a request for a service."""
+        return [
+            each
+            for each in self.serving(candidates, service, now, excluded)
+            if self.avoid_until.get((each.name, service), 0.0) <= now
+        ]
+
+    def serving(self, candidates, service, now, excluded=()):
+        """Return those, also if one didn't take a request just now."""
         return [
             each
             for each in candidates
@@ -88,7 +105,6 @@
             and each.name not in excluded
             and service not in each.state.cut_from
             and now - each.heard_at < HEARD_SECONDS
-            and self.avoid_until.get((each.name, service), 0.0) <= now
         ]
 
     def choose(self, candidates, service, now, rng, excluded=()):
--- a/packages/policy/ibisring_policy/gateway/tests/test_relays.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_relays.py
@@ -113,3 +113,16 @@
             active[found.name] += 1
     mean = sum(active.values()) / len(rest)
     assert max(active[name] for name in rest) <= 3.0 * mean
+
+
+def test_router_that_is_not_ready_is_left_out_for_a_short_time():
+    """Guards against one that shortens a longer avoidance."""
+    table = relays.make_relays('a')
+    table.not_ready('r1', 's', NOW - 0.5 * relays.UNREADY_SECONDS)
+    assert choose([candidate()], table) is None
+    table = relays.make_relays('a')
+    table.not_ready('r1', 's', NOW - relays.UNREADY_SECONDS)
+    assert choose([candidate()], table) == 'r1'
+    table.not_taken('r1', 's', NOW - 0.5)
+    table.not_ready('r1', 's', NOW - relays.UNREADY_SECONDS)
+    assert choose([candidate()], table) is None
