Keep the limit on descriptors as callers and routers connect

Cause: the setting `descriptors` was read by nothing. A router accepted connections until the system gave no descriptor; then accept raised EMFILE again and again in the thread that serves all idle connections.

Change: connections that callers, other routers and readers of the metrics open are counted by kind. At the limit the connection that was idle longest is closed for a new one, unless a request arrives on it or it was used within a tenth of a second. Where there is none, the new connection is accepted out of a reserve, gets 503 with Retry-After once its request has arrived, and is closed after the answer was read or after one second; it is served after all if there is room by then. If the reserve is used up, connections wait in the kernel. EMFILE stops accepting for a tenth of a second. A line when the limit begins to bind and when it ends, and counters.

--- a/packages/gateway/ibisring_gateway/callerserver.py
+++ b/packages/gateway/ibisring_gateway/callerserver.py
@@ -8,6 +8,8 @@
 
 from cheroot import server as cheroot_server
 from ibisring_gateway import bodies
+from ibisring_gateway import descriptorlimit
+from ibisring_gateway import excessconnections
 from ibisring_gateway import exchange
 from ibisring_gateway import growingpool
 from ibisring_gateway import idleconnections
@@ -52,6 +54,8 @@
     ----------
     has_unread_input : bool
         Whether the caller may still send what is never read.
+    holds_slot : bool
+        Whether the connection counts towards the limit on descriptors.
     """
 
     RequestHandlerClass = _Request
@@ -59,6 +63,7 @@
     def __init__(self, server, sock, *args):
         super().__init__(server, sock, *args)
         self.has_unread_input = False
+        self.holds_slot = False
         sock.settimeout(SOCKET_TIMEOUT_SECONDS)
 
     def communicate(self):
@@ -86,7 +91,16 @@
         """Close the connection once the caller has its answer."""
         if self.has_unread_input:
             _discard_input(self.socket)
-        super().close()
+        try:
+            super().close()
+        finally:
+            self._release_slot()
+
+    def _release_slot(self):
+        if self.holds_slot:
+            self.holds_slot = False
+            self.server.slots.close()
+            self.server.slots.record_free()
 
 
 def _discard_input(sock):
@@ -116,11 +130,16 @@
     idle_limits : idlelimits.IdleLimits
     header_timeout : float
         Seconds.
+    slots : descriptorlimit.Slots
+    refuse : callable or None
+        See `excessconnections.ExcessConnections`.
     """
 
     bound_socket = None
     header_timeout = 0.0
     idle_limits = None
+    slots = None
+    refuse = None
     ConnectionClass = _Connection
 
     @property
@@ -132,7 +151,10 @@
         super().prepare()
         self._connections.close()
         self._connections = idleconnections.make_idle_connections(
-            self, self.idle_limits
+            self,
+            self.idle_limits,
+            self.slots,
+            excessconnections.make_excess_connections(self.slots, self.refuse),
         )
 
     def bind(self, family, type, proto=0):
@@ -145,7 +167,15 @@
         LOG.log(level, 'caller_connection', extra={'facts': {'said': msg}})
 
 
-def make_server(address, threads, handler, limits, bound_socket=None):
+def make_server(
+    address,
+    threads,
+    handler,
+    limits,
+    bound_socket=None,
+    slots=None,
+    refuse=None,
+):
     """Make a cheroot server.
 
     Parameters
@@ -159,6 +189,11 @@
     limits : routing.CallerLimits
     bound_socket : socket.socket or None
         Already bound to the address.
+    slots : descriptorlimit.Slots or None
+        Of the connections that it accepts; None for any number.
+    refuse : callable or None
+        Refuses a request for which there is no slot, see
+        `excessconnections.ExcessConnections`.
 
     Returns
     -------
@@ -177,6 +212,8 @@
     host, _, port = address.rpartition(':')
     server = _Server((host, int(port)), Gateway)
     server.bound_socket = bound_socket
+    server.slots = slots or descriptorlimit.make_unlimited()
+    server.refuse = refuse
     server.requests = growingpool.make_growing_pool(server, *threads)
     server.request_queue_size = LISTEN_BACKLOG
     server.keep_alive_conn_limit = MAX_IDLE_CONNECTIONS
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -134,6 +134,34 @@
             if self.stopping_at is not None:
                 exchange.close_after()
 
+    def refuse(self, method, target, headers, retry_after):
+        """Refuse a request for whose connection no descriptor is left.
+
+        Parameters
+        ----------
+        method, target : str
+        headers : dict
+        retry_after : float
+            Seconds.
+
+        Returns
+        -------
+        (int, list of (str, str), bytes)
+            Status, headers and body of the answer.
+        """
+        started = self.clock()
+        request_id = ''
+        try:
+            request_id = self.codec.decode_request(method, target, headers).id
+        except exceptions.InvalidRequest as error:
+            LOG.debug('a refused request has no valid head: %s', error)
+        error = exceptions.Overloaded(
+            'this router has as many connections as it may', retry_after
+        )
+        self.metrics.count(f'refused.{error.code}')
+        self.log.write_error(request_id, error, started, None, error.status)
+        return self.codec.encode_error(request_id, error)
+
     def _send_error(self, exchange, request_id, error, started):
         if exchange.headers_sent:
             # The caller has received part of an answer.  An error written
--- a/packages/gateway/ibisring_gateway/idleconnections.py
+++ b/packages/gateway/ibisring_gateway/idleconnections.py
@@ -2,50 +2,106 @@
 
 __all__ = ['IdleConnections', 'make_idle_connections']
 
+import collections
+import errno
 import selectors
+import threading
 import time
 
 from cheroot import connections
 from ibisring_web import sockets
 
+# A caller that has just connected or been answered is likely to be sending
+# its next request.
+RECENT_SECONDS = 0.1
+# Interval of the checks while connections are refused or none is accepted.
+EXCESS_INTERVAL_SECONDS = 0.02
+# Time without accepting after the system had no descriptor or memory.
+PAUSE_SECONDS = 0.1
+_EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+
 
 class IdleConnections(connections.ConnectionManager):
     """Waits for requests, and closes connections that have expired.
 
+    At the limit on descriptors, the connection that was idle longest makes
+    room for a new one.  If there is none, the new one is refused once its
+    request arrives, and no more are accepted than can be refused at a time.
+
     Parameters
     ----------
     server : cheroot.server.HTTPServer
         Prepared.
     limits : idlelimits.IdleLimits
+    slots : descriptorlimit.Slots
+    excess : excessconnections.ExcessConnections
     clock : callable
         Monotonic: a step of the system's clock must not expire connections.
+
+    Attributes
+    ----------
+    idle : collections.OrderedDict of HTTPConnection to int
+        Descriptors of the idle connections, the longest idle one first.
+    paused_until : float or None
+        No connection is accepted before; None if they are accepted.
     """
 
-    def __init__(self, server, limits, clock):
+    def __init__(self, server, limits, slots, excess, clock):
         super().__init__(server)
         self.limits = limits
+        self.slots = slots
+        self.excess = excess
         self.clock = clock
+        self.idle = collections.OrderedDict()
+        self.idle_lock = threading.Lock()
+        self.paused_until = None
 
     def put(self, conn):
         """Keep a connection until its next request."""
         conn.last_used = self.clock()
         conn.idle_limit = self.limits.longest(conn.last_used)
+        self.slots.record_free()
+        self._keep(conn)
+
+    def _keep(self, conn):
         if conn.rfile.has_data():
             self.server.process_conn(conn)
             return
         descriptor = conn.socket.fileno()
-        self._selector.register(descriptor, selectors.EVENT_READ, data=conn)
+        with self.idle_lock:
+            self.idle[conn] = descriptor
+            self._selector.register(
+                descriptor, selectors.EVENT_READ, data=conn
+            )
+
+    def _forget(self, descriptor, conn):
+        """Stop waiting for a request on a connection."""
+        with self.idle_lock:
+            self._selector.unregister(descriptor)
+            self.idle.pop(conn, None)
+
+    def _remove_invalid_sockets(self):
+        super()._remove_invalid_sockets()
+        with self.idle_lock:
+            for conn in list(self.idle):
+                if conn.socket.fileno() < 0:
+                    del self.idle[conn]
 
     def _run(self, expiration_interval):
         checked_at = self.clock()
         while not self._stop_requested:
+            is_calm = self.paused_until is None and not self.excess
+            interval = (
+                expiration_interval if is_calm else EXCESS_INTERVAL_SECONDS
+            )
             try:
-                ready = self._selector.select(timeout=expiration_interval)
+                ready = self._selector.select(timeout=interval)
             except OSError:
                 self._remove_invalid_sockets()
                 continue
             for descriptor, conn in ready:
                 self._dispatch(descriptor, conn)
+            self._check_excess()
             now = self.clock()
             if now - checked_at > expiration_interval:
                 self.close_expired(now)
@@ -54,16 +110,164 @@
     def _dispatch(self, descriptor, conn):
         if conn is self.server:
             self._accept()
-            return
-        # A thread reads from it until `put` is called again.
-        self._selector.unregister(descriptor)
-        self.server.process_conn(conn)
+        elif conn in self.excess:
+            self._dispatch_excess(descriptor, conn)
+        else:
+            # A thread reads from it until `put` is called again.
+            self._forget(descriptor, conn)
+            self.server.process_conn(conn)
 
     def _accept(self):
         """Keep a new connection until its first request begins."""
-        conn = self._from_server_socket(self.server.socket)
-        if conn is not None:
-            self.put(conn)
+        is_allowed = self._open_slot()
+        if not is_allowed and not self._reserve_refusal():
+            self._pause(EXCESS_INTERVAL_SECONDS)
+            return
+        conn = None
+        try:
+            conn = self._accept_socket()
+        finally:
+            if conn is None:
+                self._give_back(is_allowed)
+        if conn is None:
+            return
+        if is_allowed:
+            self._admit(conn)
+            self._keep(conn)
+        else:
+            self.excess.add(conn)
+            self._selector.register(
+                conn.socket.fileno(), selectors.EVENT_READ, data=conn
+            )
+
+    def _accept_socket(self):
+        """Return a new connection, None if there is none."""
+        try:
+            return self._from_server_socket(self.server.socket)
+        except OSError as error:
+            if error.errno not in _EXHAUSTED:
+                raise
+            # The listener stays readable: without a pause this would spin.
+            self.slots.record_exhaustion(error)
+            self._close_idle()
+            self._pause(PAUSE_SECONDS)
+            return None
+
+    def _give_back(self, is_slot):
+        if is_slot:
+            self.slots.close()
+        else:
+            self.slots.end_refusal()
+
+    def _admit(self, conn):
+        """Have a connection hold the slot that was opened for it."""
+        conn.last_used = self.clock()
+        conn.idle_limit = self.limits.longest(conn.last_used)
+        conn.holds_slot = True
+
+    def _open_slot(self):
+        """Return whether a new connection may be served, and count it."""
+        if self.slots.open():
+            return True
+        return self._close_idle() and self.slots.open()
+
+    def _close_idle(self):
+        """Close the connection that was idle longest; return whether."""
+        conn = self._longest_idle()
+        if conn is None:
+            return False
+        self._forget(conn.socket.fileno(), conn)
+        conn.close()
+        self.slots.record_closed_idle()
+        return True
+
+    def _longest_idle(self):
+        """Return the longest idle connection on which nothing arrives."""
+        before = self.clock() - RECENT_SECONDS
+        with self.idle_lock:
+            found = list(self.idle)
+        for conn in found:
+            if conn.last_used > before:
+                return None
+            if not sockets.has_input(conn.socket):
+                return conn
+        return None
+
+    def _reserve_refusal(self):
+        """Return whether another connection may be refused."""
+        if self.excess.reserve():
+            return True
+        silent = self.excess.find_silent()
+        if silent is None:
+            return False
+        self._close_excess(silent)
+        return self.excess.reserve()
+
+    def _pause(self, seconds):
+        """Accept no connection for a time; they wait in the kernel."""
+        if self.paused_until is None:
+            self._selector.unregister(self.server.socket.fileno())
+        self.paused_until = self.clock() + seconds
+
+    def _resume(self):
+        self.paused_until = None
+        self._selector.register(
+            self.server.socket.fileno(),
+            selectors.EVENT_READ,
+            data=self.server,
+        )
+
+    def _dispatch_excess(self, descriptor, conn):
+        if self.excess.is_answered(conn):
+            if not self.excess.discard(conn):
+                self._close_excess(conn)
+            return
+        self._selector.unregister(descriptor)
+        self.excess.defer(conn)
+        self._serve_or_refuse(conn)
+
+    def _serve_or_refuse(self, conn):
+        """Serve the request on a connection, refuse it, or let it wait.
+
+        It waits a moment where connections are idle that were used just now:
+        either they get requests, or one of them may be closed.
+        """
+        if self._open_slot():
+            self.excess.remove(conn)
+            self._admit(conn)
+            self.server.process_conn(conn)
+        elif self.idle and self.excess.may_wait(conn):
+            return
+        elif self.excess.answer(conn):
+            self._selector.register(
+                conn.socket.fileno(), selectors.EVENT_READ, data=conn
+            )
+        else:
+            self.excess.remove(conn)
+            conn.close()
+
+    def _close_excess(self, conn):
+        self._selector.unregister(conn.socket.fileno())
+        self.excess.remove(conn)
+        conn.close()
+
+    def _check_excess(self):
+        """Serve or close connections beyond the limit; accept new ones."""
+        if self.excess:
+            for conn in self.excess.list_expired(self.server.header_timeout):
+                self._close_excess(conn)
+            for conn in self.excess.list_waiting():
+                if not self.slots.open():
+                    break
+                self._selector.unregister(conn.socket.fileno())
+                self.excess.remove(conn)
+                self._admit(conn)
+                self._keep(conn)
+            for conn in self.excess.list_deferred():
+                self._serve_or_refuse(conn)
+        until = self.paused_until
+        if until is not None and self.clock() >= until:
+            self._resume()
 
     def close_expired(self, now):
         """Close the connections that have been idle for too long.
@@ -72,9 +276,11 @@
         ----------
         now : float
         """
-        for descriptor, conn in list(self._selector.connections):
-            if conn is not self.server and self._is_expired(conn, now):
-                self._selector.unregister(descriptor)
+        with self.idle_lock:
+            idle = list(self.idle.items())
+        for conn, descriptor in idle:
+            if self._is_expired(conn, now):
+                self._forget(descriptor, conn)
                 conn.close()
 
     def _is_expired(self, conn, now):
@@ -84,6 +290,6 @@
         return not sockets.has_input(conn.socket)
 
 
-def make_idle_connections(server, limits, clock=time.monotonic):
+def make_idle_connections(server, limits, slots, excess, clock=time.monotonic):
     """Make `IdleConnections`."""
-    return IdleConnections(server, limits, clock)
+    return IdleConnections(server, limits, slots, excess, clock)
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -13,6 +13,7 @@
 
 from ibisring_gateway import attemptwatching
 from ibisring_gateway import callerserver
+from ibisring_gateway import descriptorlimit
 from ibisring_gateway import directory
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossip
@@ -30,6 +31,7 @@
 from ibisring_gateway import storefollowing
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
+from ibisring_policy.gateway import descriptors
 from ibisring_policy.gateway import endings
 from ibisring_policy.gateway import retrybudget
 from ibisring_policy.gateway import shutdown
@@ -75,6 +77,10 @@
         self.caller_socket = caller_socket
         self.installation = installation
         self.metrics = metrics.make_metrics()
+        self.descriptor_limit = descriptorlimit.make_limit(
+            descriptorlimit.raise_soft_limit(settings.descriptors),
+            self.metrics,
+        )
         self.view = view_module.make_view(
             settings.failure_domain, name=settings.router_id
         )
@@ -242,24 +248,38 @@
         """Bind all addresses; callers are served later."""
         settings = self.settings
         limits = routing.CallerLimits()
+        slots = self.descriptor_limit.slots
+        control = slots[descriptors.Kind.CONTROL]
         self.caller_server = callerserver.make_server(
             settings.caller_listen,
             CALLER_THREADS,
             self.forwarder.serve,
             limits,
             self.caller_socket,
+            slots[descriptors.Kind.CALLERS],
+            self.forwarder.refuse,
         )
         self.caller_server.prepare()
         self.servers.append(self.caller_server)
         host = settings.host
         listeners = (
-            (settings.ready_listen, READY_THREADS, self.serve_ready),
-            (f'{host}:{settings.peer_port}', PEER_THREADS, self.serve_peer),
-            (f'{host}:{settings.metrics_port}', (1, 4), self.serve_metrics),
+            (settings.ready_listen, READY_THREADS, self.serve_ready, control),
+            (
+                f'{host}:{settings.peer_port}',
+                PEER_THREADS,
+                self.serve_peer,
+                slots[descriptors.Kind.ROUTERS],
+            ),
+            (
+                f'{host}:{settings.metrics_port}',
+                (1, 4),
+                self.serve_metrics,
+                control,
+            ),
         )
-        for address, threads, handler in listeners:
+        for address, threads, handler, own_slots in listeners:
             server = callerserver.make_server(
-                address, threads, handler, limits
+                address, threads, handler, limits, slots=own_slots
             )
             if handler == self.serve_peer:
                 self.peer_server = server
@@ -297,6 +317,7 @@
         self.stall_handler.run_checks()
         self.link_monitor.run_checks()
         self.rank_monitor.run_checks()
+        self.descriptor_limit.run_checks()
 
     def serve_ready(self, call):
         """Answer a readiness check: 200 if new connections are accepted."""
@@ -332,6 +353,7 @@
             self.forwarder.selector.bottlenecks.capacity_requests()
         )
         self.rank_monitor.update_metrics()
+        self.descriptor_limit.update_metrics()
         counters['routers_running'] = self.peers.running_count(
             time.monotonic()
         )
--- a/packages/gateway/ibisring_gateway/settings.py
+++ b/packages/gateway/ibisring_gateway/settings.py
@@ -6,6 +6,7 @@
 
 import msgspec
 
+from ibisring_policy.gateway import descriptors
 from ibisring_records import exceptions
 
 ADDRESS = re.compile(r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$')
@@ -34,6 +35,7 @@
     store: str
     peer_port: int
     metrics_port: int = 9464
+    # Descriptors that the process may have, those of files included.
     descriptors: int = 4200
     memory_mb: int = 300
     # Bandwidth of the VM's network link in Mbit/s, 0 if it is unknown.
@@ -108,6 +110,11 @@
             raise exceptions.InvalidSetting(
                 f'{name} is {value!r}, but must be one of {", ".join(choices)}'
             )
+    if settings.descriptors < descriptors.MIN_LIMIT:
+        raise exceptions.InvalidSetting(
+            f'descriptors is {settings.descriptors!r}, but must be at least '
+            f'{descriptors.MIN_LIMIT}'
+        )
     for name in settings.__struct_fields__:
         value = getattr(settings, name)
         if isinstance(value, int | float) and value < 0:
--- a/packages/gateway/ibisring_gateway/tests/callers.py
+++ b/packages/gateway/ibisring_gateway/tests/callers.py
@@ -20,10 +20,12 @@
 
 
 @contextlib.contextmanager
-def running(handler=echo, threads=(2, 4), limits=None):
+def running(handler=echo, threads=(2, 4), limits=None, slots=None):
     """Run a server of callers."""
     limits = limits or routing.CallerLimits()
-    server = callerserver.make_server('127.0.0.1:0', threads, handler, limits)
+    server = callerserver.make_server(
+        '127.0.0.1:0', threads, handler, limits, slots=slots
+    )
     server.prepare()
     threading.Thread(target=server.serve, daemon=True).start()
     try:
--- a/packages/gateway/ibisring_gateway/tests/test_settings.py
+++ b/packages/gateway/ibisring_gateway/tests/test_settings.py
@@ -3,6 +3,7 @@
 import pytest
 
 from ibisring_gateway import settings as settings_module
+from ibisring_policy.gateway import descriptors
 from ibisring_records import exceptions
 
 
@@ -25,3 +26,11 @@
         settings_module.check(_settings(queueing=mode))
     with pytest.raises(exceptions.InvalidSetting, match='queueing'):
         settings_module.check(_settings(queueing='yes'))
+
+
+def test_limit_on_descriptors_that_leaves_too_few_ends_the_start():
+    """Guards against a router that starts and can serve no caller."""
+    lowest = descriptors.MIN_LIMIT
+    settings_module.check(_settings(descriptors=lowest))
+    with pytest.raises(exceptions.InvalidSetting, match='descriptors'):
+        settings_module.check(_settings(descriptors=lowest - 1))
