--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -13,6 +13,7 @@
 
 from ibisring_gateway import attemptwatching
 from ibisring_gateway import callerserver
+from ibisring_gateway import descriptorlimit
 from ibisring_gateway import directory
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossip
@@ -30,6 +31,7 @@
 from ibisring_gateway import storefollowing
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
+from ibisring_policy.gateway import descriptors
 from ibisring_policy.gateway import endings
 from ibisring_policy.gateway import retrybudget
 from ibisring_policy.gateway import shutdown
@@ -83,6 +85,10 @@
         self.caller_socket = caller_socket
         self.installation = installation
         self.metrics = metrics.make_metrics()
+        self.descriptor_limit = descriptorlimit.make_limit(
+            descriptorlimit.raise_soft_limit(settings.descriptors),
+            self.metrics,
+        )
         self.view = view_module.make_view(
             settings.failure_domain, name=settings.router_id
         )
@@ -250,24 +256,38 @@
         """Bind all addresses; callers are served later."""
         settings = self.settings
         limits = UNKNOWN_LIMITS
+        slots = self.descriptor_limit.slots
+        control = slots[descriptors.Kind.CONTROL]
         self.caller_server = callerserver.make_server(
             settings.caller_listen,
             CALLER_THREADS,
             self.forwarder.serve,
             limits,
             self.caller_socket,
+            slots[descriptors.Kind.CALLERS],
+            self.forwarder.refuse,
         )
         self.caller_server.prepare()
         self.servers.append(self.caller_server)
         host = settings.host
         listeners = (
-            (settings.ready_listen, READY_THREADS, self.serve_ready),
-            (f'{host}:{settings.peer_port}', PEER_THREADS, self.serve_peer),
-            (f'{host}:{settings.metrics_port}', (1, 4), self.serve_metrics),
+            (settings.ready_listen, READY_THREADS, self.serve_ready, control),
+            (
+                f'{host}:{settings.peer_port}',
+                PEER_THREADS,
+                self.serve_peer,
+                slots[descriptors.Kind.ROUTERS],
+            ),
+            (
+                f'{host}:{settings.metrics_port}',
+                (1, 4),
+                self.serve_metrics,
+                control,
+            ),
         )
-        for address, threads, handler in listeners:
+        for address, threads, handler, own_slots in listeners:
             server = callerserver.make_server(
-                address, threads, handler, limits
+                address, threads, handler, limits, slots=own_slots
             )
             if handler == self.serve_peer:
                 self.peer_server = server
@@ -333,6 +353,7 @@
         guards.run('check_stalls', self.stall_handler.run_checks)
         guards.run('check_links', self.link_monitor.run_checks)
         guards.run('check_ranks', self.rank_monitor.run_checks)
+        guards.run('check_descriptors', self.descriptor_limit.run_checks)
 
     def _tick(self):
         self.directory.tell(directory.Tick())
@@ -376,6 +397,7 @@
             self.forwarder.selector.bottlenecks.capacity_requests()
         )
         self.rank_monitor.update_metrics()
+        self.descriptor_limit.update_metrics()
         counters['routers_running'] = self.peers.running_count(
             time.monotonic()
         )
