Answer a plain request at once whose endpoint is known to be lost

Cause: where no successor is allowed (no retry left, route forbids), a silent plain request stayed until its deadline, also when its endpoint was lost.

Change: `answerends.may_still_answer` decides by signs: a later start of the entry, or two of a closed port, a missing entry and another endpoint that is reached. Silence alone is none, a port that accepts outweighs the others. Plain requests of all kinds are looked at after twice the objective, each endpoint every 0.5 s for all requests silent there. The attempt then ends as lost, and its endpoint is avoided. Other routers are left out: they have no entry.

A server that closes its port before it has finished its answers is taken for lost if it is silent beyond that time; by the platform's protocol the port stays open until the process exits.

The decision keeps its promises in all 24 states, and each mutation of it is told.

--- a/packages/gateway/ibisring_gateway/liveness.py
+++ b/packages/gateway/ibisring_gateway/liveness.py
@@ -127,6 +127,22 @@
                 return answerends.Process.RUNNING
         return answerends.Process.UNKNOWN
 
+    def observe(self, endpoint):
+        """Return what connections show of a silent endpoint.
+
+        Returns
+        -------
+        (answerends.Process, bool)
+            Its process, and whether another endpoint is reached.
+        """
+        process = self.find_process(endpoint)
+        if process is answerends.Process.RUNNING:
+            return process, True
+        # The router's links may be cut one after another, see `check`.
+        self.sleep(CONFIRM_SECONDS)
+        is_reached = self._reaches_another(endpoint)
+        return self.find_process(endpoint), is_reached
+
     def _reaches_another(self, endpoint):
         """Return whether a connection to some other endpoint opens."""
         others = [e for e in self.list_endpoints() if e.id != endpoint.id]
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -152,6 +152,7 @@
         self.stall_handler.querier.on_answer = self.link_monitor.answered
         self.stall_handler.can_relay = self.relay_sender.is_possible
         self.stall_handler.successors = self.forwarder.successors
+        self.stall_handler.may_still_answer = self.screen.may_still_answer
         self.stall_handler.on_all_silent = self.link_monitor.verify
 
     def _on_stall(self, attempt):
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -12,6 +12,7 @@
 from ibisring_gateway import exchange as exchange_module
 from ibisring_gateway import liveness
 from ibisring_gateway import partscreening
+from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import suspects
 from ibisring_records import exceptions
 from ibisring_router import logs
@@ -259,6 +260,21 @@
         is_exit_due |= snapshot.is_leaving(endpoint)
         return self.prober.find_process(endpoint, is_exit_due)
 
+    def may_still_answer(self, endpoint):
+        """Return whether a silent endpoint may still answer."""
+        known = self.view.snapshot.endpoints.get(endpoint.id)
+        process, is_reached = self.prober.observe(endpoint)
+        return answerends.may_still_answer(
+            answerends.Signs(
+                process=process,
+                has_entry=known is not None,
+                has_restarted=(
+                    known is not None and known.started > endpoint.started
+                ),
+                reaches_another=is_reached,
+            )
+        )
+
     def _record_unresolved(self, job, endpoint, is_cut_off):
         """Record a loss that a later start of the endpoint may explain."""
         with self.view.lock:
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -14,10 +14,12 @@
 from ibisring_router import logs
 
 LOG = logging.getLogger(__name__)
-# Multiple of the objective for which a repeatable plain request waits for one
-# endpoint.
+# Multiple of the objective after which the endpoint of a plain request is
+# looked at.
 TIMEOUT_OBJECTIVES = 2.0
 MS_PER_SECOND = 1000.0
+# Results of attempts whose endpoint is then avoided; None if it ended them.
+_ENDPOINT_FAILED = (None, attempts.Result.SILENT, attempts.Result.LOST)
 
 
 class Sender:
@@ -135,10 +137,12 @@
             attempt.check_at = now + self.selector.first_event_timeout(
                 job, attempt
             )
-        elif job.route.repeatable and attempt.may_change_endpoint:
+        elif not attempt.stages or (
+            job.route.repeatable and attempt.may_change_endpoint
+        ):
             # A slower answer is of little use, and another endpoint may still
-            # answer in time.  The last endpoint that the route allows gets no
-            # timeout: without it the caller would get no answer at all.
+            # answer in time.  Where none is allowed, the attempt stays while
+            # its endpoint may still answer.
             attempt.check_at = now + TIMEOUT_OBJECTIVES * job.route.objective
 
     def _handle_unreachable(self, job, attempt, error, started):
@@ -164,7 +168,7 @@
         """Handle a failure after the request was written."""
         job.record_loss()
         finding = self.screen.check_lost_answer(job, attempt)
-        if attempt.result is None or attempt.result is attempts.Result.SILENT:
+        if attempt.result in _ENDPOINT_FAILED:
             job.avoid.add(attempt.endpoint.id)
             with self.view.lock:
                 self.view.estimates.note_response(
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -39,6 +39,8 @@
 MAX_CHECKS = 4
 # Seconds until a plain request without a successor is looked at again.
 PLAIN_RECHECK_SECONDS = 0.1
+# Seconds for which a plain endpoint is not looked at again.
+LOST_CHECK_SECONDS = 0.5
 # Silence after which a request goes on by another router if this one has lost
 # its links to engines; an open connection may still work.
 CUT_SILENCE_SECONDS = 0.25
@@ -93,6 +95,8 @@
         Returns whether another router may take requests for a service.
     successors : successors.Successors or None
         Without them no attempt is given up.
+    may_still_answer : callable
+        Returns whether a silent endpoint may still answer; waits for it.
     """
 
     def __init__(self, view, engines, selector, watcher, metrics):
@@ -111,6 +115,10 @@
         self.on_all_silent = lambda service: None
         self.can_relay = lambda service: False
         self.successors = None
+        # By plain endpoint and its start: when it was looked at, and whether
+        # it was lost.
+        self.lost = {}
+        self.may_still_answer = lambda endpoint: True
 
     def stop(self):
         """Shut the thread pools down without waiting."""
@@ -135,17 +143,48 @@
             attempt.is_checking = False
 
     def _keep_plain(self, attempt):
-        """Keep a silent plain request; others prefer other endpoints."""
+        """Keep a silent plain request while it may still be answered.
+
+        Other requests prefer other endpoints.
+        """
         now = self.clock()
         attempt.check_at = now + PLAIN_RECHECK_SECONDS
         attempt.checks += 1
+        # Another router has no entry, and is no endpoint that may be lost.
+        is_endpoint = isinstance(attempt.endpoint, routing.Endpoint)
+        if is_endpoint and self._is_lost(attempt.endpoint, now):
+            # Nothing more comes; the next step is decided as after any loss.
+            attempt.abort(attempts.Result.LOST)
+            return
         is_known = attempt.endpoint.id in self.view.snapshot.endpoints
-        if attempt.checks == 1 and is_known:
+        may_move = attempt.may_change_endpoint and attempt.job.route.repeatable
+        if attempt.checks == 1 and is_known and may_move:
             with self.view.lock:
                 self.view.estimates.note_response(
                     attempt.endpoint.id, True, now
                 )
 
+    def _is_lost(self, endpoint, now):
+        """Return whether a silent plain endpoint is known to be lost.
+
+        Looked at once for all requests that are silent there.
+        """
+        key = endpoint.id, endpoint.started
+        with self.excluded_lock:
+            checked_at, is_lost = self.lost.get(key, (float('-inf'), False))
+            if now - checked_at < LOST_CHECK_SECONDS:
+                return is_lost
+            self.lost = {
+                each: found
+                for each, found in self.lost.items()
+                if now - found[0] < LOST_CHECK_SECONDS
+            }
+            self.lost[key] = now, False
+        is_lost = not self.may_still_answer(endpoint)
+        with self.excluded_lock:
+            self.lost[key] = self.clock(), is_lost
+        return is_lost
+
     def _give_up(self, attempt, cause):
         """End an attempt if its request goes on elsewhere.
 
--- a/packages/gateway/ibisring_gateway/tests/test_stalls.py
+++ b/packages/gateway/ibisring_gateway/tests/test_stalls.py
@@ -530,6 +530,27 @@
     scenario.handler.stop()
 
 
+@pytest.mark.parametrize('is_lost', [False, True])
+def test_plain_request_stays_while_its_endpoint_may_answer(is_lost):
+    """Failure: a caller waits until its deadline for a lost endpoint."""
+    scenario = Scenario()
+    scenario.attempt.stages = ()
+    scenario.attempt.job.progress.repeatable = False
+    looked_at = []
+
+    def may_still_answer(endpoint):
+        looked_at.append(endpoint.id)
+        return not is_lost
+
+    scenario.handler.may_still_answer = may_still_answer
+    for _ in range(3):
+        scenario.handler._check(scenario.attempt)
+    expected = attempts.Result.LOST if is_lost else None
+    assert scenario.attempt.result is expected
+    assert looked_at == ['h']
+    scenario.handler.stop()
+
+
 def test_silent_plain_endpoint_is_avoided_by_others():
     """Failure: an endpoint that answers nothing gets requests as before."""
     scenario = Scenario()
--- a/packages/policy/ibisring_policy/gateway/answerends.py
+++ b/packages/policy/ibisring_policy/gateway/answerends.py
@@ -9,7 +9,15 @@
 RFC 9112, "HTTP/1.1", section 8, on incomplete messages.
 """
 
-__all__ = ['End', 'Evidence', 'Process', 'judge', 'depends_on_process']
+__all__ = [
+    'End',
+    'Evidence',
+    'Process',
+    'Signs',
+    'judge',
+    'depends_on_process',
+    'may_still_answer',
+]
 
 import enum
 
@@ -84,6 +92,58 @@
     return End.SOUND if is_proven else End.BROKEN
 
 
+class Signs(msgspec.Struct, frozen=True, kw_only=True):
+    """What is known of an endpoint that is silent.
+
+    Attributes
+    ----------
+    process : Process
+    has_entry : bool
+        Whether it is still registered.
+    has_restarted : bool
+        Whether its entry is of a later start than the request.
+    reaches_another : bool
+        Whether the router reaches another endpoint, so that its own links
+        are not cut.
+    """
+
+    process: Process
+    has_entry: bool
+    has_restarted: bool
+    reaches_another: bool
+
+
+def may_still_answer(signs):
+    """Return whether a silent endpoint may still answer a request.
+
+    Silence alone shows nothing, nor does one sign that a cut link or a
+    registry without the entry explains as well.
+
+    Parameters
+    ----------
+    signs : Signs
+
+    Examples
+    --------
+    >>> may_still_answer(
+    ...     Signs(
+    ...         process=Process.EXITED,
+    ...         has_entry=True,
+    ...         has_restarted=False,
+    ...         reaches_another=True,
+    ...     )
+    ... )
+    False
+    """
+    if signs.has_restarted:
+        return False
+    if signs.process is Process.RUNNING:
+        return True
+    if signs.process is Process.EXITED:
+        return signs.has_entry and not signs.reaches_another
+    return signs.has_entry or not signs.reaches_another
+
+
 def depends_on_process(evidence):
     """Return whether it matters if the endpoint's process is running.
 
--- a/packages/policy/ibisring_policy/gateway/tests/promises.py
+++ b/packages/policy/ibisring_policy/gateway/tests/promises.py
@@ -13,12 +13,14 @@
     'of_giving_up',
     'of_counting',
     'of_exit',
+    'of_waiting',
     'of_closing',
     'may_continue',
     'may_wait',
     'may_continue_elsewhere',
 ]
 
+from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import idlelimits
 from ibisring_policy.gateway import shutdown
@@ -228,6 +230,31 @@
     return [name for name, is_kept in kept.items() if not is_kept]
 
 
+def of_waiting(signs, may_still_answer):
+    """Return the promises that waiting for a silent endpoint breaks.
+
+    Parameters
+    ----------
+    signs : answerends.Signs
+    may_still_answer : bool
+        The decision.
+    """
+    is_reached = signs.process is answerends.Process.RUNNING
+    against = [
+        signs.process is answerends.Process.EXITED,
+        not signs.has_entry,
+        signs.reaches_another,
+    ]
+    is_lost = signs.has_restarted or (not is_reached and sum(against) >= 2)
+    kept = {
+        'nothing is ended for silence alone': may_still_answer or is_lost,
+        'a lost endpoint is not waited for': not (
+            may_still_answer and is_lost
+        ),
+    }
+    return [name for name, is_kept in kept.items() if not is_kept]
+
+
 def of_closing(idle, limits, closes):
     """Return the promises that closing an idle connection breaks.
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
@@ -5,6 +5,7 @@
 
 import hypothesis
 from hypothesis import strategies
+from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import idlelimits
 from ibisring_policy.gateway import shutdown
@@ -283,6 +284,33 @@
     return False
 
 
+def _broken_waits(module):
+    flags = itertools.product(answerends.Process, *[FLAGS] * 3)
+    for process, has_entry, has_restarted, reaches_another in flags:
+        signs = answerends.Signs(
+            process=process,
+            has_entry=has_entry,
+            has_restarted=has_restarted,
+            reaches_another=reaches_another,
+        )
+        yield from promises.of_waiting(signs, module.may_still_answer(signs))
+
+
+def test_waiting_keeps_its_promises():
+    """Guards against sound requests ended, and waits for lost endpoints."""
+    assert not list(_broken_waits(answerends))
+
+
+@pytest.mark.parametrize(
+    'mutation',
+    mutations.make_mutations(answerends, ['may_still_answer']),
+    ids=str,
+)
+def test_promises_tell_a_changed_wait(mutation):
+    """Guards against promises that a wrong decision keeps."""
+    assert list(_broken_waits(mutation.module))
+
+
 def _breaks_an_exit(module):
     seconds = (0.0, 1.0, 2.0, 3.0, 7.0, 8.0)
     for elapsed, active in itertools.product(seconds, (0, 1)):
