Reset answers that the router's exit cuts and only a close would end

Cause: os._exit closes the connections of running streams. To a caller of HTTP/1.0, whose answer ends with its connection, a cut stream looked whole.

Change: the forwarder keeps the running exchanges; before the exit, those that only the connection's end frames are set to be reset by the close. Chunks and lengths show the cut already, and a reset could discard events on their way.

--- a/packages/gateway/ibisring_gateway/exchange.py
+++ b/packages/gateway/ibisring_gateway/exchange.py
@@ -191,14 +191,30 @@
         if self.ends_with_connection:
             self._reset()
 
+    def prepare_exit(self):
+        """Have the end of the process reset an answer that has begun.
+
+        A close would look like its end; other framings show that they are
+        cut.
+        """
+        if not (self.headers_sent and self.ends_with_connection):
+            return
+        try:
+            self._reset_on_close()
+        except OSError as error:
+            LOG.debug('the connection is closed already: %s', error)
+
+    def _reset_on_close(self):
+        self.socket.setsockopt(
+            socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
+        )
+
     def _reset(self):
         """Reset the connection, which cheroot would close."""
         conn = self.request.conn
         conn.linger = True
         try:
-            conn.socket.setsockopt(
-                socket.SOL_SOCKET, socket.SO_LINGER, _RESET_ON_CLOSE
-            )
+            self._reset_on_close()
             conn.socket.close()
         except OSError as error:
             LOG.debug('the connection is closed already: %s', error)
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -96,6 +96,7 @@
         self.stopping_at = None
         self.refuse_after = None
         self.active = 0
+        self.exchanges = set()
 
     def serve(self, exchange):
         """Serve one request; called in a worker thread of the server."""
@@ -103,6 +104,7 @@
         request_id = ''
         with self.view.lock:
             self.active += 1
+            self.exchanges.add(exchange)
         try:
             request = self.codec.decode_request(
                 exchange.method, exchange.target, exchange.headers()
@@ -132,9 +134,17 @@
         finally:
             with self.view.lock:
                 self.active -= 1
+                self.exchanges.discard(exchange)
             if self.stopping_at is not None:
                 exchange.close_after()
 
+    def prepare_exit(self):
+        """Have callers notice the answers that the process cuts."""
+        with self.view.lock:
+            running = list(self.exchanges)
+        for exchange in running:
+            exchange.prepare_exit()
+
     def _send_error(self, exchange, request_id, error, started):
         if exchange.headers_sent:
             # The caller has received part of an answer.  An error written
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -407,6 +407,7 @@
                 break
         # The last chunk of an answer is written after it counts as ended.
         time.sleep(SHUTDOWN_POLL_SECONDS)
+        self.forwarder.prepare_exit()
         for attempt in self.watcher.attempts():
             logs.event(
                 LOG,
