--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -96,6 +96,7 @@
         self.stopping_at = None
         self.refuse_after = None
         self.active = 0
+        self.exchanges = set()
 
     def serve(self, exchange):
         """Serve one request; called in a worker thread of the server."""
@@ -104,6 +105,7 @@
         exchange.is_last = self._is_stopping
         with self.view.lock:
             self.active += 1
+            self.exchanges.add(exchange)
         try:
             request = self.codec.decode_request(
                 exchange.method, exchange.target, exchange.headers()
@@ -138,6 +140,7 @@
         finally:
             with self.view.lock:
                 self.active -= 1
+                self.exchanges.discard(exchange)
 
     def _is_stopping(self):
         return self.stopping_at is not None
@@ -170,6 +173,13 @@
         self.log.write_error(request_id, error, started, None, error.status)
         return self.codec.encode_error(request_id, error)
 
+    def prepare_exit(self):
+        """Have callers notice the answers that the process cuts."""
+        with self.view.lock:
+            running = list(self.exchanges)
+        for exchange in running:
+            exchange.prepare_exit()
+
     def _send_error(self, exchange, request_id, error, started):
         if exchange.headers_sent:
             # The caller has received part of an answer.  An error written
--- a/packages/gateway/ibisring_gateway/tests/test_process.py
+++ b/packages/gateway/ibisring_gateway/tests/test_process.py
@@ -3,7 +3,7 @@
 import queue
 import types
 
-from cheroot import server as cheroot_server
+from ibisring_gateway import callerserver
 from ibisring_gateway import directory
 from ibisring_gateway import process
 from ibisring_gateway import settings
@@ -84,22 +84,18 @@
     return codes
 
 
-def _refuse_threads_of_cheroot(monkeypatch):
-    def refuse(**parameters):
+def _fail_to_accept(monkeypatch):
+    def fail(server):
         raise RuntimeError("can't start new thread")
 
-    fake = types.SimpleNamespace(Thread=refuse)
-    monkeypatch.setattr(cheroot_server, 'threading', fake)
+    monkeypatch.setattr(callerserver._Server, 'serve', fail)
 
 
 def test_process_whose_server_accepts_nothing_exits(
     gateway, exits, monkeypatch
 ):
-    """Guards against callers that connect and never get an answer.
-
-    The server starts a thread of its own before it accepts connections.
-    """
-    _refuse_threads_of_cheroot(monkeypatch)
+    """Guards against callers that connect and never get an answer."""
+    _fail_to_accept(monkeypatch)
     gateway._listen()
     for _ in gateway.servers[1:]:
         assert exits.get(timeout=10.0) == process.EXIT_START_FAILED
@@ -117,7 +113,7 @@
 ):
     """Guards against answers that are cut within the grace time."""
     gateway._listen()
-    _refuse_threads_of_cheroot(monkeypatch)
+    _fail_to_accept(monkeypatch)
     gateway.is_shutting_down = True
     gateway._accept(gateway.caller_server)
     assert exits.empty()
