Keep the limit on descriptors for connections to endpoints

Cause: connections to endpoints and to other routers were not counted. A failure to open one for want of a descriptor was taken for an endpoint or a router that can't be reached, and counted as a try of the request.

Change: the pools count what they open. At the limit an idle connection is closed first: one to an endpoint, then one of the kind that needs it, then one of a kind that uses more than its reserve, callers' included. If there is none, no endpoint is chosen, so that the request waits or is refused by the admission as if none had room. One that was chosen just before is not sent, without a try used or blame. EMFILE from connect is handled the same, and no endpoint is chosen for a tenth of a second. A connection is closed also if its caller leaves while the answer is written; it was left to the garbage collector, and would have counted until then.

--- a/packages/gateway/ibisring_gateway/descriptorlimit.py
+++ b/packages/gateway/ibisring_gateway/descriptorlimit.py
@@ -41,8 +41,11 @@
     Attributes
     ----------
     reached_at : float or None
-        When the limit last kept a connection from being opened, None if that
-        has ended.
+        When the limit last kept a connection from being opened.
+    since : float or None
+        Since when it does, None if it does not.
+    closers : list of callable
+        Each closes an idle connection, and returns whether there was one.
     """
 
     def __init__(self, limit, kind):
@@ -50,6 +53,7 @@
         self.kind = kind
         self.reached_at = None
         self.since = None
+        self.closers = []
         self.closed_idle = 0
         self.refused = 0
         self.free_rate = grantrate.make_grant_rate()
@@ -65,6 +69,27 @@
         with self.limit.lock:
             return self.limit.budget.open(self.kind)
 
+    def open_in_place(self):
+        """Count a connection, if need be in place of an idle one.
+
+        Returns
+        -------
+        bool
+            Whether it may be opened.
+        """
+        return self.open() or (self.make_room() and self.open())
+
+    def make_room(self):
+        """Close an idle connection for one of this kind; return whether."""
+        with self.limit.lock:
+            kinds = self.limit.budget.kinds_to_close(self.kind)
+        for kind in kinds:
+            slots = self.limit.slots[kind]
+            if any(closer() for closer in slots.closers):
+                self._record_closed_idle(kind)
+                return True
+        return False
+
     def close(self):
         """Count a connection as closed."""
         with self.limit.lock:
@@ -85,11 +110,12 @@
         with self.limit.lock:
             self.free_rate.note(1.0, self.limit.clock())
 
-    def record_closed_idle(self):
-        """Record that an idle connection was closed for a new one."""
-        self.closed_idle += 1
-        self.limit.metrics.count(f'descriptors_closed_idle.{self.kind.value}')
+    def _record_closed_idle(self, kind):
+        """Record that an idle connection was closed for one of this kind."""
+        self.limit.metrics.count(f'descriptors_closed_idle.{kind.value}')
         self._record_reached()
+        with self.limit.lock:
+            self.closed_idle += 1
 
     def record_refusal(self):
         """Record a refusal.
@@ -117,6 +143,11 @@
                 self.limit.rng.random(),
             )
 
+    def record_denial(self):
+        """Record that a connection could not be opened and is waited for."""
+        self.limit.metrics.count(f'descriptors_denied.{self.kind.value}')
+        self._record_reached()
+
     def record_exhaustion(self, error):
         """Record that the system gave no descriptor though one was left."""
         name = f'descriptors_exhausted.{self.kind.value}'
--- a/packages/gateway/ibisring_gateway/idleconnections.py
+++ b/packages/gateway/ibisring_gateway/idleconnections.py
@@ -24,9 +24,10 @@
 class IdleConnections(connections.ConnectionManager):
     """Waits for requests, and closes connections that have expired.
 
-    At the limit on descriptors, the connection that was idle longest makes
-    room for a new one.  If there is none, the new one is refused once its
-    request arrives, and no more are accepted than can be refused at a time.
+    At the limit on descriptors, an idle connection is closed for a new one, of
+    callers that which was idle longest.  If there is none, the new one is
+    refused once its request arrives, and no more are accepted than can be
+    refused at a time.
 
     Parameters
     ----------
@@ -55,6 +56,7 @@
         self.idle = collections.OrderedDict()
         self.idle_lock = threading.Lock()
         self.paused_until = None
+        slots.closers.append(self.close_longest_idle)
 
     def put(self, conn):
         """Keep a connection until its next request."""
@@ -74,11 +76,19 @@
                 descriptor, selectors.EVENT_READ, data=conn
             )
 
-    def _forget(self, descriptor, conn):
-        """Stop waiting for a request on a connection."""
+    def _take(self, descriptor, conn):
+        """Stop waiting for a request on a connection.
+
+        Returns
+        -------
+        bool
+            False if another thread has closed it for a new connection.
+        """
         with self.idle_lock:
+            if self.idle.pop(conn, None) is None:
+                return False
             self._selector.unregister(descriptor)
-            self.idle.pop(conn, None)
+        return True
 
     def _remove_invalid_sockets(self):
         super()._remove_invalid_sockets()
@@ -112,14 +122,13 @@
             self._accept()
         elif conn in self.excess:
             self._dispatch_excess(descriptor, conn)
-        else:
+        elif self._take(descriptor, conn):
             # A thread reads from it until `put` is called again.
-            self._forget(descriptor, conn)
             self.server.process_conn(conn)
 
     def _accept(self):
         """Keep a new connection until its first request begins."""
-        is_allowed = self._open_slot()
+        is_allowed = self.slots.open_in_place()
         if not is_allowed and not self._reserve_refusal():
             self._pause(EXCESS_INTERVAL_SECONDS)
             return
@@ -149,7 +158,7 @@
                 raise
             # The listener stays readable: without a pause this would spin.
             self.slots.record_exhaustion(error)
-            self._close_idle()
+            self.slots.make_room()
             self._pause(PAUSE_SECONDS)
             return None
 
@@ -165,28 +174,26 @@
         conn.idle_limit = self.limits.longest(conn.last_used)
         conn.holds_slot = True
 
-    def _open_slot(self):
-        """Return whether a new connection may be served, and count it."""
-        if self.slots.open():
-            return True
-        return self._close_idle() and self.slots.open()
+    def close_longest_idle(self):
+        """Close the connection that was idle longest, from any thread.
 
-    def _close_idle(self):
-        """Close the connection that was idle longest; return whether."""
-        conn = self._longest_idle()
-        if conn is None:
-            return False
-        self._forget(conn.socket.fileno(), conn)
+        Returns
+        -------
+        bool
+            Whether there was one that may be closed.
+        """
+        with self.idle_lock:
+            conn = self._find_closable()
+            if conn is None:
+                return False
+            self._selector.unregister(self.idle.pop(conn))
         conn.close()
-        self.slots.record_closed_idle()
         return True
 
-    def _longest_idle(self):
+    def _find_closable(self):
         """Return the longest idle connection on which nothing arrives."""
         before = self.clock() - RECENT_SECONDS
-        with self.idle_lock:
-            found = list(self.idle)
-        for conn in found:
+        for conn in self.idle:
             if conn.last_used > before:
                 return None
             if not sockets.has_input(conn.socket):
@@ -232,7 +239,7 @@
         It waits a moment where connections are idle that were used just now:
         either they get requests, or one of them may be closed.
         """
-        if self._open_slot():
+        if self.slots.open_in_place():
             self.excess.remove(conn)
             self._admit(conn)
             self.server.process_conn(conn)
@@ -279,8 +286,7 @@
         with self.idle_lock:
             idle = list(self.idle.items())
         for conn, descriptor in idle:
-            if self._is_expired(conn, now):
-                self._forget(descriptor, conn)
+            if self._is_expired(conn, now) and self._take(descriptor, conn):
                 conn.close()
 
     def _is_expired(self, conn, now):
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -87,7 +87,10 @@
         self.view.link_budgets = settings.link_budgets == 'on'
         self.view.rank_shares.is_enabled = settings.rank_room == 'on'
         self.rank_monitor = rankroom.make_monitor(self.view, self.metrics)
-        self.connections = upstream.make_connection_pool()
+        slots = self.descriptor_limit.slots
+        self.connections = upstream.make_connection_pool(
+            slots=slots[descriptors.Kind.ENDPOINTS]
+        )
         self.watcher = attemptwatching.make_watcher(self._on_stall)
         self.retry_budget = retrybudget.make_retry_budget(
             settings.repeat_window_s,
@@ -120,7 +123,9 @@
             self.view,
             self.installation.codec,
             self.watcher,
-            upstream.make_connection_pool(),
+            upstream.make_connection_pool(
+                slots=self.descriptor_limit.slots[descriptors.Kind.ROUTERS]
+            ),
             self._relay_candidates,
             self.settings.router_id,
         )
@@ -135,6 +140,7 @@
             self.screen,
             self.relay_sender,
         )
+        self.forwarder.selector.may_connect = self.connections.may_acquire
         self.forwarder.admitter.mode = self.settings.queueing
 
     def _set_slow_detection(self):
--- a/packages/gateway/ibisring_gateway/relaysending.py
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -162,8 +162,20 @@
             conn = self.connections.acquire(
                 attempt.endpoint, fresh=False, timeout=CONNECT_TIMEOUT_SECONDS
             )
+        except upstream.NoDescriptor as error:
+            job.relays_failed.add(attempt.endpoint.id)
+            LOG.debug('not handed to %s: %s', attempt.endpoint.id, error)
+            return attempt.result or attempts.Result.NOT_SENT
         except upstream.ConnectionFailed as error:
             return self._not_taken(job, attempt, str(error))
+        try:
+            return self._send_on(job, attempt, conn)
+        except Exception:
+            conn.close()
+            raise
+
+    def _send_on(self, job, attempt, conn):
+        """Hand a request over on a connection."""
         attempt.socket = conn.sock
         if attempt.result is not None:
             conn.close()
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -70,10 +70,17 @@
     Parameters
     ----------
     view : view.View
+
+    Attributes
+    ----------
+    may_connect : callable
+        Returns whether this process may open a connection to an endpoint.
+        While it may not, no endpoint counts as one that has room.
     """
 
     def __init__(self, view):
         self.view = view
+        self.may_connect = lambda: True
         self.rng = random.Random()
         self.throttle = throttling.make_throttle(view, self.rng)
         self.event_times = eventtimes.make_event_times(view)
@@ -86,6 +93,10 @@
         whose limit makes the request wait is chosen only if no other takes it
         at once.
         """
+        if not self.may_connect():
+            job.limited = set()
+            job.blocked_by = None
+            return None
         max_wait = throttling.MAX_WAIT_SHARE * job.route.objective
         max_wait = max(0.0, min(max_wait, job.deadline - now))
         job.blocked_by = None
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -75,8 +75,23 @@
         started = self.clock()
         try:
             conn = self.connections.acquire(endpoint, fresh=is_once)
+        except upstream.NoDescriptor as error:
+            # Chosen just before the last descriptor was taken; the request
+            # waits or is refused like one that finds no endpoint with room.
+            job.progress.tries -= 1
+            LOG.debug('not sent to %s: %s', endpoint.id, error)
+            return attempt.result or attempts.Result.NOT_SENT
         except upstream.ConnectionFailed as error:
             return self._handle_unreachable(job, attempt, error, started)
+        try:
+            return self._send_on(job, attempt, conn)
+        except Exception:
+            conn.close()
+            raise
+
+    def _send_on(self, job, attempt, conn):
+        """Send a request on a connection."""
+        endpoint = attempt.endpoint
         attempt.socket = conn.sock
         if attempt.result is not None:
             conn.close()
--- a/packages/gateway/ibisring_gateway/tests/test_descriptorlimit.py
+++ b/packages/gateway/ibisring_gateway/tests/test_descriptorlimit.py
@@ -152,8 +152,8 @@
     connections.stop()
     for sock in socks[:-1]:
         sock.sendall(REQUEST)
-    assert connections._close_idle()
-    assert not connections._close_idle()
+    assert connections.close_longest_idle()
+    assert not connections.close_longest_idle()
     threading.Thread(target=connections.run, args=(0.5,), daemon=True).start()
     connections._stop_requested = False
     for sock in socks[:-1]:
@@ -168,7 +168,7 @@
     connections = server.idle_connections
     for conn in list(connections.idle):
         conn.last_used = time.monotonic() + 60.0
-    assert not connections._close_idle()
+    assert not connections.close_longest_idle()
 
 
 def test_callers_beyond_the_limit_are_refused_and_none_is_cut(busy, limit):
--- a/packages/gateway/ibisring_gateway/tests/test_sending.py
+++ b/packages/gateway/ibisring_gateway/tests/test_sending.py
@@ -3,11 +3,13 @@
 import socket
 
 from ibisring_gateway import attemptwatching
+from ibisring_gateway import exchange
 from ibisring_gateway import jobs
 from ibisring_gateway import ports
 from ibisring_gateway import selecting
 from ibisring_gateway import sending
 from ibisring_gateway.tests import builders
+from ibisring_gateway import upstream
 from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import framing
@@ -187,6 +189,54 @@
     assert not connections.released
 
 
+def test_connection_of_a_caller_that_leaves_is_closed():
+    """Guards against connections that count as open for ever."""
+    opened = []
+
+    def leave(attempt):
+        raise exchange.CallerDisconnected('left')
+
+    made = _Attempt(_Codec(), leave)
+    acquire = made.connections.acquire
+
+    def acquire_and_keep(*arguments, **options):
+        opened.append(acquire(*arguments, **options))
+        return opened[-1]
+
+    made.connections.acquire = acquire_and_keep
+    with pytest.raises(exchange.CallerDisconnected):
+        made.send()
+    (conn,) = opened
+    assert conn.sock.fileno() == -1
+
+
+def test_want_of_a_descriptor_is_not_blamed_on_the_endpoint():
+    """Guards against endpoints left out, and tries lost, for this router."""
+    made = _Attempt(_Codec())
+
+    def refuse(endpoint, fresh):
+        raise upstream.NoDescriptor('no descriptor is left', False)
+
+    made.connections.acquire = refuse
+    blamed = []
+    made.view.estimates.note_unreachable = lambda *name, **at: blamed.append(
+        name
+    )
+    assert made.send() is attempts.Result.NOT_SENT
+    assert made.job.progress.tries == 0
+    assert not blamed and not made.job.avoid and not made.job.sent_to
+
+
+def test_no_endpoint_is_chosen_while_no_descriptor_is_left():
+    """Guards against requests sent on where they could only fail."""
+    made = _Attempt(_Codec())
+    made.job.service = routing.Service('lookup', 6)
+    selector = made.sender.selector
+    assert selector.choose(made.job, made.view.clock()) is not None
+    selector.may_connect = lambda: False
+    assert selector.choose(made.job, made.view.clock()) is None
+
+
 def _refusing_codec(**changes):
     return _Codec(**{'status': 503, 'refused': True, **changes})
 
--- a/packages/gateway/ibisring_gateway/upstream.py
+++ b/packages/gateway/ibisring_gateway/upstream.py
@@ -6,14 +6,17 @@
 __all__ = [
     'ConnectionPool',
     'ConnectionFailed',
+    'NoDescriptor',
     'make_connection_pool',
     'read_chunk',
 ]
 
+import errno
 import socket
 import threading
 import time
 
+from ibisring_gateway import descriptorlimit
 from ibisring_gateway import responsehead
 from ibisring_web import sockets
 from urllib3 import connection as urllib3_connection
@@ -28,6 +31,8 @@
 # sometimes sooner than their announced timeout.
 MAX_IDLE_SECONDS = 2.0
 MAX_IDLE_PER_ENDPOINT = 4
+# Time without new connections after the system gave no descriptor.
+EXHAUSTED_SECONDS = 0.1
 # The kernel closes a connection on which sent data stays unacknowledged for
 # this time; the peer has lost power or is unreachable.
 USER_TIMEOUT_MS = 3000
@@ -51,12 +56,50 @@
         self.sent = sent
 
 
+class NoDescriptor(ConnectionFailed):
+    """This process may open no connection; it says nothing of the endpoint."""
+
+
+class _Connection(urllib3_connection.HTTPConnection):
+    """Counts towards the limit on descriptors until it is closed.
+
+    Attributes
+    ----------
+    slots : descriptorlimit.Slots or None
+        None once it no longer counts.
+    """
+
+    response_class = responsehead.CheckedResponse
+    slots = None
+    reads_head = False
+
+    def getresponse(self):
+        # The connection of an answer that ends with it is closed here, while
+        # the answer still holds the descriptor.
+        self.reads_head = True
+        try:
+            return super().getresponse()
+        finally:
+            self.reads_head = False
+
+    def close(self):
+        super().close()
+        slots = self.slots
+        if slots is not None and not self.reads_head:
+            self.slots = None
+            slots.close()
+
+
 class ConnectionPool:
     """Opens connections and keeps idle ones, by endpoint.
 
+    At the limit on descriptors, the connection that was idle longest is closed
+    for a new one.
+
     Parameters
     ----------
     clock : callable
+    slots : descriptorlimit.Slots
 
     Attributes
     ----------
@@ -65,8 +108,11 @@
         succeeded, after each attempt to open a connection.
     """
 
-    def __init__(self, clock=time.monotonic):
+    def __init__(self, clock, slots):
         self.clock = clock
+        self.slots = slots
+        self.slots.closers.append(self.close_longest_idle)
+        self.exhausted_until = float('-inf')
         self.on_connect = lambda endpoint, started, connected: None
         self.lock = threading.Lock()
         self.idle = {}
@@ -86,30 +132,68 @@
         Raises
         ------
         ConnectionFailed
+            Including its subclass `NoDescriptor`.
         """
         if not fresh:
             idle = self._reuse(endpoint)
             if idle is not None:
                 return idle
+        if not self.slots.open_in_place():
+            self.slots.record_denial()
+            raise NoDescriptor('no descriptor is left', False)
         host, _, port = endpoint.address.rpartition(':')
-        conn = urllib3_connection.HTTPConnection(
+        conn = _Connection(
             host,
             int(port),
             timeout=timeout,
             socket_options=_SOCKET_OPTIONS,
         )
-        conn.response_class = responsehead.CheckedResponse
+        conn.slots = self.slots
         started = self.clock()
         try:
             conn.connect()
         except (urllib3_exceptions.HTTPError, OSError) as error:
             conn.close()
+            if _is_exhausted(error):
+                self._record_exhaustion(error)
+                raise NoDescriptor(str(error), False) from error
             self.on_connect(endpoint, started, False)
             raise ConnectionFailed(str(error), False) from error
         self.on_connect(endpoint, started, True)
         conn.reused = False
         return conn
 
+    def _record_exhaustion(self, error):
+        self.exhausted_until = self.clock() + EXHAUSTED_SECONDS
+        self.slots.record_exhaustion(error)
+        self.slots.make_room()
+
+    def may_acquire(self):
+        """Return whether `acquire` is likely to find a descriptor."""
+        if self.clock() >= self.exhausted_until and self._has_room():
+            return True
+        self.slots.record_denial()
+        return False
+
+    def _has_room(self):
+        if self.slots.may_open() or any(list(self.idle.values())):
+            return True
+        return self.slots.make_room()
+
+    def close_longest_idle(self):
+        """Close the connection that was idle longest; return whether."""
+        with self.lock:
+            oldest = min(
+                (idle for idle in self.idle.values() if idle),
+                key=lambda idle: idle[0][1],
+                default=None,
+            )
+            if oldest is None:
+                return False
+            conn, _ = oldest.pop(0)
+        conn.close()
+        return True
+
     def _reuse(self, endpoint):
         now = self.clock()
         while True:
@@ -179,6 +263,16 @@
 
 
 _HTTP_ERRORS = (urllib3_connection.HTTPException,)
+_EXHAUSTED = (errno.EMFILE, errno.ENFILE)
+
+
+def _is_exhausted(error):
+    """Return whether the system had no descriptor for a connection."""
+    while error is not None:
+        if isinstance(error, OSError) and error.errno in _EXHAUSTED:
+            return True
+        error = error.__cause__
+    return False
 
 
 def read_chunk(response):
@@ -202,6 +296,9 @@
         ) from error
 
 
-def make_connection_pool(clock=time.monotonic):
-    """Make a `ConnectionPool` without open connections."""
-    return ConnectionPool(clock)
+def make_connection_pool(clock=time.monotonic, slots=None):
+    """Make a `ConnectionPool` without open connections.
+
+    Without `slots` there may be any number of connections.
+    """
+    return ConnectionPool(clock, slots or descriptorlimit.make_unlimited())
--- a/packages/policy/ibisring_policy/gateway/descriptors.py
+++ b/packages/policy/ibisring_policy/gateway/descriptors.py
@@ -98,6 +98,27 @@
         """Count a connection as closed."""
         self.used[kind] -= 1
 
+    def kinds_to_close(self, kind):
+        """Return the kinds of which an idle connection may be closed.
+
+        Parameters
+        ----------
+        kind : Kind
+            Of the new connection.
+
+        Returns
+        -------
+        list of Kind
+            In order: those to endpoints first, since closing them can't cross
+            a request, then the kind itself, then those that use more than is
+            reserved for them.
+        """
+        reserved = self.shares.reserved
+        above = [k for k in reserved if self.used[k] > reserved[k]]
+        first = [k for k in above if k is Kind.ENDPOINTS and k is not kind]
+        rest = [k for k in above if k not in (*first, kind)]
+        return [*first, kind, *rest]
+
     def begin_refusal(self):
         """Count a connection to refuse; return whether there is room."""
         if self.refusing >= self.shares.refusals:
--- a/packages/policy/ibisring_policy/gateway/tests/test_descriptors.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_descriptors.py
@@ -74,6 +74,20 @@
             assert budget.open(kind), (counts, kind)
 
 
+def test_closed_connection_of_a_named_kind_makes_room():
+    """Guards against an idle connection closed for nothing."""
+    for counts, kind in itertools.product(_reachable(), KINDS):
+        budget = _budget(counts)
+        if budget.may_open(kind):
+            continue
+        closable = budget.kinds_to_close(kind)
+        for other in KINDS:
+            after = _budget(counts)
+            if after.used[other]:
+                after.close(other)
+                assert after.open(kind) == (other in closable)
+
+
 def test_refusals_are_bounded():
     """Guards against refused connections that use up the descriptors."""
     budget = _budget()
