--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -57,10 +57,17 @@
     Parameters
     ----------
     view : view.View
+
+    Attributes
+    ----------
+    may_connect : callable
+        Returns whether this process may open a connection to an endpoint.
+        While it may not, no endpoint counts as one that has room.
     """
 
     def __init__(self, view):
         super().__init__(view)
+        self.may_connect = lambda: True
         self.event_times = eventtimes.make_event_times(view)
 
     def choose(self, job, now):
@@ -70,6 +77,10 @@
         whose limit makes the request wait is chosen only if no other takes it
         at once.
         """
+        if not self.may_connect():
+            job.limited = set()
+            job.blocked_by = None
+            return None
         max_wait = throttling.MAX_WAIT_SHARE * job.route.objective
         max_wait = max(0.0, min(max_wait, job.deadline - now))
         job.blocked_by = None
