Handle a signal that another thread has received

Python runs handlers in the main thread, and a signal that the kernel gave to another thread doesn't end its wait.

Change: it looks for signals twice a second.

Shown: test_signal_that_another_thread_receives_is_handled failed before (no handling within 10 s) and passes; 112 tests of process, successors, descriptors, sending, callers' server and the soak's checks passed.

--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -65,6 +65,9 @@
 # until it has read routes and endpoints; a store that answers takes a tenth.
 MAX_START_WAIT_SECONDS = 0.4
 START_POLL_SECONDS = 0.005
+SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+# Interval at which the main thread looks for them.
+SIGNAL_CHECK_SECONDS = 0.5
 # Interval at which a process that shuts down checks for running requests.
 SHUTDOWN_POLL_SECONDS = 0.05
 
@@ -422,7 +425,7 @@
             Arrived before this call; handled first.
         """
         self.log_writer = logwriter.configure(self.settings.log_level)
-        for signal_number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        for signal_number in SIGNALS:
             signal.signal(signal_number, self._on_signal)
         self.signals[:0] = early_signals
         self._start_or_exit()
@@ -434,7 +437,9 @@
                 else:
                     self.shut_down()
                     return
-            self.signalled.wait()
+            # Not without a limit: a signal that another thread has received
+            # would not end the wait.
+            self.signalled.wait(SIGNAL_CHECK_SECONDS)
             self.signalled.clear()
 
     def _start_or_exit(self):
--- a/packages/gateway/ibisring_gateway/tests/test_process.py
+++ b/packages/gateway/ibisring_gateway/tests/test_process.py
@@ -1,6 +1,9 @@
 """Tests of a gateway process some of whose parts fail."""
 
 import queue
+import signal
+import threading
+import time
 import types
 
 from ibisring_gateway import callerserver
@@ -125,3 +128,32 @@
     )
     gateway._accept(server)
     assert exits.get_nowait() == process.EXIT_START_FAILED
+
+
+def test_signal_that_another_thread_receives_is_handled(gateway, monkeypatch):
+    """Guards against a process that serves on after SIGTERM."""
+    writer = types.SimpleNamespace(listener=None)
+    monkeypatch.setattr(process.logwriter, 'configure', lambda level: writer)
+    monkeypatch.setattr(gateway, 'start', lambda: None)
+    kept = {each: signal.getsignal(each) for each in process.SIGNALS}
+    main = threading.get_ident()
+    ended = threading.Event()
+    monkeypatch.setattr(gateway, 'shut_down', ended.set)
+
+    def send():
+        time.sleep(0.2)
+        signal.pthread_kill(threading.get_ident(), signal.SIGTERM)
+        if not ended.wait(10.0):
+            late.append(True)
+            signal.pthread_kill(main, signal.SIGTERM)
+
+    late = []
+    thread = threading.Thread(target=send)
+    thread.start()
+    try:
+        gateway.run('')
+    finally:
+        thread.join()
+        for number, handler in kept.items():
+            signal.signal(number, handler)
+    assert not late
