Measure how late the process itself runs, and say so where it judges others

Change: a thread waits for 50 ms at a time and records in the view's local health how late each wait ended. Lines that judge an endpoint, a router or the store by a time limit (no_status, stages_lost, stage_behind, all_silent, asked_again, endpoint_unreachable, answer_lost, attempt_ended, relay_lost, relay_not_taken, unreachable_reported, links_*, store_lost, lease_unavailable) have late_ms, the process's longest stall in the span that was judged; process_stalled tells of stalls from 0.1 s on, metric process_stalls counts. No decision uses it yet.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -198,6 +198,7 @@
             name,
             source=_table_name(message),
             waited_ms=round(message.waited * SECOND_MS),
+            late_ms=self.view.late_ms(now - message.waited),
             age_ms=round((now - read_at) * SECOND_MS),
             **facts,
         )
--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -36,6 +36,7 @@
 # Seconds by which both may end later than the first one alone if no engine
 # has answered: then all are more likely slow than lost.
 MAX_EXTRA_SECONDS = 0.06
+MS_PER_SECOND = 1000.0
 
 
 class Reply(enum.Enum):
@@ -188,7 +189,13 @@
             status = self.engines.status(endpoint, timeout)
         except exceptions.IbisringError as error:
             logs.event(
-                LOG, 'no_status', endpoint=endpoint.id, why=error.detail
+                LOG,
+                'no_status',
+                endpoint=endpoint.id,
+                limit_ms=round(timeout * MS_PER_SECOND),
+                took_ms=round((self.clock() - started_at) * MS_PER_SECOND),
+                late_ms=self.view.late_ms(started_at),
+                why=error.detail,
             )
             is_refused = isinstance(error, ports.ConnectionRefused)
             return Reply.REFUSED if is_refused else Reply.NONE
@@ -220,7 +227,13 @@
                 self.view.estimates.note_unreachable(
                     endpoint.id, now, tried_at=started_at
                 )
-        logs.event(LOG, 'asked_again', endpoint=endpoint.id, alive=alive)
+        logs.event(
+            LOG,
+            'asked_again',
+            endpoint=endpoint.id,
+            alive=alive,
+            late_ms=self.view.late_ms(started_at),
+        )
 
 
 def _second_timeout(timeout, has_answers):
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -319,6 +319,7 @@
             moves=progress.moves,
             endpoints=job.sent_to,
             left_ms=round(progress.time_left * MS_PER_SECOND),
+            late_ms=self.view.late_ms(job.started),
             after_event=job.splitter.last_position,
         )
 
--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -23,6 +23,8 @@
 # A confirmation that makes the state known here younger by less than this is
 # not passed on to the directory.
 CONFIRMATION_SECONDS = 0.2
+# Span before a report in which stalls of this process are reported.
+RECENT_SECONDS = 1.0
 
 
 class Receiver:
@@ -97,6 +99,7 @@
                 LOG,
                 'unreachable_reported',
                 endpoints=newly_dead,
+                late_ms=self.view.late_ms(now - RECENT_SECONDS),
                 origin=f'router {message.router}',
             )
 
--- a/packages/gateway/ibisring_gateway/linkmonitor.py
+++ b/packages/gateway/ibisring_gateway/linkmonitor.py
@@ -16,6 +16,8 @@
 # time for a connection to it.
 PROBE_SECONDS = 0.4
 PROBE_TIMEOUT_SECONDS = 0.15
+# Span before a change of the links in which stalls are reported.
+RECENT_SECONDS = 1.0
 WORKERS = 4
 MS_PER_SECOND = 1000.0
 
@@ -92,6 +94,7 @@
             service=endpoint.service,
             endpoint=endpoint.id,
             after_ms=round(seconds * MS_PER_SECOND),
+            late_ms=self.view.late_ms(self.clock() - RECENT_SECONDS),
         )
         self.on_change()
 
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -323,7 +323,12 @@
                 return False
             written = self.lease_table.write_lease(row_to_write)
         except exceptions.IbisringError as error:
-            logs.event(LOG, 'lease_unavailable', why=error.detail)
+            logs.event(
+                LOG,
+                'lease_unavailable',
+                late_ms=self.view.late_ms(now),
+                why=error.detail,
+            )
             self.on_outage_suspected()
             if self.view.lease_lost_at is None:
                 self.view.lease_lost_at = time.monotonic()
@@ -431,11 +436,16 @@
 
     def _query_status(self, endpoint):
         """Query an engine's status; None without an answer."""
+        started = self.view.clock()
         try:
             return self.engines.status(endpoint, STATUS_TIMEOUT_SECONDS)
         except exceptions.IbisringError as error:
             logs.event(
-                LOG, 'no_status', endpoint=endpoint.id, why=error.detail
+                LOG,
+                'no_status',
+                endpoint=endpoint.id,
+                late_ms=self.view.late_ms(started),
+                why=error.detail,
             )
             return None
 
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -27,6 +27,7 @@
 from ibisring_gateway import relaysending
 from ibisring_gateway import screening
 from ibisring_gateway import settings as settings_module
+from ibisring_gateway import stallclock
 from ibisring_gateway import stalls
 from ibisring_gateway import storefollowing
 from ibisring_gateway import upstream
@@ -97,6 +98,9 @@
         )
         self.view.link_budgets = settings.link_budgets == 'on'
         self.view.rank_shares.is_enabled = settings.rank_room == 'on'
+        self.stall_clock = stallclock.make_stall_clock(
+            self.view.health, self.metrics
+        )
         self.rank_monitor = rankroom.make_monitor(self.view, self.metrics)
         slots = self.descriptor_limit.slots
         self.connections = upstream.make_connection_pool(
@@ -207,6 +211,7 @@
     def start(self):
         """Start servers, actors and threads."""
         settings = self.settings
+        self.stall_clock.start()
         self.placer = placing.Placer.start(
             self.view,
             self.installation.leases,
@@ -534,6 +539,7 @@
             part.stop()
         periodic.stop_all([self.periodic_checks])
         self.watcher.stop()
+        self.stall_clock.stop()
         self.stall_handler.stop()
         self.link_monitor.stop()
         for server in self.servers:
--- a/packages/gateway/ibisring_gateway/relaysending.py
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -243,7 +243,12 @@
         with self.view.lock:
             self.view.relays.not_taken(name, job.service.name, self.clock())
         logs.event(
-            LOG, 'relay_not_taken', id=job.request.id, router=name, why=why
+            LOG,
+            'relay_not_taken',
+            id=job.request.id,
+            router=name,
+            late_ms=self.view.late_ms(attempt.sent_at),
+            why=why,
         )
         return attempt.result or attempts.Result.NOT_SENT
 
@@ -285,6 +290,7 @@
             router=attempt.endpoint.id,
             end=attempt.result.value if attempt.result else None,
             ran_ms=round((self.clock() - attempt.sent_at) * MS_PER_SECOND),
+            late_ms=self.view.late_ms(attempt.sent_at),
             events=attempt.events,
             why=str(error),
         )
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -175,6 +175,7 @@
             endpoint=name,
             address=attempt.endpoint.address,
             ms=round((self.clock() - started) * MS_PER_SECOND),
+            late_ms=self.view.late_ms(started),
             why=str(error),
         )
         return attempt.result or attempts.Result.NOT_SENT
@@ -197,6 +198,7 @@
             endpoint=attempt.endpoint.id,
             end=attempt.result.value if attempt.result else None,
             finding=finding.value if finding else None,
+            late_ms=self.view.late_ms(attempt.sent_at),
             ran_ms=round((self.clock() - attempt.sent_at) * MS_PER_SECOND),
             events=attempt.events,
             why=str(error),
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -242,6 +242,7 @@
             id=attempt.request_id,
             lost=sorted(lost),
             silent_ms=round((now - attempt.last_event_at) * 1000.0),
+            late_ms=self.view.late_ms(attempt.last_event_at),
             events=attempt.events,
         )
 
@@ -337,6 +338,7 @@
             stages=[stage.endpoint for stage in attempt.stages],
             silent_ms=round(attempt.silent_seconds(now) * 1000.0),
             expected_ms=round(attempt.expected_seconds * 1000.0),
+            late_ms=self.view.late_ms(attempt.last_event_at),
             events=attempt.events,
         )
 
@@ -397,7 +399,11 @@
         }
         if len(lost) > max(1, MAX_LOST_SHARE * len(queried)):
             logs.event(
-                LOG, 'all_silent', id=attempt.request_id, asked=len(queried)
+                LOG,
+                'all_silent',
+                id=attempt.request_id,
+                asked=len(queried),
+                late_ms=self.view.late_ms(tried_at),
             )
             self.on_all_silent(attempt.endpoint.service)
             return None
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -15,6 +15,7 @@
 from ibisring_policy.gateway import fairness
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import links
+from ibisring_policy.gateway import localhealth
 from ibisring_policy.gateway import promptparts
 from ibisring_policy.gateway import rankshares
 from ibisring_policy.gateway import ratelimits
@@ -30,6 +31,7 @@
 # how many: by then it has left, or its entry says so.
 LEAVING_GOSSIP_SECONDS = 30.0
 MAX_LEAVING_SENT = 50
+MS_PER_SECOND = 1000.0
 
 
 class Snapshot(msgspec.Struct, frozen=True):
@@ -103,6 +105,8 @@
     lock : threading.Lock
         Guards `estimates`, `suspects`, `parts`, `limits`, `fairness`, `links`,
         `domain_links`, `relays` and `rank_shares`.
+    health : localhealth.LocalHealth
+        How late this process runs; needs no lock.
     link_budgets : bool
         Whether requests are admitted by `domain_links` and by capacity.
     term : int
@@ -118,6 +122,7 @@
         self.name = name
         self.domain = domain
         self.clock = clock
+        self.health = localhealth.make_local_health()
         self.snapshot = Snapshot()
         self.lock = threading.Lock()
         self.estimates = estimates.make_estimate_table()
@@ -137,6 +142,14 @@
         self.reported_holdings = {}
         self.pool_room_requests = 0
 
+    def late_ms(self, since):
+        """Return the ms of this process's longest stall since a time.
+
+        For log lines that judge others by a time limit.
+        """
+        seconds = self.health.lateness(since, self.clock())
+        return round(seconds * MS_PER_SECOND)
+
     def leaving_to_send(self, now):
         """Return the start times of endpoints that said that they leave."""
         latest = list(self.snapshot.leaving.items())[-MAX_LEAVING_SENT:]
