Small machine: a stream that ends inside an event

Change: the step "end inside an event", with the mark of the framing and a process that runs on; the answer must count as broken. test_smallmachine looks for a judgement that is blind to it.

--- a/packages/policy/ibisring_policy/gateway/tests/machinesteps.py
+++ b/packages/policy/ibisring_policy/gateway/tests/machinesteps.py
@@ -132,12 +132,28 @@
             state, run=None, outcome=machinestate.Outcome.COMPLETE
         )
 
-    def _is_whole(self, state, process, is_ended):
+    def end_inside_event(self, state):
+        """Have the endpoint end a stream, as if whole, inside an event.
+
+        Its process runs on and the framing has its mark.
+        """
+        run = state.run
+        if run is None or not run.has_head or run.is_silent:
+            return None
+        if not state.kind.is_stream or run.position == machinestate.EVENTS:
+            return None
+        running = answerends.Process.RUNNING
+        looks_whole = self._is_whole(state, running, True, True)
+        self.check('nothing broken looks complete', not looks_whole)
+        return self._lose_running(state)
+
+    def _is_whole(self, state, process, is_ended, is_inside_event=False):
         """Decide whether an answer is whole after its connection's end."""
         is_marked = state.framing is not framing.Framing.CLOSE
         evidence = answerends.Evidence(
             framing=state.framing,
             has_mark=is_marked and is_ended,
+            is_inside_event=is_inside_event,
             process=process,
         )
         return self.decisions.judge(evidence) is answerends.End.SOUND
@@ -266,6 +282,9 @@
             exited = answerends.Process.EXITED
             looks_whole = self._is_whole(state, exited, False)
             self.check('nothing broken looks complete', not looks_whole)
+        return self._lose_running(state)
+
+    def _lose_running(self, state):
         progress = machinestate.progress(state)
         self.decisions.note_result(Result.LOST, progress)
         state = machinestate.change(state, is_given_up=progress.is_given_up)
@@ -397,6 +416,7 @@
         'event': router.event,
         'pause': router.pause,
         'end': router.end,
+        'end inside an event': router.end_inside_event,
         'error': router.fail,
         'a later stage crashes': router.lose_stage,
         'the configuration changes': router.configure,
--- a/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
@@ -11,6 +11,7 @@
 from ibisring_policy.gateway.tests import mutations
 from ibisring_policy.gateway.tests import promises
 from ibisring_policy.gateway.tests import smallmachine
+import msgspec
 import pytest
 
 DECISIONS = [
@@ -30,6 +31,7 @@
     'event',
     'pause',
     'end',
+    'end inside an event',
     'error',
     'a crashes',
     'b crashes',
@@ -81,6 +83,17 @@
     assert _find(machinedecisions.make_decisions(judge=judge))
 
 
+def test_machine_finds_a_judgement_that_is_blind_inside_events():
+    """Guards against a stream cut inside an event that looks whole."""
+
+    def judge(evidence):
+        blind = msgspec.structs.replace(evidence, is_inside_event=False)
+        return answerends.judge(blind)
+
+    finding = _find(machinedecisions.make_decisions(judge=judge))
+    assert 'end inside an event' in finding.steps
+
+
 @pytest.mark.parametrize(
     'mutation', mutations.make_mutations(shutdown, ['may_exit']), ids=str
 )
