--- a/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
@@ -196,6 +196,34 @@
         assert not promises.of_exit(elapsed, active, grace, exits)
 
 
+@hypothesis.given(
+    SECONDS, strategies.integers(0, 3), SECONDS, SECONDS, SECONDS
+)
+def test_late_exit_keeps_its_promises(
+    elapsed, active, grace, handled, lateness
+):
+    """Guards against a kill, and early cuts, where a process runs late."""
+    elapsed = max(elapsed, handled)
+    exits = shutdown.may_exit(elapsed, active, grace, handled, lateness)
+    assert not promises.of_exit(
+        elapsed, active, grace, exits, handled, lateness
+    )
+
+
+@pytest.mark.parametrize('lateness', [0.1, 0.25, 0.5])
+def test_process_that_runs_late_exits_earlier(lateness):
+    """Guards against a kill while the last steps take their time."""
+    last = shutdown.last_moment(8.0, lateness=lateness)
+    assert last <= 8.0 - 0.25 - 2.0 * lateness
+
+
+@hypothesis.given(SECONDS, SECONDS)
+def test_taking_keeps_its_promises(elapsed, grace):
+    """Guards against a late request that the exit cuts."""
+    takes = elapsed <= shutdown.accept_seconds(grace)
+    assert not promises.of_taking(elapsed, grace, takes)
+
+
 @pytest.mark.parametrize('grace', [0.5, 1.0, 3.0, 4.0, 8.0, 30.0])
 def test_running_requests_may_use_most_of_the_grace_time(grace):
     """Guards against streams that are cut before the process has to exit."""
@@ -328,6 +356,22 @@
     return False
 
 
+def _breaks_a_taking(module):
+    for elapsed in (0.0, 1.0, 2.0, 3.0, 3.1, 4.0, 5.0):
+        takes = elapsed <= module.accept_seconds(8.0)
+        if promises.of_taking(elapsed, 8.0, takes):
+            return True
+    return False
+
+
+@pytest.mark.parametrize('seconds', [1.5, 3.5, 4.5])
+def test_promises_tell_another_accept_time(monkeypatch, seconds):
+    """Guards against promises that go by the constant that they check."""
+    monkeypatch.setattr(shutdown, 'ACCEPT_SECONDS', seconds)
+    assert _breaks_a_taking(shutdown)
+    assert _breaks_an_exit(shutdown)
+
+
 @pytest.mark.parametrize(
     'mutation', mutations.make_mutations(attempts, NEXT_STEP), ids=str
 )
--- a/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_smallmachine.py
@@ -94,6 +94,13 @@
     assert 'end inside an event' in finding.steps
 
 
+@pytest.mark.parametrize('seconds', [1.5, 4.5])
+def test_machine_finds_another_accept_time(monkeypatch, seconds):
+    """Guards against promises that go by the constant that they check."""
+    monkeypatch.setattr(shutdown, 'ACCEPT_SECONDS', seconds)
+    assert _find(machinedecisions.make_decisions())
+
+
 @pytest.mark.parametrize(
     'mutation', mutations.make_mutations(shutdown, ['may_exit']), ids=str
 )
