Wait for signals in the kernel: no lock in a handler, and a bound of the sending

Cause: the handler called Event.set in the main thread, which waits on the same event. If the signal comes while the main thread holds the event's lock, the thread waits for itself and for ever. Besides, nothing told when a signal was sent, and all times counted from its handling.

Change: SIGTERM, SIGINT and SIGHUP are blocked in all threads, and the main thread asks the kernel for them (sigtimedwait); it is woken by the signal, and each tenth of a second it learns that none was sent until then. A handler stays for threads older than that; it only appends to a list. Accept and grace time count from the last moment at which none was sent, for signals of the start from the start of the process; lateness counts in the exit. `ending` says handled_ms.

--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -27,6 +27,7 @@
 from ibisring_gateway import relaysending
 from ibisring_gateway import screening
 from ibisring_gateway import settings as settings_module
+from ibisring_gateway import signalwaiting
 from ibisring_gateway import stallclock
 from ibisring_gateway import stalls
 from ibisring_gateway import storefollowing
@@ -67,8 +68,6 @@
 MAX_START_WAIT_SECONDS = 0.4
 START_POLL_SECONDS = 0.005
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-# Interval at which the main thread looks for them.
-SIGNAL_CHECK_SECONDS = 0.5
 # Interval at which a process that shuts down checks for running requests.
 SHUTDOWN_POLL_SECONDS = 0.05
 
@@ -118,8 +117,7 @@
         self.followers = storefollowing.make_followers(
             self._polling_slot, self._role
         )
-        self.signals = []
-        self.signalled = threading.Event()
+        self.signal_waiter = signalwaiting.make_signal_waiter(SIGNALS)
         self.servers = []
         self.components = []
         self.placer = None
@@ -429,23 +427,22 @@
         early_signals : sequence of int
             Arrived before this call; handled first.
         """
-        self.log_writer = logwriter.configure(self.settings.log_level)
-        for signal_number in SIGNALS:
-            signal.signal(signal_number, self._on_signal)
-        self.signals[:0] = early_signals
-        self._start_or_exit()
+        self.signal_waiter.block()
+        try:
+            self.log_writer = logwriter.configure(self.settings.log_level)
+            self.signal_waiter.add_early(early_signals)
+            self._start_or_exit()
+            self._handle_signals(path)
+        finally:
+            self.signal_waiter.restore()
+
+    def _handle_signals(self, path):
         while True:
-            while self.signals:
-                signal_number = self.signals.pop(0)
-                if signal_number == signal.SIGHUP:
-                    guards.run('reload', self.reload, path)
-                else:
-                    self.shut_down()
-                    return
-            # Not without a limit: a signal that another thread has received
-            # would not end the wait.
-            self.signalled.wait(SIGNAL_CHECK_SECONDS)
-            self.signalled.clear()
+            received = self.signal_waiter.wait()
+            if received.number != signal.SIGHUP:
+                self.shut_down(received)
+                return
+            guards.run('reload', self.reload, path)
 
     def _start_or_exit(self):
         """Start; exit at once if that fails, so that it is tried again.
@@ -464,10 +461,6 @@
             self.log_writer.drain(LOG_DRAIN_SECONDS)
         os._exit(EXIT_START_FAILED)
 
-    def _on_signal(self, signal_number, frame):
-        self.signals.append(signal_number)
-        self.signalled.set()
-
     def reload(self, path):
         """Reload the settings file; an invalid file changes nothing.
 
@@ -488,20 +481,38 @@
         self.settings.grace_s = loaded.grace_s
         logs.event(LOG, 'reloaded', changed=changed)
 
-    def shut_down(self):
-        """Drain running requests, then exit."""
-        started_at = time.monotonic()
+    def shut_down(self, received):
+        """Drain running requests, then exit.
+
+        Parameters
+        ----------
+        received : signalwaiting.Received
+        """
+        started_at = received.sent_after
+        handled = received.at - started_at
         self.is_shutting_down = True
         self.gossip.request_send()
         self.forwarder.stopping_at = started_at
-        self.forwarder.refuse_after = started_at + shutdown.ACCEPT_SECONDS
+        grace = self.settings.grace_s
+        self.forwarder.refuse_after = started_at + shutdown.accept_seconds(
+            grace
+        )
         self.forwarder.admitter.close()
-        logs.event(LOG, 'ending', active=self.forwarder.active)
+        logs.event(
+            LOG,
+            'ending',
+            active=self.forwarder.active,
+            handled_ms=round(1000.0 * handled),
+        )
         while True:
             time.sleep(SHUTDOWN_POLL_SECONDS)
-            elapsed = time.monotonic() - started_at
+            now = time.monotonic()
             if shutdown.may_exit(
-                elapsed, self.forwarder.active, self.settings.grace_s
+                now - started_at,
+                self.forwarder.active,
+                grace,
+                handled,
+                self.view.health.lateness(started_at, now),
             ):
                 break
         # The last chunk of an answer is written after it counts as ended.
--- a/packages/gateway/ibisring_gateway/tests/test_process.py
+++ b/packages/gateway/ibisring_gateway/tests/test_process.py
@@ -2,6 +2,7 @@
 
 import queue
 import signal
+import sys
 import threading
 import time
 import types
@@ -16,6 +17,8 @@
 import pykka
 import pytest
 
+SIGNALS_SENT = 300
+
 
 @pytest.fixture
 def gateway():
@@ -138,7 +141,7 @@
     kept = {each: signal.getsignal(each) for each in process.SIGNALS}
     main = threading.get_ident()
     ended = threading.Event()
-    monkeypatch.setattr(gateway, 'shut_down', ended.set)
+    monkeypatch.setattr(gateway, "shut_down", lambda received: ended.set())
 
     def send():
         time.sleep(0.2)
@@ -157,3 +160,32 @@
         for number, handler in kept.items():
             signal.signal(number, handler)
     assert not late
+
+
+def test_signals_that_come_at_any_moment_are_handled(gateway, monkeypatch):
+    """Guards against a handler that waits for a lock of its own thread."""
+    writer = types.SimpleNamespace(listener=None)
+    monkeypatch.setattr(process.logwriter, 'configure', lambda level: writer)
+    monkeypatch.setattr(gateway, 'reload', lambda path: None)
+    ended = []
+    monkeypatch.setattr(gateway, 'shut_down', ended.append)
+    kept = {each: signal.getsignal(each) for each in process.SIGNALS}
+    numbers = iter([signal.SIGHUP] * SIGNALS_SENT + [signal.SIGTERM])
+
+    def send(frame, event, argument):
+        """Send a signal before a line of what the main thread runs."""
+        if event == 'line':
+            number = next(numbers, None)
+            if number is not None:
+                signal.raise_signal(number)
+        return send
+
+    monkeypatch.setattr(gateway, 'start', lambda: sys.settrace(send))
+    before = sys.gettrace()
+    try:
+        gateway.run('')
+    finally:
+        sys.settrace(before)
+        for number, handler in kept.items():
+            signal.signal(number, handler)
+    assert len(ended) == 1
