Orderly end: what was read or could be read is answered before the exit

Cause: the decision to exit saw the requests that forwarder.serve counts. What waited in the kernel, in the queue of the thread pool, or was read but not counted got a close by os._exit; between the last look and the exit a request could be read and passed on. Writing out the log had no time limit.

Change: requests under way are all connections that the servers of callers and of routers have queued or hold. intake decides with one lock who is counted and whether the process takes requests; after the accept time (also if only the body comes late), and after the decision to exit, requests get 503 with Connection: close, and no attempt is sent to an endpoint or router. The last step (draining) accepts what the kernel holds, closes the listening socket, has threads answer the connections with data, closes the idle ones, and waits for answers for 1 s or two fifths of the time left; log lines have as long. `ending` and `ended` say handled_ms, late_ms, queued, held, what was refused (refused_last: after the decision), closed idle connections and whether nothing was left (clean).

--- a/packages/gateway/ibisring_gateway/callerserver.py
+++ b/packages/gateway/ibisring_gateway/callerserver.py
@@ -157,6 +157,24 @@
             excessconnections.make_excess_connections(self.slots, self.refuse),
         )
 
+    @property
+    def is_finished(self):
+        """Whether no connection is taken or waited on any more."""
+        return self._connections.is_finished
+
+    @property
+    def closed_at_end(self):
+        """Idle connections that `finish` has closed."""
+        return self._connections.closed_at_end
+
+    def finish(self):
+        """Take no more connections, and end those without a request.
+
+        Requests that have arrived are still served.  Returns before this is
+        done, see `is_finished`.
+        """
+        self._connections.finish()
+
     def serve(self):
         """Serve requests until the server is stopped.
 
@@ -166,6 +184,8 @@
         while self.ready:
             try:
                 self._connections.run(self.expiration_interval)
+                if self._connections.is_finished:
+                    self.ready = False
             except Exception:
                 self.error_log(
                     'Error in HTTPServer.serve', logging.ERROR, traceback=True
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -7,6 +7,7 @@
 import time
 
 from ibisring_gateway import exchange as exchange_module
+from ibisring_gateway import intake
 from ibisring_gateway import jobs
 from ibisring_gateway import queueing
 from ibisring_gateway import relaymarks
@@ -93,30 +94,29 @@
         )
         self.clock = view.clock
         self.rng = random.Random()
-        self.stopping_at = None
-        self.refuse_after = None
-        self.active = 0
-        self.exchanges = set()
+        self.intake = intake.make_intake(view.clock)
+        self.sender.may_pass_on = self.intake.may_pass_on
 
     def serve(self, exchange):
         """Serve one request; called in a worker thread of the server."""
         started = self.clock()
         request_id = ''
         exchange.is_last = self._is_stopping
-        with self.view.lock:
-            self.active += 1
-            self.exchanges.add(exchange)
+        self.intake.enter(exchange)
         try:
             request = self.codec.decode_request(
                 exchange.method, exchange.target, exchange.headers()
             )
             request_id = request.id
             mark = relayrouting.accept_mark(exchange, request, self.view.name)
+            self.intake.check()
             if not self.view.is_ready:
                 raise exceptions.NotReady(
                     'no configuration yet', NOT_READY_RETRY_SECONDS
                 )
             request.body = exchange.read_body()
+            # Its last byte may have come much later than its head.
+            self.intake.check()
             self._serve(exchange, request, started, mark)
         except exceptions.IbisringError as error:
             self._send_error(exchange, request_id, error, started)
@@ -138,12 +138,15 @@
                 exchange.close_after()
             self._send_error(exchange, request_id, error, started)
         finally:
-            with self.view.lock:
-                self.active -= 1
-                self.exchanges.discard(exchange)
+            self.intake.leave(exchange)
+
+    @property
+    def active(self):
+        """Requests that are being served."""
+        return self.intake.active
 
     def _is_stopping(self):
-        return self.stopping_at is not None
+        return self.intake.is_stopping
 
     def refuse(self, method, target, headers, retry_after):
         """Refuse a request for whose connection no descriptor is left.
@@ -175,9 +178,7 @@
 
     def prepare_exit(self):
         """Have callers notice the answers that the process cuts."""
-        with self.view.lock:
-            running = list(self.exchanges)
-        for exchange in running:
+        for exchange in self.intake.running():
             exchange.prepare_exit()
 
     def _send_error(self, exchange, request_id, error, started):
@@ -207,8 +208,6 @@
                 f'{mark.sender} has table {mark.table_version}'
             )
         match = snapshot.index.find(request.host, request.path, request.key)
-        if self.refuse_after is not None and started > self.refuse_after:
-            raise exceptions.NotReady('this router is ending', 0.0)
         service = snapshot.index.pick_service(match.route, self.rng.random())
         if service is None:
             raise exceptions.NoEndpoint('the route has no service', 1.0)
--- a/packages/gateway/ibisring_gateway/idleconnections.py
+++ b/packages/gateway/ibisring_gateway/idleconnections.py
@@ -4,6 +4,8 @@
 
 import collections
 import errno
+import logging
+import os
 import selectors
 import threading
 import time
@@ -11,6 +13,7 @@
 from cheroot import connections
 from ibisring_web import sockets
 
+LOG = logging.getLogger(__name__)
 # A caller that has just connected or been answered is likely to be sending
 # its next request.
 RECENT_SECONDS = 0.1
@@ -18,6 +21,8 @@
 EXCESS_INTERVAL_SECONDS = 0.02
 # Time without accepting after the system had no descriptor or memory.
 PAUSE_SECONDS = 0.1
+# Connections taken from the kernel's queue at the end, at most.
+MAX_LAST_ACCEPTS = 4096
 _EXHAUSTED = (errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
 
 
@@ -45,6 +50,16 @@
         Descriptors of the idle connections, the longest idle one first.
     paused_until : float or None
         No connection is accepted before; None if they are accepted.
+    wake_up : int or None
+        Descriptor that ends a wait of the thread that accepts connections.
+    is_finishing : bool
+        Whether `finish` was called.
+    is_closing : bool
+        Whether connections without a request are closed at once.
+    is_finished : bool
+        Whether all connections without a request were closed.
+    closed_at_end : int
+        Connections that were closed so.
     """
 
     def __init__(self, server, limits, slots, excess, clock):
@@ -56,6 +71,11 @@
         self.idle = collections.OrderedDict()
         self.idle_lock = threading.Lock()
         self.paused_until = None
+        self.wake_up = None
+        self.is_finishing = False
+        self.is_closing = False
+        self.is_finished = False
+        self.closed_at_end = 0
         slots.closers.append(self.close_longest_idle)
 
     def put(self, conn):
@@ -71,10 +91,78 @@
             return
         descriptor = conn.socket.fileno()
         with self.idle_lock:
-            self.idle[conn] = descriptor
+            is_kept = not self.is_closing
+            if is_kept:
+                self.idle[conn] = descriptor
+                self._selector.register(
+                    descriptor, selectors.EVENT_READ, data=conn
+                )
+        if not is_kept:
+            self._end(conn)
+
+    def _end(self, conn):
+        """Close a connection, unless a request has arrived on it."""
+        if conn.rfile.has_data() or sockets.has_input(conn.socket):
+            self.server.process_conn(conn)
+            return
+        conn.close()
+        self.closed_at_end += 1
+
+    def finish(self):
+        """Have the thread that accepts connections end them, and return."""
+        try:
+            self.wake_up = os.eventfd(1)
             self._selector.register(
-                descriptor, selectors.EVENT_READ, data=conn
+                self.wake_up, selectors.EVENT_READ, data=None
             )
+        except OSError as error:
+            # The thread notices it after its present wait.
+            LOG.warning('the end of a server is noticed late: %s', error)
+        self.is_finishing = True
+
+    def _finish(self):
+        self._end_wake_up()
+        self._accept_waiting()
+        if self.paused_until is None:
+            self._selector.unregister(self.server.socket.fileno())
+        self.server.socket.close()
+        self._finish_excess()
+        with self.idle_lock:
+            self.is_closing = True
+            idle = list(self.idle.items())
+            self.idle.clear()
+            for _, descriptor in idle:
+                self._selector.unregister(descriptor)
+        for conn, _ in idle:
+            self._end(conn)
+        self.is_finished = True
+
+    def _end_wake_up(self):
+        if self.wake_up is not None:
+            self._selector.unregister(self.wake_up)
+            os.close(self.wake_up)
+            self.wake_up = None
+
+    def _accept_waiting(self):
+        """Accept the connections that wait in the kernel.
+
+        Closing the listening socket resets them, after their callers have
+        sent requests.
+        """
+        for _ in range(MAX_LAST_ACCEPTS):
+            if not sockets.has_input(self.server.socket):
+                return
+            self._accept()
+            if self.paused_until is not None:
+                return
+
+    def _finish_excess(self):
+        for conn in list(self.excess.states):
+            if not sockets.has_input(conn.socket):
+                continue
+            if self.excess.is_answered(conn) or self.excess.answer(conn):
+                # Unread data would have the exit reset the connection.
+                self.excess.discard(conn)
 
     def _take(self, descriptor, conn):
         """Stop waiting for a request on a connection.
@@ -100,6 +188,9 @@
     def _run(self, expiration_interval):
         checked_at = self.clock()
         while not self._stop_requested:
+            if self.is_finishing:
+                self._finish()
+                return
             is_calm = self.paused_until is None and not self.excess
             interval = (
                 expiration_interval if is_calm else EXCESS_INTERVAL_SECONDS
@@ -119,6 +210,9 @@
                 checked_at = now
 
     def _dispatch(self, descriptor, conn):
+        if conn is None:
+            # The wake-up of `finish`.
+            return
         if conn is self.server:
             self._accept()
         elif conn in self.excess:
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -15,6 +15,7 @@
 from ibisring_gateway import callerserver
 from ibisring_gateway import descriptorlimit
 from ibisring_gateway import directory
+from ibisring_gateway import draining
 from ibisring_gateway import forwarding
 from ibisring_gateway import gossip
 from ibisring_gateway import linkmonitor
@@ -34,7 +35,6 @@
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
 from ibisring_policy.gateway import descriptors
-from ibisring_policy.gateway import endings
 from ibisring_policy.gateway import retrybudget
 from ibisring_policy.gateway import shutdown
 from ibisring_records import exceptions
@@ -68,8 +68,6 @@
 MAX_START_WAIT_SECONDS = 0.4
 START_POLL_SECONDS = 0.005
 SIGNALS = (signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
-# Interval at which a process that shuts down checks for running requests.
-SHUTDOWN_POLL_SECONDS = 0.05
 
 
 class Gateway:
@@ -153,6 +151,7 @@
             self.screen,
             self.relay_sender,
         )
+        self.relay_sender.may_pass_on = self.forwarder.intake.may_pass_on
         self.forwarder.selector.may_connect = self.connections.may_acquire
         self.forwarder.admitter.mode = self.settings.queueing
 
@@ -488,58 +487,20 @@
         ----------
         received : signalwaiting.Received
         """
-        started_at = received.sent_after
-        handled = received.at - started_at
         self.is_shutting_down = True
-        self.gossip.request_send()
-        self.forwarder.stopping_at = started_at
-        grace = self.settings.grace_s
-        self.forwarder.refuse_after = started_at + shutdown.accept_seconds(
-            grace
+        drain = draining.make_drain(
+            received,
+            self.settings.grace_s,
+            self.forwarder,
+            [self.caller_server, self.peer_server],
+            self.view.health,
         )
+        drain.begin()
+        self.gossip.request_send()
         self.forwarder.admitter.close()
-        logs.event(
-            LOG,
-            'ending',
-            active=self.forwarder.active,
-            handled_ms=round(1000.0 * handled),
-        )
-        while True:
-            time.sleep(SHUTDOWN_POLL_SECONDS)
-            now = time.monotonic()
-            if shutdown.may_exit(
-                now - started_at,
-                self.forwarder.active,
-                grace,
-                handled,
-                self.view.health.lateness(started_at, now),
-            ):
-                break
-        # The last chunk of an answer is written after it counts as ended.
-        time.sleep(SHUTDOWN_POLL_SECONDS)
-        self.forwarder.prepare_exit()
-        for attempt in self.watcher.attempts():
-            logs.event(
-                LOG,
-                'request',
-                id=attempt.request_id,
-                outcome='broken_off',
-                ended_by=endings.Party.ROUTER.value,
-                why='the process exits',
-                endpoint=attempt.endpoint.id,
-                silent_ms=round(
-                    1000.0 * attempt.silent_seconds(time.monotonic())
-                ),
-                events=attempt.events,
-            )
-        logs.event(
-            LOG,
-            'ended',
-            active=self.forwarder.active,
-            seconds=round(time.monotonic() - started_at, 2),
-        )
+        drain.run()
         if self.log_writer is not None:
-            self.log_writer.listener.stop()
+            self.log_writer.drain(shutdown.share_of_rest(drain.seconds_left()))
         # Threads that still read from an endpoint or an idle caller would keep
         # the interpreter alive past the grace time, until it is killed.
         os._exit(0)
--- a/packages/gateway/ibisring_gateway/relaysending.py
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -72,6 +72,11 @@
     list_candidates : callable
         Returns the `relays.Candidate` of each router heard from.
     own_name : str
+
+    Attributes
+    ----------
+    may_pass_on : callable
+        Returns whether requests may still be sent.
     """
 
     def __init__(
@@ -83,6 +88,7 @@
         self.connections = connections
         self.list_candidates = list_candidates
         self.own_name = own_name
+        self.may_pass_on = lambda: True
         self.clock = view.clock
         self.rng = random.Random()
 
@@ -198,9 +204,9 @@
     def _send_on(self, job, attempt, conn):
         """Hand a request over on a connection."""
         attempt.socket = conn.sock
-        if attempt.result is not None:
+        if attempt.result is not None or not self.may_pass_on():
             conn.close()
-            return attempt.result
+            return attempt.result or attempts.Result.NOT_SENT
         self._set_timeout(job, attempt)
         time_left = max(0.01, job.deadline - self.clock())
         body = _Body(conn, job.request.body, time_left + 1.0)
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -44,6 +44,8 @@
         attempt: True if the attempt was refused, False if accepted.
     successors : successors.Successors or None
         Without them an error answer is never replaced by another attempt.
+    may_pass_on : callable
+        Returns whether requests may still be sent.
     """
 
     def __init__(self, view, codec, connections, selector, screen):
@@ -56,6 +58,7 @@
         self.on_leaving = lambda endpoint: None
         self.on_decided = lambda job, refused: None
         self.successors = None
+        self.may_pass_on = lambda: True
         self.clock = view.clock
 
     def send(self, job, attempt):
@@ -98,8 +101,8 @@
         if attempt.result is not None:
             conn.close()
             return attempt.result
-        if not self._takes_requests(endpoint):
-            # It said so since it was chosen.
+        if not (self._takes_requests(endpoint) and self.may_pass_on()):
+            # The endpoint said so, or the process exits, since it was chosen.
             return self._withdraw(attempt, conn)
         self._set_timeouts(job, attempt)
         job.retry = None
