Decide in one pure function whether a caller is gone

Change: sockets.shows_end and shows_input are pure functions of poll's bit mask; the watcher and all others use them through sockets.is_gone and has_input. An unknown state next to an end is unknown: not gone. The watcher's function and the alias go, with the one assertion on the alias; the test on a descriptor that was closed now asks the function that the watcher uses.

--- a/packages/gateway/ibisring_gateway/attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/attemptwatching.py
@@ -10,6 +10,7 @@
 
 from ibisring_policy.gateway import attempts
 from ibisring_router import guards
+from ibisring_web import sockets
 
 LOG = logging.getLogger(__name__)
 # Bounds in seconds of the sleep until the next attempt is due; a disconnect
@@ -21,7 +22,6 @@
 IDLE_SLEEP_SECONDS = 1.0
 # Seconds until an attempt is checked again if its check could not be started.
 RETRY_SECONDS = 0.05
-_DISCONNECT_BITS = select.POLLRDHUP | select.POLLHUP | select.POLLERR
 _DISCONNECT_EVENTS = select.EPOLLRDHUP | select.EPOLLHUP | select.EPOLLERR
 
 
@@ -216,17 +216,6 @@
         LOG.debug('socket already closed: %s', error)
 
 
-def _has_disconnected(fd):
-    """Return whether the caller on a socket has closed or reset its side.
-
-    False if that can't be determined: whoever is taken for gone gets no
-    answer.
-    """
-    poller = select.poll()
-    poller.register(fd, select.POLLRDHUP)
-    return any(events & _DISCONNECT_BITS for _, events in poller.poll(0))
-
-
 class Watcher:
     """Watches callers' sockets and the deadlines of attempts.
 
@@ -333,7 +322,7 @@
             attempt = self.by_fd.get(fd)
             # The event may be of a caller whose socket was closed since; the
             # next caller's has the same number.
-            if attempt is None or not _has_disconnected(fd):
+            if attempt is None or not sockets.is_gone(fd):
                 return
             self._unregister(fd)
         attempt.abort(attempts.Result.CALLER_GONE)
--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -19,7 +19,7 @@
 from ibisring_policy.gateway import endings
 from ibisring_records import exceptions
 from ibisring_router import logs
-from ibisring_web import serving
+from ibisring_web import sockets
 import msgspec
 
 LOG = logging.getLogger(__name__)
@@ -369,7 +369,7 @@
         if not seconds:
             return
         time.sleep(max(0.0, min(seconds, job.deadline - self.clock())))
-        if serving.is_gone(job.exchange.socket):
+        if sockets.is_gone(job.exchange.socket):
             raise exchange_module.CallerDisconnected('between two attempts')
 
     def _end_unanswered(self, job, result, step):
--- a/packages/gateway/ibisring_gateway/screening.py
+++ b/packages/gateway/ibisring_gateway/screening.py
@@ -16,7 +16,7 @@
 from ibisring_policy.gateway import suspects
 from ibisring_records import exceptions
 from ibisring_router import logs
-from ibisring_web import serving
+from ibisring_web import sockets
 import msgspec
 
 LOG = logging.getLogger(__name__)
@@ -116,7 +116,7 @@
             if not must_wait or self.clock() >= end:
                 return True
             time.sleep(POLL_SECONDS)
-            if serving.is_gone(job.exchange.socket):
+            if sockets.is_gone(job.exchange.socket):
                 raise exchange_module.CallerDisconnected(
                     'while the suspect request waited'
                 )
--- a/packages/gateway/ibisring_gateway/tests/test_attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/tests/test_attemptwatching.py
@@ -8,6 +8,7 @@
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import attempts
 from ibisring_router import guards
+from ibisring_web import sockets
 import pytest
 
 
@@ -108,7 +109,7 @@
     descriptor = left.fileno()
     left.close()
     right.close()
-    assert not attemptwatching._has_disconnected(descriptor)
+    assert not sockets.is_gone(descriptor)
 
 
 class _RefusingWatcher(_Watcher):
--- a/packages/web/ibisring_web/serving.py
+++ b/packages/web/ibisring_web/serving.py
@@ -5,7 +5,6 @@
     'make_listener',
     'stop_all',
     'caller_is_gone',
-    'is_gone',
 ]
 
 import threading
@@ -110,8 +109,3 @@
     """
     sock = environ.get(SOCKET_KEY)
     return sock is not None and sockets.is_gone(sock)
-
-
-def is_gone(sock):
-    """Return whether a caller is gone, see `sockets.is_gone`."""
-    return sockets.is_gone(sock)
--- a/packages/web/ibisring_web/sockets.py
+++ b/packages/web/ibisring_web/sockets.py
@@ -4,7 +4,7 @@
 1,024 on, and a busy router has thousands.
 """
 
-__all__ = ['is_gone', 'has_input']
+__all__ = ['is_gone', 'has_input', 'shows_end', 'shows_input']
 
 import logging
 import select
@@ -19,15 +19,14 @@
 
     Parameters
     ----------
-    sock : socket.socket
+    sock : socket.socket or int
+        An int is a file descriptor.
 
     Returns
     -------
     bool
-        False if the state can't be determined: whoever is taken for gone
-        gets no answer.
     """
-    return bool(_events(sock) & _ENDED)
+    return shows_end(_events(sock))
 
 
 def has_input(sock):
@@ -35,15 +34,59 @@
 
     Parameters
     ----------
-    sock : socket.socket
+    sock : socket.socket or int
+        An int is a file descriptor.
 
     Returns
     -------
     bool
-        True if the state can't be determined: data that was missed would be
-        taken for a part of the next message.
     """
-    return bool(_events(sock))
+    return shows_input(_events(sock))
+
+
+def shows_end(events):
+    """Return whether events of `poll` show that the other side is gone.
+
+    Parameters
+    ----------
+    events : int
+        Bit mask, `select.POLLNVAL` if the state can't be determined.
+
+    Returns
+    -------
+    bool
+        False for an unknown state: whoever is taken for gone gets no answer.
+
+    Examples
+    --------
+    >>> shows_end(select.POLLIN), shows_end(select.POLLIN | select.POLLRDHUP)
+    (False, True)
+    """
+    if events & select.POLLNVAL:
+        return False
+    return bool(events & _ENDED)
+
+
+def shows_input(events):
+    """Return whether events of `poll` show something to read.
+
+    Parameters
+    ----------
+    events : int
+        As for `shows_end`.
+
+    Returns
+    -------
+    bool
+        True for an unknown state: data that was missed would be taken for a
+        part of the next message.
+
+    Examples
+    --------
+    >>> shows_input(0), shows_input(select.POLLIN)
+    (False, True)
+    """
+    return events != 0
 
 
 def _events(sock):
--- a/packages/web/ibisring_web/tests/test_sockets.py
+++ b/packages/web/ibisring_web/tests/test_sockets.py
@@ -1,5 +1,7 @@
 """Tests of what is known of a connected socket."""
 
+import itertools
+import select
 import socket
 import struct
 
@@ -8,6 +10,8 @@
 from ibisring_web.tests import descriptors
 import pytest
 
+ENDS = {select.POLLRDHUP, select.POLLHUP, select.POLLERR}
+BITS = (*ENDS, select.POLLIN, select.POLLPRI, select.POLLOUT, select.POLLNVAL)
 RESET_ON_CLOSE = struct.pack('ii', 1, 0)
 
 
@@ -29,7 +33,6 @@
     near, far = connection
     assert not sockets.is_gone(near)
     assert not sockets.has_input(near)
-    assert not serving.is_gone(near)
     assert not serving.caller_is_gone({serving.SOCKET_KEY: near})
 
 
@@ -71,3 +74,14 @@
     assert sockets.has_input(closed)
     assert not sockets.is_gone(None)
     assert sockets.has_input(None)
+
+
+def test_a_caller_is_gone_only_by_an_end_that_was_read():
+    """Guards against answers lost to a state that isn't known, all masks."""
+    for count in range(len(BITS) + 1):
+        for bits in itertools.combinations(BITS, count):
+            events = sum(bits)
+            is_unknown = select.POLLNVAL in bits
+            expected = not is_unknown and not ENDS.isdisjoint(bits)
+            assert sockets.shows_end(events) == expected
+            assert sockets.shows_input(events) == bool(bits)
