One function for what makes an answer unusable

The check that an answer continues a stream stood in sending and in relaysending, and Sender._receive had 45 lines; what the head of an answer says of its endpoint is recorded by a function of its own now. No change of behaviour; the tests of sending, relaying and forwarding pass.

--- a/packages/gateway/ibisring_gateway/relaying.py
+++ b/packages/gateway/ibisring_gateway/relaying.py
@@ -141,12 +141,22 @@
         raise upstream.ConnectionFailed('the attempt was aborted', True)
 
 
-def answer_fault(answer):
+def answer_fault(answer, is_continued):
     """Return why an answer is not valid, None if it is.
 
     An endpoint that crashes may have written the headers of a success, which
     the caller would take for an empty but complete answer.
+
+    Parameters
+    ----------
+    answer : ports.Answer
+    is_continued : bool
+        Whether the caller has received part of a stream.  An answer with
+        another status doesn't continue it, and relaying it would terminate
+        the stream as if it were complete.
     """
+    if is_continued and answer.status != 200:
+        return f'status {answer.status} instead of the rest of a stream'
     if answer.encoded:
         return 'answer with a content encoding'
     if answer.status < 300 and not answer.signed:
--- a/packages/gateway/ibisring_gateway/relaysending.py
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -346,9 +346,7 @@
         """Relay an endpoint's answer."""
         job.retry = None
         job.progress.may_have_run = True
-        fault = relaying.answer_fault(answer)
-        if job.exchange.headers_sent and answer.status != 200:
-            fault = f'status {answer.status} instead of the rest of a stream'
+        fault = relaying.answer_fault(answer, job.exchange.headers_sent)
         if answer.request_id not in (None, job.request.id):
             fault = 'answer to another request'
         if fault:
--- a/packages/gateway/ibisring_gateway/sending.py
+++ b/packages/gateway/ibisring_gateway/sending.py
@@ -207,7 +207,6 @@
 
     def _receive(self, job, attempt, conn, response):
         answer = self.codec.decode_answer(response.status, response.headers)
-        name = attempt.endpoint.id
         now = self.clock()
         if answer.leaving and not answer.wrong_endpoint:
             self.on_leaving(attempt.endpoint)
@@ -217,25 +216,13 @@
             return self._handle_lost_answer(
                 job, attempt, 'answer to another request'
             )
-        with self.view.lock:
-            self.view.estimates.note_reachable(name, now)
-            if answer.load is not None:
-                self.view.estimates.note_load(name, answer.load, now)
-        self._record_limit(attempt, answer, now)
-        self._record_backoff(job, attempt, answer, now)
-        if not answer.wrong_endpoint:
-            self.on_decided(job, answer.refused)
+        self._record_answer(job, attempt, answer, now)
         if answer.refused:
             response.drain_conn()
             conn.close()
             return self._handle_refusal(job, attempt, answer)
         job.progress.may_have_run = True
-        fault = relaying.answer_fault(answer)
-        if job.exchange.headers_sent and answer.status != 200:
-            # The caller has received part of a stream.  An answer with another
-            # status doesn't continue it, and relaying it would terminate the
-            # stream as if it were complete.
-            fault = f'status {answer.status} instead of the rest of a stream'
+        fault = relaying.answer_fault(answer, job.exchange.headers_sent)
         if fault:
             conn.close()
             return self._handle_lost_answer(job, attempt, fault)
@@ -251,6 +238,18 @@
             conn.close()
         return result
 
+    def _record_answer(self, job, attempt, answer, now):
+        """Record what the head of an answer says of its endpoint."""
+        name = attempt.endpoint.id
+        with self.view.lock:
+            self.view.estimates.note_reachable(name, now)
+            if answer.load is not None:
+                self.view.estimates.note_load(name, answer.load, now)
+        self._record_limit(attempt, answer, now)
+        self._record_backoff(job, attempt, answer, now)
+        if not answer.wrong_endpoint:
+            self.on_decided(job, answer.refused)
+
     def _record_limit(self, attempt, answer, now):
         """Record the rate limit that an endpoint states.
 
