Read what has arrived before a time limit ends an attempt

Callers saw: streams cut and requests answered 504 or lost though their endpoint had answered in time (the record: `answer_lost end=deadline finding=null`).

Cause: the watcher ended an attempt at its deadline, or had its stages checked and the attempt moved, while the answer or the next event lay unread in the socket of a router that got no processor time. An answer that was whole, but read after that, was thrown away.

Evidence: with the watcher as it was, the four new tests of test_attemptwatching fail (deadline and check_at with unread input, a stall, the hand-over), and two of test_relaying.

Change: latereads.is_shown decides: unread input holds a limit off until the process has run for 0.1 s since, a stall that has just ended until it has run for 20 ms, and nothing for over 1 s. Unread input keeps an attempt from being handed over once in a silence. An answer with a mark of its end (length, last chunk) counts also if the deadline came before it was read; one that ends with its connection does not, nor one that was given up for a successor.

Tests changed: the watchers of test_attemptwatching are made with the health of a process that is never late.

--- a/packages/gateway/ibisring_gateway/attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/attemptwatching.py
@@ -9,7 +9,10 @@
 import time
 
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import latereads
+from ibisring_policy.gateway import localhealth
 from ibisring_router import guards
+from ibisring_web import sockets
 
 LOG = logging.getLogger(__name__)
 # Bounds in seconds of the sleep until the next attempt is due; a disconnect
@@ -77,6 +80,8 @@
         What follows it, if this router gave it up.
     is_over : bool
         Whether its outcome is settled, so that it can't be given up.
+    spared_events : int or None
+        Value of `events` for which it was kept since there was input.
     """
 
     __slots__ = (
@@ -108,6 +113,7 @@
         'job',
         'successor',
         'is_over',
+        'spared_events',
         'lock',
     )
 
@@ -140,6 +146,7 @@
         self.job = None
         self.successor = None
         self.is_over = False
+        self.spared_events = None
         self.lock = threading.Lock()
 
     def silent_seconds(self, now):
@@ -149,6 +156,14 @@
         """
         return now - (self.last_event_at if self.events else self.sent_at)
 
+    def has_unread(self):
+        """Return whether something of its endpoint waits to be read."""
+        with self.lock:
+            return self._has_unread()
+
+    def _has_unread(self):
+        return self.socket is not None and sockets.has_input(self.socket)
+
     def abort(self, end):
         """End the attempt for its caller's sake or for want of time.
 
@@ -174,12 +189,22 @@
         bool
             False if it has ended otherwise or goes on; the successor is not
             used then.
+
+        Notes
+        -----
+        Input that has not been read yet may be the event that was missed.  It
+        keeps the attempt once: input that brings no event must not do so for
+        ever.
         """
         with self.lock:
             if self.result is not None or self.is_over:
                 return False
             if self.events != successor.events:
                 return False
+            is_spared = self.spared_events == self.events
+            if not is_spared and self._has_unread():
+                self.spared_events = self.events
+                return False
             self.result = end
             self.successor = successor
             if self.socket is not None:
@@ -234,11 +259,13 @@
     ----------
     on_silence : callable
         Called with an attempt whose `check_at` has passed.
+    health : localhealth.LocalHealth
     clock : callable
     """
 
-    def __init__(self, on_silence, clock=time.monotonic):
+    def __init__(self, on_silence, health, clock=time.monotonic):
         self.on_silence = on_silence
+        self.health = health
         self.clock = clock
         self.epoll = select.epoll()
         self.lock = threading.Lock()
@@ -344,12 +371,16 @@
             guards.run('watch_attempt', self._check_attempt, attempt, now)
 
     def _check_attempt(self, attempt, now):
+        if attempt.result is not None:
+            return
         if now >= attempt.deadline:
-            attempt.abort(attempts.Result.DEADLINE)
+            if self._is_silent(attempt, attempt.deadline, now):
+                attempt.abort(attempts.Result.DEADLINE)
             return
-        if attempt.check_at is None or now < attempt.check_at:
+        check_at = attempt.check_at
+        if check_at is None or now < check_at or attempt.is_checking:
             return
-        if attempt.is_checking or attempt.result is not None:
+        if not self._is_silent(attempt, check_at, now):
             return
         attempt.is_checking = True
         try:
@@ -359,7 +390,17 @@
             attempt.check_at = now + RETRY_SECONDS
             attempt.is_checking = False
 
+    def _is_silent(self, attempt, limit_at, now):
+        """Return whether a time limit passed for want of input."""
+        return latereads.is_shown(
+            limit_at, now, attempt.has_unread(), self.health
+        )
+
 
-def make_watcher(on_silence, clock=time.monotonic):
-    """Make and start a `Watcher`."""
-    return Watcher(on_silence, clock).start()
+def make_watcher(on_silence, health=None, clock=time.monotonic):
+    """Make and start a `Watcher`.
+
+    Without `health`, this process counts as never late.
+    """
+    health = health or localhealth.make_local_health()
+    return Watcher(on_silence, health, clock).start()
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -106,7 +106,9 @@
         self.connections = upstream.make_connection_pool(
             slots=slots[descriptors.Kind.ENDPOINTS]
         )
-        self.watcher = attemptwatching.make_watcher(self._on_stall)
+        self.watcher = attemptwatching.make_watcher(
+            self._on_stall, self.view.health
+        )
         self.retry_budget = retrybudget.make_retry_budget(
             settings.repeat_window_s,
             settings.repeat_ratio * retrybudget.RATIO_SHARE,
--- a/packages/gateway/ibisring_gateway/relaying.py
+++ b/packages/gateway/ibisring_gateway/relaying.py
@@ -10,6 +10,7 @@
 
 from ibisring_gateway import upstream
 from ibisring_policy.gateway import answerends
+from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import framing
 import msgspec
 
@@ -49,7 +50,7 @@
             raise upstream.ConnectionFailed(
                 'the answer exceeds the buffer limit', True
             )
-    _check_not_aborted(attempt)
+    _check_not_aborted(attempt, answer)
     check_end(answer, size, False, find_process)
     return b''.join(chunks)
 
@@ -92,7 +93,7 @@
             exchange.begin(answer.status, stream_headers(answer.headers))
         exchange.write(complete)
         attempt.check_at = check_at
-    _check_not_aborted(attempt)
+    _check_not_aborted(attempt, answer)
     check_end(answer, size, job.splitter.is_inside_event, find_process)
     _finish_stream(job, answer)
 
@@ -136,9 +137,18 @@
     exchange.write(job.splitter.take_rest())
 
 
-def _check_not_aborted(attempt):
-    if attempt.result is not None:
-        raise upstream.ConnectionFailed('the attempt was aborted', True)
+def _check_not_aborted(attempt, answer):
+    """Check that this router has not ended the answer itself.
+
+    One with a mark of its end was whole before the deadline cut its
+    connection; it was only read later.
+    """
+    if attempt.result is None:
+        return
+    is_marked = answer.framing is not framing.Framing.CLOSE
+    if attempt.result is attempts.Result.DEADLINE and is_marked:
+        return
+    raise upstream.ConnectionFailed('the attempt was aborted', True)
 
 
 def answer_fault(answer):
--- a/packages/gateway/ibisring_gateway/tests/test_attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/tests/test_attemptwatching.py
@@ -7,6 +7,7 @@
 from ibisring_gateway import selecting
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import attempts
+from ibisring_policy.gateway import localhealth
 from ibisring_router import guards
 import pytest
 
@@ -21,7 +22,8 @@
 def _watcher():
     clock = builders.Clock()
     silent = []
-    return _Watcher(silent.append, clock), clock, silent
+    health = localhealth.make_local_health()
+    return _Watcher(silent.append, health, clock), clock, silent
 
 
 def _attempt(watcher, clock, **times):
@@ -75,6 +77,79 @@
     watcher.remove(ours)
 
 
+class _Successor:
+    """What an attempt is given up for; `events` as it was set aside."""
+
+    events = 0
+
+
+def _connected(attempt):
+    """Give an attempt a connection; return the endpoint's side."""
+    attempt.socket, endpoint = socket.socketpair()
+    return endpoint
+
+
+@pytest.mark.parametrize('limit', ['deadline', 'check_at'])
+def test_answer_that_lies_unread_is_read_first(limit):
+    """Guards against an answered request that ends as late or silent."""
+    watcher, clock, silent = _watcher()
+    attempt, ours, _ = _attempt(watcher, clock)
+    setattr(attempt, limit, clock() + 1.0)
+    endpoint = _connected(attempt)
+    endpoint.sendall(b'answer')
+    clock.now += 1.0
+    watcher.check(clock())
+    assert attempt.result is None and not silent
+    attempt.socket.recv(100)
+    watcher.check(clock())
+    assert silent or attempt.result is attempts.Result.DEADLINE
+    watcher.remove(ours)
+
+
+def test_input_without_end_does_not_hold_off_the_deadline():
+    """Guards against bytes without end that keep a request for ever."""
+    watcher, clock, _ = _watcher()
+    attempt, ours, _ = _attempt(watcher, clock)
+    endpoint = _connected(attempt)
+    clock.now = attempt.deadline
+    checks = 0
+    while attempt.result is None:
+        endpoint.sendall(b'bytes')
+        watcher.check(clock())
+        clock.now += 0.005
+        checks += 1
+        assert checks < 30
+    assert attempt.result is attempts.Result.DEADLINE
+    watcher.remove(ours)
+
+
+def test_limits_that_passed_in_a_stall_wait_for_the_other_threads():
+    """Guards against a router that ends its streams as it wakes up."""
+    watcher, clock, silent = _watcher()
+    attempt, ours, _ = _attempt(watcher, clock, check_at=clock() + 0.06)
+    endpoint = _connected(attempt)
+    watcher.health.begin_wait(clock())
+    clock.now += 0.5
+    watcher.health.end_wait(clock())
+    watcher.check(clock())
+    assert not silent
+    clock.now += 0.03
+    watcher.check(clock())
+    assert silent == [attempt]
+    endpoint.close()
+    watcher.remove(ours)
+
+
+def test_attempt_with_unread_input_is_not_handed_over():
+    """Guards against a stream moved while its next event lies unread."""
+    attempt = attemptwatching.Attempt('a', None, (), 10.0)
+    endpoint = _connected(attempt)
+    endpoint.sendall(b'event')
+    assert not attempt.hand_over(_Successor())
+    assert attempt.result is None
+    assert attempt.hand_over(_Successor())
+
+
 def test_late_event_of_a_caller_does_not_end_the_next_attempt():
     """Failure: an attempt ends as the caller before it has left.
 
@@ -117,7 +192,8 @@
     def __init__(self, refused):
         self.refused = refused
         self.silent = []
-        super().__init__(self._on_silence, builders.Clock())
+        health = localhealth.make_local_health()
+        super().__init__(self._on_silence, health, builders.Clock())
 
     def _on_silence(self, attempt):
         if attempt.request_id in self.refused:
--- a/packages/gateway/ibisring_gateway/tests/test_relaying.py
+++ b/packages/gateway/ibisring_gateway/tests/test_relaying.py
@@ -6,7 +6,9 @@
 from ibisring_gateway import relaying
 from ibisring_gateway.tests import jobbuilders
 from ibisring_gateway import upstream
+from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import framing
+import pytest
 
 
 class _SlowCaller(jobbuilders.Exchange):
@@ -40,3 +42,42 @@
     relaying.relay_events(job, attempt, None, answer, on_event)
     assert job.exchange.checks[0] is None
     assert attempt.check_at == 5.0
+
+
+def _read_plain(monkeypatch, result, kind, body=b'whole'):
+    """Read a plain answer of an attempt that ended before it was read."""
+    attempt = attemptwatching.Attempt('a1', None, (), 1e12)
+    attempt.result = result
+    chunks = iter([body, b''])
+    monkeypatch.setattr(upstream, 'read_chunk', lambda response: next(chunks))
+    length = 5 if kind is framing.Framing.LENGTH else None
+    answer = types.SimpleNamespace(length=length, framing=kind)
+    return relaying.read_plain(attempt, None, answer)
+
+
+@pytest.mark.parametrize(
+    'kind', [framing.Framing.LENGTH, framing.Framing.CHUNKS]
+)
+def test_whole_answer_that_is_read_after_the_deadline_counts(
+    monkeypatch, kind
+):
+    """Guards against a 504 in place of an answer that was there in time."""
+    deadline = attempts.Result.DEADLINE
+    assert _read_plain(monkeypatch, deadline, kind) == b'whole'
+
+
+@pytest.mark.parametrize(
+    'result, kind, body',
+    [
+        (attempts.Result.DEADLINE, framing.Framing.CLOSE, b'whole'),
+        (attempts.Result.DEADLINE, framing.Framing.LENGTH, b'who'),
+        (attempts.Result.SILENT, framing.Framing.LENGTH, b'whole'),
+        (attempts.Result.CALLER_GONE, framing.Framing.CHUNKS, b'whole'),
+    ],
+)
+def test_answer_that_this_router_cut_does_not_count(
+    monkeypatch, result, kind, body
+):
+    """Guards against half an answer that looks whole to its caller."""
+    with pytest.raises(upstream.ConnectionFailed):
+        _read_plain(monkeypatch, result, kind, body)
--- /dev/null
+++ b/packages/policy/ibisring_policy/gateway/latereads.py
@@ -0,0 +1,52 @@
+"""Whether a passed time limit shows that an endpoint was silent.
+
+In a process that gets no processor time, a limit passes while what the
+endpoint has sent waits to be read.  Who reads late must read that first.
+"""
+
+__all__ = ['is_shown']
+
+# Running time in which a thread reads what has arrived.  Input that is never
+# read up, such as a line without an end, must not hold off a limit for longer.
+READ_SECONDS = 0.1
+# Running time in which a thread that has read something notes it, and the
+# span before in which the process must have run without a stall to do so at
+# once.
+NOTE_SECONDS = 0.02
+RECENT_SECONDS = 0.2
+# Bound on the time for which a limit is held off.
+MAX_SECONDS = 1.0
+
+
+def is_shown(limit_at, now, has_input, health):
+    """Return whether an endpoint was silent up to a time limit.
+
+    Parameters
+    ----------
+    limit_at, now : float
+        When the limit passed, and the present time.
+    has_input : bool
+        Whether something of the endpoint waits to be read.
+    health : localhealth.LocalHealth
+
+    Returns
+    -------
+    bool
+
+    Examples
+    --------
+    >>> from ibisring_policy.gateway import localhealth
+    >>> health = localhealth.make_local_health()
+    >>> is_shown(10.0, 10.0, False, health)
+    True
+    >>> is_shown(10.0, 10.0, True, health)
+    False
+    """
+    if now - limit_at >= MAX_SECONDS:
+        return True
+    ran = health.running_seconds(limit_at, now)
+    if has_input:
+        return ran >= READ_SECONDS
+    if health.lateness(min(limit_at, now) - RECENT_SECONDS, now):
+        return ran >= NOTE_SECONDS
+    return True
