--- a/packages/soak/ibisring_soak/tests/test_relayed.py
+++ b/packages/soak/ibisring_soak/tests/test_relayed.py
@@ -1,5 +1,7 @@
 """Requests on their way by two router processes."""
 
+import collections
+import concurrent.futures
 import signal
 import threading
 import time
@@ -12,6 +14,9 @@
 import pytest
 
 LONG_STREAM = 300
+# Streams at a time, and their events: about a second's.
+STREAMS = 12
+SHORT_STREAM = 60
 
 
 @pytest.fixture(scope='module')
@@ -115,6 +120,43 @@
     assert replies[0].complete and replies[0].event_data() == words
 
 
+@pytest.mark.parametrize('number', [signal.SIGKILL, signal.SIGTERM])
+@pytest.mark.parametrize('path', ['/stream/x', '/single/x'])
+def test_streams_of_a_carrier_that_ends_are_whole_or_cut_noticeably(
+    world, number, path
+):
+    """Guards against streams that seem whole, or are lost without need."""
+    cut(world, 1)
+    names = [f'c{path[1:3]}{number}-{n}' for n in range(STREAMS)]
+    port = world.routers[0].process.caller_port
+    with concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
+        calls = [pool.submit(fetch, port, path, name) for name in names]
+        running.wait_for(
+            lambda: {run[0] for run in world.site.runs()} >= set(names),
+            'not all run',
+        )
+        time.sleep(0.2)
+        carriers = {name: carrier(world, name) for name in names}
+        ended = collections.Counter(carriers.values()).most_common(1)[0][0]
+        ended.send_signal(number)
+        replies = {name: call.result() for name, call in zip(names, calls)}
+    words = [f'word-{n}' for n in range(1, SHORT_STREAM + 1)]
+    whole = {n for n, r in replies.items() if r.event_data() == words}
+    # The others end as their carrier does, and can't be repeated.
+    may_be_cut = set()
+    if path == '/single/x' and number == signal.SIGKILL:
+        may_be_cut = {n for n, each in carriers.items() if each is ended}
+    assert {n for n in names if n not in whole} <= may_be_cut
+    complete = {n for n, reply in replies.items() if reply.complete}
+    assert complete == whole
+
+
+def fetch(port, path, name):
+    """Request a stream that ends within the time to shut down."""
+    headers = running.headers(name, SHORT_STREAM)
+    return running.fetch(port, 'POST', path, headers, b'prompt')
+
+
 def test_a_stream_goes_on_by_the_own_links_when_they_are_back(world):
     """Guards against a stream that is lost since its carrier is cut off."""
     cut(world, 1)
