Blame no engine for a refusal that was only read late

Callers saw: requests refused for layers whose engines counted as lost.

Cause: a refusal over 1 s after the last event counts as one that follows a stall, and the refusing engine as unreachable, which other routers are told. A router that stood still for that long saw every refusal so.

Evidence: test_refusal_that_is_read_late_blames_no_engine failed before, in the case with a stall of 1.2 s; the case without one still blames the engine.

Change: the time counts for which this process ran.

--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -277,14 +277,16 @@
         A refusal that follows a stall is caused by a lost stage; one that
         comes at once by a lack of memory or slots, or by layers that are
         being unloaded.  An endpoint that asks for a backoff gets that one and
-        no estimated one in addition.
+        no estimated one in addition.  One that this process has only read
+        late followed no stall.
         """
+        waited = self.view.health.running_seconds(attempt.last_event_at, now)
         is_own_refusal = refusing_endpoint == attempt.endpoint.id
         if answer.wrong_endpoint and not attempt.stages:
             self.view.estimates.note_unreachable(
                 refusing_endpoint, now, tried_at=attempt.sent_at
             )
-        elif attempt.stages and now - attempt.last_event_at > STALL_SECONDS:
+        elif attempt.stages and waited > STALL_SECONDS:
             self.view.estimates.note_unreachable(
                 refusing_endpoint, now, tried_at=attempt.sent_at
             )
--- a/packages/gateway/ibisring_gateway/tests/test_selecting.py
+++ b/packages/gateway/ibisring_gateway/tests/test_selecting.py
@@ -242,3 +242,22 @@
     now = view.clock()
     selector.record_refusal(attempt, 'tail', _refusal(3.0), now)
     assert view.estimates.get('tail').backoff_until > now
+
+
+@pytest.mark.parametrize('stalled', [0.0, 1.2])
+def test_refusal_that_is_read_late_blames_no_engine(stalled):
+    """Guards against engines lost since this router stood still."""
+    view = _chain_view('h1')
+    began = view.clock()
+    view.health.begin_wait(began)
+    view.health.end_wait(began + stalled)
+    attempt = types.SimpleNamespace(
+        endpoint=view.snapshot.endpoints['h1'],
+        stages=(types.SimpleNamespace(address='tail:1', endpoint='tail'),),
+        sent_at=began,
+        last_event_at=began,
+    )
+    selector = selecting.make_selector(view)
+    now = began + 1.3
+    selector.record_refusal(attempt, 'tail', _refusal(3.0), now)
+    assert view.estimates.get('tail').dead == (not stalled)
