Count waits for room and for a way by the time that the router ran

Callers saw: started streams cut, and requests refused with 503, as their router came back from a stall.

Cause: a started stream looks for room, or for a router with links, for 1.3 s by the clock, and a request in the queue asks until its time is over. A router that stood still meanwhile had looked once or not at all.

Change: both waits end after as long a time as the process ran, or at the deadline; a request whose time passed in a stall of 0.1 s or more asks once more.

--- a/packages/gateway/ibisring_gateway/queueing.py
+++ b/packages/gateway/ibisring_gateway/queueing.py
@@ -106,10 +106,11 @@
 
         Breaking the stream off would lose all of it.  Its caller waits two
         seconds for the next event, and capacity usually becomes free within
-        one, as other streams end or layers are loaded.
+        one, as other streams end or layers are loaded.  The time does not
+        count for which this process stands still, and so looks for none.
         """
-        end = min(job.deadline, self.clock() + RESUME_WAIT_SECONDS)
-        while self.clock() < end:
+        began = self.clock()
+        while self._may_go_on(job, began):
             time.sleep(RESUME_POLL_SECONDS)
             _check_caller(job, 'while its stream waited for room')
             choice = self.selector.choose(job, self.clock())
@@ -117,6 +118,11 @@
                 return choice
         return None
 
+    def _may_go_on(self, job, began):
+        now = self.clock()
+        waited = self.view.health.running_seconds(began, now)
+        return now < job.deadline and waited < RESUME_WAIT_SECONDS
+
     def _make_ticket(self, job):
         now = self.clock()
         rank = job.rank
--- a/packages/gateway/ibisring_gateway/relayrouting.py
+++ b/packages/gateway/ibisring_gateway/relayrouting.py
@@ -97,9 +97,10 @@
         """Wait for a way for a started stream, which would be lost.
 
         Also for a request that a router will take as soon as it is ready.
+        The time does not count for which this process stands still.
         """
-        end = self.clock() + WAIT_SECONDS
-        while self._may_wait(job, end):
+        began = self.clock()
+        while self._may_wait(job, began):
             time.sleep(POLL_SECONDS)
             if sockets.is_gone(job.exchange.socket):
                 raise exchange_module.CallerDisconnected(
@@ -112,11 +113,11 @@
                 return peer
         raise NobodyInReach
 
-    def _may_wait(self, job, end):
+    def _may_wait(self, job, began):
         now = self.clock()
         if now >= job.deadline:
             return False
-        if now < end:
+        if self.view.health.running_seconds(began, now) < WAIT_SECONDS:
             return True
         return job.exchange.headers_sent and self.sender.is_any_unready(job)
 
--- a/packages/gateway/ibisring_gateway/tests/test_queueing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_queueing.py
@@ -341,6 +341,58 @@
         line.end_ask(new, False, at)
 
 
+def _stall(site, began, seconds):
+    """Have the process stand still for a while from some time on."""
+    site.view.health.begin_wait(began)
+    site.view.health.end_wait(began + seconds)
+
+
+@pytest.mark.parametrize('stalled', [0.0, 1.5])
+def test_request_whose_time_passed_in_a_stall_asks_once_more(site, stalled):
+    """Guards against refusals of what the router had no time to look for."""
+    job = site.job('old')
+    line = waitingline.make_line(site.view, 'model')
+    waiter = waitingline.Waiter(job, site.admitter._make_ticket(job))
+    now = waiter.ticket.arrived
+    line.join(waiter, now)
+    assert line.begin_ask(waiter, now)
+    line.end_ask(waiter, False, now)
+    _stall(site, now + 0.05, stalled)
+    later = now + 1.6
+    line.wake(later)
+    assert line.begin_ask(waiter, later) == bool(stalled)
+    if stalled:
+        line.end_ask(waiter, False, later)
+        line.wake(later + 0.1)
+        assert not line.begin_ask(waiter, later + 0.1)
+    assert waiter.refusal is not None
+
+
+@pytest.mark.parametrize('stalled', [0.0, 5.0])
+def test_started_stream_waits_for_room_for_the_time_that_the_router_ran(
+    site, monkeypatch, stalled
+):
+    """Guards against a stream cut since its router stood still."""
+    job = site.job('old')
+    job.exchange.headers_sent = True
+    site.view.clock = site.admitter.clock = clock = builders.Clock()
+    job.deadline = clock() + 30.0
+    began = clock()
+    sleeps = []
+
+    def sleep(seconds):
+        if not sleeps:
+            _stall(site, clock(), stalled)
+            clock.now += stalled
+        sleeps.append(seconds)
+        clock.now += seconds
+
+    monkeypatch.setattr(queueing.time, 'sleep', sleep)
+    assert site.admitter._wait_for_choice(job) is None
+    waited = clock() - began - stalled
+    assert waited == pytest.approx(queueing.RESUME_WAIT_SECONDS, abs=0.06)
+
+
 @pytest.mark.parametrize(
     ('mode', 'routes', 'is_active'),
     [
--- a/packages/gateway/ibisring_gateway/tests/test_relayrouting.py
+++ b/packages/gateway/ibisring_gateway/tests/test_relayrouting.py
@@ -157,6 +157,20 @@
     assert routing.choose(job) == 'r2'
 
 
+def test_a_stall_does_not_count_as_a_wait_for_a_way(waiting):
+    """Guards against a stream cut since its router stood still."""
+    routing, job = waiting
+    job.exchange.headers_sent = True
+    started = routing.clock()
+    routing.view.health.begin_wait(started)
+    routing.view.health.end_wait(started + 3.0)
+    with pytest.raises(relayrouting.NobodyInReach):
+        routing.choose(job)
+    assert routing.clock() - started == pytest.approx(
+        3.0 + relayrouting.WAIT_SECONDS, abs=0.1
+    )
+
+
 def test_wait_for_a_router_ends_with_the_time_of_the_request(waiting):
     routing, job = waiting
     job.exchange.headers_sent = True
--- a/packages/gateway/ibisring_gateway/waitingline.py
+++ b/packages/gateway/ibisring_gateway/waitingline.py
@@ -11,6 +11,8 @@
 # reports of the load a hundred times a second, and a choice takes
 # milliseconds.
 MIN_ASK_INTERVAL_SECONDS = 0.005
+# Stall of this process in which requests missed several turns to ask.
+LONG_STALL_SECONDS = 0.1
 # The reason of refusals by a router that shuts down.
 ENDING = 'this router is ending'
 # A refused caller may try another router at once.
@@ -57,16 +59,23 @@
             bool(job.sent_to) and progress.sent_to >= progress.max_endpoints
         )
 
-    def may_ask(self, now):
+    def may_ask(self, now, health):
         """Return whether it may ask for a chain, by its own times.
 
         It may until `wanted_by`, unless it has asked within the last
-        `MIN_ASK_INTERVAL_SECONDS`; one that has never asked always may.
+        `MIN_ASK_INTERVAL_SECONDS`; one that has never asked always may, and
+        one whose time passed while this process stood still may once more.
+
+        Parameters
+        ----------
+        now : float
+        health : localhealth.LocalHealth
         """
         if self.asked_at == float('-inf'):
             return True
-        is_due = now >= self.ticket.wanted_by
-        return not is_due and now - self.asked_at >= MIN_ASK_INTERVAL_SECONDS
+        if now >= self.ticket.wanted_by:
+            return health.lateness(self.asked_at, now) >= LONG_STALL_SECONDS
+        return now - self.asked_at >= MIN_ASK_INTERVAL_SECONDS
 
     @property
     def is_continuing(self):
@@ -124,7 +133,9 @@
         with self.lock:
             self._refresh_ranks(now)
             if self.asking is None and name in self.queue:
-                if waiter.may_ask(now) and self._is_turn_of(name, now):
+                if waiter.may_ask(now, self.view.health) and self._is_turn_of(
+                    name, now
+                ):
                     self.asking = name
                     waiter.asked_at = now
                     return True
