Age what other routers sent by the time that this one ran

Cause: a router counts as gone 2.5 s (4.4 s) after its last datagram was read. A router that stood still finds all others gone, until it has read what lies in its socket: it has nobody to hand requests to, takes the part of a reader of the store, and may order engines without the store.

Evidence: test_routers_stay_known_while_this_one_stands_still and test_routers_may_be_handed_requests_after_a_stall failed before.

Change: LocalHealth.span_start says since when the process ran for some time; peer reports, numbers of routers and candidates for requests are aged by it.

--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -98,7 +98,10 @@
         self.next_list_at = 0.0
         self.is_row_written = False
         self.peer_reports = peerreports.make_peer_reports(
-            settings.router_id, settings.failure_domain, view.clock()
+            settings.router_id,
+            settings.failure_domain,
+            view.clock(),
+            view.health,
         )
         self.current_role = storereaders.Role.TOLD
         self.catchup = catchup.make_catchup()
@@ -190,12 +193,15 @@
         """
         now = self.view.clock()
         rows = self.rows
+        # Not counted in the ages: the time for which this router stood still.
+        since = self.view.health.span_start(relays.HEARD_SECONDS, now)
+        stalled = now - relays.HEARD_SECONDS - since
         return [
             relays.Candidate(
                 each.name,
                 rows[each.name].address,
                 each.domain,
-                each.received_at,
+                each.received_at + stalled,
                 each.relay_state,
             )
             for each in self.peer_reports.recent(now, relays.HEARD_SECONDS)
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -14,6 +14,7 @@
 from ibisring_policy.gateway import layerorders
 from ibisring_policy.gateway import peerreports
 from ibisring_policy.gateway import polling
+from ibisring_policy.gateway import relays
 from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
@@ -236,3 +237,25 @@
     monkeypatch.setattr(router_peers, '_catch_up', catch_up)
     router_peers.run()
     assert calls == ['list', 'catch_up']
+
+
+def test_routers_may_be_handed_requests_after_a_stall():
+    """Guards against refusals since all routers seem to be gone."""
+    router_peers = _make_peers()
+    clock = router_peers.view.clock = builders.Clock()
+    report = peerreports.PeerReport(
+        name='r1',
+        domain='a',
+        received_at=clock(),
+        store_status=FOLLOWING,
+        relay_state=relays.PeerState(takes_requests=True),
+    )
+    router_peers.receive_report(report, 'r1:1')
+    router_peers.view.health.begin_wait(clock() + 0.1)
+    clock.now += 5.0
+    router_peers.view.health.end_wait(clock())
+    candidates = router_peers.relay_candidates()
+    usable = relays.make_relays('a').usable(candidates, 's', clock())
+    assert [each.name for each in usable] == ['r1']
+    clock.now += relays.HEARD_SECONDS
+    assert router_peers.relay_candidates() == []
--- a/packages/policy/ibisring_policy/gateway/localhealth.py
+++ b/packages/policy/ibisring_policy/gateway/localhealth.py
@@ -94,13 +94,50 @@
         """
         return max(0.0, now - since - sum(self._overlaps(since, now)))
 
-    def _overlaps(self, since, now):
+    def span_start(self, seconds, now):
+        """Return since when the process ran for some seconds.
+
+        For the age of what others sent, which this process could not receive
+        while it stood still.
+
+        Parameters
+        ----------
+        seconds, now : float
+
+        Returns
+        -------
+        float
+
+        Examples
+        --------
+        >>> health = make_local_health()
+        >>> health.begin_wait(10.0)
+        >>> health.end_wait(12.0)
+        >>> health.span_start(2.0, 13.0)
+        9.0
+        """
+        start = now
+        for at, end in reversed(self._list_stalls(now)):
+            ran = max(0.0, start - end)
+            if ran >= seconds:
+                break
+            seconds -= ran
+            start = min(start, at)
+        return start - seconds
+
+    def _list_stalls(self, now):
         with self.lock:
             stalls = list(self.stalls)
             if self.due is not None:
                 if now - self.due >= MIN_LATENESS_SECONDS:
                     stalls.append((self.due, now))
-        overlaps = [min(end, now) - max(at, since) for at, end in stalls]
+        return stalls
+
+    def _overlaps(self, since, now):
+        overlaps = [
+            min(end, now) - max(at, since)
+            for at, end in self._list_stalls(now)
+        ]
         return [seconds for seconds in overlaps if seconds > 0.0]
 
 
--- a/packages/policy/ibisring_policy/gateway/peerreports.py
+++ b/packages/policy/ibisring_policy/gateway/peerreports.py
@@ -9,6 +9,7 @@
 import math
 
 from ibisring_policy.gateway import layerorders
+from ibisring_policy.gateway import localhealth
 from ibisring_policy.gateway import relays
 from ibisring_policy.gateway import storereaders
 import msgspec
@@ -67,6 +68,9 @@
     name, domain : str
         The router itself.
     started_at : float
+    health : localhealth.LocalHealth
+        The time does not count for which this router stood still: what the
+        others sent since then has not been received yet.
 
     Examples
     --------
@@ -84,10 +88,11 @@
     {'a': 1}
     """
 
-    def __init__(self, name, domain, started_at):
+    def __init__(self, name, domain, started_at, health):
         self.name = name
         self.domain = domain
         self.started_at = started_at
+        self.health = health
         self.by_name = {}
         self.reported_counts = {}
         self.first_hand_counts = {}
@@ -129,7 +134,8 @@
         list of PeerReport
         """
         reports = list(self.by_name.values())
-        return [each for each in reports if now - each.received_at < within]
+        since = self.health.span_start(within, now)
+        return [each for each in reports if each.received_at > since]
 
     def recent_in_domain(self, now, within=ROUTER_TIMEOUT_SECONDS):
         """Return the recent reports of routers of the own domain."""
@@ -193,10 +199,11 @@
 
     def _unexpired(self, reported, now):
         """Leave out the own domain and expired numbers."""
+        since = self.health.span_start(ROUTER_TIMEOUT_SECONDS, now)
         return {
             domain: (at, count)
             for domain, (at, count) in list(reported.items())
-            if domain != self.domain and now - at < ROUTER_TIMEOUT_SECONDS
+            if domain != self.domain and at > since
         }
 
     def rank(self, now):
@@ -204,6 +211,10 @@
         return sum(1 for r in self.recent(now) if r.name < self.name)
 
 
-def make_peer_reports(name, domain, started_at):
-    """Make an empty `PeerReports`."""
-    return PeerReports(name, domain, started_at)
+def make_peer_reports(name, domain, started_at, health=None):
+    """Make an empty `PeerReports`.
+
+    Without `health`, the router counts as never late.
+    """
+    health = health or localhealth.make_local_health()
+    return PeerReports(name, domain, started_at, health)
--- a/packages/policy/ibisring_policy/gateway/tests/test_localhealth.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_localhealth.py
@@ -49,3 +49,15 @@
     health.begin_wait(later)
     health.end_wait(later + 1.0)
     assert list(health.stalls) == [(later, later + 1.0)]
+
+
+@pytest.mark.parametrize(
+    'seconds, expected',
+    [(0.04, 0.86), (0.08, 0.27), (0.2, 0.05), (9.0, -8.75)],
+)
+def test_start_of_a_span_leaves_stalls_out(seconds, expected):
+    health = health_after([0.05, 0.1, 0.25, 0.85])
+    health.begin_wait(0.95)
+    start = health.span_start(seconds, 0.9)
+    assert start == pytest.approx(expected)
+    assert health.running_seconds(start, 0.9) == pytest.approx(seconds)
--- a/packages/policy/ibisring_policy/gateway/tests/test_peerreports.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_peerreports.py
@@ -1,6 +1,7 @@
 """Tests of which routers count as running, and what they report."""
 
 from ibisring_policy.gateway import layerorders
+from ibisring_policy.gateway import localhealth
 from ibisring_policy.gateway import peerreports
 from ibisring_policy.gateway import storereaders
 
@@ -73,3 +74,16 @@
         'r3': FOLLOWING,
         'r4': FOLLOWING,
     }
+
+
+def test_routers_stay_known_while_this_one_stands_still():
+    """Guards against a router that takes itself for the only one."""
+    reports = _reports(r2=FOLLOWING, r3=LOST)
+    reports.receive_counts({'b': (9, 0)}, 'b', 10.0)
+    reports.health = localhealth.make_local_health()
+    reports.health.begin_wait(10.5)
+    reports.health.end_wait(16.5)
+    assert reports.store_statuses(16.6) == {'r2': FOLLOWING, 'r3': LOST}
+    assert reports.router_counts(16.6) == {'a': 3, 'b': 9}
+    assert reports.store_statuses(18.9) == {}
+    assert reports.router_counts(20.8) == {'a': 1}
