Keep endpoints after an outage for the time that the router ran

Callers saw: "no endpoint has room" as a router came back from a stall beside an outage of the store.

Cause: entries that expired in an outage may be written again within 2.2 s; a router that stood still for that time dropped their endpoints before it had read what was written meanwhile.

Evidence: test_missing_endpoint_is_kept_for_the_time_that_the_router_ran failed before; without a stall they are dropped as before (two tests).

Change: the directory leaves stalls out of that time.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -210,10 +210,18 @@
         would go to an endpoint that has left until the next answer.
         """
         now = self.view.clock()
-        if self.presence.expire(now):
+        if self.presence.expire(self._ran_until(now)):
             before = self.view.snapshot
             self._publish(now, 'time', before.endpoints_read_at, before)
 
+    def _ran_until(self, now):
+        """Return the time without what this process has just stood still.
+
+        What was written to the store meanwhile has not been read yet.
+        """
+        grace = presence.REREGISTER_SECONDS
+        return self.view.health.span_start(grace, now) + grace
+
     def on_holding_report(self, message):
         """Apply an engine's own report while its store entry can't change."""
         if self.view.store_lost_at is None:
@@ -299,7 +307,7 @@
             )
         else:
             changed = self._apply_each(message.items, now)
-        changed |= self.presence.expire(now)
+        changed |= self.presence.expire(self._ran_until(now))
         if not changed and self.view.snapshot.endpoints_known:
             self._replace(
                 endpoints_read_at=now - message.age, position=message.position
--- a/packages/gateway/ibisring_gateway/tests/test_directory.py
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -167,6 +167,23 @@
     assert set(view.snapshot.endpoints) == {'y'}
 
 
+def test_missing_endpoint_is_kept_for_the_time_that_the_router_ran():
+    """Guards against dropping what has registered again, unread as yet."""
+    actor, view, _ = _make_directory()
+    clock = view.clock = builders.Clock()
+    _read_endpoints(actor, [build.endpoint('x')])
+    actor.on_read_failed(directory.ReadFailed('no answer'))
+    _read_endpoints(actor, [ports.Removed('x')], whole=False, position=2)
+    view.health.begin_wait(clock())
+    clock.now += 3.0
+    view.health.end_wait(clock())
+    actor.on_tick(directory.Tick())
+    assert 'x' in view.snapshot.endpoints
+    clock.now += 2.3
+    actor.on_tick(directory.Tick())
+    assert not view.snapshot.endpoints
+
+
 def test_loss_and_return_of_each_table_is_logged(monkeypatch):
     """Failure: the log reports the store as back while one table is stale.
 
