One judgement of what an unanswered status query proves

What callers saw: 503 for layers whose engines all ran. A router that got no processor time, or whose engines' machine stood still, counted 35 to 180 ms without an answer as the loss of an engine, took it out of its chains and of the layer plan, and told the other routers.

Cause: the time limit was compared with the time that had passed, not with the time for which the router itself had run, and a chain with one engine to ask was judged without any control.

Change: `losses` says what silence proves. A refused connection is a loss at once. Silence is one only after this process has run for the whole limit and while others are heard; without them up to two other engines are asked as a control. The limit rises, up to 1 s, with stalls of the process in the last 3 s and with answers after a silence, and halves each second after. Engines that are undecided are asked again (`reasking`) with growing timeouts; the placer's unanswered calls go the same way. An engine found lost by its silence is asked once more for 1 s, so that it is used again as it answers. If most of the engines of a chain are silent, the limit is four times as long; before, such a chain was never judged. Each judgement is written (`silence_judged`) and counted (`losses.proven`, `.undecided`, `.refuted`). An engine that another router reaches is not taken for recovered by a router that itself gets no answer; it is probed at once and left in the plan for 1 s. Setting `slow_detection: fixed` still judges as before.

tests/slowload.py: a dead engine uses up the whole timeout of a query (it failed early at times, which now is a sign of its own), what is asked again runs as events, and queries shared with an earlier check count.

--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -1,15 +1,25 @@
 """Status queries to engines, and the health updates that result."""
 
-__all__ = ['Reply', 'StatusQuerier', 'make_status_querier']
+__all__ = [
+    'Query',
+    'Reply',
+    'StatusQuerier',
+    'are_many',
+    'make_status_querier',
+]
 
 import concurrent.futures
 import enum
 import logging
+import random
 
+from ibisring_gateway import lossjudging
 from ibisring_gateway import ports
+from ibisring_gateway import reasking
 from ibisring_gateway import workerpool
 from ibisring_policy.gateway import adaptivetimeout
 from ibisring_policy.gateway import estimates
+from ibisring_policy.gateway import losses
 from ibisring_records import exceptions
 from ibisring_router import logs
 
@@ -19,6 +29,9 @@
 # its pause makes it late.
 MIN_TIMEOUT_SECONDS = 0.035
 MAX_TIMEOUT_SECONDS = 0.12
+# Longest timeout of a first query if the limit of silence is raised: a caller
+# waits, and engines that are then undecided are asked again.
+MAX_RAISED_SECONDS = 0.25
 # Timeout in seconds for an endpoint that counts as unreachable: no caller
 # waits for this answer, and an endpoint that is only slow must not stay
 # excluded for as long as it is slow.
@@ -27,6 +40,9 @@
 # pass through it fall silent together.
 SHARED_SECONDS = 0.05
 WORKERS = 24
+# If more than this share of the engines asked seem lost, this router is more
+# likely slow or disconnected than all of them are down.
+MAX_LOST_SHARE = 0.7
 # A second query starts after this share of the timeout of the first one, which
 # may still be answered: both end about when the first one alone would have.
 SECOND_START_SHARE = 0.5
@@ -36,18 +52,72 @@
 # Seconds by which both may end later than the first one alone if no engine
 # has answered: then all are more likely slow than lost.
 MAX_EXTRA_SECONDS = 0.06
+# Engines that are not in doubt and are asked as a control, if nobody else has
+# been heard.
+MAX_CONTROLS = 2
+# Share of its timeout at which a query has ended by the timeout, and not by
+# another failure.
+TIMED_OUT_SHARE = 0.8
 MS_PER_SECOND = 1000.0
+ANY = concurrent.futures.FIRST_COMPLETED
 
 
 class Reply(enum.Enum):
-    """What a status query showed; `NOT_SENT` if no thread was free."""
+    """What status queries showed; `NOT_SENT` if no thread was free.
+
+    Where engines are judged, `NONE` is a proven loss, and `UNDECIDED` a
+    silence that proves nothing.
+    """
 
     ANSWERED = 'answered'
     REFUSED = 'refused'
     NONE = 'none'
+    UNDECIDED = 'undecided'
     NOT_SENT = 'not_sent'
 
 
+class Query:
+    """A status query, which may still be waiting for a thread.
+
+    Attributes
+    ----------
+    future : concurrent.futures.Future
+        Its result is a `Reply`.
+    timeout : float
+    sent_at, ended_at : float or None
+        None before.
+    reply : Reply or None
+        None until it has ended.
+    """
+
+    __slots__ = ('future', 'timeout', 'sent_at', 'ended_at', 'reply')
+
+    def __init__(self, timeout):
+        self.future = None
+        self.timeout = timeout
+        self.sent_at = None
+        self.ended_at = None
+        self.reply = None
+
+    @property
+    def is_answered(self):
+        """Whether it has been answered."""
+        return self.reply is Reply.ANSWERED
+
+    @property
+    def is_refused(self):
+        """Whether its connection was refused."""
+        return self.reply is Reply.REFUSED
+
+    @property
+    def has_failed(self):
+        """Whether it ended before its timeout without an answer."""
+        if self.ended_at is None:
+            return False
+        took = self.ended_at - self.sent_at
+        return took < TIMED_OUT_SHARE * self.timeout
+
+
 class StatusQuerier:
     """Queries several engines concurrently for their status.
 
@@ -61,6 +131,9 @@
     ----------
     on_answer : callable
         Called with an endpoint that has answered, and when the query began.
+    judge : lossjudging.LossJudge
+    reasker : reasking.Reasker
+        Asks engines again whose silence proves nothing yet.
     """
 
     def __init__(self, view, engines, metrics):
@@ -81,11 +154,15 @@
         self.recent_queries = {}
         self.recent_second_queries = {}
         self.on_answer = lambda endpoint, started: None
+        self.judge = lossjudging.make_loss_judge(view, metrics)
+        self.reasker = reasking.make_reasker(view, self, self.judge)
+        self.rng = random.Random()
 
     def stop(self):
         """Shut the thread pools down without waiting."""
         for pool in (self.pool, self.second_pool):
             pool.shutdown(wait=False, cancel_futures=True)
+        self.reasker.stop()
 
     def check(self, endpoints, is_confirmed=True, has_answers=False):
         """Query endpoints and return what this showed of each.
@@ -94,8 +171,9 @@
         ----------
         endpoints : list of routing.Endpoint
         is_confirmed : bool
-            Whether a second query confirms that an endpoint doesn't answer:
-            one may fail because the engine, this router or the link is busy.
+            Whether a second query confirms that an endpoint doesn't answer,
+            and its silence is judged: a query may fail because the engine,
+            this router or the link is busy.
         has_answers : bool
             Whether other engines of the same chain are known to answer.
 
@@ -103,14 +181,14 @@
         -------
         dict of str to Reply
         """
-        timeout = self.timeout.seconds
+        timeout = self._timeout()
         if not is_confirmed:
             queries = {e.id: self._share_query(e, timeout) for e in endpoints}
-            return {name: self._reply(f) for name, f in queries.items()}
+            return {n: self._raw_reply(q) for n, q in queries.items()}
         # The first query is still answered while the second one runs.
         longest = timeout + MAX_EXTRA_SECONDS
         first = {e.id: self._share_query(e, longest) for e in endpoints}
-        concurrent.futures.wait(first.values(), timeout * SECOND_START_SHARE)
+        _wait(first.values(), timeout * SECOND_START_SHARE)
         has_answers = has_answers or any(map(_is_answered, first.values()))
         seconds = _second_timeout(timeout, has_answers)
         second = {
@@ -118,18 +196,53 @@
             for e in endpoints
             if _is_undecided(first[e.id])
         }
-        return {
-            e.id: self._confirm(e, first[e.id], second.get(e.id), seconds)
-            for e in endpoints
-        }
+        if second and not has_answers:
+            self.ask_controls(endpoints, seconds)
+        found, replies = {}, {}
+        for each in endpoints:
+            found[each.id], replies[each.id] = self._confirm(
+                each, first[each.id], second.get(each.id), seconds
+            )
+        return self._judge_all(endpoints, found, replies)
+
+    def usual_limit(self):
+        """Return the time limit of an answer by measured answers."""
+        return self.timeout.seconds
+
+    def _timeout(self):
+        """Return the timeout of first queries."""
+        limit = self.judge.limit_seconds(self.usual_limit())
+        return max(self.usual_limit(), min(MAX_RAISED_SECONDS, limit))
+
+    def ask_controls(self, endpoints, timeout):
+        """Query other engines, to know whether any answers.
+
+        Parameters
+        ----------
+        endpoints : list of routing.Endpoint
+            Those in doubt.
+        timeout : float
+        """
+        asked = {each.id for each in endpoints}
+        others = [
+            each
+            for each in self.view.snapshot.endpoints.values()
+            if each.id not in asked and each.holding is not None
+        ]
+        with self.view.lock:
+            is_dead = self.view.estimates.is_dead
+            running = [each for each in others if not is_dead(each.id)]
+        others = running or others
+        count = min(MAX_CONTROLS, len(others))
+        for each in self.rng.sample(others, count):
+            self._share_query(each, timeout, 2)
 
     def _share_query(self, endpoint, timeout, number=1):
         """Query an endpoint's status, or share a query just sent.
 
         Returns
         -------
-        concurrent.futures.Future
-            Its result is a `Reply`.
+        Query
         """
         shared, pool = self.recent_queries, self.pool
         if number == 2:
@@ -139,41 +252,100 @@
             recent = shared.get(endpoint.id)
             if recent is not None and now - recent[0] < SHARED_SECONDS:
                 return recent[1]
-            future = pool.submit(self._status, endpoint, timeout)
-            shared[endpoint.id] = now, future
-            return future
+            query = Query(timeout)
+            query.future = pool.submit(self._run, endpoint, query)
+            shared[endpoint.id] = now, query
+            return query
+
+    def _run(self, endpoint, query):
+        """Run a query in a thread of a pool."""
+        query.sent_at = self.clock()
+        reply = self._status(endpoint, query.timeout)
+        query.ended_at = self.clock()
+        query.reply = reply
+        return reply
+
+    def ask(self, endpoint, timeout):
+        """Query an endpoint in the caller's thread.
+
+        Returns
+        -------
+        Query
+        """
+        query = Query(timeout)
+        self._run(endpoint, query)
+        return query
 
     def _confirm(self, endpoint, first, second, seconds):
-        """Wait for the queries of an endpoint and judge them."""
+        """Wait for the queries of an endpoint.
+
+        Returns
+        -------
+        (list of Query, Reply)
+        """
         if second is None:
-            reply = self._reply(first)
+            reply = self._raw_reply(first)
             if reply is not Reply.NONE:
-                return reply
+                return [first], reply
             # The first query had to wait for a free thread.
             second = self._share_query(endpoint, seconds, 2)
-        concurrent.futures.wait(
-            (first, second),
-            4 * MAX_TIMEOUT_SECONDS,
-            concurrent.futures.FIRST_COMPLETED,
-        )
+        both = [first, second]
+        _wait(both, self._longest_wait(*both), ANY)
         if _is_answered(first):
-            return Reply.ANSWERED
-        reply = self._reply(second)
+            return both, Reply.ANSWERED
+        reply = self._raw_reply(second)
         if reply is Reply.NONE and _is_answered(first):
-            return Reply.ANSWERED
+            return both, Reply.ANSWERED
         if reply is Reply.ANSWERED:
             with self.view.lock:
                 self.timeout.false_timeout()
-        return reply
+        return both, reply
+
+    def _judge_all(self, endpoints, queries, replies):
+        """Replace the replies of engines that didn't answer by a judgement."""
+        silent = [n for n, r in replies.items() if r in _UNANSWERED]
+        is_many = are_many(silent, endpoints)
+        for each in endpoints:
+            if each.id in silent:
+                replies[each.id] = self._judge(
+                    each, queries[each.id], replies[each.id], is_many
+                )
+        return replies
 
-    def _reply(self, future):
+    def _raw_reply(self, query):
         """Wait for a query and return its `Reply`."""
         try:
-            return future.result(timeout=4 * MAX_TIMEOUT_SECONDS)
+            return query.future.result(timeout=self._longest_wait(query))
         except concurrent.futures.TimeoutError:
             LOG.debug('status query timed out waiting for a free thread')
             return Reply.NOT_SENT
 
+    def _longest_wait(self, *queries):
+        return max(4 * MAX_TIMEOUT_SECONDS, *(2 * q.timeout for q in queries))
+
+    def _judge(self, endpoint, queries, reply, is_many):
+        """Return the judgement of an engine that has not answered."""
+        sent = [q for q in queries if q.sent_at is not None]
+        since = min(q.sent_at for q in sent)
+        ends = [q.ended_at for q in sent if q.ended_at is not None]
+        evidence = self.judge.evidence(
+            endpoint.id,
+            since,
+            self.usual_limit(),
+            max(ends, default=0.0),
+            is_refused=reply is Reply.REFUSED,
+            has_failed=all(q.has_failed for q in sent),
+            is_one_of_many=is_many,
+        )
+        verdict = self.judge.judge(endpoint.id, evidence, since)
+        if verdict is losses.Verdict.UNDECIDED:
+            self.reasker.ask_again(endpoint, since, evidence)
+            return reply if reply is Reply.REFUSED else Reply.UNDECIDED
+        self.judge.note_lost(endpoint, since, evidence)
+        if self.judge.is_lost_by_silence(endpoint.id):
+            self.reasker.watch_recovery(endpoint)
+        return reply
+
     def probe(self, endpoint):
         """Probe an unreachable endpoint in the background."""
         self.pool.submit(self._probe, endpoint)
@@ -200,8 +372,10 @@
             is_refused = isinstance(error, ports.ConnectionRefused)
             return Reply.REFUSED if is_refused else Reply.NONE
         self.on_answer(endpoint, started_at)
+        took = self.clock() - started_at
         with self.view.lock:
-            self.timeout.answered(self.clock() - started_at)
+            self.timeout.answered(took)
+        self.judge.note_answer(endpoint.id, took, MAX_TIMEOUT_SECONDS)
         self._record_slowdown(endpoint, status)
         return Reply.ANSWERED
 
@@ -216,17 +390,15 @@
 
     def _probe(self, endpoint):
         started_at = self.clock()
-        reply = self._status(endpoint, PROBE_TIMEOUT_SECONDS)
+        limit = self.judge.limit_seconds(PROBE_TIMEOUT_SECONDS)
+        reply = self._status(endpoint, limit)
         alive = reply is Reply.ANSWERED
         now = self.clock()
         with self.view.lock:
             if alive:
                 self.timeout.false_timeout()
-                self.view.estimates.note_reachable(endpoint.id, now)
             else:
-                self.view.estimates.note_unreachable(
-                    endpoint.id, now, tried_at=started_at
-                )
+                self.view.estimates.note_unanswered_probe(endpoint.id, now)
         logs.event(
             LOG,
             'asked_again',
@@ -236,6 +408,14 @@
         )
 
 
+_UNANSWERED = (Reply.NONE, Reply.REFUSED)
+
+
+def are_many(silent, asked):
+    """Return whether too many engines are silent for a loss of each."""
+    return len(silent) > max(1, MAX_LOST_SHARE * len(asked))
+
+
 def _second_timeout(timeout, has_answers):
     """Return the timeout of second queries, from that of the first ones.
 
@@ -247,16 +427,21 @@
     return max(MIN_SECOND_SECONDS, rest)
 
 
-def _is_answered(future):
+def _wait(queries, timeout, until=concurrent.futures.ALL_COMPLETED):
+    futures = [query.future for query in queries]
+    concurrent.futures.wait(futures, timeout, until)
+
+
+def _is_answered(query):
     """Return whether a query has been answered by now."""
-    return future.done() and future.result() is Reply.ANSWERED
+    return query.future.done() and query.future.result() is Reply.ANSWERED
 
 
-def _is_undecided(future):
+def _is_undecided(query):
     """Return whether a query leaves open whether its endpoint is lost."""
-    if future.done():
-        return future.result() is Reply.NONE
-    return future.running()
+    if query.future.done():
+        return query.future.result() is Reply.NONE
+    return query.future.running()
 
 
 def make_status_querier(view, engines, metrics):
--- a/packages/gateway/ibisring_gateway/placing.py
+++ b/packages/gateway/ibisring_gateway/placing.py
@@ -54,6 +54,8 @@
         Called when the store does not answer.
     min_pool_requests : int
         See `layers.pools`.
+    on_silence : callable
+        Called with an engine that hasn't answered, and when it was asked.
     """
 
     def __init__(
@@ -67,8 +69,10 @@
         send_to_directory,
         on_outage_suspected,
         min_pool_requests=layers.MIN_REQUESTS,
+        on_silence=lambda endpoint, started: None,
     ):
         super().__init__()
+        self.on_silence = on_silence
         self.router_id = router_id
         self.store_statuses = store_statuses
         self.send_to_directory = send_to_directory
@@ -245,7 +249,7 @@
         use the layers that were loaded, and they would be ordered again.
         """
         ordered = [e for e in usable if e.id in self.orders.pending]
-        for endpoint, status in zip(
+        for endpoint, (status, _) in zip(
             ordered, self.pool.run_all(self._query_status, ordered)
         ):
             if status is None:
@@ -376,10 +380,10 @@
         unknown = [
             e for e, _ in planned if self.orders.accepted_orders(e) is None
         ]
-        for endpoint, status in zip(
+        for endpoint, (status, started) in zip(
             unknown, self.pool.run_all(self._query_status, unknown)
         ):
-            self._record_order_count(endpoint, status)
+            self._record_order_count(endpoint, status, started)
         now = time.monotonic()
         ready = [
             (endpoint, holding)
@@ -432,13 +436,20 @@
         if result is ports.OrderResult.STALE:
             self.lease.note_lost()
         if result is ports.OrderResult.UNKNOWN:
-            self._record_unreachable(endpoint)
+            self.on_silence(endpoint, self.view.clock())
 
     def _query_status(self, endpoint):
-        """Query an engine's status; None without an answer."""
+        """Query an engine's status.
+
+        Returns
+        -------
+        (ports.EngineStatus or None, float)
+            None without an answer, and when it was asked.
+        """
         started = self.view.clock()
         try:
-            return self.engines.status(endpoint, STATUS_TIMEOUT_SECONDS)
+            status = self.engines.status(endpoint, STATUS_TIMEOUT_SECONDS)
+            return status, started
         except exceptions.IbisringError as error:
             logs.event(
                 LOG,
@@ -447,23 +458,16 @@
                 late_ms=self.view.late_ms(started),
                 why=error.detail,
             )
-            return None
+            return None, started
 
-    def _record_order_count(self, endpoint, status):
+    def _record_order_count(self, endpoint, status, started):
         if status is None:
-            self._record_unreachable(endpoint)
+            self.on_silence(endpoint, started)
         elif status.busy:
             self.orders.note_busy(endpoint, time.monotonic())
         else:
             self.orders.note_accepted_orders(endpoint, status.orders)
 
-    def _record_unreachable(self, endpoint):
-        with self.view.lock:
-            now = time.monotonic()
-            self.view.estimates.note_unreachable(
-                endpoint.id, now, tried_at=now - STATUS_TIMEOUT_SECONDS
-            )
-
 
 def _due_orders(ready, pools, model, broken, waiting):
     """Return the orders to send now, see `layers.due`."""
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -177,6 +177,9 @@
         )
         self.connections.on_connect = self.link_monitor.record
         self.stall_handler.querier.on_answer = self.link_monitor.answered
+        self.forwarder.selector.on_reported = (
+            self.stall_handler.querier.reasker.check_reports
+        )
         self.stall_handler.can_relay = self.relay_sender.is_possible
         self.stall_handler.successors = self.forwarder.successors
         self.stall_handler.may_still_answer = self.screen.may_still_answer
@@ -222,6 +225,7 @@
             lambda message: self.directory.tell(message),
             self.followers.suspect_outage,
             settings.min_pool_requests,
+            self.stall_handler.querier.reasker.doubt,
         )
         self._listen()
         self.directory = directory.Directory.start(
@@ -243,6 +247,9 @@
         self.gossip.receiver.alive_engines = (
             self.stall_handler.engines_with_events
         )
+        self.gossip.receiver.on_reported = (
+            self.stall_handler.querier.reasker.check_reports
+        )
         self.gossip.receiver.on_loads = self.forwarder.admitter.wake_all
         self.gossip.own_service = self._own_service
         self.link_monitor.on_change = self.gossip.request_send
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -21,9 +21,6 @@
 LOG = logging.getLogger(__name__)
 # Seconds for which an event of another request shows that a stage is alive.
 PROOF_SECONDS = 0.05
-# If more than this share of the stages queried fail at once, this router is
-# more likely slow or disconnected than all of them are down.
-MAX_LOST_SHARE = 0.7
 # Seconds until the next check after stages were replaced, and after the first
 # check that found nothing wrong; the wait doubles with each further check.
 REPLACEMENT_PAUSE_SECONDS = 0.25
@@ -109,6 +106,7 @@
         self.clock = view.clock
         self.pool = workerpool.make_worker_pool(WORKERS)
         self.querier = enginestatus.make_status_querier(view, engines, metrics)
+        self.querier.judge.engines_heard = self.engines_heard
         # By service: its endpoints, when they were looked at, and which of
         # them were excluded.
         self.excluded = {}
@@ -380,8 +378,8 @@
     def _find_lost(self, attempt):
         """Return the ids of the stages that do not answer.
 
-        None if hardly any does, which is no proof against them, or if some
-        were not asked.
+        None if it is not known of some whether they are lost, and no other
+        is.
         """
         by_id = self.view.snapshot.endpoints
         names = [stage.endpoint for stage in attempt.stages]
@@ -397,36 +395,52 @@
         lost = {
             name for name, reply in replies.items() if self._is_loss(reply)
         }
-        if len(lost) > max(1, MAX_LOST_SHARE * len(queried)):
-            logs.event(
-                LOG,
-                'all_silent',
-                id=attempt.request_id,
-                asked=len(queried),
-                late_ms=self.view.late_ms(tried_at),
-            )
-            self.on_all_silent(attempt.endpoint.service)
+        if self._are_all_silent(attempt, replies, lost, tried_at):
             return None
+        if not self.is_adaptive:
+            self._note_lost(queried, lost, tried_at)
+        lost |= unavailable
+        return None if not lost and _is_any_unknown(replies) else lost
+
+    def _are_all_silent(self, attempt, replies, lost, since):
+        """Return whether hardly any engine answers, and report it.
+
+        That is no proof against them.
+        """
+        unknown = enginestatus.Reply.UNDECIDED
+        silent = lost | {n for n, r in replies.items() if r is unknown}
+        if not enginestatus.are_many(silent, replies):
+            return False
+        with self.view.lock:
+            if any(map(self.view.estimates.is_dead, silent)):
+                # Proven in spite of their number.
+                return False
+        logs.event(
+            LOG,
+            'all_silent',
+            id=attempt.request_id,
+            asked=len(replies),
+            late_ms=self.view.late_ms(since),
+        )
+        self.on_all_silent(attempt.endpoint.service)
+        return True
+
+    def _note_lost(self, queried, lost, tried_at):
+        """Take engines out after unanswered queries that nobody judged."""
         now = self.clock()
         with self.view.lock:
-            for endpoint in queried:
-                if endpoint.id in lost:
+            for each in queried:
+                if each.id in lost:
                     self.view.estimates.note_unreachable(
-                        endpoint.id, now, tried_at=tried_at
+                        each.id, now, tried_at=tried_at
                     )
-                elif replies[endpoint.id] is enginestatus.Reply.ANSWERED:
-                    self.view.estimates.note_reachable(endpoint.id, now)
-        lost |= unavailable
-        if not lost and enginestatus.Reply.NOT_SENT in replies.values():
-            return None
-        return lost
 
     def _is_loss(self, reply):
         """Return whether a reply shows that an engine is lost."""
         if reply is enginestatus.Reply.NOT_SENT:
             # This router lacked a free thread; the next check asks again.
             return not self.is_adaptive
-        return reply is not enginestatus.Reply.ANSWERED
+        return reply in (enginestatus.Reply.NONE, enginestatus.Reply.REFUSED)
 
     def _proven_alive(self, attempt):
         """Return the stages of other requests that had an event just now.
@@ -452,7 +466,10 @@
 
     def engines_with_events(self):
         """Return the engines that run streams with an event just now."""
-        since = self.clock() - PROOF_SECONDS
+        return self.engines_heard(self.clock() - PROOF_SECONDS)
+
+    def engines_heard(self, since):
+        """Return the engines that run streams with an event since a time."""
         return {
             stage.endpoint
             for attempt in self.watcher.attempts()
@@ -601,6 +618,11 @@
     return found
 
 
+def _is_any_unknown(replies):
+    unknown = enginestatus.Reply.UNDECIDED, enginestatus.Reply.NOT_SENT
+    return any(reply in unknown for reply in replies.values())
+
+
 def make_stall_handler(view, engines, selector, watcher, metrics):
     """Make a `StallHandler`."""
     return StallHandler(view, engines, selector, watcher, metrics)
--- a/packages/gateway/ibisring_gateway/tests/slowload.py
+++ b/packages/gateway/ibisring_gateway/tests/slowload.py
@@ -14,6 +14,7 @@
 import types
 
 from ibisring_gateway import enginestatus
+from ibisring_gateway import reasking
 from ibisring_gateway import selecting
 from ibisring_gateway import stalls
 from ibisring_gateway import successors
@@ -86,6 +87,21 @@
         """Do nothing; there are no threads."""
 
 
+class _EventPool:
+    """Runs what is submitted as an event of its own."""
+
+    def __init__(self, fleet):
+        self.fleet = fleet
+
+    def submit(self, function, *arguments):
+        fleet = self.fleet
+        fleet.at(fleet.clock.now, self._run, function, *arguments)
+
+    def _run(self, function, *arguments):
+        self.fleet.is_asking_again = True
+        function(*arguments)
+
+
 class _Engines(builders.Engines):
     """Engines whose answers to status queries take longer under load."""
 
@@ -97,9 +113,9 @@
         seconds = STATUS_SECONDS * self.fleet.slowdown(endpoint.id)
         seconds *= self.fleet.noise()
         is_dead = endpoint.id in self.fleet.dead
-        if is_dead:
-            self.fleet.dead_timeouts.append(timeout)
-        self.fleet.clock.now += min(seconds, timeout)
+        if is_dead and not self.fleet.is_asking_again:
+            self.fleet.note_dead_query(timeout)
+        self.fleet.clock.now += timeout if is_dead else min(seconds, timeout)
         if is_dead or seconds > timeout:
             raise exceptions.PlatformUnavailable(endpoint.id)
         return super().status(endpoint, timeout)
@@ -142,6 +158,8 @@
         self.dead = set()
         self.hung = set()
         self.dead_timeouts = []
+        self.is_asking_again = False
+        self.is_new_check = False
         self.running = {f'h{n}': 0 for n in range(CHAINS)}
         self.waiting = {name: [] for name in self.running}
         self.outcome = Outcome()
@@ -186,6 +204,12 @@
         self.handler.pool = InlinePool(self.clock)
         self.handler.querier.pool = InlinePool(self.clock)
         self.handler.querier.second_pool = InlinePool(self.clock)
+        self.handler.querier.reasker = reasking.make_reasker(
+            self.view, self.handler.querier, self.handler.querier.judge
+        )
+        self.handler.querier.reasker.pool = _EventPool(self)
+        self.handler.querier.reasker.sleep = self._sleep
+        self.handler.querier.rng.seed(1)
 
     def noise(self):
         """Return a random factor of a time."""
@@ -202,6 +226,9 @@
         seconds = self.factor * (FIRST_SECONDS + GAP_SECONDS * EVENTS)
         return CHAINS * SLOTS / seconds
 
+    def _sleep(self, seconds):
+        self.clock.now += seconds
+
     def at(self, when, function, *arguments):
         """Call a function at a virtual time."""
         entry = when, next(self.numbers), function, arguments
@@ -233,6 +260,7 @@
             self.at(start + dead_at, self.dead.add, dead)
         while self.queue and self.clock.now < start + seconds:
             self.clock.now, _, function, arguments = heapq.heappop(self.queue)
+            self.is_asking_again = False
             function(*arguments)
             self._note_dead(dead)
         return self.outcome
@@ -246,8 +274,23 @@
         names = set(self.view.snapshot.endpoints) - {dead}
         self.outcome.slow_lost.update(filter(is_dead, names))
 
+    def note_dead_query(self, timeout):
+        """Note a query of the dead engine in the present check.
+
+        Those of an earlier check stay if this one shares them.
+        """
+        if self.is_new_check:
+            self.dead_timeouts.clear()
+            self.is_new_check = False
+        self.dead_timeouts.append(timeout)
+
     def _query_seconds(self):
-        """Return how long the last queries of the dead engine took."""
+        """Return how long the last queries of the dead engine took.
+
+        The clock counts those itself that are asked again.
+        """
+        if self.is_asking_again:
+            return 0.0
         if len(self.dead_timeouts) == 1:
             return self.dead_timeouts[0]
         first, second = self.dead_timeouts
@@ -358,8 +401,7 @@
         if stream.attempt is not attempt or now < attempt.check_at:
             return
         attempt.is_checking = True
-        if self.outcome.found_at is None:
-            self.dead_timeouts.clear()
+        self.is_new_check = self.outcome.found_at is None
         self.handler.handle(attempt)
         if attempt.result is None:
             self.at(attempt.check_at, self._check, stream, attempt)
--- a/packages/policy/ibisring_policy/gateway/estimates.py
+++ b/packages/policy/ibisring_policy/gateway/estimates.py
@@ -43,6 +43,12 @@
 # the engine itself, unless a peer has reported its recovery by then.  Routers
 # that detected the loss probe sooner.
 PEER_REPORT_PROBE_DELAY_SECONDS = 4.0
+# Routers that must report a loss before layers are planned for it that this
+# router hasn't proven.
+MIN_WITNESSES = 2
+# How long layers are not planned for a loss after another router has reached
+# the engine: this router may have lost only its own link to it.
+REFUTED_SECONDS = 1.0
 # How long an engine's report that it is slow counts, and after how long it is
 # queried again.
 SLOWDOWN_VALID_SECONDS = 2.5
@@ -64,7 +70,10 @@
     requests; `tokens` are multiplied by the layers that the engine runs.
     `tried_at` is when the attempt to reach it began that showed it dead;
     `started` is the start time of the endpoint's present process.  Fields
-    `*_from_peer` are set if another router reported the state.
+    `*_from_peer` are set if another router reported the state.  A loss that
+    was reported is a suspicion until it is `proven` here; `witnesses` are the
+    routers that reported it, and `by_silence` is set if the endpoint neither
+    refused connections nor failed otherwise.
     """
 
     active: int = 0
@@ -84,6 +93,10 @@
     dead_at: float = -1e9
     tried_at: float = -1e9
     dead_from_peer: bool = False
+    proven: bool = False
+    by_silence: bool = False
+    witnesses: frozenset = frozenset()
+    refuted_at: float = -1e9
     recovered_at: float = -1e9
     recovery_from_peer: bool = False
     backoff_until: float = 0.0
@@ -152,6 +165,8 @@
 
     def _mark_recovered(self, estimate, now, from_peer):
         estimate.dead = False
+        estimate.proven = estimate.by_silence = False
+        estimate.witnesses = frozenset()
         estimate.recovered_at = now
         estimate.recovery_from_peer = from_peer
         estimate.ejected_until = now
@@ -168,11 +183,20 @@
         ]
 
     def merge_recovered(self, names, now):
-        """Note dead engines that have responded to another router."""
+        """Note dead engines that have responded to another router.
+
+        Those that this router has found dead itself it probes at once.
+        """
         for name in names:
             estimate = self.by_endpoint.get(name)
-            if estimate is not None and estimate.dead:
+            if estimate is None or not estimate.dead:
+                continue
+            if estimate.dead_from_peer:
                 self._mark_recovered(estimate, now, from_peer=True)
+            else:
+                # It may be reached from there and not from here.
+                estimate.refuted_at = now
+                estimate.ejected_until = min(estimate.ejected_until, now)
 
     def revive(self, names, now):
         """Use endpoints again that this router itself could not reach."""
@@ -198,13 +222,61 @@
             estimate.dead = True
             estimate.dead_at = now
             estimate.tried_at = now if tried_at is None else tried_at
+        elif from_peer:
+            return
         estimate.dead_from_peer = from_peer
+        estimate.proven = not from_peer
+        self._eject(estimate, now)
+
+    def _eject(self, estimate, now):
         if estimate.ejected_until <= now:
             estimate.ejected_until = now + estimate.eject_seconds
             estimate.eject_seconds = min(
                 MAX_EJECT_SECONDS, estimate.eject_seconds * 2
             )
 
+    def note_lost(self, name, now, tried_at, by_silence=False):
+        """Note that the loss of an endpoint is proven.
+
+        One that other routers have reported is left to them to probe: probes
+        would grow with the number of routers.
+
+        Parameters
+        ----------
+        name : str
+        now : float
+        tried_at : float
+            When the attempt to reach it began.
+        by_silence : bool
+            Whether nothing but its silence shows it.
+        """
+        estimate = self.get(name)
+        if not estimate.dead:
+            self.note_unreachable(name, now, tried_at=tried_at)
+            estimate.by_silence = by_silence
+        estimate.proven = True
+
+    def note_unanswered_probe(self, name, now):
+        """Note that an endpoint that counts as lost was probed in vain."""
+        self._eject(self.get(name), now)
+
+    def silent_loss_seconds(self, name, now):
+        """Return for how long an endpoint has been lost by its silence.
+
+        None if it isn't, or if this router has not found that itself.
+        """
+        estimate = self.by_endpoint.get(name)
+        if estimate is None or not estimate.dead or not estimate.by_silence:
+            return None
+        return now - estimate.dead_at
+
+    def has_answered(self, excluded, since):
+        """Return whether an endpoint but those excluded answered since."""
+        return any(
+            estimate.answered_at >= since and name not in excluded
+            for name, estimate in self.by_endpoint.items()
+        )
+
     def note_refusal(self, name, now, from_peer=False, has_memory=False):
         """Note that an engine refused a request.
 
@@ -338,11 +410,7 @@
         )
         is_repeated = estimate.consecutive_failures >= MIN_CONSECUTIVE_FAILURES
         if is_repeated and estimate.failure_rate >= EJECT_FAILURE_RATE:
-            if estimate.ejected_until <= now:
-                estimate.ejected_until = now + estimate.eject_seconds
-                estimate.eject_seconds = min(
-                    MAX_EJECT_SECONDS, estimate.eject_seconds * 2
-                )
+            self._eject(estimate, now)
 
     def note_load(self, name, load, now):
         """Note the running and waiting requests that an endpoint reported."""
@@ -446,7 +514,10 @@
         newly_dead = []
         for name in dead:
             estimate = self.by_endpoint.get(name)
-            if estimate is None or estimate.dead:
+            if estimate is None:
+                continue
+            if estimate.dead:
+                estimate.witnesses |= {router}
                 continue
             # The report of the loss may arrive after that of the recovery.
             has_recovered = now - estimate.recovered_at < DEAD_GOSSIP_SECONDS
@@ -455,6 +526,7 @@
                 and not has_recovered
             ):
                 self.note_unreachable(name, now, from_peer=True)
+                estimate.witnesses = frozenset({router})
                 newly_dead.append(name)
         return newly_dead
 
@@ -478,6 +550,9 @@
     def is_lost(self, name, now, seconds, connected_at):
         """Return whether an endpoint has been dead for some seconds.
 
+        What one other router has reported doesn't count until it is proven
+        here: that router may be late, or may have lost its own link.
+
         Parameters
         ----------
         name : str
@@ -491,6 +566,11 @@
             return False
         if not estimate.dead_from_peer and estimate.tried_at >= connected_at:
             return False
+        if now - estimate.refuted_at < REFUTED_SECONDS:
+            return False
+        is_proven = estimate.proven or not estimate.dead_from_peer
+        if not is_proven and len(estimate.witnesses) < MIN_WITNESSES:
+            return False
         return now - estimate.dead_at >= seconds
 
     def recently_dead(self, now, connected_at=math.inf):
