A reported loss is a suspicion: asked at once, not planned for

What callers saw: sound engines out of use for 4 s, and their layers ordered elsewhere, as another router that was late had reported them lost.

Cause: a report was taken for a fact. The receiver asked the engine itself only after 4 s (PEER_REPORT_PROBE_DELAY_SECONDS), and planned without it after 0.4 s.

A refusal after a stall that names another engine is such a report. The messages are unchanged.

--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -41,6 +41,8 @@
     ----------
     alive_engines : callable
         Returns the engines that have just sent this router an event.
+    on_reported : callable
+        Called with engines whose loss another router has reported.
     on_loads : callable
         Called when the loads of engines have been updated.
     """
@@ -50,6 +52,7 @@
         self.peers = peers
         self.tell_directory = tell_directory
         self.alive_engines = frozenset
+        self.on_reported = lambda names: None
         self.on_loads = lambda: None
 
     def receive(self, message, source):
@@ -102,6 +105,7 @@
                 late_ms=self.view.late_ms(now - RECENT_SECONDS),
                 origin=f'router {message.router}',
             )
+            self.on_reported(newly_dead)
 
     def _apply_rank_use(self, message, now):
         unranked = self._unranked_use(message)
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -63,11 +63,14 @@
     may_connect : callable
         Returns whether this process may open a connection to an endpoint.
         While it may not, no endpoint counts as one that has room.
+    on_reported : callable
+        Called with engines whose loss another engine has reported.
     """
 
     def __init__(self, view):
         super().__init__(view)
         self.may_connect = lambda: True
+        self.on_reported = lambda names: None
         self.event_times = eventtimes.make_event_times(view)
 
     def choose(self, job, now):
@@ -285,9 +288,11 @@
                 refusing_endpoint, now, tried_at=attempt.sent_at
             )
         elif attempt.stages and now - attempt.last_event_at > STALL_SECONDS:
+            # What another engine says of it is a report until it is asked.
             self.view.estimates.note_unreachable(
-                refusing_endpoint, now, tried_at=attempt.sent_at
+                refusing_endpoint, now, True, attempt.sent_at
             )
+            self.on_reported([refusing_endpoint])
         elif answer.backoff is None or not is_own_refusal:
             has_memory = (
                 self._memory_share(attempt, refusing_endpoint)
