--- a/packages/policy/ibisring_policy/gateway/tests/promises.py
+++ b/packages/policy/ibisring_policy/gateway/tests/promises.py
@@ -14,6 +14,7 @@
     'of_counting',
     'of_exit',
     'of_waiting',
+    'of_losses',
     'of_closing',
     'may_continue',
     'may_wait',
@@ -23,6 +24,7 @@
 from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import idlelimits
+from ibisring_policy.gateway import losses
 from ibisring_policy.gateway import shutdown
 import msgspec
 
@@ -259,6 +261,42 @@
     return [name for name, is_kept in kept.items() if not is_kept]
 
 
+def of_losses(evidence, verdict):
+    """Return the promises that a judgement of a silent engine breaks.
+
+    Parameters
+    ----------
+    evidence : losses.Evidence
+    verdict : losses.Verdict
+        The decision.
+    """
+    is_lost = verdict is losses.Verdict.LOST
+    many = evidence.is_one_of_many
+    is_refused = evidence.is_refused and not many
+    is_proof = is_refused or (evidence.has_failed and not many)
+    factor = losses.MANY_FACTOR if many else 1.0
+    enough = losses.ENOUGH_SHARE * min(
+        losses.MAX_LIMIT_SECONDS, factor * evidence.limit_seconds
+    )
+    has_run = evidence.ran_seconds >= enough
+    kept = {
+        'no loss while the process did not run': (
+            not is_lost or is_proof or has_run
+        ),
+        'no loss unless another is heard': (
+            not is_lost or is_refused or evidence.hears_others
+        ),
+        'a refused connection is a loss at once': is_lost or not is_refused,
+        'a failed query is a loss beside others': (
+            is_lost or not (is_proof and evidence.hears_others)
+        ),
+        'a dark engine is found': (
+            is_lost or not (has_run and evidence.hears_others)
+        ),
+    }
+    return [name for name, is_kept in kept.items() if not is_kept]
+
+
 def of_closing(idle, limits, closes):
     """Return the promises that closing an idle connection breaks.
 
--- a/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
@@ -8,6 +8,7 @@
 from ibisring_policy.gateway import answerends
 from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import idlelimits
+from ibisring_policy.gateway import losses
 from ibisring_policy.gateway import shutdown
 from ibisring_policy.gateway.tests import mutations
 from ibisring_policy.gateway.tests import promises
@@ -319,6 +320,43 @@
     assert list(_broken_waits(mutation.module))
 
 
+def _all_evidence():
+    """Yield the evidence against an engine that the judgement tells apart."""
+    limits = (0.035, 0.12, losses.MAX_LIMIT_SECONDS)
+    shares = (0.0, 0.5, 0.89, 0.9, 1.0, losses.MANY_FACTOR)
+    flags = itertools.product(FLAGS, repeat=4)
+    for flag, limit, share in itertools.product(flags, limits, shares):
+        hears_others, is_refused, has_failed, is_one_of_many = flag
+        yield losses.Evidence(
+            share * limit,
+            limit,
+            hears_others,
+            is_refused=is_refused,
+            has_failed=has_failed,
+            is_one_of_many=is_one_of_many,
+        )
+
+
+def _broken_judgements(module):
+    for evidence in _all_evidence():
+        yield from promises.of_losses(evidence, module.judge(evidence))
+
+
+def test_judgements_of_silence_keep_their_promises():
+    """Guards against sound engines taken out, and dead ones kept."""
+    assert not list(_broken_judgements(losses))
+
+
+@pytest.mark.parametrize(
+    'mutation',
+    mutations.make_mutations(losses, ['judge', 'required_seconds']),
+    ids=str,
+)
+def test_promises_tell_a_changed_judgement(mutation):
+    """Guards against promises that a wrong decision keeps."""
+    assert list(_broken_judgements(mutation.module))
+
+
 def _breaks_an_exit(module):
     seconds = (0.0, 1.0, 2.0, 3.0, 7.0, 8.0)
     for elapsed, active in itertools.product(seconds, (0, 1)):
