Ask a reported engine before streams are moved off it

What callers saw: streams moved, or held as blocked, since another router had reported a stage lost that answers here.

Cause: a silent stream took a stage that counted as dead for lost without a query, also if only a report said so.

Change: such a stage is queried and judged like the others; the query that was sent for the report counts from its start. Other engines are asked as a control for a report only if none has been heard for 50 ms, as reports reach all routers at once.

Tests: test_lossjudging `stream_is_not_moved_on_a_report_alone` (fails before: the stage is lost), test_gossip `router_that_stood_still_reports_no_losses`.

--- a/packages/gateway/ibisring_gateway/lossjudging.py
+++ b/packages/gateway/ibisring_gateway/lossjudging.py
@@ -151,6 +151,12 @@
             self.silent_since.setdefault(name, since)
             return is_new
 
+    def begin_silence(self, name, since):
+        """Record when the first query was sent to an engine in doubt."""
+        with self.lock:
+            if name in self.silent_since:
+                self.silent_since[name] = since
+
     def end_silence(self, name):
         """Record that an engine is no longer asked again."""
         with self.lock:
--- a/packages/gateway/ibisring_gateway/reasking.py
+++ b/packages/gateway/ibisring_gateway/reasking.py
@@ -20,6 +20,9 @@
 # query may still be answered.
 FAILED_PAUSE_SECONDS = 0.05
 WATCH_PAUSE_SECONDS = 0.03
+# Others that have just been heard are likely to be heard again without being
+# asked.
+HEARD_SECONDS = 0.05
 # Longest timeout in seconds, also of the query that shows whether an engine
 # that is lost by its silence has only paused.
 MAX_TIMEOUT_SECONDS = 1.0
@@ -175,19 +178,27 @@
         if self.judge.is_lost_by_silence(case.endpoint.id):
             self.watch_recovery(case.endpoint)
 
+    def _ask_controls(self, case):
+        """Ask others as well, unless they are heard all the time."""
+        since = self.view.clock() - HEARD_SECONDS
+        if not self.judge.hears_others(case.endpoint.id, since):
+            self.querier.ask_controls([case.endpoint], case.timeout)
+
     def _is_undecided(self, case):
+        """Ask an engine, and return whether that decides nothing."""
         endpoint = case.endpoint
         self.sleep(case.pause)
         if self.stopped.is_set():
             return False
         if endpoint.id not in self.view.snapshot.endpoints:
             return False
-        self.querier.ask_controls([endpoint], case.timeout)
+        self._ask_controls(case)
         query = self.querier.ask(endpoint, case.timeout)
         if query.is_answered:
             return False
         if case.since is None:
             case.since = query.sent_at
+            self.judge.begin_silence(endpoint.id, query.sent_at)
         evidence = self.judge.evidence(
             endpoint.id,
             case.since,
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -385,7 +385,7 @@
         names = [stage.endpoint for stage in attempt.stages]
         with self.view.lock:
             unavailable = {n for n in names if n not in by_id}
-            unavailable |= {n for n in names if self.view.estimates.is_dead(n)}
+            unavailable |= {n for n in names if self._is_lost_here(n)}
         alive = self._proven_alive(attempt)
         queried = [by_id[n] for n in names if n not in unavailable | alive]
         tried_at = self.clock() - enginestatus.SHARED_SECONDS
@@ -402,6 +402,15 @@
         lost |= unavailable
         return None if not lost and _is_any_unknown(replies) else lost
 
+    def _is_lost_here(self, name):
+        """Return whether this router knows that an engine is lost.
+
+        One that only others report is asked: it may answer here.
+        """
+        table = self.view.estimates
+        is_report = self.is_adaptive and table.is_suspected(name)
+        return table.is_dead(name) and not is_report
+
     def _are_all_silent(self, attempt, replies, lost, since):
         """Return whether hardly any engine answers, and report it.
 
@@ -412,7 +421,7 @@
         if not enginestatus.are_many(silent, replies):
             return False
         with self.view.lock:
-            if any(map(self.view.estimates.is_dead, silent)):
+            if any(map(self._is_lost_here, silent)):
                 # Proven in spite of their number.
                 return False
         logs.event(
--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -17,6 +17,7 @@
 from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway import suspects
 from ibisring_policy.gateway.tests import builders as build
+import pytest
 
 
 class _OlderMessage(msgspec.Struct, array_like=True):
@@ -218,6 +219,19 @@
     assert [(e.id, e.started) for e in reports] == [('x', 5)]
 
 
+@pytest.mark.parametrize(('stall', 'told'), [(0.0, ['x']), (0.2, [])])
+def test_router_that_stood_still_reports_no_losses(stall, told):
+    """Guards against a late router whose own lateness all others act upon."""
+    view = builders.make_view([build.endpoint('x')])
+    view.clock = clock = builders.Clock()
+    view.links.connected('s', clock.now)
+    view.estimates.note_lost('x', clock.now, clock.now - 0.1)
+    view.health.begin_wait(clock.now)
+    clock.now += stall
+    view.health.end_wait(clock.now)
+    assert _make_gossip(view)._message(clock.now).unreachable == told
+
+
 class _Socket:
     """Has datagrams to receive; closed after the last one."""
 
--- a/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
+++ b/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
@@ -263,3 +263,17 @@
     assert scenario.dead() == {'m'}
     assert scenario.view.estimates.dead_to_probe(['m'], now) == ['m']
     assert not scenario.view.estimates.is_lost('m', now + 0.6, 0.4, now)
+
+
+def test_stream_is_not_moved_on_a_report_alone(scenario):
+    """Guards against streams moved off an engine that answers here."""
+    _report(scenario, 'r2', 'm')
+    assert scenario.check() == set()
+    assert not scenario.dead()
+
+
+def test_stream_is_moved_off_a_reported_engine_that_is_silent(scenario):
+    """Guards against a report that delays what this router finds itself."""
+    scenario.engines.dark.add('m:1')
+    _report(scenario, 'r2', 'm')
+    assert scenario.check() == {'m'}
--- a/packages/operator/ibisring_operator/tracing.py
+++ b/packages/operator/ibisring_operator/tracing.py
@@ -16,6 +16,7 @@
         'layers_missing',
         'no_status',
         'order',
+        'silence_judged',
         'started',
         'store_lost',
         'store_regained',
--- a/packages/policy/ibisring_policy/gateway/estimates.py
+++ b/packages/policy/ibisring_policy/gateway/estimates.py
@@ -478,6 +478,13 @@
         estimate = self.by_endpoint.get(name)
         return estimate is not None and estimate.dead
 
+    def is_suspected(self, name):
+        """Return whether others report a loss that isn't proven here."""
+        estimate = self.by_endpoint.get(name)
+        if estimate is None or not estimate.dead:
+            return False
+        return estimate.dead_from_peer and not estimate.proven
+
     def merge_gossip(self, router, tokens, dead, now, slow=None, refusing=()):
         """Merge the load and engine states that another router sent.
 
@@ -568,9 +575,9 @@
             return False
         if now - estimate.refuted_at < REFUTED_SECONDS:
             return False
-        is_proven = estimate.proven or not estimate.dead_from_peer
-        if not is_proven and len(estimate.witnesses) < MIN_WITNESSES:
-            return False
+        if self.is_suspected(name):
+            if len(estimate.witnesses) < MIN_WITNESSES:
+                return False
         return now - estimate.dead_at >= seconds
 
     def recently_dead(self, now, connected_at=math.inf):
