--- a/packages/soak/ibisring_soak/pausing.py
+++ b/packages/soak/ibisring_soak/pausing.py
@@ -107,8 +107,8 @@
     engine_class = PausingEngine
     service_class = standin.Service
 
-    def __init__(self):
-        super().__init__()
+    def __init__(self, store=None):
+        super().__init__(store)
         self.limits = {}
 
     def configure(self, **changes):
