Soak: one thread paces the events of each process of engines

Cause: with a thread a stream, engine processes of the restart soak stood still for up to 1.37 s beside four busy processes, which routers can't tell from a lost engine; each router also compiled itself at each start, as the environment forbids to write byte code.

Change: one thread sends all events of a process; byte code is kept in the folder of the run; the report says how long delays were in all.

--- a/packages/soak/ibisring_soak/lateness.py
+++ b/packages/soak/ibisring_soak/lateness.py
@@ -21,11 +21,13 @@
 class Lateness(msgspec.Struct):
     """How late the ticks of a process came.
 
-    `processors` is the processor time that it used per second.
+    `late_seconds` is the time of its longer delays in all, `processors` the
+    processor time that it used per second.
     """
 
     percentile_ms: float
     largest_ms: float
+    late_seconds: float
     processors: float
 
 
@@ -85,6 +87,7 @@
         return Lateness(
             percentile_ms=_ms(lates[int(PERCENTILE * (len(lates) - 1))]),
             largest_ms=_ms(lates[-1]),
+            late_seconds=round(sum(end - due for due, end in self.spans), 2),
             processors=round(used / seconds, 3),
         )
 
--- a/packages/soak/ibisring_soak/rollingrestart.py
+++ b/packages/soak/ibisring_soak/rollingrestart.py
@@ -148,8 +148,12 @@
 
 def _environment(folder, checkout):
     """Return what the environment of router processes has of its own."""
-    # Code of another checkout must not be written to.
-    values = {'PYTHONPYCACHEPREFIX': str(folder / 'bytecode')}
+    # Code of another checkout must not be written to, and a router that
+    # compiles itself at each start is ready later than a deployed one.
+    values = {
+        'PYTHONPYCACHEPREFIX': str(folder / 'bytecode'),
+        'PYTHONDONTWRITEBYTECODE': '',
+    }
     if checkout is not None:
         paths = [checkout / 'packages' / name for name in PACKAGES]
         paths.append(checkout / 'platform')
--- a/packages/soak/ibisring_soak/standinprocesses.py
+++ b/packages/soak/ibisring_soak/standinprocesses.py
@@ -12,6 +12,7 @@
 import multiprocessing
 
 from ibisring_adapter.tests import standin
+from ibisring_soak import eventpacing
 from ibisring_soak import lateness
 from ibisring_soak import pausing
 import msgspec
@@ -40,21 +41,29 @@
     lateness: lateness.Lateness
 
 
-class SteadyEngine(pausing.PausingEngine):
+class SteadyEngine(eventpacing.PacedAnswers, pausing.PausingEngine):
     """A model server that is never slow and never ends."""
 
-    event_seconds_by_default = EVENT_SECONDS
-
     def entry(self):
         """Return its entry in the store."""
         return {**super().entry(), 'Slots': PLACES}
 
 
 class SteadySite(pausing.PausingSite):
-    """A site whose model servers are `SteadyEngine`."""
+    """A site whose model servers are `SteadyEngine`.
+
+    Attributes
+    ----------
+    pacer : eventpacing.EventPacer
+        Sends the events of their streams.
+    """
 
     engine_class = SteadyEngine
 
+    def __init__(self, store):
+        super().__init__(store)
+        self.pacer = eventpacing.EventPacer(EVENT_SECONDS)
+
     def configure(self, **changes):
         """Write a configuration with room for the streams of all places."""
         config = standin.configuration(**changes)
