--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -33,6 +33,8 @@
 ENDPOINTS = 'endpoints'
 CONNECT_TIMEOUT_SECONDS = 0.15
 READ_TIMEOUT_SECONDS = 0.3
+# Longest time from the first byte of a state to the last one.
+STATE_SECONDS = 1.0
 # Seconds between reads of the list of routers: after the first read, and
 # while no peer has been heard from.  Routers that start later announce
 # themselves by gossip.
@@ -92,13 +94,18 @@
         self.rows = {}
         self.rng = random.Random()
         self.caller = calls.make_caller(
-            CONNECT_TIMEOUT_SECONDS, READ_TIMEOUT_SECONDS
+            CONNECT_TIMEOUT_SECONDS,
+            READ_TIMEOUT_SECONDS,
+            answer_seconds=STATE_SECONDS,
         )
         self.stopped = threading.Event()
         self.next_list_at = 0.0
         self.is_row_written = False
         self.peer_reports = peerreports.make_peer_reports(
-            settings.router_id, settings.failure_domain, view.clock()
+            settings.router_id,
+            settings.failure_domain,
+            view.clock(),
+            view.health,
         )
         self.current_role = storereaders.Role.TOLD
         self.catchup = catchup.make_catchup()
@@ -190,12 +197,15 @@
         """
         now = self.view.clock()
         rows = self.rows
+        # Not counted in the ages: the time for which this router stood still.
+        since = self.view.health.span_start(relays.HEARD_SECONDS, now)
+        stalled = now - relays.HEARD_SECONDS - since
         return [
             relays.Candidate(
                 each.name,
                 rows[each.name].address,
                 each.domain,
-                each.received_at,
+                each.received_at + stalled,
                 each.relay_state,
             )
             for each in self.peer_reports.recent(now, relays.HEARD_SECONDS)
--- a/packages/gateway/ibisring_gateway/selecting.py
+++ b/packages/gateway/ibisring_gateway/selecting.py
@@ -63,11 +63,14 @@
     may_connect : callable
         Returns whether this process may open a connection to an endpoint.
         While it may not, no endpoint counts as one that has room.
+    on_reported : callable
+        Called with engines whose loss another engine has reported.
     """
 
     def __init__(self, view):
         super().__init__(view)
         self.may_connect = lambda: True
+        self.on_reported = lambda names: None
         self.event_times = eventtimes.make_event_times(view)
 
     def choose(self, job, now):
@@ -277,17 +280,21 @@
         A refusal that follows a stall is caused by a lost stage; one that
         comes at once by a lack of memory or slots, or by layers that are
         being unloaded.  An endpoint that asks for a backoff gets that one and
-        no estimated one in addition.
+        no estimated one in addition.  One that this process has only read
+        late followed no stall.
         """
+        waited = self.view.health.running_seconds(attempt.last_event_at, now)
         is_own_refusal = refusing_endpoint == attempt.endpoint.id
         if answer.wrong_endpoint and not attempt.stages:
             self.view.estimates.note_unreachable(
                 refusing_endpoint, now, tried_at=attempt.sent_at
             )
-        elif attempt.stages and now - attempt.last_event_at > STALL_SECONDS:
+        elif attempt.stages and waited > STALL_SECONDS:
+            # What another engine says of it is a report until it is asked.
             self.view.estimates.note_unreachable(
-                refusing_endpoint, now, tried_at=attempt.sent_at
+                refusing_endpoint, now, True, attempt.sent_at
             )
+            self.on_reported([refusing_endpoint])
         elif answer.backoff is None or not is_own_refusal:
             has_memory = (
                 self._memory_share(attempt, refusing_endpoint)
