Ask engines in doubt less often, and less on a late machine

Cause: queries that multiply.

Change: another router's word that an engine runs is taken for one's own loss once in 4 s, as a fact, and the backoff of probes stays. While an engine is asked again, streams go by that. Timeouts grow by 4 in place of 2. The limit rises with the process's stall beyond 20 ms, tenfold, up to 1 s. Engines of the chain that have answered may be asked as the control; one is asked whenever nobody has been heard since the first query.

--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -185,6 +185,9 @@
         if not is_confirmed:
             queries = {e.id: self._share_query(e, timeout) for e in endpoints}
             return {n: self._raw_reply(q) for n, q in queries.items()}
+        doubted = {e.id: self._judge_open(e) for e in endpoints}
+        doubted = {name: reply for name, reply in doubted.items() if reply}
+        endpoints = [e for e in endpoints if e.id not in doubted]
         # The first query is still answered while the second one runs.
         longest = timeout + MAX_EXTRA_SECONDS
         first = {e.id: self._share_query(e, longest) for e in endpoints}
@@ -196,14 +199,21 @@
             for e in endpoints
             if _is_undecided(first[e.id])
         }
-        if second and not has_answers:
-            self.ask_controls(endpoints, seconds)
+        if any(self._lacks_control(name, first[name]) for name in second):
+            in_doubt = [each for each in endpoints if each.id in second]
+            self.ask_controls(in_doubt, seconds)
         found, replies = {}, {}
         for each in endpoints:
             found[each.id], replies[each.id] = self._confirm(
                 each, first[each.id], second.get(each.id), seconds
             )
-        return self._judge_all(endpoints, found, replies)
+        return doubted | self._judge_all(endpoints, found, replies)
+
+    def _lacks_control(self, name, query):
+        """Return whether no other engine was heard since a query began."""
+        if query.sent_at is None:
+            return False
+        return not self.judge.hears_others(name, query.sent_at)
 
     def usual_limit(self):
         """Return the time limit of an answer by measured answers."""
@@ -323,6 +333,22 @@
     def _longest_wait(self, *queries):
         return max(4 * MAX_TIMEOUT_SECONDS, *(2 * q.timeout for q in queries))
 
+    def _judge_open(self, endpoint):
+        """Return the judgement of an engine that is being asked again.
+
+        Queries of each stream beside those would add load where load may be
+        the cause.  None if it isn't asked again.
+        """
+        since = self.judge.open_since(endpoint.id)
+        if since is None:
+            return None
+        evidence = self.judge.evidence(endpoint.id, since, self.usual_limit())
+        if losses.judge(evidence) is losses.Verdict.UNDECIDED:
+            return Reply.UNDECIDED
+        self.judge.judge(endpoint.id, evidence, since)
+        self.judge.note_lost(endpoint, since, evidence)
+        return Reply.NONE
+
     def _judge(self, endpoint, queries, reply, is_many):
         """Return the judgement of an engine that has not answered."""
         sent = [q for q in queries if q.sent_at is not None]
--- a/packages/gateway/ibisring_gateway/lossjudging.py
+++ b/packages/gateway/ibisring_gateway/lossjudging.py
@@ -157,6 +157,15 @@
             if name in self.silent_since:
                 self.silent_since[name] = since
 
+    def open_since(self, name):
+        """Return when the silence of an engine began that is asked again.
+
+        None if it isn't asked again, or has not been asked yet.
+        """
+        with self.lock:
+            since = self.silent_since.get(name, math.inf)
+        return None if math.isinf(since) else since
+
     def end_silence(self, name):
         """Record that an engine is no longer asked again."""
         with self.lock:
--- a/packages/gateway/ibisring_gateway/reasking.py
+++ b/packages/gateway/ibisring_gateway/reasking.py
@@ -12,14 +12,17 @@
 WORKERS = 32
 # Shortest timeout in seconds of a query: threads start and answer late.
 MIN_TIMEOUT_SECONDS = 0.03
+# Factor by which the timeout grows: each query adds load where load may be the
+# cause, and a long one is answered whenever the engine is.
+TIMEOUT_FACTOR = 4.0
 # Span in seconds over which routers spread their queries of an engine whose
 # loss one of them has reported to all at the same moment.
 SPREAD_SECONDS = 0.05
 # Seconds until an engine is asked again whose query failed, as the next one
-# fails as fast, and until one that is lost is asked: its last
-# query may still be answered.
+# fails as fast, and until one that is lost is asked: its last query may still
+# be answered.
 FAILED_PAUSE_SECONDS = 0.05
-WATCH_PAUSE_SECONDS = 0.03
+WATCH_PAUSE_SECONDS = 0.1
 # Others that have just been heard are likely to be heard again without being
 # asked.
 HEARD_SECONDS = 0.05
@@ -223,7 +226,7 @@
 
 def _next_timeout(timeout, evidence):
     missing = losses.missing_seconds(evidence)
-    wanted = max(MIN_TIMEOUT_SECONDS, missing, 2.0 * timeout)
+    wanted = max(MIN_TIMEOUT_SECONDS, missing, TIMEOUT_FACTOR * timeout)
     return min(MAX_TIMEOUT_SECONDS, wanted)
 
 
--- a/packages/policy/ibisring_policy/gateway/estimates.py
+++ b/packages/policy/ibisring_policy/gateway/estimates.py
@@ -46,9 +46,11 @@
 # Routers that must report a loss before layers are planned for it that this
 # router hasn't proven.
 MIN_WITNESSES = 2
-# How long layers are not planned for a loss after another router has reached
-# the engine: this router may have lost only its own link to it.
-REFUTED_SECONDS = 1.0
+# How often another router's word is enough to use an engine again that this
+# router has found dead, and for how long its layers are not planned elsewhere
+# then: this router may have lost only its own link to it.
+REFUTED_SECONDS = 4.0
+REFUTED_PLAN_SECONDS = 1.0
 # How long an engine's report that it is slow counts, and after how long it is
 # queried again.
 SLOWDOWN_VALID_SECONDS = 2.5
@@ -185,18 +187,20 @@
     def merge_recovered(self, names, now):
         """Note dead engines that have responded to another router.
 
-        Those that this router has found dead itself it probes at once.
+        One that this router has found dead itself is used again on another's
+        word only once in a while: it may be reached from there and not from
+        here.
         """
         for name in names:
             estimate = self.by_endpoint.get(name)
             if estimate is None or not estimate.dead:
                 continue
-            if estimate.dead_from_peer:
-                self._mark_recovered(estimate, now, from_peer=True)
-            else:
-                # It may be reached from there and not from here.
+            is_own = not estimate.dead_from_peer
+            if is_own and now - estimate.refuted_at < REFUTED_SECONDS:
+                continue
+            if is_own:
                 estimate.refuted_at = now
-                estimate.ejected_until = min(estimate.ejected_until, now)
+            self._mark_recovered(estimate, now, from_peer=True)
 
     def revive(self, names, now):
         """Use endpoints again that this router itself could not reach."""
@@ -573,7 +577,7 @@
             return False
         if not estimate.dead_from_peer and estimate.tried_at >= connected_at:
             return False
-        if now - estimate.refuted_at < REFUTED_SECONDS:
+        if now - estimate.refuted_at < REFUTED_PLAN_SECONDS:
             return False
         if self.is_suspected(name):
             if len(estimate.witnesses) < MIN_WITNESSES:
--- a/packages/policy/ibisring_policy/gateway/losses.py
+++ b/packages/policy/ibisring_policy/gateway/losses.py
@@ -37,9 +37,12 @@
 # at this router or beyond, is more likely than so many losses.
 MANY_FACTOR = 4.0
 # Span before a judgement in which the process's own stalls raise the limit,
-# and the limit as a multiple of the longest of them.
+# stalls that are usual on a quiet machine, and the limit as a multiple of what
+# the longest stall exceeds them by.  Endpoints on a machine that makes this
+# process late are late by a multiple: they take several steps to answer.
 STALL_SECONDS = 3.0
-STALL_FACTOR = 2.0
+USUAL_STALL_SECONDS = 0.02
+STALL_FACTOR = 10.0
 # The limit as a multiple of the silence of an engine that answered after all.
 # This part of the limit halves in each period.
 REFUTED_FACTOR = 1.5
@@ -153,7 +156,7 @@
     >>> limit = make_silence_limit()
     >>> limit.seconds(0.05, lateness=0.0, now=10.0)
     0.05
-    >>> limit.seconds(0.05, lateness=0.2, now=10.0)
+    >>> round(limit.seconds(0.05, lateness=0.06, now=10.0), 2)
     0.4
     >>> limit.note_refuted(0.4, now=10.0)
     >>> round(limit.seconds(0.05, lateness=0.0, now=10.0), 2)
@@ -183,7 +186,8 @@
         -------
         float
         """
-        raised = max(STALL_FACTOR * lateness, self._raised(now))
+        stall = max(0.0, lateness - USUAL_STALL_SECONDS)
+        raised = max(STALL_FACTOR * stall, self._raised(now))
         return max(usual, min(MAX_LIMIT_SECONDS, raised))
 
     def note_answer(self, took, now):
