Soak: time from a router's last log line to its exit

Cause: requests were closed unanswered up to 1.1 s after sending though the callers' loop was on time; the log showed that they came after `ended`.

Change: the restart soak reports the time from `ended` to the exit.

--- a/packages/soak/ibisring_soak/rollingrestart.py
+++ b/packages/soak/ibisring_soak/rollingrestart.py
@@ -66,8 +66,9 @@
     `endings` are counts by `restartlosses.Ending`, `statuses` of answers,
     `late_lost` is how many of the lost were sent later than the accepted
     time after SIGTERM, `exits` are the times from SIGTERM to the exits,
-    `handled` those to the log line that says so, `logged` counts of the
-    routers' log lines, and `lateness` that of the test's own processes.
+    `handled` those to the log line that says so, `lingered` those from the
+    last log line to the exit, `logged` counts of the routers' log lines, and
+    `lateness` that of the test's own processes.
     """
 
     seed: int
@@ -77,6 +78,7 @@
     losses: list
     exits: list
     handled: list
+    lingered: list
     killed: int
     crashed: int
     logged: dict
@@ -293,6 +295,10 @@
     logged, attempts = _count_lines(routers)
     counts = collections.Counter(ending.value for _, ending in endings)
     statuses = collections.Counter(str(call.status) for call in calls)
+    signalled = {each.router: each.wall_time for each in terminations}
+    gone = {
+        each.router: each.wall_time + each.seconds for each in terminations
+    }
     return Outcome(
         seed=seed,
         endings=dict(counts),
@@ -300,7 +306,8 @@
         late_lost=sum(_is_late(loss) for loss in losses),
         losses=losses,
         exits=sorted(round(each.seconds, 2) for each in terminations),
-        handled=_handling_times(routers, terminations),
+        handled=_seconds_to_line(routers, 'ending', signalled),
+        lingered=[-each for each in _seconds_to_line(routers, 'ended', gone)],
         killed=sum(each.is_killed for each in terminations),
         crashed=sum(router.crashes for router in routers),
         logged=dict(logged),
@@ -317,14 +324,22 @@
     )
 
 
-def _handling_times(routers, terminations):
-    """Return the seconds from each SIGTERM to the router's line about it."""
-    signalled = {each.router: each.wall_time for each in terminations}
+def _seconds_to_line(routers, event, times):
+    """Return the seconds from a time of each router to a line of its log.
+
+    Parameters
+    ----------
+    routers : list of RestartedRouter
+    event : str
+        Of the line.
+    times : dict of str to float
+        Wall-clock times, by router.
+    """
     return sorted(
-        round(line['time'] - signalled[router.name], 3)
+        round(line['time'] - times[router.name], 3)
         for router in routers
         for line in router.log_lines()
-        if line['event'] == 'ending'
+        if line['event'] == event
     )
 
 
