--- a/packages/soak/ibisring_soak/eventpacing.py
+++ b/packages/soak/ibisring_soak/eventpacing.py
@@ -1,7 +1,7 @@
 """One thread that sends the events of all streams of a process.
 
-With a thread a stream, threads that wait for the interpreter lock on a busy
-machine hold each other up, and engines fall silent for up to a second.
+With a thread a stream, streams and status queries would wait for each other's
+interpreter lock.
 """
 
 __all__ = ['EventPacer', 'PacedAnswers']
