Bound answers to JSON calls in bytes and in time

What callers saw: nothing yet; a router that fetched state from another one could be held for ever by an answer that never ends, or run out of memory, and went on by old routes and endpoints meanwhile.

Cause: a socket's timeout bounds the wait for the next byte only, and urllib3 reads a body whole.

Change: boundedanswers makes connections whose responses read from a file with a total of bytes and, from the first byte on, of seconds. A length beyond the bound fails before memory is allotted for it. What arrived in time may be read late, up to 64 KiB: a busy process loses no sound answer. Caller.call uses it; streams (Caller.open) don't.

--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -33,6 +33,8 @@
 ENDPOINTS = 'endpoints'
 CONNECT_TIMEOUT_SECONDS = 0.15
 READ_TIMEOUT_SECONDS = 0.3
+# Longest time from the first byte of a state to the last one.
+STATE_SECONDS = 1.0
 # Seconds between reads of the list of routers: after the first read, and
 # while no peer has been heard from.  Routers that start later announce
 # themselves by gossip.
@@ -92,7 +94,9 @@
         self.rows = {}
         self.rng = random.Random()
         self.caller = calls.make_caller(
-            CONNECT_TIMEOUT_SECONDS, READ_TIMEOUT_SECONDS
+            CONNECT_TIMEOUT_SECONDS,
+            READ_TIMEOUT_SECONDS,
+            answer_seconds=STATE_SECONDS,
         )
         self.stopped = threading.Event()
         self.next_list_at = 0.0
--- a/packages/web/ibisring_web/calls.py
+++ b/packages/web/ibisring_web/calls.py
@@ -22,11 +22,16 @@
 from urllib3 import exceptions as urllib3_exceptions
 
 from ibisring_records import exceptions
+from ibisring_web import boundedanswers
 
 CONNECT_TIMEOUT = 0.5
 READ_TIMEOUT = 5.0
 POOLS = 64
 POOL_SIZE = 32
+# Bounds of an answer that is read whole: its bytes, and the time from its
+# first byte to its last one.
+MAX_ANSWER_BYTES = 1 << 24
+ANSWER_SECONDS = 30.0
 
 
 class CallError(Exception):
@@ -78,9 +83,11 @@
         Counts what `call` moves.
     key : str
         Sent as a bearer key with each request, if not empty.
+    bounds : boundedanswers.Bounds
+        Bounds of the answers that `call` reads.
     """
 
-    def __init__(self, connect_timeout, read_timeout, traffic, key=''):
+    def __init__(self, connect_timeout, read_timeout, traffic, key, bounds):
         self.headers = {'Authorization': f'Bearer {key}'} if key else {}
         self.key_size = sum(len(n) + len(v) for n, v in self.headers.items())
         self.traffic = traffic
@@ -89,6 +96,10 @@
         self.pools = urllib3.PoolManager(
             num_pools=POOLS, maxsize=POOL_SIZE, retries=False
         )
+        self.bounds = bounds
+        self.bounded_pools = boundedanswers.make_pools(
+            bounds, num_pools=POOLS, maxsize=POOL_SIZE, retries=False
+        )
 
     def open(self, method, address, path, value=None, headers=None, **options):
         """Send a request and give the response with its body unread.
@@ -105,6 +116,8 @@
             acted on.
         read_timeout : float, optional
             Seconds between two reads.
+        is_bounded : bool, optional
+            Whether the answer has the bounds of `call`; a stream has none.
 
         Returns
         -------
@@ -126,9 +139,8 @@
             sent['Content-Type'] = 'application/json'
         if fresh:
             sent['Connection'] = 'close'
-        manager = self.pools
-        if fresh:
-            manager = urllib3.PoolManager(num_pools=1, maxsize=1)
+        is_bounded = options.get('is_bounded', False)
+        manager = self._pools(is_bounded, fresh)
         try:
             return manager.request(
                 method,
@@ -145,6 +157,16 @@
         except urllib3_exceptions.HTTPError as error:
             raise _lost(address, error) from error
 
+    def _pools(self, is_bounded, fresh):
+        """Return the pools for a call, new ones if it is to be a fresh one."""
+        if not fresh:
+            return self.bounded_pools if is_bounded else self.pools
+        if is_bounded:
+            return boundedanswers.make_pools(
+                self.bounds, num_pools=1, maxsize=1
+            )
+        return urllib3.PoolManager(num_pools=1, maxsize=1)
+
     def call(self, method, address, path, value=None, cls=None, **options):
         """Send a request and decode the whole JSON answer.
 
@@ -170,7 +192,9 @@
             self.traffic.add(len(value) + self.key_size)
         else:
             self.traffic.add(self.key_size)
-        response = self.open(method, address, path, value, **options)
+        response = self.open(
+            method, address, path, value, is_bounded=True, **options
+        )
         data = read_all(response, address)
         self.traffic.add(len(data))
         if response.status >= 300:
@@ -239,7 +263,9 @@
     read_timeout=READ_TIMEOUT,
     traffic=None,
     key='',
+    answer_seconds=ANSWER_SECONDS,
 ):
     """Make a `Caller`; it may be shared by threads."""
     traffic = traffic or Traffic()
-    return Caller(connect_timeout, read_timeout, traffic, key)
+    bounds = boundedanswers.Bounds(MAX_ANSWER_BYTES, answer_seconds)
+    return Caller(connect_timeout, read_timeout, traffic, key, bounds)
