Bound answers of the store in bytes and in time

What callers saw: nothing yet; a router whose store began an answer that never ends followed it for as long as it came, by old routes, keys and endpoints, and kept in memory what had come.

Cause: the timeout bounds the wait for the next byte only.

--- a/packages/gateway/ibisring_gateway/storecalls.py
+++ b/packages/gateway/ibisring_gateway/storecalls.py
@@ -8,6 +8,7 @@
 from ibisring_gateway import ports
 from ibisring_gateway import responsehead
 from ibisring_records import exceptions
+from ibisring_web import boundedanswers
 from urllib3 import connection as urllib3_connection
 from urllib3 import exceptions as urllib3_exceptions
 
@@ -30,12 +31,17 @@
     ----------
     address : str
         'IP:PORT'
+    bounds : boundedanswers.Bounds
+        Bounds of the answers.
     """
 
-    def __init__(self, address):
+    def __init__(self, address, bounds):
         host, _, port = address.rpartition(':')
         self.host = host
         self.port = int(port)
+        self.connection_class = boundedanswers.make_connection_class(
+            bounds, responsehead.CheckedResponse
+        )
         self.conn = None
         self.is_cancelled = False
 
@@ -47,7 +53,8 @@
         target : str
             Path and query.
         timeout : float
-            Seconds without a byte until the call fails.
+            Seconds without a byte until the call fails; once its answer has
+            begun, the bounds hold as well.
 
         Returns
         -------
@@ -94,10 +101,9 @@
     def _connect(self):
         if self.conn is not None and self.conn.sock is not None:
             return
-        self.conn = urllib3_connection.HTTPConnection(
+        self.conn = self.connection_class(
             self.host, self.port, timeout=CONNECT_TIMEOUT_SECONDS
         )
-        self.conn.response_class = responsehead.CheckedResponse
         try:
             self.conn.connect()
         except _FAILURES as error:
@@ -114,6 +120,6 @@
         self.conn.close()
 
 
-def make_connection(address):
+def make_connection(address, bounds):
     """Make a `Connection`, which connects on its first call."""
-    return Connection(address)
+    return Connection(address, bounds)
