Bound the time in which a caller sends the head of a request

What callers saw: no answer in time while others sent the heads of requests a few bytes at a time: eight such callers kept all four threads of a test server for as long as they sent.

Cause: the header timeout was one for each read, so that each byte began it anew; the limit on a head's size ends it after minutes only.

Evidence: test_endless_requests.py, before: four of ten kinds of endless heads (no line end, target, header line and headers, each at 80 bytes a second) held their thread for over 10 s with a header timeout of 0.4 s, and a sound request behind eight of them had no answer in 10 s.

Change: headreading reads the lines of a head within the header timeout as a whole. What has arrived by then is read late, as a busy process may be late itself. The answer is 408, as the request has not run.

Result: the cases pass, 408 and a free thread within 2.4 s; endless bodies (length, chunks, chunk line, extension, trailers) were refused in time before, too, and are now tested.

--- a/packages/gateway/ibisring_gateway/callerserver.py
+++ b/packages/gateway/ibisring_gateway/callerserver.py
@@ -12,6 +12,7 @@
 from ibisring_gateway import excessconnections
 from ibisring_gateway import exchange
 from ibisring_gateway import growingpool
+from ibisring_gateway import headreading
 from ibisring_gateway import idleconnections
 from ibisring_policy.gateway import idlelimits
 from ibisring_web import sockets
@@ -33,13 +34,19 @@
 
 
 class _Request(cheroot_server.HTTPRequest):
-    """Has a time limit for each read of its head."""
+    """Has a time limit for its head."""
 
     def parse_request(self):
-        sock = self.conn.socket
-        sock.settimeout(self.server.header_timeout)
-        super().parse_request()
-        sock.settimeout(SOCKET_TIMEOUT_SECONDS)
+        conn = self.conn
+        reader = conn.rfile
+        conn.rfile = headreading.make_head_reader(
+            reader, conn.socket, self.server.header_timeout
+        )
+        try:
+            super().parse_request()
+        finally:
+            conn.rfile = reader
+            conn.socket.settimeout(SOCKET_TIMEOUT_SECONDS)
 
     def simple_response(self, status, msg=''):
         """Answer with an error; what follows the head is not read."""
