Bound the blank lines that a caller sends before a request

What callers saw: a thread less while a caller sent nothing but blank lines; with as many such callers as threads, nobody would be served.

Cause: blank lines before a request are skipped without a bound. A slow caller of them held no thread, but its connection never became idle.

Evidence: test_head_without_end_frees_its_thread[blank-lines], before: fast and slow, the connection was open after 10 s.

Change: from the 33rd blank line on since the last request, the lines are read as a request, which is refused with 400.

Result: both cases pass (slow: 2.0 s).

--- a/packages/gateway/ibisring_gateway/callerserver.py
+++ b/packages/gateway/ibisring_gateway/callerserver.py
@@ -28,6 +28,8 @@
 # data of its answer.
 SOCKET_TIMEOUT_SECONDS = 30.0
 BLANK_LINE = b'\r\n'
+# Blank lines that are skipped before a request.
+MAX_BLANK_LINES = 32
 # Longest time for which a connection is read after its last answer.
 DISCARD_SECONDS = 1.0
 READ_BYTES = 65536
@@ -63,6 +65,8 @@
         Whether the caller may still send what is never read.
     holds_slot : bool
         Whether the connection counts towards the limit on descriptors.
+    blank_lines : int
+        How many were skipped since the last request.
     """
 
     RequestHandlerClass = _Request
@@ -71,6 +75,7 @@
         super().__init__(server, sock, *args)
         self.has_unread_input = False
         self.holds_slot = False
+        self.blank_lines = 0
         sock.settimeout(SOCKET_TIMEOUT_SECONDS)
 
     def communicate(self):
@@ -86,12 +91,16 @@
     def _has_request(self):
         """Return whether there is more than the blank lines between requests.
 
-        With these alone, a thread would wait for a request.
+        With these alone, a thread would wait for a request.  Too many of them
+        are one, which is refused.
         """
         while self.rfile.has_data() or sockets.has_input(self.socket):
-            if not self.rfile.peek(1).startswith(BLANK_LINE):
+            is_blank = self.rfile.peek(1).startswith(BLANK_LINE)
+            if not is_blank or self.blank_lines >= MAX_BLANK_LINES:
+                self.blank_lines = 0
                 return True
             self.rfile.read1(len(BLANK_LINE))
+            self.blank_lines += 1
         return False
 
     def close(self):
--- a/packages/gateway/ibisring_gateway/tests/test_endless_requests.py
+++ b/packages/gateway/ibisring_gateway/tests/test_endless_requests.py
@@ -25,6 +25,7 @@
 # What a request begins with, and what follows until the connection is closed.
 HEADS = {
     'no-line-end': (b'', FILL),
+    'blank-lines': (b'', b'\r\n' * 1000),
     'bare-line-ends': (b'', b'\n' * 1000),
     'target': (b'GET /', FILL),
     'header-line': (GET + b'X-Line: ', FILL),
