End the relaying of an aborted answer at once

What callers saw: a stream of many small chunks without end got its end after its deadline: 2.67 s with a deadline of 2 s, at a load of 175.

Cause: an attempt is aborted by shutting its socket down, but what has arrived by then is still read, chunk by chunk, and added to the unfinished event; the abort was looked at after the last chunk only.

Evidence: test_what_has_arrived_of_an_aborted_answer_is_not_read, before: both cases (plain, events) read all 1,000 chunks after the abort.

Change: each chunk is preceded by a look at the abort. No answer is lost by this: an aborted one was refused at its end before, too.

--- a/packages/gateway/ibisring_gateway/relaying.py
+++ b/packages/gateway/ibisring_gateway/relaying.py
@@ -49,6 +49,7 @@
             raise upstream.ConnectionFailed(
                 'the answer exceeds the buffer limit', True
             )
+        _check_not_aborted(attempt)
     _check_not_aborted(attempt)
     check_end(answer, size, False, find_process)
     return b''.join(chunks)
@@ -81,6 +82,8 @@
         chunk = upstream.read_chunk(response)
         if not chunk:
             break
+        # Small chunks that arrived before would hold the thread for seconds.
+        _check_not_aborted(attempt)
         size += len(chunk)
         complete = job.splitter.feed(chunk)
         if not complete:
--- a/packages/gateway/ibisring_gateway/tests/test_relaying.py
+++ b/packages/gateway/ibisring_gateway/tests/test_relaying.py
@@ -1,12 +1,15 @@
 """Tests of relaying events to a caller."""
 
+import itertools
 import types
 
 from ibisring_gateway import attemptwatching
 from ibisring_gateway import relaying
 from ibisring_gateway.tests import jobbuilders
 from ibisring_gateway import upstream
+from ibisring_policy.gateway import attempts
 from ibisring_policy.gateway import framing
+import pytest
 
 
 class _SlowCaller(jobbuilders.Exchange):
@@ -40,3 +43,30 @@
     relaying.relay_events(job, attempt, None, answer, on_event)
     assert job.exchange.checks[0] is None
     assert attempt.check_at == 5.0
+
+
+@pytest.mark.parametrize(
+    'relay',
+    [
+        lambda job, *args: relaying.read_plain(*args),
+        lambda *args: relaying.relay_events(*args, lambda: None),
+    ],
+    ids=['plain', 'events'],
+)
+def test_what_has_arrived_of_an_aborted_answer_is_not_read(monkeypatch, relay):
+    """Guards against small chunks that hold a thread once aborted."""
+    attempt = attemptwatching.Attempt('a1', None, (), 1e12)
+    job = jobbuilders.make_job(jobbuilders.Exchange())
+    chunks = itertools.chain([b'da'], itertools.repeat(b'ta', 1000), [b''])
+
+    def read_chunk(response):
+        attempt.result = attempts.Result.DEADLINE
+        return next(chunks)
+
+    monkeypatch.setattr(upstream, 'read_chunk', read_chunk)
+    answer = types.SimpleNamespace(
+        status=200, headers=[], length=None, framing=framing.Framing.CHUNKS
+    )
+    with pytest.raises(upstream.ConnectionFailed):
+        relay(job, attempt, None, answer)
+    assert len(list(chunks)) > 990
