--- a/packages/gateway/ibisring_gateway/tests/test_endless_requests.py
+++ b/packages/gateway/ibisring_gateway/tests/test_endless_requests.py
@@ -6,6 +6,7 @@
 import time
 import tracemalloc
 
+from ibisring_gateway import callerserver
 from ibisring_gateway.tests import callers
 from ibisring_records import exceptions
 from ibisring_records import routing
@@ -99,7 +100,8 @@
 
 
 @pytest.fixture
-def server():
+def server(monkeypatch):
+    monkeypatch.setattr(callerserver, 'DISCARD_SECONDS', 0.2)
     with callers.running(_serve, limits=LIMITS) as server:
         tracemalloc.start()
         yield server
