Test of bounded answers: accept before the listener closes

The test closed its listener while its server's thread might not have accepted the connection, which then was reset: once in a run of all tests of the gateway and web packages, load 16 to 45. The thread now closes the listener after it has accepted. What is tested stays as it was.

--- a/packages/web/ibisring_web/tests/test_boundedanswers.py
+++ b/packages/web/ibisring_web/tests/test_boundedanswers.py
@@ -15,6 +15,7 @@
 
 def _serve(listener, answer, count):
     conn, _ = listener.accept()
+    listener.close()
     with conn, contextlib.suppress(ConnectionError):
         for _ in range(count):
             conn.recv(1 << 16)
@@ -33,7 +34,6 @@
     port = listener.getsockname()[1]
     conn = connection_class('127.0.0.1', port, timeout=TIMEOUT_SECONDS)
     conn.connect()
-    listener.close()
     return conn
 
 
