--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -232,7 +232,10 @@
         endpoints : list of routing.Endpoint
             Those in doubt.
         timeout : float
+            Of the queries of those in doubt; slow answers of others show as
+            much as fast ones.
         """
+        timeout = max(MAX_TIMEOUT_SECONDS, timeout)
         asked = {each.id for each in endpoints}
         others = [
             each
