Ask for a chain only before a request's deadline

Callers would see 504 for a request that must not repeat in place of 503, not run.

Cause: a request whose waiting time passed in a stall of the router asks once more, also past its own deadline, and could be sent with no time left. Found by a reviewer; test_request_past_its_deadline_does_not_ask failed before.

--- a/packages/gateway/ibisring_gateway/tests/test_queueing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_queueing.py
@@ -416,3 +416,18 @@
     assert not site.admitter.is_active(services['lookup'])
     site.start(site.job('one'))
     assert (site.end_of('one') is None) is not is_active
+
+
+def test_request_past_its_deadline_does_not_ask(site):
+    """Guards against a request that is sent when its time is over."""
+    job = site.job('old')
+    job.deadline = site.admitter.clock() + 1.0
+    line = waitingline.make_line(site.view, 'model')
+    waiter = waitingline.Waiter(job, site.admitter._make_ticket(job))
+    now = waiter.ticket.arrived
+    line.join(waiter, now)
+    assert line.begin_ask(waiter, now)
+    line.end_ask(waiter, False, now)
+    _stall(site, now + 0.05, 1.5)
+    line.wake(now + 1.6)
+    assert not line.begin_ask(waiter, now + 1.6)
--- a/packages/gateway/ibisring_gateway/waitingline.py
+++ b/packages/gateway/ibisring_gateway/waitingline.py
@@ -74,6 +74,8 @@
         if self.asked_at == float('-inf'):
             return True
         if now >= self.ticket.wanted_by:
+            if now >= self.ticket.deadline:
+                return False
             return health.lateness(self.asked_at, now) >= LONG_STALL_SECONDS
         return now - self.asked_at >= MIN_ASK_INTERVAL_SECONDS
 
