--- a/packages/policy/ibisring_policy/gateway/estimates.py
+++ b/packages/policy/ibisring_policy/gateway/estimates.py
@@ -258,6 +258,11 @@
         if not estimate.dead:
             self.note_unreachable(name, now, tried_at=tried_at)
             estimate.by_silence = by_silence
+        elif estimate.dead_from_peer and not estimate.witnesses:
+            # Another engine said so, and no other router knows of it.
+            estimate.dead_from_peer = False
+            estimate.dead_at = now
+            estimate.by_silence = by_silence
         estimate.proven = True
 
     def note_unanswered_probe(self, name, now):
--- a/packages/web/ibisring_web/tests/test_boundedanswers.py
+++ b/packages/web/ibisring_web/tests/test_boundedanswers.py
@@ -15,8 +15,7 @@
 
 def _serve(listener, answer, count):
     conn, _ = listener.accept()
-    listener.close()
-    with conn, contextlib.suppress(ConnectionError):
+    with listener, conn, contextlib.suppress(ConnectionError):
         for _ in range(count):
             conn.recv(1 << 16)
             conn.sendall(answer)
