Controls are shared, and many engines in doubt have one cause

Cause: each engine in doubt asked two controls of its own with timeouts of up to 1 s, in the threads of second queries; and a silence was judged for each chain alone, so that sixteen engines in doubt at once were sixteen losses.

Change: controls at most each 0.1 s for all engines in doubt, for 0.25 s; if a fifth of the engines (three or more) is in doubt while answers are late, the limit is that of many, with one long query in place of several.

--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -55,6 +55,11 @@
 # Engines that are not in doubt and are asked as a control, if nobody else has
 # been heard.
 MAX_CONTROLS = 2
+# Longest timeout of a control, and shortest interval between controls: all
+# engines in doubt share them, and while everybody is silent they must not take
+# up the threads of second queries.
+MAX_CONTROL_SECONDS = 0.25
+CONTROL_INTERVAL_SECONDS = 0.1
 # Share of its timeout at which a query has ended by the timeout, and not by
 # another failure.
 TIMED_OUT_SHARE = 0.8
@@ -153,6 +158,7 @@
         self.second_pool = workerpool.make_worker_pool(WORKERS)
         self.recent_queries = {}
         self.recent_second_queries = {}
+        self.controls_at = float('-inf')
         self.on_answer = lambda endpoint, started: None
         self.judge = lossjudging.make_loss_judge(view, metrics)
         self.reasker = reasking.make_reasker(view, self, self.judge)
@@ -235,7 +241,9 @@
             Of the queries of those in doubt; slow answers of others show as
             much as fast ones.
         """
-        timeout = max(MAX_TIMEOUT_SECONDS, timeout)
+        timeout = max(MAX_TIMEOUT_SECONDS, min(MAX_CONTROL_SECONDS, timeout))
+        if not self._may_ask_controls():
+            return
         asked = {each.id for each in endpoints}
         others = [
             each
@@ -250,6 +258,14 @@
         for each in self.rng.sample(others, count):
             self._share_query(each, timeout, 2)
 
+    def _may_ask_controls(self):
+        now = self.clock()
+        with self.view.lock:
+            if now - self.controls_at < CONTROL_INTERVAL_SECONDS:
+                return False
+            self.controls_at = now
+        return True
+
     def _share_query(self, endpoint, timeout, number=1):
         """Query an endpoint's status, or share a query just sent.
 
--- a/packages/gateway/ibisring_gateway/lossjudging.py
+++ b/packages/gateway/ibisring_gateway/lossjudging.py
@@ -14,6 +14,10 @@
 # limits if that is longer: what was heard before says nothing of the rest.
 HEARD_SECONDS = 0.5
 HEARD_LIMITS = 2.0
+# Engines in doubt at once, and their share of all, from which on a common
+# cause is more likely than as many losses, if answers are late as well.
+MIN_DOUBTED = 3
+DOUBTED_SHARE = 0.2
 MS_PER_SECOND = 1000.0
 
 
@@ -87,6 +91,8 @@
         with self.view.lock:
             since = max(since, self.view.estimates.get(name).answered_at)
         limit = self.limit_seconds(usual)
+        if limit > usual and self._are_many_doubted():
+            signs['is_one_of_many'] = True
         heard_since = now - max(HEARD_SECONDS, HEARD_LIMITS * limit)
         heard_since = max(since, min(heard_since, asked_at))
         return losses.Evidence(
@@ -96,6 +102,13 @@
             **signs,
         )
 
+    def _are_many_doubted(self):
+        engines = self.view.snapshot.endpoints.values()
+        count = sum(each.holding is not None for each in engines)
+        with self.lock:
+            doubted = len(self.silent_since)
+        return doubted >= max(MIN_DOUBTED, DOUBTED_SHARE * count)
+
     def hears_others(self, name, since):
         """Return whether another endpoint than one was heard since a time."""
         with self.view.lock:
--- a/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
+++ b/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
@@ -1,12 +1,16 @@
 """Tests of what this router concludes from engines that don't answer."""
 
 import threading
+import time
+import types
 
 from ibisring_gateway import enginestatus
 from ibisring_gateway import gossipmessages
 from ibisring_gateway import ports
+from ibisring_gateway import selecting
 from ibisring_gateway.tests import builders
 from ibisring_gateway.tests import slowload
+from ibisring_gateway.tests import test_selecting
 from ibisring_gateway.tests import test_stalls
 from ibisring_policy.gateway import losses
 from ibisring_policy.gateway.tests import builders as build
@@ -291,3 +295,86 @@
     scenario.engines.dark.add('m:1')
     _report(scenario, 'r2', 'm')
     assert scenario.check() == {'m'}
+
+
+class _PausingEngines(builders.Engines):
+    """Engines that are silent until they are in `back`."""
+
+    def __init__(self):
+        super().__init__()
+        self.back = set()
+
+    def status(self, endpoint, timeout):
+        end = time.monotonic() + timeout
+        while time.monotonic() < end:
+            if endpoint.id in self.back:
+                return ports.EngineStatus(orders=1, busy=False, holding=None)
+            time.sleep(0.005)
+        raise exceptions.PlatformUnavailable(endpoint.id)
+
+
+def test_a_check_after_a_pause_of_all_engines_takes_no_longer():
+    """Guards against controls that take up the threads of second queries."""
+    ends = [
+        build.held_endpoint(f'x{n}', 0, 8, 'a', address=f'a{n}:1')
+        for n in range(24)
+    ]
+    view = builders.make_view(ends)
+    view.clock = time.monotonic
+    engines = _PausingEngines()
+    querier = enginestatus.make_status_querier(
+        view, engines, builders.Metrics()
+    )
+    try:
+        end = time.monotonic() + 2.0
+        while time.monotonic() < end:
+            for first in range(0, 24, 3):
+                querier.check(ends[first : first + 3])
+        engines.back.update(each.id for each in ends[:12])
+        started = time.monotonic()
+        replies = querier.check([ends[0], ends[1], ends[12]])
+        assert time.monotonic() - started < 0.5
+        assert replies['x12'] is not enginestatus.Reply.NOT_SENT
+    finally:
+        querier.stop()
+
+
+def test_loss_behind_a_refusal_is_told_and_probed():
+    """Guards against a loss that this router alone knows, for 4 s."""
+    scenario = _Scenario()
+    view = scenario.view
+    selector = selecting.make_selector(view)
+    selector.on_reported = scenario.querier.reasker.check_reports
+    scenario.engines.dark.add('m:1')
+    now = scenario.clock.now
+    attempt = types.SimpleNamespace(
+        endpoint=view.snapshot.endpoints['h'],
+        stages=(types.SimpleNamespace(address='m:1', endpoint='m'),),
+        sent_at=now - 2.0,
+        last_event_at=now - 2.0,
+    )
+    refusal = test_selecting._refusal(None)
+    selector.record_refusal(attempt, 'm', refusal, now)
+    for _ in range(3):
+        if not view.estimates.get('m').proven:
+            scenario.ask_again()
+    assert view.estimates.get('m').proven
+    assert scenario.told() == {'m'}
+    later = scenario.clock.now + 1.0
+    due = view.estimates.dead_to_probe(view.snapshot.endpoints, later)
+    assert due == ['m']
+
+
+@pytest.mark.parametrize('stall, is_many', [(0.0, False), (0.2, True)])
+def test_many_engines_in_doubt_are_one_cause_while_answers_are_late(
+    stall, is_many
+):
+    """Guards against losses told by a router whose machine is full."""
+    scenario = _Scenario()
+    judge, now = scenario.querier.judge, scenario.clock.now
+    scenario.view.health.begin_wait(now - stall)
+    scenario.view.health.end_wait(now)
+    for name in ('h', 'm', 't'):
+        judge.note_silent(name, now)
+    evidence = judge.evidence('m', now, usual=0.05)
+    assert evidence.is_one_of_many == is_many
