Ignore what is no signal after a process was stopped and continued

What callers would see: a router that exits after a freeze of its machine, though nobody asked it to.

Change: only the numbers that are waited for count.

--- a/packages/gateway/ibisring_gateway/signalwaiting.py
+++ b/packages/gateway/ibisring_gateway/signalwaiting.py
@@ -95,7 +95,10 @@
             begun = self.clock()
             found = self.wait_for_signal(self.numbers, LOOK_SECONDS)
             if found is not None:
-                self.arrived.append(found.si_signo)
+                # A wait that was stopped and continued may end with another
+                # signal than those waited for.
+                if found.si_signo in self.numbers:
+                    self.arrived.append(found.si_signo)
             elif not self.arrived:
                 # The kernel had none when this time was over.
                 self.sent_after = begun + LOOK_SECONDS
--- a/packages/gateway/ibisring_gateway/tests/test_signalwaiting.py
+++ b/packages/gateway/ibisring_gateway/tests/test_signalwaiting.py
@@ -41,7 +41,9 @@
 def test_signal_was_not_sent_before_the_bound(sent_at, lateness):
     """Guards against a grace time that is taken for longer than it is."""
     kernel = _Kernel(sent_at, lateness)
-    waiter = signalwaiting.make_signal_waiter((), kernel.clock, kernel.wait)
+    waiter = signalwaiting.make_signal_waiter(
+        (signal.SIGTERM,), kernel.clock, kernel.wait
+    )
     received = waiter.wait()
     assert received.sent_after <= sent_at
     assert received.at >= sent_at
@@ -92,3 +94,14 @@
     received = waiter.wait()
     assert received.number == signal.SIGTERM
     assert 0.0 < received.sent_after < before
+
+
+def test_a_process_that_is_continued_has_received_no_signal():
+    """Guards against an exit after a freeze, for a number of no signal."""
+    numbers = iter([437918234, signal.SIGHUP])
+
+    def wait(wanted, seconds):
+        return types.SimpleNamespace(si_signo=next(numbers))
+
+    waiter = signalwaiting.make_signal_waiter(NUMBERS, wait_for_signal=wait)
+    assert waiter.wait().number == signal.SIGHUP
