--- a/packages/gateway/ibisring_gateway/tests/test_signalwaiting.py
+++ b/packages/gateway/ibisring_gateway/tests/test_signalwaiting.py
@@ -103,5 +103,7 @@
     def wait(wanted, seconds):
         return types.SimpleNamespace(si_signo=next(numbers))
 
-    waiter = signalwaiting.make_signal_waiter(NUMBERS, wait_for_signal=wait)
+    waiter = signalwaiting.make_signal_waiter(
+        (signal.SIGHUP,), wait_for_signal=wait
+    )
     assert waiter.wait().number == signal.SIGHUP
