Count no stream as whole that its deadline has cut

What callers would see: half a stream that looks complete, if its endpoint ends the chunks early and sends trailers without end until the deadline.

Change: that holds for plain answers only.

--- a/packages/gateway/ibisring_gateway/relaying.py
+++ b/packages/gateway/ibisring_gateway/relaying.py
@@ -78,7 +78,7 @@
     exchange = job.exchange
     job.splitter.restart()
     size = 0
-    for chunk in _read_chunks(attempt, response, answer):
+    for chunk in _read_chunks(attempt, response):
         size += len(chunk)
         complete = job.splitter.feed(chunk)
         if not complete:
@@ -90,7 +90,7 @@
             exchange.begin(answer.status, stream_headers(answer.headers))
         exchange.write(complete)
         attempt.check_at = check_at
-    _check_not_aborted(attempt, answer)
+    _check_not_aborted(attempt)
     check_end(answer, size, job.splitter.is_inside_event, find_process)
     _finish_stream(job, answer)
 
@@ -134,7 +134,7 @@
     exchange.write(job.splitter.take_rest())
 
 
-def _read_chunks(attempt, response, answer):
+def _read_chunks(attempt, response, answer=None):
     """Yield the chunks of an answer's body while its attempt goes on.
 
     After the deadline, little is left to read of an answer that arrived in
@@ -154,15 +154,16 @@
         yield chunk
 
 
-def _check_not_aborted(attempt, answer):
+def _check_not_aborted(attempt, answer=None):
     """Check that this router has not ended the answer itself.
 
-    One with a mark of its end was whole before the deadline cut its
-    connection; it was only read later.
+    A plain `answer` with a mark of its end was whole before the deadline cut
+    its connection; it was only read later.  Of a stream that is not known:
+    trailers may have gone on.
     """
     if attempt.result is None:
         return
-    is_marked = answer.framing is not framing.Framing.CLOSE
+    is_marked = answer and answer.framing is not framing.Framing.CLOSE
     if attempt.result is attempts.Result.DEADLINE and is_marked:
         return
     raise upstream.ConnectionFailed('the attempt was aborted', True)
