--- a/packages/gateway/ibisring_gateway/callerserver.py
+++ b/packages/gateway/ibisring_gateway/callerserver.py
@@ -12,6 +12,7 @@
 from ibisring_gateway import excessconnections
 from ibisring_gateway import exchange
 from ibisring_gateway import growingpool
+from ibisring_gateway import headreading
 from ibisring_gateway import idleconnections
 from ibisring_policy.gateway import idlelimits
 from ibisring_web import sockets
@@ -27,19 +28,27 @@
 # data of its answer.
 SOCKET_TIMEOUT_SECONDS = 30.0
 BLANK_LINE = b'\r\n'
+# Blank lines that are skipped before a request.
+MAX_BLANK_LINES = 32
 # Longest time for which a connection is read after its last answer.
 DISCARD_SECONDS = 1.0
 READ_BYTES = 65536
 
 
 class _Request(cheroot_server.HTTPRequest):
-    """Has a time limit for each read of its head."""
+    """Has a time limit for its head."""
 
     def parse_request(self):
-        sock = self.conn.socket
-        sock.settimeout(self.server.header_timeout)
-        super().parse_request()
-        sock.settimeout(SOCKET_TIMEOUT_SECONDS)
+        conn = self.conn
+        reader = conn.rfile
+        conn.rfile = headreading.make_head_reader(
+            reader, conn.socket, self.server.header_timeout
+        )
+        try:
+            super().parse_request()
+        finally:
+            conn.rfile = reader
+            conn.socket.settimeout(SOCKET_TIMEOUT_SECONDS)
 
     def simple_response(self, status, msg=''):
         """Answer with an error; what follows the head is not read."""
@@ -56,6 +65,8 @@
         Whether the caller may still send what is never read.
     holds_slot : bool
         Whether the connection counts towards the limit on descriptors.
+    blank_lines : int
+        How many were skipped since the last request.
     """
 
     RequestHandlerClass = _Request
@@ -64,6 +75,7 @@
         super().__init__(server, sock, *args)
         self.has_unread_input = False
         self.holds_slot = False
+        self.blank_lines = 0
         sock.settimeout(SOCKET_TIMEOUT_SECONDS)
 
     def communicate(self):
@@ -79,12 +91,16 @@
     def _has_request(self):
         """Return whether there is more than the blank lines between requests.
 
-        With these alone, a thread would wait for a request.
+        With these alone, a thread would wait for a request.  Too many of them
+        are one, which is refused.
         """
         while self.rfile.has_data() or sockets.has_input(self.socket):
-            if not self.rfile.peek(1).startswith(BLANK_LINE):
+            is_blank = self.rfile.peek(1).startswith(BLANK_LINE)
+            if not is_blank or self.blank_lines >= MAX_BLANK_LINES:
+                self.blank_lines = 0
                 return True
             self.rfile.read1(len(BLANK_LINE))
+            self.blank_lines += 1
         return False
 
     def close(self):
@@ -157,6 +173,24 @@
             excessconnections.make_excess_connections(self.slots, self.refuse),
         )
 
+    @property
+    def is_finished(self):
+        """Whether no connection is taken or waited on any more."""
+        return self._connections.is_finished
+
+    @property
+    def closed_at_end(self):
+        """Idle connections that `finish` has closed."""
+        return self._connections.closed_at_end
+
+    def finish(self):
+        """Take no more connections, and end those without a request.
+
+        Requests that have arrived are still served.  Returns before this is
+        done, see `is_finished`.
+        """
+        self._connections.finish()
+
     def serve(self):
         """Serve requests until the server is stopped.
 
@@ -166,6 +200,8 @@
         while self.ready:
             try:
                 self._connections.run(self.expiration_interval)
+                if self._connections.is_finished:
+                    self.ready = False
             except Exception:
                 self.error_log(
                     'Error in HTTPServer.serve', logging.ERROR, traceback=True
