--- a/packages/gateway/ibisring_gateway/relaying.py
+++ b/packages/gateway/ibisring_gateway/relaying.py
@@ -16,6 +16,9 @@
 
 # Plain answers up to this size in bytes are buffered until complete.
 MAX_BUFFERED_BYTES = 1 << 20
+# Chunks that are read after the deadline has cut the connection: what has
+# arrived in small ones could hold the thread for seconds.
+MAX_LATE_CHUNKS = 8
 
 
 def read_plain(attempt, response, answer, find_process=None):
@@ -40,10 +43,7 @@
     """
     chunks = []
     size = 0
-    while True:
-        chunk = upstream.read_chunk(response)
-        if not chunk:
-            break
+    for chunk in _read_chunks(attempt, response, answer):
         chunks.append(chunk)
         size += len(chunk)
         if size > MAX_BUFFERED_BYTES:
@@ -78,10 +78,7 @@
     exchange = job.exchange
     job.splitter.restart()
     size = 0
-    while True:
-        chunk = upstream.read_chunk(response)
-        if not chunk:
-            break
+    for chunk in _read_chunks(attempt, response, answer):
         size += len(chunk)
         complete = job.splitter.feed(chunk)
         if not complete:
@@ -137,6 +134,26 @@
     exchange.write(job.splitter.take_rest())
 
 
+def _read_chunks(attempt, response, answer):
+    """Yield the chunks of an answer's body while its attempt goes on.
+
+    After the deadline, little is left to read of an answer that arrived in
+    time.
+    """
+    late_chunks = 0
+    while True:
+        chunk = upstream.read_chunk(response)
+        if not chunk:
+            return
+        _check_not_aborted(attempt, answer)
+        late_chunks += attempt.result is not None
+        if late_chunks > MAX_LATE_CHUNKS:
+            raise upstream.ConnectionFailed(
+                'the answer goes on after the deadline', True
+            )
+        yield chunk
+
+
 def _check_not_aborted(attempt, answer):
     """Check that this router has not ended the answer itself.
 
--- a/packages/gateway/ibisring_gateway/tests/test_relaying.py
+++ b/packages/gateway/ibisring_gateway/tests/test_relaying.py
@@ -1,5 +1,6 @@
 """Tests of relaying events to a caller."""
 
+import itertools
 import types
 
 from ibisring_gateway import attemptwatching
@@ -81,3 +82,30 @@
     """Guards against half an answer that looks whole to its caller."""
     with pytest.raises(upstream.ConnectionFailed):
         _read_plain(monkeypatch, result, kind, body)
+
+
+@pytest.mark.parametrize(
+    'relay',
+    [
+        lambda job, *args: relaying.read_plain(*args),
+        lambda *args: relaying.relay_events(*args, lambda: None),
+    ],
+    ids=['plain', 'events'],
+)
+def test_what_has_arrived_of_an_aborted_answer_is_not_read(monkeypatch, relay):
+    """Guards against small chunks that hold a thread once aborted."""
+    attempt = attemptwatching.Attempt('a1', None, (), 1e12)
+    job = jobbuilders.make_job(jobbuilders.Exchange())
+    chunks = itertools.chain([b'da'], itertools.repeat(b'ta', 1000), [b''])
+
+    def read_chunk(response):
+        attempt.result = attempts.Result.DEADLINE
+        return next(chunks)
+
+    monkeypatch.setattr(upstream, 'read_chunk', read_chunk)
+    answer = types.SimpleNamespace(
+        status=200, headers=[], length=None, framing=framing.Framing.CHUNKS
+    )
+    with pytest.raises(upstream.ConnectionFailed):
+        relay(job, attempt, None, answer)
+    assert len(list(chunks)) > 990
