--- a/packages/policy/ibisring_policy/gateway/losses.py
+++ b/packages/policy/ibisring_policy/gateway/losses.py
@@ -30,7 +30,7 @@
 
 # Longest time limit, in seconds in which the process ran.
 MAX_LIMIT_SECONDS = 1.0
-# Share of the limit that is enough: timers and stalls are measured to a few
+# Share of the limit that is enough: timers and stalls are exact to a few
 # milliseconds.
 ENOUGH_SHARE = 0.9
 # Factor of the limit if most of the engines asked seem lost: a common cause,
