--- a/packages/soak/ibisring_soak/endpointlinks.py
+++ b/packages/soak/ibisring_soak/endpointlinks.py
@@ -91,7 +91,7 @@
 
     Parameters
     ----------
-    store : standin.Store
+    store : standinstore.Store
     links : EndpointLinks
     """
 
--- a/packages/soak/ibisring_soak/standinprocesses.py
+++ b/packages/soak/ibisring_soak/standinprocesses.py
@@ -12,6 +12,7 @@
 import multiprocessing
 
 from ibisring_adapter.tests import standin
+from ibisring_adapter.tests import standinstore
 from ibisring_soak import eventpacing
 from ibisring_soak import lateness
 from ibisring_soak import pausing
@@ -98,7 +99,7 @@
 
 def _serve_store(pipe, threads, is_resumable):
     """Run a store until told to stop (target of a process)."""
-    store = standin.Store(threads=threads)
+    store = standinstore.Store(threads=threads)
     route = standin.route(
         'stream',
         'streaming',
