End attempts 0.4 s after their deadline, however the router stalls

Cause: unread input, or a stall, held a deadline off until the process had run for 0.02 or 0.1 s, for up to 1 s and the stall that followed.

Change: latereads.is_over decides on deadlines. It ends the attempt if another stall as long as the longest before the deadline (3 s) would pass 0.4 s; after a first stall threads have 20 ms of running time to read. The connection is only shut down, so that what has arrived is still read, and a plain answer that is whole counts as before. Checks of silent stages keep their limits.

An attempt whose deadline passes in a stall over 0.4 s ends as that stall does.

--- a/packages/gateway/ibisring_gateway/attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/attemptwatching.py
@@ -362,7 +362,7 @@
         if attempt.result is not None:
             return
         if now >= attempt.deadline:
-            if self._is_silent(attempt, attempt.deadline, now):
+            if self._is_over(attempt, now):
                 attempt.abort(attempts.Result.DEADLINE)
             return
         check_at = attempt.check_at
@@ -378,6 +378,12 @@
             attempt.check_at = now + RETRY_SECONDS
             attempt.is_checking = False
 
+    def _is_over(self, attempt, now):
+        """Return whether an attempt ends, after its deadline."""
+        return latereads.is_over(
+            attempt.deadline, now, attempt.has_unread(), self.health
+        )
+
     def _is_silent(self, attempt, limit_at, now):
         """Return whether a time limit passed for want of input."""
         return latereads.is_shown(
--- a/packages/gateway/ibisring_gateway/tests/test_attemptwatching.py
+++ b/packages/gateway/ibisring_gateway/tests/test_attemptwatching.py
@@ -124,6 +124,27 @@
     watcher.remove(ours)
 
 
+def test_router_that_stalls_again_and_again_ends_attempts_in_time():
+    """Guards against attempts that go on for a second past the deadline."""
+    watcher, clock, _ = _watcher()
+    attempt, ours, _ = _attempt(watcher, clock)
+    endpoint = _connected(attempt)
+    while attempt.result is None:
+        endpoint.sendall(b'answer')
+        watcher.health.begin_wait(clock())
+        clock.now += 0.27
+        watcher.health.end_wait(clock())
+        for _ in range(6):
+            watcher.check(clock())
+            clock.now += 0.005
+            if attempt.result is not None:
+                break
+    assert attempt.result is attempts.Result.DEADLINE
+    assert clock.now <= attempt.deadline + 0.4
+    assert attempt.socket.recv(6) == b'answer'
+    watcher.remove(ours)
+
+
 def test_limits_that_passed_in_a_stall_wait_for_the_other_threads():
     """Guards against a router that ends its streams as it wakes up."""
     watcher, clock, silent = _watcher()
--- a/packages/policy/ibisring_policy/gateway/localhealth.py
+++ b/packages/policy/ibisring_policy/gateway/localhealth.py
@@ -81,6 +81,32 @@
         """
         return max(self._overlaps(since, now), default=0.0)
 
+    def longest_stall(self, since, until):
+        """Return the seconds of the longest stall that ended in a span.
+
+        Parameters
+        ----------
+        since, until : float
+
+        Returns
+        -------
+        float
+
+        Examples
+        --------
+        >>> health = make_local_health()
+        >>> health.begin_wait(10.0)
+        >>> health.end_wait(12.0)
+        >>> health.longest_stall(11.0, 12.0), health.longest_stall(9.0, 11.0)
+        (2.0, 0.0)
+        """
+        with self.lock:
+            stalls = list(self.stalls)
+        return max(
+            (end - at for at, end in stalls if since < end <= until),
+            default=0.0,
+        )
+
     def running_seconds(self, since, now):
         """Return the seconds of a span in which the process didn't stall.
 
