Tell of losses at a router that stalls again and again

Cause: a router that stood still for 0.1 s in the last second told of no losses, and a loss is told for 1 s from its finding. One that stalls for 0.12 s each 0.9 s never told of any.

Change: a loss is found late if the process stood still for 0.1 s from 1 s before to 1 s after its finding. It is told for 1 s from when the process has run for 1 s since without an answer of the engine, the longest limit of silence, or 10 s have passed. Losses found on time are told as before; one that is refuted in between stays untold.

--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -22,10 +22,6 @@
 MAX_DATAGRAM_BYTES = 60000
 # Pause after a message that could not be handled; others wait in the kernel.
 RECEIVE_PAUSE_SECONDS = 0.005
-# A router that has stood still for this long in this span before a message
-# reports no losses: it may be the one that was silent.
-LATE_SECONDS = 0.1
-LATE_SPAN_SECONDS = 1.0
 
 
 class Gossip:
@@ -133,9 +129,8 @@
             tokens = estimates.own_tokens()
             message.tokens = {n: int(each) for n, each in tokens.items()}
             connected_at = self.view.links.connected_at()
-            if not self._is_late(now):
-                dead = estimates.recently_dead(now, connected_at)
-                message.unreachable = dead
+            estimates.confirm_losses(now, self.view.health)
+            message.unreachable = estimates.recently_dead(now, connected_at)
             message.recovered = estimates.recently_recovered(now)
             message.slowdowns = estimates.recently_slow(now)
             message.refusing = estimates.refusing(now)
@@ -152,11 +147,6 @@
             )
             message.link_use = self.view.domain_links.updates_to_send(now)
 
-    def _is_late(self, now):
-        """Return whether this process runs too late to judge others."""
-        lateness = self.view.health.lateness(now - LATE_SPAN_SECONDS, now)
-        return lateness >= LATE_SECONDS
-
     def _add_store_access(self, message, now):
         """Add how well this router reaches the store."""
         own = self.peers.own_store_access()
--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -232,6 +232,53 @@
     assert _make_gossip(view)._message(clock.now).unreachable == told
 
 
+def _tell_while_stalling(stall, cycle, seconds, on_step=lambda *_: None):
+    """Return when a router that stalls in each cycle tells of a loss.
+
+    Its stall clock ticks each 50 ms; the loss is found after a stall.
+    """
+    view = builders.make_view([build.endpoint('x')])
+    view.clock = clock = builders.Clock()
+    router = _make_gossip(view)
+    start = clock.now
+    told = []
+    view.health.begin_wait(start)
+    while clock.now < start + seconds:
+        clock.now += 0.05
+        if (clock.now - start) % cycle < stall:
+            continue
+        view.health.end_wait(clock.now)
+        view.health.begin_wait(clock.now + 0.05)
+        if clock.now - start > stall and view.estimates.get('x').dead_at < 0:
+            view.estimates.note_lost('x', clock.now, clock.now - 0.1)
+            view.links.connected('s', clock.now)
+        on_step(view, clock.now - start)
+        if router._message(clock.now).unreachable:
+            told.append(clock.now - start)
+    return told
+
+
+@pytest.mark.parametrize(
+    ('stall', 'cycle', 'latest'),
+    [(0.15, 0.9, 2.0), (0.3, 0.6, 4.0), (0.9, 1.0, 13.0), (5.0, 5.2, 17.0)],
+)
+def test_router_that_stalls_always_tells_of_its_losses(stall, cycle, latest):
+    """Guards against a dead engine that only a starved router knows of."""
+    told = _tell_while_stalling(stall, cycle, 40.0)
+    assert told and stall + 1.0 <= told[0] <= latest
+    assert told[-1] - told[0] < 1.0
+
+
+def test_engine_that_answers_a_late_router_is_never_told_as_lost():
+    """Guards against a loss told as a fact that was the router's own stall."""
+
+    def answer(view, seconds):
+        if seconds > 1.0:
+            view.estimates.note_reachable('x', view.clock())
+
+    assert _tell_while_stalling(0.15, 0.9, 10.0, answer) == []
+
+
 class _Socket:
     """Has datagrams to receive; closed after the last one."""
 
--- a/packages/policy/ibisring_policy/gateway/estimates.py
+++ b/packages/policy/ibisring_policy/gateway/estimates.py
@@ -5,6 +5,7 @@
 import math
 
 from ibisring_policy.gateway import chains
+from ibisring_policy.gateway import losses
 from ibisring_policy.gateway import shortage
 import msgspec
 
@@ -38,6 +39,14 @@
 # How long the loss of an engine is sent to other routers, and for how long
 # after its own contact with the engine a router ignores such a report.
 DEAD_GOSSIP_SECONDS = 1.0
+# A loss counts as found late if the process stood still for this long within
+# this span around the finding, and is then sent only after the engine has
+# not answered while the process ran for the longest limit of silence, or for
+# a long time however little the process ran.
+LATE_SECONDS = 0.1
+LATE_SPAN_SECONDS = 1.0
+CONFIRM_SECONDS = losses.MAX_LIMIT_SECONDS
+MAX_UNCONFIRMED_SECONDS = 10.0
 OWN_CONTACT_SECONDS = 0.1
 # Delay after which a router that learned of a lost engine from a peer probes
 # the engine itself, unless a peer has reported its recovery by then.  Routers
@@ -75,7 +84,9 @@
     `*_from_peer` are set if another router reported the state.  A loss that
     was reported is a suspicion until it is `proven` here; `witnesses` are the
     routers that reported it, and `by_silence` is set if the endpoint neither
-    refused connections nor failed otherwise.
+    refused connections nor failed otherwise.  `found_late` is set if this
+    process stood still around the finding; `confirmed_at` is when the loss
+    was confirmed after that.
     """
 
     active: int = 0
@@ -97,6 +108,8 @@
     dead_from_peer: bool = False
     proven: bool = False
     by_silence: bool = False
+    found_late: bool = False
+    confirmed_at: float | None = None
     witnesses: frozenset = frozenset()
     refuted_at: float = -1e9
     recovered_at: float = -1e9
@@ -224,7 +237,7 @@
         estimate = self.get(name)
         if not estimate.dead:
             estimate.dead = True
-            estimate.dead_at = now
+            self._date_loss(estimate, now)
             estimate.tried_at = now if tried_at is None else tried_at
         elif from_peer:
             return
@@ -232,6 +245,11 @@
         estimate.proven = not from_peer
         self._eject(estimate, now)
 
+    def _date_loss(self, estimate, now):
+        estimate.dead_at = now
+        estimate.found_late = False
+        estimate.confirmed_at = None
+
     def _eject(self, estimate, now):
         if estimate.ejected_until <= now:
             estimate.ejected_until = now + estimate.eject_seconds
@@ -261,7 +279,7 @@
         elif estimate.dead_from_peer and not estimate.witnesses:
             # Another engine said so, and no other router knows of it.
             estimate.dead_from_peer = False
-            estimate.dead_at = now
+            self._date_loss(estimate, now)
             estimate.by_silence = by_silence
         estimate.proven = True
 
@@ -589,9 +607,30 @@
                 return False
         return now - estimate.dead_at >= seconds
 
+    def confirm_losses(self, now, health):
+        """Note which losses were found late, and which of them hold.
+
+        Parameters
+        ----------
+        now : float
+        health : localhealth.LocalHealth
+        """
+        for estimate in self.by_endpoint.values():
+            if not estimate.dead or estimate.dead_from_peer:
+                continue
+            begin = estimate.dead_at - LATE_SPAN_SECONDS
+            end = min(now, estimate.dead_at + LATE_SPAN_SECONDS)
+            if health.lateness(begin, end) >= LATE_SECONDS:
+                estimate.found_late = True
+            if estimate.found_late and estimate.confirmed_at is None:
+                if _is_confirmed(estimate, now, health):
+                    estimate.confirmed_at = now
+
     def recently_dead(self, now, connected_at=math.inf):
         """Return the engines that this router itself recently found dead.
 
+        Those found late count from when `confirm_losses` confirmed them.
+
         `connected_at` is when it last opened a connection to any endpoint: a
         router that has reached none since may have lost its own links.
         Reports of peers are not forwarded: two routers would keep sending
@@ -602,7 +641,7 @@
             for name, estimate in self.by_endpoint.items()
             if estimate.dead
             and not estimate.dead_from_peer
-            and now - estimate.dead_at < DEAD_GOSSIP_SECONDS
+            and _is_recent(estimate, now)
             and estimate.tried_at < connected_at
         ]
 
@@ -716,6 +755,21 @@
         self.max_memory_use = max(shares, default=0.0)
 
 
+def _is_confirmed(estimate, now, health):
+    """Return whether a loss that was found late has held for long enough."""
+    if now - estimate.dead_at >= MAX_UNCONFIRMED_SECONDS:
+        return True
+    return health.running_seconds(estimate.dead_at, now) >= CONFIRM_SECONDS
+
+
+def _is_recent(estimate, now):
+    """Return whether a loss was found, or confirmed if late, recently."""
+    since = estimate.dead_at
+    if estimate.found_late:
+        since = estimate.confirmed_at
+    return since is not None and now - since < DEAD_GOSSIP_SECONDS
+
+
 def make_estimate_table():
     """Make an empty `EstimateTable`."""
     return EstimateTable()
