Read an interim answer that arrived before its limit passed

A stall between two parts let it pass while the second lay in the socket: the router counted as not having taken the request, and was avoided.

Change: after the limit, what has arrived is read before the limit counts. The clock is the sender's.

--- a/packages/gateway/ibisring_gateway/relaysending.py
+++ b/packages/gateway/ibisring_gateway/relaysending.py
@@ -11,7 +11,6 @@
 import logging
 import random
 import socket
-import time
 
 from ibisring_gateway import attemptwatching
 from ibisring_gateway import events
@@ -21,6 +20,7 @@
 from ibisring_policy.gateway import attempts
 from ibisring_records import exceptions
 from ibisring_router import logs
+from ibisring_web import sockets
 import msgspec
 
 LOG = logging.getLogger(__name__)
@@ -213,7 +213,7 @@
             return attempt.result or attempts.Result.NOT_SENT
         self._set_timeout(job, attempt)
         time_left = max(0.01, job.deadline - self.clock())
-        body = _Body(conn, job.request.body, time_left + 1.0)
+        body = _Body(conn, job.request.body, time_left + 1.0, self.clock)
         handed_over = _HandedOver(job.request.method, job.request.target, body)
         try:
             response = self.connections.send(
@@ -394,14 +394,15 @@
         Whether it was; until then the request is incomplete and can't run.
     """
 
-    def __init__(self, conn, body, timeout):
+    def __init__(self, conn, body, timeout, clock):
         self.conn = conn
         self.body = body
         self.timeout = timeout
+        self.clock = clock
         self.is_begun = False
 
     def __iter__(self):
-        head = _read_interim(self.conn.sock)
+        head = _read_interim(self.conn.sock, self.clock)
         if not head.startswith(_INTERIM_HEAD):
             raise ConnectionResetError(f'refused with {head[:40]!r}')
         self.conn.sock.settimeout(self.timeout)
@@ -409,18 +410,20 @@
         yield self.body
 
 
-def _read_interim(sock):
+def _read_interim(sock, clock):
     """Read an interim response, and nothing of what follows it.
 
     The final response may follow at once, if it doesn't depend on the body.
+    After the time limit, what has arrived is still read: the limit may have
+    passed while this process stood still.
     """
-    end = time.monotonic() + CONTINUE_TIMEOUT_SECONDS
+    end = clock() + CONTINUE_TIMEOUT_SECONDS
     head = b''
     while not head.endswith(_END_OF_HEAD):
-        left = end - time.monotonic()
-        if left <= 0.0:
+        left = end - clock()
+        if left <= 0.0 and not sockets.has_input(sock):
             raise TimeoutError('no whole answer to the headers in time')
-        sock.settimeout(left)
+        sock.settimeout(max(0.0, left))
         size = _whole_size(head, sock.recv(MAX_INTERIM_BYTES, socket.MSG_PEEK))
         data = sock.recv(size)
         if not data:
--- a/packages/gateway/ibisring_gateway/tests/test_relaysending.py
+++ b/packages/gateway/ibisring_gateway/tests/test_relaysending.py
@@ -273,6 +273,50 @@
     assert job.relays_failed == {'r2'} and not job.progress.may_have_run
 
 
+class _StallingClock:
+    """Stalls after the first part of an answer, as the rest arrives.
+
+    Each reading of the clock before that takes no time.
+    """
+
+    def __init__(self, sock, first, rest):
+        self.sock = sock
+        self.parts = [b'', first, rest]
+        self.now = 10.0
+
+    def __call__(self):
+        if self.parts:
+            if len(self.parts) == 1:
+                self.now += 2 * relaysending.CONTINUE_TIMEOUT_SECONDS
+            self.sock.sendall(self.parts.pop(0))
+        return self.now
+
+
+@pytest.mark.parametrize('size', [1, 12, len(CONTINUE) - 1])
+def test_interim_answer_with_a_stall_in_it_counts(size):
+    """Guards against a router passed over for this one's own lateness."""
+    ours, theirs = socket.socketpair()
+    clock = _StallingClock(theirs, CONTINUE[:size], CONTINUE[size:])
+    assert relaysending._read_interim(ours, clock) == CONTINUE
+
+
+def test_half_an_interim_answer_after_a_stall_is_none():
+    """Guards against a wait for a router that goes on past the limit."""
+    ours, theirs = socket.socketpair()
+    clock = _StallingClock(theirs, CONTINUE[:12], CONTINUE[12:-1])
+    with pytest.raises(TimeoutError):
+        relaysending._read_interim(ours, clock)
+
+
+def test_bytes_without_end_after_a_stall_are_no_interim_answer():
+    """Guards against input that keeps a thread past the limit."""
+    ours, theirs = socket.socketpair()
+    endless = b'x' * 4 * relaysending.MAX_INTERIM_BYTES
+    clock = _StallingClock(theirs, CONTINUE[:12], endless)
+    with pytest.raises(ConnectionResetError):
+        relaysending._read_interim(ours, clock)
+
+
 @PACES
 @pytest.mark.parametrize(
     'start', [b'', b'HTTP/1.1 100 ', b'HTTP/1.1 100 Continue\r\nX: y\r\n']
