State the promises on silence without the judgement's own constants

Cause: promises.of_losses computed the limit from losses.ENOUGH_SHARE, MANY_FACTOR and MAX_LIMIT_SECONDS, so that a wrong constant changed the promise with the judgement.

Change: the promises have figures of their own: 0.9 limits alone, 3.6 if most engines are silent, 0.9 s of running time in any case, and a dark engine is found by then. The evidence no longer takes its limits from the module and has more steps; the share of exactly 0.9 stays.

Measured: six cases with a changed constant all fail on the promises before, none now; all changed judgements are still told.

--- a/packages/policy/ibisring_policy/gateway/tests/promises.py
+++ b/packages/policy/ibisring_policy/gateway/tests/promises.py
@@ -63,6 +63,12 @@
 # after this share of the grace time.
 EXCUSED_SECONDS = 3.0
 SERVED_SHARE = 5.0 / 6.0
+# Time limits of silence, in running time, after which an engine counts as
+# lost: alone, and if most of the engines asked are silent.  This many seconds
+# are enough in any case.
+LIMITS = 0.9
+MANY_LIMITS = 3.6
+DARK_SECONDS = 0.9
 
 
 def of_next_step(result, progress, step):
@@ -319,15 +325,17 @@
     many = evidence.is_one_of_many
     is_refused = evidence.is_refused and not many
     is_proof = is_refused or (evidence.has_failed and not many)
-    factor = losses.MANY_FACTOR if many else 1.0
-    enough = losses.ENOUGH_SHARE * min(
-        losses.MAX_LIMIT_SECONDS, factor * evidence.limit_seconds
-    )
-    has_run = evidence.ran_seconds >= enough
+    ran = evidence.ran_seconds
+    limits = MANY_LIMITS if many else LIMITS
+    has_run_long = ran >= DARK_SECONDS
+    has_run = has_run_long or ran >= limits * evidence.limit_seconds
     kept = {
         'no loss while the process did not run': (
             not is_lost or is_proof or has_run
         ),
+        'a dark engine is found in a second of running time': (
+            is_lost or not (has_run_long and evidence.hears_others)
+        ),
         'no loss unless another is heard': (
             not is_lost or is_refused or evidence.hears_others
         ),
--- a/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_decisions.py
@@ -350,8 +350,8 @@
 
 def _all_evidence():
     """Yield the evidence against an engine that the judgement tells apart."""
-    limits = (0.035, 0.12, losses.MAX_LIMIT_SECONDS)
-    shares = (0.0, 0.5, 0.89, 0.9, 1.0, losses.MANY_FACTOR)
+    limits = (0.035, 0.12, 0.3, 1.0)
+    shares = (0.0, 0.5, 0.89, 0.9, 1.0, 2.9, 3.1, 3.5, 3.7, 4.0)
     flags = itertools.product(FLAGS, repeat=4)
     for flag, limit, share in itertools.product(flags, limits, shares):
         hears_others, is_refused, has_failed, is_one_of_many = flag
@@ -385,6 +385,25 @@
     assert list(_broken_judgements(mutation.module))
 
 
+@pytest.mark.parametrize(
+    'constant, value',
+    [
+        ('ENOUGH_SHARE', 0.5),
+        ('ENOUGH_SHARE', 0.98),
+        ('MANY_FACTOR', 1.0),
+        ('MANY_FACTOR', 8.0),
+        ('MAX_LIMIT_SECONDS', 0.5),
+        ('MAX_LIMIT_SECONDS', 2.0),
+    ],
+)
+def test_promises_tell_a_changed_limit_of_silence(
+    monkeypatch, constant, value
+):
+    """Guards against promises that follow the constants of the judgement."""
+    monkeypatch.setattr(losses, constant, value)
+    assert list(_broken_judgements(losses))
+
+
 def _breaks_an_exit(module):
     seconds = (0.0, 1.0, 2.0, 3.0, 7.0, 8.0)
     for elapsed, active in itertools.product(seconds, (0, 1)):
