--- a/packages/policy/ibisring_policy/gateway/estimates.py
+++ b/packages/policy/ibisring_policy/gateway/estimates.py
@@ -39,6 +39,7 @@
 # How long the loss of an engine is sent to other routers, and for how long
 # after its own contact with the engine a router ignores such a report.
 DEAD_GOSSIP_SECONDS = 1.0
+OWN_CONTACT_SECONDS = 0.1
 # A loss counts as found late if the process stood still for this long within
 # this span around the finding, and is then sent only after the engine has
 # not answered while the process ran for the longest limit of silence, or for
@@ -47,7 +48,6 @@
 LATE_SPAN_SECONDS = 1.0
 CONFIRM_SECONDS = losses.MAX_LIMIT_SECONDS
 MAX_UNCONFIRMED_SECONDS = 10.0
-OWN_CONTACT_SECONDS = 0.1
 # Delay after which a router that learned of a lost engine from a peer probes
 # the engine itself, unless a peer has reported its recovery by then.  Routers
 # that detected the loss probe sooner.
