Router: bound answers to service calls and the heads of streams

Cause: Caller.open bounded an answer only for Caller.call. Answers to service calls, an engine's error and the head of a stream were read for as long as bytes came, as urllib3's timeout bounds the wait for the next bytes alone; a chunk line of a stream grew in memory without limit.

Change: every answer that Caller opens is bounded in bytes and in time. A service call's answer has the attempt's time from its first byte, an engine's error the time between two tokens. StreamAnswer lifts the bounds once a head with status 200 is read; lines stay bounded. Past a bound the call fails with AnswerLost, so that the outcome is unknown.

--- a/packages/router/ibisring_router/engineclient.py
+++ b/packages/router/ibisring_router/engineclient.py
@@ -78,7 +78,8 @@
     Parameters
     ----------
     caller : calls.Caller
-        Its read timeout is the maximum time between two tokens.
+        Its read timeout is the maximum time between two tokens, and its
+        bounds are those of an answer's head and of an error.
     """
 
     def __init__(self, caller):
@@ -118,7 +119,12 @@
         # each attempt opens a new one.
         try:
             response = self.caller.open(
-                'POST', first_stage.address, path, message, fresh=True
+                'POST',
+                first_stage.address,
+                path,
+                message,
+                fresh=True,
+                is_stream=True,
             )
         except calls.NotSent as error:
             raise attempterrors.AttemptFailed(
@@ -161,4 +167,7 @@
 
 def make_engine_client(token_timeout, connect_timeout):
     """Make an HTTP engine client."""
-    return HttpEngineClient(calls.make_caller(connect_timeout, token_timeout))
+    caller = calls.make_caller(
+        connect_timeout, token_timeout, answer_seconds=token_timeout
+    )
+    return HttpEngineClient(caller)
--- /dev/null
+++ b/packages/router/ibisring_router/tests/test_endless_answers.py
@@ -0,0 +1,138 @@
+"""Tests of endpoints whose answers to attempts never end."""
+
+import time
+import types
+
+from ibisring_backing import engines
+from ibisring_policy import admission
+from ibisring_policy import retries
+from ibisring_records import exceptions
+from ibisring_router import attempterrors
+from ibisring_router import engineclient
+from ibisring_router import metrics
+from ibisring_router import servicecalls
+from ibisring_web import boundedanswers
+from ibisring_web import calls
+from ibisring_web.tests import endlessbytes
+import msgspec
+import pytest
+
+READ_SECONDS = 0.15
+MARGIN_SECONDS = 1.0
+SECONDS = 3 * READ_SECONDS + MARGIN_SECONDS
+STREAM_SECONDS = 4 * READ_SECONDS
+PACES = pytest.mark.parametrize('pace', endlessbytes.PACES)
+KINDS = pytest.mark.parametrize('kind', endlessbytes.KINDS)
+HEADS = ['no-line-end', 'header-line', 'headers', 'interim']
+
+
+class _OneEndpoint:
+    """A placement with a single endpoint."""
+
+    def __init__(self, address):
+        spec = types.SimpleNamespace(address=address)
+        self.endpoints = [types.SimpleNamespace(name='s1', spec=spec)]
+
+    def place(self, ticket, is_gone):
+        return self
+
+    def finish(self, report):
+        """Ignore the end of an attempt."""
+
+    def observe(self, endpoint, load):
+        """Ignore an endpoint's load."""
+
+
+def _call_service(address):
+    runner = servicecalls.make_runner(
+        _OneEndpoint(address),
+        calls.make_caller(READ_SECONDS),
+        metrics.make_metrics(),
+        READ_SECONDS,
+    )
+    request = servicecalls.ServiceCall(
+        'r1',
+        'a1',
+        admission.Target(service='s'),
+        rank=0,
+        weight=1.0,
+        deadline=time.monotonic() + 60.0,
+        idempotent=False,
+        body=msgspec.Raw(b'{}'),
+    )
+    return runner.run(request, lambda: False)
+
+
+def _generate(address):
+    client = engineclient.make_engine_client(READ_SECONDS, READ_SECONDS)
+    stages = [engines.Stage('e1', address, 0, 1)]
+    order = engines.GenerateOrder('r1', 1, 'm', '1', '', 2, stages, 'p', 4)
+    return client.generate(order, lambda endpoint, load: None)
+
+
+@PACES
+@KINDS
+def test_service_answer_without_end_is_of_unknown_outcome(kind, pace):
+    """Guards against an attempt that outlasts its time, or fills memory."""
+    with (
+        endlessbytes.running(kind, endlessbytes.PACES[pace]) as server,
+        endlessbytes.bounded(server, SECONDS, calls.MAX_ANSWER_BYTES),
+        pytest.raises(exceptions.OutcomeUnknown),
+    ):
+        _call_service(server.address)
+
+
+@PACES
+@KINDS
+def test_error_of_an_engine_without_end_is_lost(kind, pace):
+    """Guards against a thread that reads an error for ever."""
+    is_slow = endlessbytes.PACES[pace]
+    with (
+        endlessbytes.running(kind, is_slow, status=500) as server,
+        endlessbytes.bounded(server, SECONDS, calls.MAX_ANSWER_BYTES),
+        pytest.raises(attempterrors.AttemptFailed) as raised,
+    ):
+        list(_generate(server.address))
+    assert raised.value.failure in (
+        retries.Failure.CUT,
+        retries.Failure.SILENT,
+    )
+
+
+@PACES
+@pytest.mark.parametrize('kind', HEADS)
+def test_head_of_a_stream_without_end_is_lost(kind, pace):
+    """Guards against a thread that waits for a stream to begin for ever."""
+    with (
+        endlessbytes.running(kind, endlessbytes.PACES[pace]) as server,
+        endlessbytes.bounded(server, SECONDS, calls.MAX_ANSWER_BYTES),
+        pytest.raises(attempterrors.AttemptFailed),
+    ):
+        list(_generate(server.address))
+
+
+@pytest.mark.parametrize('kind', ['chunk-line', 'extension'])
+def test_chunk_line_of_a_stream_without_end_is_lost(kind):
+    """Guards against memory that grows with one line."""
+    with (
+        endlessbytes.running(kind) as server,
+        endlessbytes.bounded(server, SECONDS, boundedanswers.MAX_LINE_BYTES),
+        pytest.raises(attempterrors.AttemptFailed),
+    ):
+        list(_generate(server.address))
+
+
+def test_body_of_a_stream_is_not_bounded():
+    """Guards against a sound stream that ends at the bounds of an answer."""
+    caller = calls.make_caller(
+        READ_SECONDS, READ_SECONDS, answer_seconds=READ_SECONDS
+    )
+    with endlessbytes.running('small-chunks', is_slow=True) as server:
+        response = caller.open(
+            'GET', server.address, '/stream', fresh=True, is_stream=True
+        )
+        chunks = calls.read_stream(response, server.address)
+        end = time.monotonic() + STREAM_SECONDS
+        while time.monotonic() < end:
+            assert next(chunks)
+        chunks.close()
--- a/packages/web/ibisring_web/boundedanswers.py
+++ b/packages/web/ibisring_web/boundedanswers.py
@@ -9,12 +9,15 @@
     'AnswerTooLarge',
     'Bounds',
     'Connection',
+    'StreamAnswer',
     'make_connection_class',
     'make_pools',
 ]
 
 import http.client
 import io
+import math
+import sys
 import time
 
 from ibisring_web import sockets
@@ -24,6 +27,8 @@
 # Bytes that are read after an answer's time if they have arrived by then: a
 # busy process may be late to read what came in time.
 MAX_LATE_BYTES = 1 << 16
+# Longest line, also in a stream: urllib3 reads that of a chunk's size whole.
+MAX_LINE_BYTES = 1 << 16
 
 
 class AnswerTooLarge(http.client.HTTPException):
@@ -70,6 +75,16 @@
         return self.answer_class(source, *arguments, **options)
 
 
+class StreamAnswer(http.client.HTTPResponse):
+    """An answer whose body has no bounds if its status is 200."""
+
+    def begin(self):
+        """Read the head."""
+        super().begin()
+        if self.status == http.HTTPStatus.OK and self.fp is not None:
+            self.fp.raw.lift_bounds()
+
+
 class _Source:
     """Stands for a socket where a response opens a file on it."""
 
@@ -99,6 +114,20 @@
             raise AnswerTooLarge(f'the answer announces {size} bytes')
         return super().read(size)
 
+    def readline(self, size=-1):
+        """Read a line.
+
+        Raises
+        ------
+        AnswerTooLarge
+        """
+        if size is not None and size >= 0:
+            return super().readline(size)
+        line = super().readline(MAX_LINE_BYTES + 1)
+        if len(line) > MAX_LINE_BYTES:
+            raise AnswerTooLarge('a line of the answer is too long')
+        return line
+
 
 class _Reader(io.RawIOBase):
     """Reads an answer from a socket, within its bounds."""
@@ -136,6 +165,13 @@
         self.bytes_left -= count
         return count
 
+    def lift_bounds(self):
+        """Bound nothing from here on but the wait for the next bytes."""
+        self.max_bytes = sys.maxsize
+        self.bytes_left = sys.maxsize
+        self.deadline = math.inf
+        self.sock.settimeout(self.timeout)
+
     def _limit_wait(self):
         left = self.deadline - time.monotonic()
         if left > 0.0:
@@ -171,12 +207,14 @@
     return type('BoundedConnection', (Connection,), members)
 
 
-def make_pools(bounds, **options):
+def make_pools(bounds, answer_class=http.client.HTTPResponse, **options):
     """Make pools of bounded connections.
 
     Parameters
     ----------
     bounds : Bounds
+    answer_class : type
+        Subclass of `http.client.HTTPResponse`.
     options
         As for `urllib3.PoolManager`.
 
@@ -185,7 +223,7 @@
     urllib3.PoolManager
     """
     pools = urllib3.PoolManager(**options)
-    members = {'ConnectionCls': make_connection_class(bounds)}
+    members = {'ConnectionCls': make_connection_class(bounds, answer_class)}
     pool_class = type('_Pool', (urllib3.HTTPConnectionPool,), members)
     pools.pool_classes_by_scheme = {'http': pool_class}
     return pools
--- a/packages/web/ibisring_web/calls.py
+++ b/packages/web/ibisring_web/calls.py
@@ -17,6 +17,8 @@
     'decode_error',
 ]
 
+import http.client
+
 import msgspec
 import urllib3
 from urllib3 import exceptions as urllib3_exceptions
@@ -84,7 +86,7 @@
     key : str
         Sent as a bearer key with each request, if not empty.
     bounds : boundedanswers.Bounds
-        Bounds of the answers that `call` reads.
+        Bounds of all answers but streams.
     """
 
     def __init__(self, connect_timeout, read_timeout, traffic, key, bounds):
@@ -93,11 +95,8 @@
         self.traffic = traffic
         self.connect_timeout = connect_timeout
         self.read_timeout = read_timeout
-        self.pools = urllib3.PoolManager(
-            num_pools=POOLS, maxsize=POOL_SIZE, retries=False
-        )
         self.bounds = bounds
-        self.bounded_pools = boundedanswers.make_pools(
+        self.pools = boundedanswers.make_pools(
             bounds, num_pools=POOLS, maxsize=POOL_SIZE, retries=False
         )
 
@@ -116,8 +115,12 @@
             acted on.
         read_timeout : float, optional
             Seconds between two reads.
-        is_bounded : bool, optional
-            Whether the answer has the bounds of `call`; a stream has none.
+        answer_seconds : float, optional
+            Longest time from the answer's first byte to its last one, for a
+            fresh connection.
+        is_stream : bool, optional
+            Whether the body of an answer with the status 200 has no bounds,
+            for a fresh connection.
 
         Returns
         -------
@@ -139,8 +142,7 @@
             sent['Content-Type'] = 'application/json'
         if fresh:
             sent['Connection'] = 'close'
-        is_bounded = options.get('is_bounded', False)
-        manager = self._pools(is_bounded, fresh)
+        manager = self._fresh_pools(options) if fresh else self.pools
         try:
             return manager.request(
                 method,
@@ -157,15 +159,18 @@
         except urllib3_exceptions.HTTPError as error:
             raise _lost(address, error) from error
 
-    def _pools(self, is_bounded, fresh):
-        """Return the pools for a call, new ones if it is to be a fresh one."""
-        if not fresh:
-            return self.bounded_pools if is_bounded else self.pools
-        if is_bounded:
-            return boundedanswers.make_pools(
-                self.bounds, num_pools=1, maxsize=1
-            )
-        return urllib3.PoolManager(num_pools=1, maxsize=1)
+    def _fresh_pools(self, options):
+        """Return new pools for a call."""
+        seconds = options.get('answer_seconds', self.bounds.seconds)
+        answer_class = http.client.HTTPResponse
+        if options.get('is_stream', False):
+            answer_class = boundedanswers.StreamAnswer
+        return boundedanswers.make_pools(
+            boundedanswers.Bounds(self.bounds.max_bytes, seconds),
+            answer_class,
+            num_pools=1,
+            maxsize=1,
+        )
 
     def call(self, method, address, path, value=None, cls=None, **options):
         """Send a request and decode the whole JSON answer.
@@ -192,9 +197,7 @@
             self.traffic.add(len(value) + self.key_size)
         else:
             self.traffic.add(self.key_size)
-        response = self.open(
-            method, address, path, value, is_bounded=True, **options
-        )
+        response = self.open(method, address, path, value, **options)
         data = read_all(response, address)
         self.traffic.add(len(data))
         if response.status >= 300:
--- a/packages/web/ibisring_web/tests/endlessbytes.py
+++ b/packages/web/ibisring_web/tests/endlessbytes.py
@@ -48,6 +48,7 @@
         One of `KINDS`.
     is_slow : bool
         Whether what follows the beginning comes at 80 bytes a second.
+    status : int
 
     Attributes
     ----------
@@ -58,9 +59,10 @@
         Connections that no caller has closed.
     """
 
-    def __init__(self, kind, is_slow=False):
+    def __init__(self, kind, is_slow=False, status=200):
         self.kind = kind
         self.is_slow = is_slow
+        self.status = status
         self.sent = 0
         self.open_count = 0
         self.lock = threading.Lock()
@@ -93,7 +95,7 @@
                 self.open_count -= 1
 
     def _answer(self, conn):
-        for part in parts(self.kind, self.is_slow):
+        for part in parts(self.kind, self.is_slow, self.status):
             conn.sendall(part)
             with self.lock:
                 self.sent += len(part)
@@ -106,7 +108,7 @@
         return not self.open_count
 
 
-def parts(kind, is_slow=False):
+def parts(kind, is_slow=False, status=200):
     """Yield the bytes of an endless answer, piece by piece.
 
     Parameters
@@ -114,6 +116,7 @@
     kind : str
         One of `KINDS`.
     is_slow : bool
+    status : int
 
     Yields
     ------
@@ -121,7 +124,7 @@
     """
     start, rest = KINDS[kind]
     end = time.monotonic() + MAX_SECONDS
-    yield start
+    yield start.replace(b' 200 OK', b' %d Status' % status)
     for at in itertools.count(0, SLOW_BYTES if is_slow else len(rest)):
         if at > MAX_BYTES or time.monotonic() > end:
             return
@@ -134,9 +137,9 @@
 
 
 @contextlib.contextmanager
-def running(kind, is_slow=False):
+def running(kind, is_slow=False, status=200):
     """Run a `Server`."""
-    server = Server(kind, is_slow)
+    server = Server(kind, is_slow, status)
     try:
         yield server
     finally:
