Soak: take the path of store changes from the adapter

Cause: standinprocesses wrote a path of the platform outside platform/.

Change: the adapter's store names it CHANGE_PATH, and both use that.

Measured: test_store passes (12), and RemoteStore.put to the stand-in store succeeds in a call by hand. The rolling restarts were not run.

--- a/packages/soak/ibisring_soak/standinprocesses.py
+++ b/packages/soak/ibisring_soak/standinprocesses.py
@@ -11,6 +11,7 @@
 import json
 import multiprocessing
 
+from ibisring_adapter import store as store_module
 from ibisring_adapter.tests import standin
 from ibisring_soak import eventpacing
 from ibisring_soak import lateness
@@ -89,7 +90,9 @@
         }
         conn = http.client.HTTPConnection(self.address)
         headers = {'Content-Type': 'application/json'}
-        conn.request('POST', '/rows-tx', json.dumps(change), headers)
+        conn.request(
+            'POST', store_module.CHANGE_PATH, json.dumps(change), headers
+        )
         status = conn.getresponse().status
         conn.close()
         if status != 200:
