Policy: make ids of crashes in one place

Cause: promptparts and suspects each had the same function.

Change: both use crashids.make_crash_id. No change of behaviour.

Measured: the tests of parts and of suspects pass (168).

--- a/packages/policy/ibisring_policy/gateway/promptparts.py
+++ b/packages/policy/ibisring_policy/gateway/promptparts.py
@@ -19,6 +19,7 @@
 import msgspec
 
 from ibisring_policy.gateway import crashcauses
+from ibisring_policy.gateway import crashids
 from ibisring_policy.gateway import partevidence
 from ibisring_policy.gateway import partjudging
 from ibisring_policy.gateway import partupdates
@@ -62,10 +63,6 @@
 _NO_VERDICT = PartVerdict()
 
 
-def _crash_id(endpoint, started):
-    return zlib.crc32(f'{endpoint} {started}'.encode())
-
-
 class Parts:
     """Evidence by feature; the caller holds a lock around each call.
 
@@ -120,7 +117,7 @@
         certain : bool
             Whether it is known that the process has ended.
         """
-        crash_id = _crash_id(endpoint, started)
+        crash_id = crashids.make_crash_id(endpoint, started)
         loss = partevidence.Loss(now, account)
         for name in features:
             evidence = self._get_or_add(name, now)
@@ -148,7 +145,7 @@
         """
         if not any(each.unresolved for each in self.by_feature.values()):
             return
-        crash_id = _crash_id(endpoint, started)
+        crash_id = crashids.make_crash_id(endpoint, started)
         since = now - RESTART_SECONDS
         self.answered_at = {
             n: at for n, at in self.answered_at.items() if at > since
@@ -174,7 +171,9 @@
         list of bytes
             Features that are charged with a crash.
         """
-        current = {_crash_id(*process) for process in processes.items()}
+        current = {
+            crashids.make_crash_id(*process) for process in processes.items()
+        }
         charged = []
         for name, evidence in self.by_feature.items():
             for crash_id in evidence.unresolved.keys() - current:
--- a/packages/policy/ibisring_policy/gateway/suspects.py
+++ b/packages/policy/ibisring_policy/gateway/suspects.py
@@ -24,10 +24,11 @@
 __all__ = ['Suspects', 'Verdict', 'SuspectUpdate', 'make_suspects']
 
 import math
-import zlib
 
 import msgspec
 
+from ibisring_policy.gateway import crashids
+
 # Crashes from which on a request is refused instead of being retried.
 MAX_CRASHES = 3
 # How long it is refused after the last crash: long enough to replace the
@@ -135,10 +136,6 @@
     return {name: at for name, at in times.items() if at > than}
 
 
-def _crash_id(endpoint, started):
-    return zlib.crc32(f'{endpoint} {started}'.encode())
-
-
 class Suspects:
     """Suspects by digest; the caller holds a lock around each call.
 
@@ -182,7 +179,7 @@
         now : float
         """
         suspect = self._get_or_add(digest, now)
-        crash_id = _crash_id(endpoint, started)
+        crash_id = crashids.make_crash_id(endpoint, started)
         suspect.forget_loss(crash_id, now)
         self._add_crash(suspect, crash_id, now, now)
 
@@ -209,7 +206,7 @@
             request only if a later start shows that the endpoint crashed.
         """
         suspect = self._get_or_add(digest, now)
-        crash_id = _crash_id(endpoint, started)
+        crash_id = crashids.make_crash_id(endpoint, started)
         if crash_id in suspect.crashes:
             return
         if not counts:
@@ -229,7 +226,7 @@
             each.unresolved or each.cut_off for each in self.by_digest.values()
         ):
             return
-        crash_id = _crash_id(endpoint, started)
+        crash_id = crashids.make_crash_id(endpoint, started)
         self.answered_at = _later(self.answered_at, now - RESTART_SECONDS)
         self.answered_at[crash_id] = now
         for suspect in self.by_digest.values():
@@ -250,7 +247,9 @@
             Digests of the requests that are charged with a crash.
         """
         charged = []
-        current = {_crash_id(*process) for process in processes.items()}
+        current = {
+            crashids.make_crash_id(*process) for process in processes.items()
+        }
         for digest, suspect in self.by_digest.items():
             found = suspect.losses_elsewhere(current)
             for crash_id, lost_at in found.items():
