Stalls: test in one place whether an endpoint stays

Cause: _leaving and _unloaded repeated the same condition.

Change: both use _is_staying. No change of behaviour.

Measured: test_stalls and test_forwarding pass (60), as does test_endless_runs (52).

--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -598,24 +598,24 @@
     """Return the stages whose engines leave or have given up their layers."""
     found = set()
     for stage in attempt.stages:
-        endpoint = endpoints.get(stage.endpoint)
-        if (
-            endpoint is None
-            or endpoint.state is routing.EndpointState.DRAINING
-        ):
+        if not _is_staying(endpoints.get(stage.endpoint)):
             found.add(stage.endpoint)
     return found | _unloaded(attempt, endpoints)
 
 
+def _is_staying(endpoint):
+    """Return whether an endpoint, None if unknown, doesn't leave."""
+    if endpoint is None:
+        return False
+    return endpoint.state is not routing.EndpointState.DRAINING
+
+
 def _unloaded(attempt, endpoints):
     """Return the running engines that no longer hold their stage's layers."""
     found = set()
     for stage in attempt.stages:
         endpoint = endpoints.get(stage.endpoint)
-        if (
-            endpoint is None
-            or endpoint.state is routing.EndpointState.DRAINING
-        ):
+        if not _is_staying(endpoint):
             continue
         holding = endpoint.holding
         if (
