Gateway: split long construction and start into steps

Change: one method for each part that is made or started, in the same order of starts. No change of behaviour.

--- a/packages/gateway/ibisring_gateway/forwarding.py
+++ b/packages/gateway/ibisring_gateway/forwarding.py
@@ -66,35 +66,43 @@
         relay_sender,
     ):
         self.view = view
+        self.clock = view.clock
         self.codec = codec
         self.watcher = watcher
         self.retry_budget = retry_budget
         self.count_routers = count_routers
         self.metrics = metrics
         self.screen = screen
+        self.rng = random.Random()
         self.selector = selecting.make_selector(view)
         self.admitter = queueing.make_admitter(view, self.selector, metrics)
         self.relay_sender = relay_sender
         self.relay_routing = relayrouting.RelayRouting(view, relay_sender)
-        self.sender = sending.make_sender(
-            view, codec, connections, self.selector, screen
+        self.intake = intake.make_intake(view.clock)
+        self.log = requestlog.make_request_log(
+            view, metrics, self._retries_left
         )
-        self.sender.on_decided = self._note_retry
+        self._make_successors()
+        self._make_sender(connections)
+
+    def _make_successors(self):
+        """Make what moves a stream to another chain."""
         self.successors = successors.make_successors(
-            view,
+            self.view,
             self.selector,
-            screen,
-            relay_sender,
-            retry_budget,
-            count_routers,
+            self.screen,
+            self.relay_sender,
+            self.retry_budget,
+            self.count_routers,
         )
-        self.sender.successors = self.successors
-        self.log = requestlog.make_request_log(
-            view, metrics, self._retries_left
+
+    def _make_sender(self, connections):
+        """Make what sends an attempt to an endpoint."""
+        self.sender = sending.make_sender(
+            self.view, self.codec, connections, self.selector, self.screen
         )
-        self.clock = view.clock
-        self.rng = random.Random()
-        self.intake = intake.make_intake(view.clock)
+        self.sender.on_decided = self._note_retry
+        self.sender.successors = self.successors
         self.sender.may_pass_on = self.intake.may_pass_on
 
     def serve(self, exchange):
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -90,6 +90,25 @@
             descriptorlimit.raise_soft_limit(settings.descriptors),
             self.metrics,
         )
+        self._make_view()
+        self._make_attempt_parts()
+        self._make_forwarder()
+        self._set_slow_detection()
+        self._make_link_monitor()
+        self.followers = storefollowing.make_followers(
+            self._polling_slot, self._role
+        )
+        self.signal_waiter = signalwaiting.make_signal_waiter(SIGNALS)
+        self.servers = []
+        self.components = []
+        self.placer = None
+        self.directory = None
+        self.log_writer = None
+        self.is_shutting_down = False
+
+    def _make_view(self):
+        """Make the view, and what measures by it."""
+        settings = self.settings
         self.view = view_module.make_view(
             settings.failure_domain, name=settings.router_id
         )
@@ -99,9 +118,12 @@
             self.view.health, self.metrics
         )
         self.rank_monitor = rankroom.make_monitor(self.view, self.metrics)
-        slots = self.descriptor_limit.slots
+
+    def _make_attempt_parts(self):
+        """Make connections, watcher and budget of attempts."""
+        settings = self.settings
         self.connections = upstream.make_connection_pool(
-            slots=slots[descriptors.Kind.ENDPOINTS]
+            slots=self.descriptor_limit.slots[descriptors.Kind.ENDPOINTS]
         )
         self.watcher = attemptwatching.make_watcher(
             self._on_stall, self.view.health
@@ -111,19 +133,6 @@
             settings.repeat_ratio * retrybudget.RATIO_SHARE,
             settings.repeat_slack * retrybudget.SLACK_SHARE,
         )
-        self._make_forwarder()
-        self._set_slow_detection()
-        self._make_link_monitor()
-        self.followers = storefollowing.make_followers(
-            self._polling_slot, self._role
-        )
-        self.signal_waiter = signalwaiting.make_signal_waiter(SIGNALS)
-        self.servers = []
-        self.components = []
-        self.placer = None
-        self.directory = None
-        self.log_writer = None
-        self.is_shutting_down = False
 
     def _make_forwarder(self):
         """Make what sends requests to endpoints and to other routers."""
@@ -212,21 +221,34 @@
 
     def start(self):
         """Start servers, actors and threads."""
-        settings = self.settings
         self.stall_clock.start()
+        self._start_placer()
+        self._listen()
+        self._start_directory()
+        self._start_followers()
+        self._start_gossip()
+        self.periodic_checks = periodic.start(
+            CHECK_SECONDS, self._run_periodic_checks
+        )
+        self._wait_until_ready()
+        self._serve(self.caller_server)
+        logs.event(LOG, 'started', router=self.settings.router_id)
+
+    def _start_placer(self):
         self.placer = placing.Placer.start(
             self.view,
             self.installation.leases,
             self.installation.engines,
-            settings.router_id,
+            self.settings.router_id,
             self.metrics,
             self._store_statuses,
             lambda message: self.directory.tell(message),
             self.followers.suspect_outage,
-            settings.min_pool_requests,
+            self.settings.min_pool_requests,
             self.stall_handler.querier.reasker.doubt,
         )
-        self._listen()
+
+    def _start_directory(self):
         self.directory = directory.Directory.start(
             self.view,
             self.metrics,
@@ -234,15 +256,27 @@
             self._check_placement,
             self._apply_limits,
         )
+
+    def _start_followers(self):
+        """Follow the store and the other routers."""
         tell = self.directory.tell
         followers = self.followers
         self.peers = peers.make_peers(
-            settings, self.view, self.installation.leases, tell, followers
+            self.settings,
+            self.view,
+            self.installation.leases,
+            tell,
+            followers,
         )
         followers.add('table', self.installation.table, True, tell)
         followers.add('endpoints', self.installation.endpoints, False, tell)
         self.components = [followers.start(), self.peers.start()]
-        self.gossip = gossip.make_gossip(settings, self.view, self.peers, tell)
+
+    def _start_gossip(self):
+        """Connect gossip with what it tells and what it informs."""
+        self.gossip = gossip.make_gossip(
+            self.settings, self.view, self.peers, self.directory.tell
+        )
         self.gossip.receiver.alive_engines = (
             self.stall_handler.engines_with_events
         )
@@ -257,12 +291,6 @@
         self.forwarder.sender.on_leaving = self._report_leaving
         self.installation.engines.on_leaving = self._report_leaving
         self.components.append(self.gossip.start())
-        self.periodic_checks = periodic.start(
-            CHECK_SECONDS, self._run_periodic_checks
-        )
-        self._wait_until_ready()
-        self._serve(self.caller_server)
-        logs.event(LOG, 'started', router=settings.router_id)
 
     def _wait_until_ready(self):
         """Wait a moment for the first read of routes and endpoints.
