Sockets: whether all bytes sent are acknowledged

A query that times out doesn't tell whether the peer's host is gone or only its process waits. A bounded connection looks at its socket as the wait for the first byte of an answer times out, before urllib3 closes it, and raises AnswerTimeout.

--- a/packages/web/ibisring_web/boundedanswers.py
+++ b/packages/web/ibisring_web/boundedanswers.py
@@ -6,6 +6,7 @@
 """
 
 __all__ = [
+    'AnswerTimeout',
     'AnswerTooLarge',
     'Bounds',
     'Connection',
@@ -30,6 +31,20 @@
     """An answer has more bytes than it may have."""
 
 
+class AnswerTimeout(TimeoutError):
+    """No byte of an answer came within the timeout of a connection.
+
+    Attributes
+    ----------
+    is_acknowledged : bool
+        Whether the peer's kernel had acknowledged the whole request by then.
+    """
+
+    def __init__(self, is_acknowledged):
+        super().__init__('timed out')
+        self.is_acknowledged = is_acknowledged
+
+
 class Bounds:
     """Bounds of one answer, with its head and all that frames it.
 
@@ -123,6 +138,7 @@
 
         Raises
         ------
+        AnswerTimeout
         TimeoutError
         AnswerTooLarge
         """
@@ -130,12 +146,22 @@
             self._limit_wait()
         if self.bytes_left <= 0:
             raise AnswerTooLarge('the answer is too large')
-        count = self.raw.readinto(memoryview(buffer)[: self.bytes_left])
+        count = self._read_bytes(memoryview(buffer)[: self.bytes_left])
         if self.deadline is None:
             self.deadline = time.monotonic() + self.seconds
         self.bytes_left -= count
         return count
 
+    def _read_bytes(self, buffer):
+        try:
+            return self.raw.readinto(buffer)
+        except TimeoutError as error:
+            if self.deadline is not None:
+                raise
+            # The caller closes the socket before it handles the error.
+            is_acknowledged = sockets.are_all_bytes_acknowledged(self.sock)
+            raise AnswerTimeout(is_acknowledged) from error
+
     def _limit_wait(self):
         left = self.deadline - time.monotonic()
         if left > 0.0:
