Losses: acknowledged silence needs 0.3 s

Processes of engines that stand still for 0.05 to 0.16 s on a busy machine, while others answer, count as lost after the adaptive limit. If the engine's host has acknowledged the last query, the limit is now at least 0.3 s (0.27 s of running time by the share that is enough); raised limits, the factor for many and the cap of 1 s stay. Without an acknowledgement nothing changes, which a property over limits and running times shows.

--- a/packages/policy/ibisring_policy/gateway/losses.py
+++ b/packages/policy/ibisring_policy/gateway/losses.py
@@ -4,6 +4,8 @@
 as well: this process stood still, its links failed, or the machine that it
 shares with the engine did.  It is a proof only after the process itself has
 run for the whole time limit, and only if others were heard in that time [1]_.
+The limit is longer if the engine's host has acknowledged the query: then the
+host and the link run, and its process may only wait for a processor.
 The limit is longer while the process is late, or after silent engines have
 answered [2]_, but bounded: a process that is always late finds a lost engine,
 too.
@@ -30,6 +32,9 @@
 
 # Longest time limit, in seconds in which the process ran.
 MAX_LIMIT_SECONDS = 1.0
+# Shortest time limit in seconds if the engine's host has acknowledged the last
+# query: on a busy machine sound processes stand still for less.
+ACKNOWLEDGED_LIMIT_SECONDS = 0.3
 # Share of the limit that is enough: timers and stalls are exact to a few
 # milliseconds.
 ENOUGH_SHARE = 0.9
@@ -73,6 +78,8 @@
         Whether another endpoint was heard in that time.
     is_one_of_many : bool
         Whether most of the engines asked together seem lost.
+    is_acknowledged : bool
+        Whether the engine's host has acknowledged the last query.
     """
 
     __slots__ = (
@@ -82,6 +89,7 @@
         'limit_seconds',
         'hears_others',
         'is_one_of_many',
+        'is_acknowledged',
     )
 
     def __init__(
@@ -92,6 +100,7 @@
         is_refused=False,
         has_failed=False,
         is_one_of_many=False,
+        is_acknowledged=False,
     ):
         self.ran_seconds = ran_seconds
         self.limit_seconds = limit_seconds
@@ -99,6 +108,7 @@
         self.is_refused = is_refused
         self.has_failed = has_failed
         self.is_one_of_many = is_one_of_many
+        self.is_acknowledged = is_acknowledged
 
 
 def judge(evidence):
@@ -134,8 +144,10 @@
 def required_seconds(evidence):
     """Return the seconds of silence that prove a loss."""
     factor = MANY_FACTOR if evidence.is_one_of_many else 1.0
-    limit = min(MAX_LIMIT_SECONDS, factor * evidence.limit_seconds)
-    return ENOUGH_SHARE * limit
+    limit = evidence.limit_seconds
+    if evidence.is_acknowledged:
+        limit = max(limit, ACKNOWLEDGED_LIMIT_SECONDS)
+    return ENOUGH_SHARE * min(MAX_LIMIT_SECONDS, factor * limit)
 
 
 def missing_seconds(evidence):
--- a/packages/policy/ibisring_policy/gateway/tests/test_losses.py
+++ b/packages/policy/ibisring_policy/gateway/tests/test_losses.py
@@ -137,3 +137,42 @@
     evidence.ran_seconds += losses.missing_seconds(evidence) + 1e-9
     assert losses.judge(evidence) is losses.Verdict.LOST
     assert losses.missing_seconds(evidence) == 0.0
+
+
+LIMITS = strategies.floats(0.035, losses.MAX_LIMIT_SECONDS)
+RUNS = strategies.floats(0.0, 2.0 * losses.MAX_LIMIT_SECONDS)
+
+
+@hypothesis.given(LIMITS, RUNS, strategies.booleans())
+def test_silence_without_an_acknowledgement_is_lost_at_its_limit(
+    limit, ran, many
+):
+    """Guards against a dark or cut engine that is found later."""
+    evidence = losses.Evidence(ran, limit, True, is_one_of_many=many)
+    factor = losses.MANY_FACTOR if many else 1.0
+    enough = min(losses.MAX_LIMIT_SECONDS, factor * limit)
+    is_lost = losses.judge(evidence) is losses.Verdict.LOST
+    assert is_lost == (ran >= losses.ENOUGH_SHARE * enough)
+
+
+@hypothesis.given(LIMITS, RUNS, strategies.booleans())
+def test_acknowledged_silence_is_lost_after_the_longer_limit(limit, ran, many):
+    """Guards against a hung process that is never found."""
+    evidence = losses.Evidence(
+        ran, limit, True, is_one_of_many=many, is_acknowledged=True
+    )
+    shortest = losses.ENOUGH_SHARE * losses.ACKNOWLEDGED_LIMIT_SECONDS
+    is_lost = losses.judge(evidence) is losses.Verdict.LOST
+    assert not (is_lost and ran < shortest)
+    assert is_lost or ran < losses.MAX_LIMIT_SECONDS
+    evidence.ran_seconds += losses.missing_seconds(evidence) + 1e-9
+    assert losses.judge(evidence) is losses.Verdict.LOST
+
+
+@pytest.mark.parametrize(
+    'sign', [{'is_refused': True}, {'has_failed': True}], ids=str
+)
+def test_failed_query_is_a_loss_though_its_bytes_were_acknowledged(sign):
+    """Guards against a process that ended and is found later."""
+    evidence = losses.Evidence(0.0, 0.1, True, is_acknowledged=True, **sign)
+    assert losses.judge(evidence) is losses.Verdict.LOST
