Status queries: pass on whether the host acknowledged them

The port raises ProcessSilent for a query that timed out though the engine's host had acknowledged it. The query that ended last decides, for checks of streams, for engines that are asked again, and for streams that go by the judgement of others. no_status and silence_judged show it, the counters losses.acknowledged.proven and .undecided count it.

In virtual time an engine that stands still alone for 0.1, 0.16 or 0.24 s is not lost (lost with the judgement of before), one that hangs for good is found within 0.35 s of its first query, one without an acknowledgement at the first check, as before.

--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -93,9 +93,18 @@
         None before.
     reply : Reply or None
         None until it has ended.
+    is_acknowledged : bool
+        Whether it timed out although the engine's host has acknowledged it.
     """
 
-    __slots__ = ('future', 'timeout', 'sent_at', 'ended_at', 'reply')
+    __slots__ = (
+        'future',
+        'timeout',
+        'sent_at',
+        'ended_at',
+        'reply',
+        'is_acknowledged',
+    )
 
     def __init__(self, timeout):
         self.future = None
@@ -103,6 +112,7 @@
         self.sent_at = None
         self.ended_at = None
         self.reply = None
+        self.is_acknowledged = False
 
     @property
     def is_answered(self):
@@ -289,7 +299,7 @@
     def _run(self, endpoint, query):
         """Run a query in a thread of a pool."""
         query.sent_at = self.clock()
-        reply = self._status(endpoint, query.timeout)
+        reply = self._status(endpoint, query)
         query.ended_at = self.clock()
         query.reply = reply
         return reply
@@ -361,7 +371,12 @@
         since = self.judge.open_since(endpoint.id)
         if since is None:
             return None
-        evidence = self.judge.evidence(endpoint.id, since, self.usual_limit())
+        evidence = self.judge.evidence(
+            endpoint.id,
+            since,
+            self.usual_limit(),
+            is_acknowledged=self.judge.is_acknowledged(endpoint.id),
+        )
         if losses.judge(evidence) is losses.Verdict.UNDECIDED:
             return Reply.UNDECIDED
         self.judge.judge(endpoint.id, evidence, since)
@@ -381,6 +396,7 @@
             is_refused=reply is Reply.REFUSED,
             has_failed=all(q.has_failed for q in sent),
             is_one_of_many=is_many,
+            is_acknowledged=_is_last_acknowledged(sent),
         )
         verdict = self.judge.judge(endpoint.id, evidence, since)
         if verdict is losses.Verdict.UNDECIDED:
@@ -397,21 +413,23 @@
 
     def refresh_slowdown(self, endpoint):
         """Query a slow endpoint's status in the background."""
-        self.pool.submit(self._status, endpoint, PROBE_TIMEOUT_SECONDS)
+        self.pool.submit(self._status, endpoint, Query(PROBE_TIMEOUT_SECONDS))
 
-    def _status(self, endpoint, timeout):
+    def _status(self, endpoint, query):
         self.metrics.count('status_asked')
         started_at = self.clock()
         try:
-            status = self.engines.status(endpoint, timeout)
+            status = self.engines.status(endpoint, query.timeout)
         except exceptions.IbisringError as error:
+            query.is_acknowledged = isinstance(error, ports.ProcessSilent)
             logs.event(
                 LOG,
                 'no_status',
                 endpoint=endpoint.id,
-                limit_ms=round(timeout * MS_PER_SECOND),
+                limit_ms=round(query.timeout * MS_PER_SECOND),
                 took_ms=round((self.clock() - started_at) * MS_PER_SECOND),
                 late_ms=self.view.late_ms(started_at),
+                acknowledged=query.is_acknowledged,
                 why=error.detail,
             )
             is_refused = isinstance(error, ports.ConnectionRefused)
@@ -436,7 +454,7 @@
     def _probe(self, endpoint):
         started_at = self.clock()
         limit = self.judge.limit_seconds(PROBE_TIMEOUT_SECONDS)
-        reply = self._status(endpoint, limit)
+        reply = self._status(endpoint, Query(limit))
         alive = reply is Reply.ANSWERED
         now = self.clock()
         with self.view.lock:
@@ -489,6 +507,13 @@
     return query.future.running()
 
 
+def _is_last_acknowledged(queries):
+    """Return whether the query that ended last was acknowledged."""
+    ended = [query for query in queries if query.ended_at is not None]
+    last = max(ended, key=lambda query: query.ended_at, default=None)
+    return last is not None and last.is_acknowledged
+
+
 def make_status_querier(view, engines, metrics):
     """Make a `StatusQuerier`."""
     return StatusQuerier(view, engines, metrics)
--- a/packages/gateway/ibisring_gateway/lossjudging.py
+++ b/packages/gateway/ibisring_gateway/lossjudging.py
@@ -33,6 +33,8 @@
     ----------
     silent_since : dict of str to float
         Engines that are asked again, and when their silence began.
+    acknowledged : set of str
+        Those of them whose hosts have acknowledged the last query.
     engines_heard : callable
         Returns the engines of which an event has come since a time.
     """
@@ -43,6 +45,7 @@
         self.limit = losses.make_silence_limit()
         self.lock = threading.Lock()
         self.silent_since = {}
+        self.acknowledged = set()
         self.engines_heard = lambda since: frozenset()
 
     def limit_seconds(self, usual):
@@ -121,6 +124,9 @@
         verdict = losses.judge(evidence)
         kind = 'proven' if verdict is losses.Verdict.LOST else 'undecided'
         self.metrics.count(f'losses.{kind}')
+        if evidence.is_acknowledged:
+            self.metrics.count(f'losses.acknowledged.{kind}')
+        self._note_acknowledgement(name, verdict, evidence)
         logs.event(
             LOG,
             'silence_judged',
@@ -128,6 +134,7 @@
             verdict=verdict.value,
             refused=evidence.is_refused,
             failed=evidence.has_failed,
+            acknowledged=evidence.is_acknowledged,
             ran_ms=round(evidence.ran_seconds * MS_PER_SECOND),
             limit_ms=round(losses.required_seconds(evidence) * MS_PER_SECOND),
             hears_others=evidence.hears_others,
@@ -136,6 +143,21 @@
         )
         return verdict
 
+    def _note_acknowledgement(self, name, verdict, evidence):
+        is_open = verdict is losses.Verdict.UNDECIDED
+        with self.lock:
+            self.acknowledged.discard(name)
+            if is_open and evidence.is_acknowledged:
+                self.acknowledged.add(name)
+
+    def is_acknowledged(self, name):
+        """Return whether an undecided engine's host acknowledged a query.
+
+        The last query decides.
+        """
+        with self.lock:
+            return name in self.acknowledged
+
     def note_lost(self, endpoint, since, evidence):
         """Take an engine out whose loss is proven."""
         by_silence = not (evidence.is_refused or evidence.has_failed)
@@ -183,6 +205,7 @@
         """Record that an engine is no longer asked again."""
         with self.lock:
             self.silent_since.pop(name, None)
+            self.acknowledged.discard(name)
 
     def note_answer(self, name, took, usual):
         """Record an answer to a status query; it refutes a loss.
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -10,6 +10,7 @@
     'HistoryExpired',
     'CallCancelled',
     'ConnectionRefused',
+    'ProcessSilent',
     'Source',
     'LeaseTable',
     'RouterRow',
@@ -51,6 +52,13 @@
     remedy = 'look for the end of the process in the log of its VM'
 
 
+class ProcessSilent(exceptions.PlatformUnavailable):
+    """An engine's host has acknowledged a query that nobody answered."""
+
+    code = 'process_silent'
+    remedy = 'look at the load of the VM and at what its process waits for'
+
+
 class Removed(msgspec.Struct, frozen=True):
     """An entry that was deleted at the store."""
 
@@ -206,6 +214,9 @@
         ------
         ConnectionRefused
             The connection was refused or reset.
+        ProcessSilent
+            The query was acknowledged by the engine's host, and not answered
+            in time.
         PlatformUnavailable
             The engine could not be reached or its answer not decoded.
         """
--- a/packages/gateway/ibisring_gateway/reasking.py
+++ b/packages/gateway/ibisring_gateway/reasking.py
@@ -210,6 +210,7 @@
             is_refused=query.is_refused,
             has_failed=query.has_failed,
             is_one_of_many=case.is_one_of_many,
+            is_acknowledged=query.is_acknowledged,
         )
         verdict = self.judge.judge(endpoint.id, evidence, case.since)
         case.timeout = _next_timeout(case.timeout, evidence)
--- a/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
+++ b/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
@@ -18,6 +18,8 @@
 import pytest
 
 ANSWER_SECONDS = 0.01
+# A check's queries run beside the clock, which stands still for them.
+CHECK_SECONDS = 0.1
 
 
 class _Engines(builders.Engines):
@@ -31,6 +33,9 @@
         Addresses that never answer.
     refusing : set of str
         Addresses that refuse connections.
+    pauses : dict of str to float
+        Addresses whose processes stand still, and until when; their hosts
+        acknowledge queries.
     """
 
     def __init__(self, clock, health):
@@ -40,6 +45,7 @@
         self.stalls = []
         self.dark = set()
         self.refusing = set()
+        self.pauses = {}
 
     def status(self, endpoint, timeout):
         self.queried.append(endpoint.address)
@@ -47,7 +53,10 @@
             raise ports.ConnectionRefused(endpoint.address)
         due = self.clock.now + timeout
         delay = self.delays.get(endpoint.address, ANSWER_SECONDS)
-        answers_at = self.clock.now + delay
+        answers_at = max(
+            self.clock.now, self.pauses.get(endpoint.address, 0.0)
+        )
+        answers_at += delay
         for start, end in self.stalls:
             if self.clock.now <= start < answers_at:
                 # The router wakes up first, and has not run for `end - start`.
@@ -55,6 +64,8 @@
         is_late = answers_at > due or endpoint.address in self.dark
         wanted = due if is_late else answers_at
         self.clock.now = self._pass_stalls(wanted)
+        if is_late and endpoint.address in self.pauses:
+            raise ports.ProcessSilent(endpoint.address)
         if is_late:
             raise exceptions.PlatformUnavailable(endpoint.address)
         return ports.EngineStatus(orders=1, busy=False, holding=None)
@@ -204,6 +215,59 @@
     assert 0.035 < limit <= losses.MAX_LIMIT_SECONDS
 
 
+@pytest.mark.parametrize('seconds', [0.05, 0.1, 0.16, 0.24])
+def test_process_that_stands_still_alone_is_not_lost(scenario, seconds):
+    """Guards against sound engines lost on a busy machine."""
+    scenario.engines.pauses['m:1'] = scenario.clock.now + 0.1 + seconds
+    assert not scenario.check()
+    scenario.clock.now += CHECK_SECONDS
+    scenario.ask_again(3)
+    assert not scenario.asked_again
+    assert not scenario.dead() and not scenario.told()
+
+
+def test_other_streams_wait_for_a_process_that_stands_still(scenario):
+    """Guards against a loss found by a stream that asks no query itself."""
+    scenario.engines.pauses['m:1'] = scenario.clock.now + 0.26
+    assert not scenario.check()
+    assert not scenario.check()
+    scenario.clock.now += CHECK_SECONDS
+    scenario.ask_again(3)
+    assert not scenario.dead() and not scenario.told()
+
+
+def test_process_that_stands_still_for_good_is_lost(scenario):
+    """Guards against streams that wait for a hung process."""
+    started = scenario.clock.now + 0.1
+    scenario.engines.pauses['m:1'] = float('inf')
+    assert not scenario.check()
+    scenario.clock.now += CHECK_SECONDS
+    scenario.ask_again(1)
+    assert scenario.dead() == scenario.told() == {'m'}
+    assert scenario.clock.now - started < 0.35
+
+
+def test_silence_without_an_acknowledgement_is_lost_in_time(scenario):
+    """Guards against a dark host that is found later than before."""
+    started = scenario.clock.now + 0.1
+    scenario.engines.dark.add('m:1')
+    assert scenario.check() == {'m'}
+    assert scenario.clock.now - started < 0.12
+
+
+def test_host_that_goes_dark_after_an_acknowledgement_is_lost(scenario):
+    """Guards against an acknowledgement that outlives its host."""
+    started = scenario.clock.now + 0.1
+    scenario.engines.pauses['m:1'] = float('inf')
+    assert not scenario.check()
+    scenario.clock.now += CHECK_SECONDS
+    del scenario.engines.pauses['m:1']
+    scenario.engines.dark.add('m:1')
+    scenario.ask_again(1)
+    assert scenario.dead() == {'m'}
+    assert scenario.clock.now - started < 0.35
+
+
 def test_refused_connection_is_a_loss_at_once(scenario):
     """Guards against a control that delays the plainest sign of an end."""
     scenario.engines.refusing.add('h:1')
