Record a position only after the directory has been told what was read

Cause: a follower recorded the position of a page before it handed the page to the directory. Changes of a reader that follow that position were accepted in between and reached the directory first, which then ignored the page as old. In the same way an answer could overtake changes of a reader whose position was recorded first.

Change: the page is told before its position is recorded, and changes are told with the lock held, before theirs is.

Measured: the three new cases fail with the old order and pass with the new one; tests of storefollowing, peers, gossip, directory, store_outages and large_fleets pass (172 in all).

--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -267,20 +267,19 @@
         name = TABLE if changes.is_table else ENDPOINTS
         index = self.view.snapshot.index
         items = changes.items(index.table if index else None)
-        if items is None or not self.peers.followers.apply_changes(
-            name, changes
-        ):
+        if items is None:
             return
         _, position, newest = changes.positions
-        self.tell_directory(
-            directory.ReadResult(
-                items,
-                False,
-                origin=f'router {message.router}',
-                is_table=changes.is_table,
-                position=position,
-                newest_version=newest,
-            )
+        result = directory.ReadResult(
+            items,
+            False,
+            origin=f'router {message.router}',
+            is_table=changes.is_table,
+            position=position,
+            newest_version=newest,
+        )
+        self.peers.followers.apply_changes(
+            name, changes, lambda: self.tell_directory(result)
         )
 
     def _apply_confirmation(self, message):
--- a/packages/gateway/ibisring_gateway/storefollowing.py
+++ b/packages/gateway/ibisring_gateway/storefollowing.py
@@ -128,7 +128,6 @@
             newest = page.position
             self.has_gap = False
         self.followers.note_era(positions.era(page.position))
-        self.followers.record_read(self, page.position, whole or changed)
         self.followers.answered(self.name, changed)
         if changed and not whole:
             # Before it is applied here, as the change is encoded as a
@@ -144,6 +143,10 @@
                 newest_version=newest,
             )
         )
+        # Only now: changes that follow the page may reach the directory as
+        # soon as its position is known, and the directory ignores a page that
+        # comes after newer changes.
+        self.followers.record_read(self, page.position, whole or changed)
         return changed
 
     def advance(self, position, changed):
@@ -297,13 +300,19 @@
         if is_stable and self.role() is storereaders.Role.READS:
             self.publish(page, before, is_table)
 
-    def apply_changes(self, name, changes):
+    def apply_changes(self, name, changes, tell):
         """Apply a reader's changes; False if earlier ones are missing.
 
+        They are handed over before their position is recorded, with the lock
+        held.  Otherwise the answer to a call from that position could reach
+        the directory first, which would then ignore the changes.
+
         Parameters
         ----------
         name : str
         changes : changes.Changes
+        tell : callable
+            Hands the changes over to the directory without blocking.
 
         Returns
         -------
@@ -314,6 +323,7 @@
             before, position, _ = changes.positions
             if follower.position is None or before > follower.position:
                 return False
+            tell()
             if position > follower.position:
                 follower.advance(position, True)
             return True
--- a/packages/gateway/ibisring_gateway/tests/test_peers.py
+++ b/packages/gateway/ibisring_gateway/tests/test_peers.py
@@ -205,7 +205,9 @@
     router_peers._apply_state('r1', state)
     for name, before in ((peers.ENDPOINTS, 20), (peers.TABLE, 19)):
         message = changes.Changes(name == peers.TABLE, before, 25, 25)
-        assert router_peers.followers.apply_changes(name, message)
+        assert router_peers.followers.apply_changes(
+            name, message, lambda: None
+        )
 
 
 def test_store_and_peers_are_queried_alternately():
--- a/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
@@ -2,6 +2,7 @@
 
 import threading
 
+from ibisring_gateway import changes as changes_module
 from ibisring_gateway import directory
 from ibisring_gateway import ports
 from ibisring_gateway import storefollowing
@@ -130,6 +131,53 @@
     assert messages[-1].newest_version == 0
 
 
+def _changes(before, position):
+    return changes_module.Changes(False, before, position, position)
+
+
+@pytest.mark.parametrize('known', [None, 5])
+def test_changes_do_not_overtake_the_page_that_they_follow(known):
+    """Guards against a page that is ignored since newer changes came first.
+
+    Another router's changes arrive while the page is handed to the directory.
+    """
+    followers, _ = _followers()
+    endpoints = followers.members['endpoints']
+    endpoints.position = known
+    told = []
+
+    def tell(message):
+        followers.apply_changes(
+            'endpoints', _changes(7, 9), lambda: told.append(9)
+        )
+        told.append(message.position)
+
+    endpoints.tell_directory = tell
+    endpoints.read_once()
+    assert told == [7]
+    followers.apply_changes(
+        'endpoints', _changes(7, 9), lambda: told.append(9)
+    )
+    assert told == [7, 9] and endpoints.position == 9
+
+
+def test_no_call_begins_after_changes_that_are_not_told():
+    """Guards against changes that are ignored since a newer page came first.
+
+    A call from their position begins while they are handed to the directory.
+    """
+    followers, _ = _followers()
+    endpoints = followers.members['endpoints']
+    endpoints.position = 5
+    positions = []
+    followers.apply_changes(
+        'endpoints',
+        _changes(5, 9),
+        lambda: positions.append(endpoints.position),
+    )
+    assert positions == [5] and endpoints.position == 9
+
+
 def test_polling_slot_may_depend_on_the_store_status():
     """Failure: deadlock, after which a router never calls the store again.
 
