Service calls: bound an answer by the request's deadline alone

What callers saw: a service answer that arrives slowly, or that a late router reads late, ended as lost after the attempt's timeout, though each byte came in time. Cause: gave the whole answer the time of the wait for its next bytes. Change: the answer has the time until the request's deadline; the wait for the next bytes keeps its timeout. The cases of endless answers now have that deadline, with the same bounds.

--- a/packages/router/ibisring_router/servicecalls.py
+++ b/packages/router/ibisring_router/servicecalls.py
@@ -141,7 +141,6 @@
 
     def _send(self, request, attempt, endpoint):
         seconds_left = max(0.001, request.deadline - self.clock())
-        timeout = min(seconds_left, self.timeout)
         address = endpoint.spec.address
         try:
             # A new connection: if a kept-alive one is closed on reuse, it is
@@ -156,8 +155,8 @@
                     services.ATTEMPT_HEADER: str(attempt),
                 },
                 fresh=True,
-                read_timeout=timeout,
-                answer_seconds=timeout,
+                read_timeout=min(seconds_left, self.timeout),
+                answer_seconds=seconds_left,
             )
             data = calls.read_all(response, address)
         except calls.NotSent as error:
--- a/packages/router/ibisring_router/tests/test_endless_answers.py
+++ b/packages/router/ibisring_router/tests/test_endless_answers.py
@@ -1,5 +1,7 @@
 """Tests of endpoints whose answers to attempts never end."""
 
+import socket
+import threading
 import time
 import types
 
@@ -21,6 +23,9 @@
 MARGIN_SECONDS = 1.0
 SECONDS = 3 * READ_SECONDS + MARGIN_SECONDS
 STREAM_SECONDS = 4 * READ_SECONDS
+# An answer of which each byte comes in time, and all take three timeouts.
+SLOW_ANSWER = b'"slowly"'
+BYTE_SECONDS = 3 * READ_SECONDS / len(SLOW_ANSWER)
 PACES = pytest.mark.parametrize('pace', endlessbytes.PACES)
 KINDS = pytest.mark.parametrize('kind', endlessbytes.KINDS)
 HEADS = ['no-line-end', 'header-line', 'headers', 'interim']
@@ -43,7 +48,7 @@
         """Ignore an endpoint's load."""
 
 
-def _call_service(address):
+def _call_service(address, seconds=READ_SECONDS):
     runner = servicecalls.make_runner(
         _OneEndpoint(address),
         calls.make_caller(READ_SECONDS),
@@ -56,13 +61,37 @@
         admission.Target(service='s'),
         rank=0,
         weight=1.0,
-        deadline=time.monotonic() + 60.0,
+        deadline=time.monotonic() + seconds,
         idempotent=False,
         body=msgspec.Raw(b'{}'),
     )
     return runner.run(request, lambda: False)
 
 
+@pytest.fixture
+def slow_service():
+    listener = socket.create_server(('127.0.0.1', 0))
+    thread = threading.Thread(target=_answer_slowly, args=(listener,))
+    thread.start()
+    host, port = listener.getsockname()
+    yield f'{host}:{port}'
+    thread.join()
+    listener.close()
+
+
+def _answer_slowly(listener):
+    conn, _ = listener.accept()
+    with conn:
+        data = b''
+        while not data.endswith(b'{}'):
+            data += conn.recv(4096)
+        length = len(SLOW_ANSWER)
+        conn.sendall(b'HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n' % length)
+        for byte in SLOW_ANSWER:
+            time.sleep(BYTE_SECONDS)
+            conn.sendall(bytes([byte]))
+
+
 def _generate(address):
     client = engineclient.make_engine_client(READ_SECONDS, READ_SECONDS)
     stages = [engines.Stage('e1', address, 0, 1)]
@@ -82,6 +111,12 @@
         _call_service(server.address)
 
 
+def test_slow_service_answer_is_whole_before_the_deadline(slow_service):
+    """Guards against an answer that is dropped while it still arrives."""
+    answer = _call_service(slow_service, seconds=60.0)
+    assert bytes(answer.body) == SLOW_ANSWER
+
+
 @PACES
 @KINDS
 def test_error_of_an_engine_without_end_is_lost(kind, pace):
