--- a/packages/policy/ibisring_policy/gateway/estimates.py
+++ b/packages/policy/ibisring_policy/gateway/estimates.py
@@ -618,6 +618,8 @@
         for estimate in self.by_endpoint.values():
             if not estimate.dead or estimate.dead_from_peer:
                 continue
+            if not _is_open(estimate, now):
+                continue
             begin = estimate.dead_at - LATE_SPAN_SECONDS
             end = min(now, estimate.dead_at + LATE_SPAN_SECONDS)
             if health.lateness(begin, end) >= LATE_SECONDS:
@@ -755,6 +757,13 @@
         self.max_memory_use = max(shares, default=0.0)
 
 
+def _is_open(estimate, now):
+    """Return whether `confirm_losses` can still change what is told."""
+    if estimate.found_late:
+        return estimate.confirmed_at is None
+    return now - estimate.dead_at < MAX_UNCONFIRMED_SECONDS
+
+
 def _is_confirmed(estimate, now, health):
     """Return whether a loss that was found late has held for long enough."""
     if now - estimate.dead_at >= MAX_UNCONFIRMED_SECONDS:
