Status queries say what they are for

Change: a Purpose on each query, in the no_status line and in the metrics (status_asked.PURPOSE); Query and Reply move out of enginestatus into a module of their own.

--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -1,21 +1,15 @@
 """Status queries to engines, and the health updates that result."""
 
-__all__ = [
-    'Query',
-    'Reply',
-    'StatusQuerier',
-    'are_many',
-    'make_status_querier',
-]
+__all__ = ['StatusQuerier', 'are_many', 'make_status_querier']
 
 import concurrent.futures
-import enum
 import logging
 import random
 
 from ibisring_gateway import lossjudging
 from ibisring_gateway import ports
 from ibisring_gateway import reasking
+from ibisring_gateway import statusqueries
 from ibisring_gateway import workerpool
 from ibisring_policy.gateway import adaptivetimeout
 from ibisring_policy.gateway import estimates
@@ -60,77 +54,10 @@
 # up the threads of second queries.
 MAX_CONTROL_SECONDS = 0.25
 CONTROL_INTERVAL_SECONDS = 0.1
-# Share of its timeout at which a query has ended by the timeout, and not by
-# another failure.
-TIMED_OUT_SHARE = 0.8
 MS_PER_SECOND = 1000.0
 ANY = concurrent.futures.FIRST_COMPLETED
-
-
-class Reply(enum.Enum):
-    """What status queries showed; `NOT_SENT` if no thread was free.
-
-    Where engines are judged, `NONE` is a proven loss, and `UNDECIDED` a
-    silence that proves nothing.
-    """
-
-    ANSWERED = 'answered'
-    REFUSED = 'refused'
-    NONE = 'none'
-    UNDECIDED = 'undecided'
-    NOT_SENT = 'not_sent'
-
-
-class Query:
-    """A status query, which may still be waiting for a thread.
-
-    Attributes
-    ----------
-    future : concurrent.futures.Future
-        Its result is a `Reply`.
-    timeout : float
-    sent_at, ended_at : float or None
-        None before.
-    reply : Reply or None
-        None until it has ended.
-    is_acknowledged : bool
-        Whether it timed out although the engine's host has acknowledged it.
-    """
-
-    __slots__ = (
-        'future',
-        'timeout',
-        'sent_at',
-        'ended_at',
-        'reply',
-        'is_acknowledged',
-    )
-
-    def __init__(self, timeout):
-        self.future = None
-        self.timeout = timeout
-        self.sent_at = None
-        self.ended_at = None
-        self.reply = None
-        self.is_acknowledged = False
-
-    @property
-    def is_answered(self):
-        """Whether it has been answered."""
-        return self.reply is Reply.ANSWERED
-
-    @property
-    def is_refused(self):
-        """Whether its connection was refused."""
-        return self.reply is Reply.REFUSED
-
-    @property
-    def has_failed(self):
-        """Whether it ended before its timeout without an answer."""
-        if self.ended_at is None:
-            return False
-        took = self.ended_at - self.sent_at
-        return took < TIMED_OUT_SHARE * self.timeout
+FIRST = statusqueries.Purpose.FIRST
+SECOND = statusqueries.Purpose.SECOND
 
 
 class StatusQuerier:
@@ -211,7 +138,7 @@
         has_answers = has_answers or any(map(_is_answered, first.values()))
         seconds = _second_timeout(timeout, has_answers)
         second = {
-            e.id: self._share_query(e, seconds, 2)
+            e.id: self._share_query(e, seconds, SECOND)
             for e in endpoints
             if _is_undecided(first[e.id])
         }
@@ -266,7 +193,7 @@
         others = running or others
         count = min(MAX_CONTROLS, len(others))
         for each in self.rng.sample(others, count):
-            self._share_query(each, timeout, 2)
+            self._share_query(each, timeout, statusqueries.Purpose.CONTROL)
 
     def _may_ask_controls(self):
         now = self.clock()
@@ -276,7 +203,7 @@
             self.controls_at = now
         return True
 
-    def _share_query(self, endpoint, timeout, number=1):
+    def _share_query(self, endpoint, timeout, purpose=FIRST):
         """Query an endpoint's status, or share a query just sent.
 
         Returns
@@ -284,14 +211,14 @@
         Query
         """
         shared, pool = self.recent_queries, self.pool
-        if number == 2:
+        if purpose is not FIRST:
             shared, pool = self.recent_second_queries, self.second_pool
         now = self.clock()
         with self.view.lock:
             recent = shared.get(endpoint.id)
             if recent is not None and now - recent[0] < SHARED_SECONDS:
                 return recent[1]
-            query = Query(timeout)
+            query = statusqueries.Query(timeout, purpose)
             query.future = pool.submit(self._run, endpoint, query)
             shared[endpoint.id] = now, query
             return query
@@ -304,14 +231,14 @@
         query.reply = reply
         return reply
 
-    def ask(self, endpoint, timeout):
+    def ask(self, endpoint, timeout, purpose):
         """Query an endpoint in the caller's thread.
 
         Returns
         -------
         Query
         """
-        query = Query(timeout)
+        query = statusqueries.Query(timeout, purpose)
         self._run(endpoint, query)
         return query
 
@@ -324,18 +251,18 @@
         """
         if second is None:
             reply = self._raw_reply(first)
-            if reply is not Reply.NONE:
+            if reply is not statusqueries.Reply.NONE:
                 return [first], reply
             # The first query had to wait for a free thread.
-            second = self._share_query(endpoint, seconds, 2)
+            second = self._share_query(endpoint, seconds, SECOND)
         both = [first, second]
         _wait(both, self._longest_wait(*both), ANY)
         if _is_answered(first):
-            return both, Reply.ANSWERED
+            return both, statusqueries.Reply.ANSWERED
         reply = self._raw_reply(second)
-        if reply is Reply.NONE and _is_answered(first):
-            return both, Reply.ANSWERED
-        if reply is Reply.ANSWERED:
+        if reply is statusqueries.Reply.NONE and _is_answered(first):
+            return both, statusqueries.Reply.ANSWERED
+        if reply is statusqueries.Reply.ANSWERED:
             with self.view.lock:
                 self.timeout.false_timeout()
         return both, reply
@@ -357,7 +284,7 @@
             return query.future.result(timeout=self._longest_wait(query))
         except concurrent.futures.TimeoutError:
             LOG.debug('status query timed out waiting for a free thread')
-            return Reply.NOT_SENT
+            return statusqueries.Reply.NOT_SENT
 
     def _longest_wait(self, *queries):
         return max(4 * MAX_TIMEOUT_SECONDS, *(2 * q.timeout for q in queries))
@@ -378,10 +305,10 @@
             is_acknowledged=self.judge.is_acknowledged(endpoint.id),
         )
         if losses.judge(evidence) is losses.Verdict.UNDECIDED:
-            return Reply.UNDECIDED
+            return statusqueries.Reply.UNDECIDED
         self.judge.judge(endpoint.id, evidence, since)
         self.judge.note_lost(endpoint, since, evidence)
-        return Reply.NONE
+        return statusqueries.Reply.NONE
 
     def _judge(self, endpoint, queries, reply, is_many):
         """Return the judgement of an engine that has not answered."""
@@ -393,7 +320,7 @@
             since,
             self.usual_limit(),
             max(ends, default=0.0),
-            is_refused=reply is Reply.REFUSED,
+            is_refused=reply is statusqueries.Reply.REFUSED,
             has_failed=all(q.has_failed for q in sent),
             is_one_of_many=is_many,
             is_acknowledged=_is_last_acknowledged(sent),
@@ -401,7 +328,11 @@
         verdict = self.judge.judge(endpoint.id, evidence, since)
         if verdict is losses.Verdict.UNDECIDED:
             self.reasker.ask_again(endpoint, since, evidence)
-            return reply if reply is Reply.REFUSED else Reply.UNDECIDED
+            return (
+                reply
+                if reply is statusqueries.Reply.REFUSED
+                else statusqueries.Reply.UNDECIDED
+            )
         self.judge.note_lost(endpoint, since, evidence)
         if self.judge.is_lost_by_silence(endpoint.id):
             self.reasker.watch_recovery(endpoint)
@@ -413,10 +344,13 @@
 
     def refresh_slowdown(self, endpoint):
         """Query a slow endpoint's status in the background."""
-        self.pool.submit(self._status, endpoint, Query(PROBE_TIMEOUT_SECONDS))
+        query = statusqueries.Query(
+            PROBE_TIMEOUT_SECONDS, statusqueries.Purpose.PACE
+        )
+        self.pool.submit(self._status, endpoint, query)
 
     def _status(self, endpoint, query):
-        self.metrics.count('status_asked')
+        self.metrics.count(f'status_asked.{query.purpose}')
         started_at = self.clock()
         try:
             status = self.engines.status(endpoint, query.timeout)
@@ -426,6 +360,7 @@
                 LOG,
                 'no_status',
                 endpoint=endpoint.id,
+                purpose=query.purpose,
                 limit_ms=round(query.timeout * MS_PER_SECOND),
                 took_ms=round((self.clock() - started_at) * MS_PER_SECOND),
                 late_ms=self.view.late_ms(started_at),
@@ -433,14 +368,18 @@
                 why=error.detail,
             )
             is_refused = isinstance(error, ports.ConnectionRefused)
-            return Reply.REFUSED if is_refused else Reply.NONE
+            return (
+                statusqueries.Reply.REFUSED
+                if is_refused
+                else statusqueries.Reply.NONE
+            )
         self.on_answer(endpoint, started_at)
         took = self.clock() - started_at
         with self.view.lock:
             self.timeout.answered(took)
         self.judge.note_answer(endpoint.id, took, MAX_TIMEOUT_SECONDS)
         self._record_slowdown(endpoint, status)
-        return Reply.ANSWERED
+        return statusqueries.Reply.ANSWERED
 
     def _record_slowdown(self, endpoint, status):
         now = self.clock()
@@ -454,8 +393,9 @@
     def _probe(self, endpoint):
         started_at = self.clock()
         limit = self.judge.limit_seconds(PROBE_TIMEOUT_SECONDS)
-        reply = self._status(endpoint, Query(limit))
-        alive = reply is Reply.ANSWERED
+        query = statusqueries.Query(limit, statusqueries.Purpose.PROBE)
+        reply = self._status(endpoint, query)
+        alive = reply is statusqueries.Reply.ANSWERED
         now = self.clock()
         with self.view.lock:
             if alive:
@@ -471,7 +411,7 @@
         )
 
 
-_UNANSWERED = (Reply.NONE, Reply.REFUSED)
+_UNANSWERED = (statusqueries.Reply.NONE, statusqueries.Reply.REFUSED)
 
 
 def are_many(silent, asked):
@@ -497,13 +437,16 @@
 
 def _is_answered(query):
     """Return whether a query has been answered by now."""
-    return query.future.done() and query.future.result() is Reply.ANSWERED
+    return (
+        query.future.done()
+        and query.future.result() is statusqueries.Reply.ANSWERED
+    )
 
 
 def _is_undecided(query):
     """Return whether a query leaves open whether its endpoint is lost."""
     if query.future.done():
-        return query.future.result() is Reply.NONE
+        return query.future.result() is statusqueries.Reply.NONE
     return query.future.running()
 
 
--- a/packages/gateway/ibisring_gateway/reasking.py
+++ b/packages/gateway/ibisring_gateway/reasking.py
@@ -5,6 +5,7 @@
 import random
 import threading
 
+from ibisring_gateway import statusqueries
 from ibisring_gateway import workerpool
 from ibisring_policy.gateway import losses
 from ibisring_router import guards
@@ -29,6 +30,9 @@
 # Longest timeout in seconds, also of the query that shows whether an engine
 # that is lost by its silence has only paused.
 MAX_TIMEOUT_SECONDS = 1.0
+AGAIN = statusqueries.Purpose.AGAIN
+REPORTED = statusqueries.Purpose.REPORTED
+RECOVERY = statusqueries.Purpose.RECOVERY
 
 
 class _Case:
@@ -134,7 +138,7 @@
         try:
             self.sleep(case.pause)
             if not self.stopped.is_set():
-                self.querier.ask(case.endpoint, case.timeout)
+                self.querier.ask(case.endpoint, case.timeout, RECOVERY)
         finally:
             self.judge.end_silence(case.endpoint.id)
 
@@ -196,7 +200,8 @@
         if endpoint.id not in self.view.snapshot.endpoints:
             return False
         self._ask_controls(case)
-        query = self.querier.ask(endpoint, case.timeout)
+        purpose = REPORTED if case.since is None else AGAIN
+        query = self.querier.ask(endpoint, case.timeout, purpose)
         if query.is_answered:
             return False
         if case.since is None:
--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -12,6 +12,7 @@
 
 from ibisring_gateway import enginestatus
 from ibisring_gateway import ports
+from ibisring_gateway import statusqueries
 from ibisring_gateway import workerpool
 from ibisring_policy.gateway import attempts
 from ibisring_records import routing
@@ -416,7 +417,7 @@
 
         That is no proof against them.
         """
-        unknown = enginestatus.Reply.UNDECIDED
+        unknown = statusqueries.Reply.UNDECIDED
         silent = lost | {n for n, r in replies.items() if r is unknown}
         if not enginestatus.are_many(silent, replies):
             return False
@@ -446,10 +447,10 @@
 
     def _is_loss(self, reply):
         """Return whether a reply shows that an engine is lost."""
-        if reply is enginestatus.Reply.NOT_SENT:
+        if reply is statusqueries.Reply.NOT_SENT:
             # This router lacked a free thread; the next check asks again.
             return not self.is_adaptive
-        return reply in (enginestatus.Reply.NONE, enginestatus.Reply.REFUSED)
+        return reply in (statusqueries.Reply.NONE, statusqueries.Reply.REFUSED)
 
     def _proven_alive(self, attempt):
         """Return the stages of other requests that had an event just now.
@@ -628,7 +629,7 @@
 
 
 def _is_any_unknown(replies):
-    unknown = enginestatus.Reply.UNDECIDED, enginestatus.Reply.NOT_SENT
+    unknown = statusqueries.Reply.UNDECIDED, statusqueries.Reply.NOT_SENT
     return any(reply in unknown for reply in replies.values())
 
 
--- a/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
+++ b/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
@@ -8,6 +8,7 @@
 from ibisring_gateway import gossipmessages
 from ibisring_gateway import ports
 from ibisring_gateway import selecting
+from ibisring_gateway import statusqueries
 from ibisring_gateway.tests import builders
 from ibisring_gateway.tests import slowload
 from ibisring_gateway.tests import test_selecting
@@ -398,7 +399,7 @@
         started = time.monotonic()
         replies = querier.check([ends[0], ends[1], ends[12]])
         assert time.monotonic() - started < 0.5
-        assert replies['x12'] is not enginestatus.Reply.NOT_SENT
+        assert replies['x12'] is not statusqueries.Reply.NOT_SENT
     finally:
         querier.stop()
 
--- a/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
+++ b/packages/gateway/ibisring_gateway/tests/test_slow_engines.py
@@ -11,6 +11,7 @@
 from ibisring_gateway import selecting
 from ibisring_gateway import settings
 from ibisring_gateway import stalls
+from ibisring_gateway import statusqueries
 from ibisring_gateway.tests import builders
 from ibisring_gateway.tests import slowload
 from ibisring_gateway.tests import test_stalls
@@ -113,7 +114,7 @@
     )
     event_times._first_seconds = lambda *chain: 0.3
     handler.querier.check = lambda endpoints, *options: {
-        e.id: enginestatus.Reply.ANSWERED for e in endpoints
+        e.id: statusqueries.Reply.ANSWERED for e in endpoints
     }
     while attempt.result is None and clock.now < attempt.sent_at + 3.0:
         clock.now = attempt.check_at
@@ -162,8 +163,8 @@
         replies = querier.check(endpoints)
         elapsed.append(time.monotonic() - started)
         querier.stop()
-        assert replies['x'] is enginestatus.Reply.NONE
-        assert replies['y'] is enginestatus.Reply.ANSWERED
+        assert replies['x'] is statusqueries.Reply.NONE
+        assert replies['y'] is statusqueries.Reply.ANSWERED
         longest = seconds + enginestatus.MAX_EXTRA_SECONDS
         first, second = engines.timeouts
         assert first <= longest
@@ -198,7 +199,7 @@
 
     def check(endpoints, is_confirmed, has_answers):
         told.append(has_answers)
-        return {e.id: enginestatus.Reply.ANSWERED for e in endpoints}
+        return {e.id: statusqueries.Reply.ANSWERED for e in endpoints}
 
     scenario.handler.querier.check = check
     scenario.handler._find_lost(scenario.attempt)
@@ -220,7 +221,7 @@
         querier._share_query(silent, 0.5, 2)
     started = time.monotonic()
     replies = querier.check([running], is_confirmed=False)
-    assert replies['y'] is enginestatus.Reply.ANSWERED
+    assert replies['y'] is statusqueries.Reply.ANSWERED
     assert time.monotonic() - started < 0.3
     querier.stop()
 
@@ -234,7 +235,7 @@
     attempt.expected_seconds = 0.1
     attempt.is_behind = True
     scenario.handler.querier.check = lambda endpoints, *options: {
-        e.id: enginestatus.Reply.NOT_SENT for e in endpoints
+        e.id: statusqueries.Reply.NOT_SENT for e in endpoints
     }
     scenario.handler._check_stages(attempt)
     assert attempt.result is None and not attempt.is_behind
@@ -250,11 +251,11 @@
     engines = _Hanging(answers=1)
     engines.unreachable.add('x:1')
     querier, endpoints = _querier(engines)
-    assert querier.check(endpoints)['x'] is enginestatus.Reply.ANSWERED
+    assert querier.check(endpoints)['x'] is statusqueries.Reply.ANSWERED
     engines.timeouts.clear()
     querier.recent_queries.clear()
     reply = querier.check(endpoints, is_confirmed=False)['x']
-    assert reply is enginestatus.Reply.NONE
+    assert reply is statusqueries.Reply.NONE
     querier.stop()
 
 
@@ -266,7 +267,7 @@
 
     engines = _Refusing()
     querier, endpoints = _querier(engines)
-    assert querier.check(endpoints)['x'] is enginestatus.Reply.REFUSED
+    assert querier.check(endpoints)['x'] is statusqueries.Reply.REFUSED
     assert sorted(engines.queried) == ['x:1', 'y:1']
     querier.stop()
 
