Bound what all routers together ask a silent engine

Callers saw streams that ended at their deadline, half told, while routers were restarted in turn on a busy machine though every engine was sound (LOST).

Cause: sound engines of one process stand still together for a second, as other work takes their processor time. Every router then asks every engine: controls each 0.1 s, silent engines again and again, lost ones as a probe. 40 routers send 16 engines 600 to 1,500 queries a second that stay unanswered; what they cost is the time that the engines lack, so that the state doesn't end. Nothing bounded the sum over all routers.

Evidence: the no_status lines by purpose. Of 42,234 in 51 s, again 13,497, control 13,165, probe 7,328; 7,833 verdicts were undecided as nobody was heard.

Change: a token bucket for each engine (queryrate), filled at a router's equal part of 10 a second for all; an answer gives the token back. Engines that are asked anyway are no controls. Reports of losses are asked about over a span that grows with the fleet, and no more once another router has heard the engine.

Why this works: a silent engine gets 4 queries of each router, and then 10 a second of all, whatever their number, and so gets its time back.

False losses are fewer, not gone.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -363,6 +363,7 @@
         self.connections.close_except(usable)
         with self.view.lock:
             self.view.estimates.retain(usable)
+            self.view.query_rate.retain(usable)
             self.view.limits.keep_only(usable)
             for endpoint in usable.values():
                 self.view.limits.record_start(endpoint.id, endpoint.started)
--- a/packages/gateway/ibisring_gateway/enginestatus.py
+++ b/packages/gateway/ibisring_gateway/enginestatus.py
@@ -185,7 +185,7 @@
         others = [
             each
             for each in self.view.snapshot.endpoints.values()
-            if each.id not in asked and each.holding is not None
+            if each.id not in asked and self._may_be_control(each)
         ]
         with self.view.lock:
             is_dead = self.view.estimates.is_dead
@@ -195,6 +195,12 @@
         for each in self.rng.sample(others, count):
             self._share_query(each, timeout, statusqueries.Purpose.CONTROL)
 
+    def _may_be_control(self, endpoint):
+        """Return whether an engine is due and not asked anyway."""
+        if endpoint.holding is None or self.judge.is_asked(endpoint.id):
+            return False
+        return not self.wait_seconds(endpoint)
+
     def _may_ask_controls(self):
         now = self.clock()
         with self.view.lock:
@@ -219,10 +225,25 @@
             if recent is not None and now - recent[0] < SHARED_SECONDS:
                 return recent[1]
             query = statusqueries.Query(timeout, purpose)
+            wait = self.view.query_rate.wait_seconds(endpoint.id, now)
+            if purpose is FIRST and wait:
+                self.metrics.count('status_deferred')
+                query.reject()
+                return query
+            self.view.query_rate.take(endpoint.id, now)
             query.future = pool.submit(self._run, endpoint, query)
             shared[endpoint.id] = now, query
             return query
 
+    def wait_seconds(self, endpoint):
+        """Return the seconds until this router may ask an engine."""
+        with self.view.lock:
+            return self.view.query_rate.wait_seconds(endpoint.id, self.clock())
+
+    def _take(self, endpoint):
+        with self.view.lock:
+            self.view.query_rate.take(endpoint.id, self.clock())
+
     def _run(self, endpoint, query):
         """Run a query in a thread of a pool."""
         query.sent_at = self.clock()
@@ -239,6 +260,7 @@
         Query
         """
         query = statusqueries.Query(timeout, purpose)
+        self._take(endpoint)
         self._run(endpoint, query)
         return query
 
@@ -339,11 +361,17 @@
         return reply
 
     def probe(self, endpoint):
-        """Probe an unreachable endpoint in the background."""
+        """Probe an unreachable endpoint in the background, if it is due."""
+        if self.wait_seconds(endpoint):
+            return
+        self._take(endpoint)
         self.pool.submit(self._probe, endpoint)
 
     def refresh_slowdown(self, endpoint):
-        """Query a slow endpoint's status in the background."""
+        """Query a slow endpoint's status in the background, if it is due."""
+        if self.wait_seconds(endpoint):
+            return
+        self._take(endpoint)
         query = statusqueries.Query(
             PROBE_TIMEOUT_SECONDS, statusqueries.Purpose.PACE
         )
@@ -368,6 +396,8 @@
                 why=error.detail,
             )
             is_refused = isinstance(error, ports.ConnectionRefused)
+            if is_refused:
+                self._give_back(endpoint)
             return (
                 statusqueries.Reply.REFUSED
                 if is_refused
@@ -375,12 +405,18 @@
             )
         self.on_answer(endpoint, started_at)
         took = self.clock() - started_at
+        self._give_back(endpoint)
         with self.view.lock:
             self.timeout.answered(took)
         self.judge.note_answer(endpoint.id, took, MAX_TIMEOUT_SECONDS)
         self._record_slowdown(endpoint, status)
         return statusqueries.Reply.ANSWERED
 
+    def _give_back(self, endpoint):
+        """Don't count a query that has cost the engine hardly any time."""
+        with self.view.lock:
+            self.view.query_rate.give_back(endpoint.id, self.clock())
+
     def _record_slowdown(self, endpoint, status):
         now = self.clock()
         with self.view.lock:
--- a/packages/gateway/ibisring_gateway/lossjudging.py
+++ b/packages/gateway/ibisring_gateway/lossjudging.py
@@ -201,6 +201,11 @@
             since = self.silent_since.get(name, math.inf)
         return None if math.isinf(since) else since
 
+    def is_asked(self, name):
+        """Return whether an engine is asked again, or will be."""
+        with self.lock:
+            return name in self.silent_since
+
     def end_silence(self, name):
         """Record that an engine is no longer asked again."""
         with self.lock:
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -387,12 +387,13 @@
         self.placer.tell(placing.CheckPlacement())
 
     def _update_fleet(self):
-        """Tell the budgets of links how many routers share them."""
+        """Tell the budgets that all routers share how many there are."""
         now = time.monotonic()
         counts = self.peers.peer_reports.router_counts(now)
         total = self.peers.max_routers(now)
         with self.view.lock:
             self.view.domain_links.set_fleet(counts, total, now)
+            self.view.query_rate.routers = total
 
     def _run_periodic_checks(self):
         """Run each check, also if one before it failed."""
--- a/packages/gateway/ibisring_gateway/reasking.py
+++ b/packages/gateway/ibisring_gateway/reasking.py
@@ -17,8 +17,12 @@
 # cause, and a long one is answered whenever the engine is.
 TIMEOUT_FACTOR = 4.0
 # Span in seconds over which routers spread their queries of an engine whose
-# loss one of them has reported to all at the same moment.
+# loss one of them has reported to all at the same moment: at least, and for
+# each router.
 SPREAD_SECONDS = 0.05
+SPREAD_PER_ROUTER_SECONDS = 0.0025
+# Longest pause until a case that has to wait for its turn is looked at again.
+MAX_TURN_PAUSE_SECONDS = 0.25
 # Seconds until an engine is asked again whose query failed, as the next one
 # fails as fast, and until one that is lost is asked: its last query may still
 # be answered.
@@ -49,12 +53,26 @@
         See `losses.Evidence`.
     pause : float
         Seconds until the next query.
+    is_report : bool
+        Whether only another router has found it silent.
+    waiting_since : float or None
+        Since when it has waited for its turn.
     """
 
-    __slots__ = ('endpoint', 'since', 'timeout', 'is_one_of_many', 'pause')
+    __slots__ = (
+        'endpoint',
+        'since',
+        'timeout',
+        'is_one_of_many',
+        'pause',
+        'is_report',
+        'waiting_since',
+    )
 
     def __init__(self, endpoint, since, timeout, is_one_of_many, pause=0.0):
         self.endpoint = endpoint
+        self.is_report = since is None
+        self.waiting_since = None
         self.pause = pause
         self.since = since
         self.timeout = timeout
@@ -137,7 +155,8 @@
     def _await_recovery(self, case):
         try:
             self.sleep(case.pause)
-            if not self.stopped.is_set():
+            is_due = not self.querier.wait_seconds(case.endpoint)
+            if is_due and not self.stopped.is_set():
                 self.querier.ask(case.endpoint, case.timeout, RECOVERY)
         finally:
             self.judge.end_silence(case.endpoint.id)
@@ -150,12 +169,16 @@
                 continue
             if not self.judge.note_silent(name, float('inf')):
                 continue
-            pause = self.rng.uniform(0.0, SPREAD_SECONDS)
+            pause = self.rng.uniform(0.0, self._spread_seconds())
             timeout = self._first_timeout()
             self._submit(
                 self._ask, _Case(endpoint, None, timeout, False, pause)
             )
 
+    def _spread_seconds(self):
+        routers = self.view.query_rate.routers
+        return max(SPREAD_SECONDS, SPREAD_PER_ROUTER_SECONDS * routers)
+
     def _first_timeout(self):
         usual = self.querier.usual_limit()
         return max(MIN_TIMEOUT_SECONDS, self.judge.limit_seconds(usual))
@@ -191,16 +214,47 @@
         if not self.judge.hears_others(case.endpoint.id, since):
             self.querier.ask_controls([case.endpoint], case.timeout)
 
+    def _is_worth_asking(self, case):
+        name = case.endpoint.id
+        if name not in self.view.snapshot.endpoints:
+            return False
+        if not case.is_report or case.since is not None:
+            return True
+        # Another router may have heard it since.
+        with self.view.lock:
+            return self.view.estimates.is_dead(name)
+
+    def _wait_for_turn(self, case, seconds):
+        """Keep a case that may not be asked yet; return whether it is open.
+
+        Its silence begins anew with the next query: nobody listens meanwhile.
+        """
+        name = case.endpoint.id
+        if case.waiting_since is None:
+            self.querier.metrics.count('status_deferred')
+            case.waiting_since = self.view.clock()
+            case.since = None
+            case.timeout = MAX_TIMEOUT_SECONDS
+            self.judge.begin_silence(name, float('inf'))
+        elif name in self.judge.engines_heard(case.waiting_since):
+            return False
+        case.pause = min(MAX_TURN_PAUSE_SECONDS, seconds)
+        return True
+
     def _is_undecided(self, case):
         """Ask an engine, and return whether that decides nothing."""
         endpoint = case.endpoint
         self.sleep(case.pause)
         if self.stopped.is_set():
             return False
-        if endpoint.id not in self.view.snapshot.endpoints:
+        if not self._is_worth_asking(case):
             return False
+        wait = self.querier.wait_seconds(endpoint)
+        if wait:
+            return self._wait_for_turn(case, wait)
+        case.waiting_since = None
         self._ask_controls(case)
-        purpose = REPORTED if case.since is None else AGAIN
+        purpose = REPORTED if case.is_report else AGAIN
         query = self.querier.ask(endpoint, case.timeout, purpose)
         if query.is_answered:
             return False
--- a/packages/gateway/ibisring_gateway/statusqueries.py
+++ b/packages/gateway/ibisring_gateway/statusqueries.py
@@ -2,6 +2,7 @@
 
 __all__ = ['Purpose', 'Query', 'Reply']
 
+import concurrent.futures
 import enum
 
 # Share of its timeout at which a query has ended by the timeout, and not by
@@ -79,6 +80,11 @@
         self.reply = None
         self.is_acknowledged = False
 
+    def reject(self):
+        """End it without sending it."""
+        self.future = concurrent.futures.Future()
+        self.future.set_result(Reply.NOT_SENT)
+
     @property
     def is_answered(self):
         """Whether it has been answered."""
--- a/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
+++ b/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
@@ -80,7 +80,7 @@
         return until
 
 
-class _Scenario:
+class Scenario:
     """Engines `h`, `m` and `t` of a stream, spare `m2`, in virtual time."""
 
     def __init__(self):
@@ -145,7 +145,7 @@
 
 @pytest.fixture
 def scenario():
-    return _Scenario()
+    return Scenario()
 
 
 @pytest.mark.parametrize('seconds', [0.15, 0.5, 2.0])
@@ -406,7 +406,7 @@
 
 def test_loss_behind_a_refusal_is_told_and_probed():
     """Guards against a loss that this router alone knows, for 4 s."""
-    scenario = _Scenario()
+    scenario = Scenario()
     view = scenario.view
     selector = selecting.make_selector(view)
     selector.on_reported = scenario.querier.reasker.check_reports
@@ -435,7 +435,7 @@
     stall, is_many
 ):
     """Guards against losses told by a router whose machine is full."""
-    scenario = _Scenario()
+    scenario = Scenario()
     judge, now = scenario.querier.judge, scenario.clock.now
     scenario.view.health.begin_wait(now - stall)
     scenario.view.health.end_wait(now)
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -17,6 +17,7 @@
 from ibisring_policy.gateway import links
 from ibisring_policy.gateway import localhealth
 from ibisring_policy.gateway import promptparts
+from ibisring_policy.gateway import queryrate
 from ibisring_policy.gateway import rankshares
 from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import relays
@@ -104,7 +105,7 @@
     ----------
     lock : threading.Lock
         Guards `estimates`, `suspects`, `parts`, `limits`, `fairness`, `links`,
-        `domain_links`, `relays` and `rank_shares`.
+        `domain_links`, `relays`, `query_rate` and `rank_shares`.
     health : localhealth.LocalHealth
         How late this process runs; needs no lock.
     link_budgets : bool
@@ -131,6 +132,7 @@
         self.fairness = fairness.make_fairness()
         self.limits = ratelimits.make_limits(name, domain)
         self.links = links.make_links()
+        self.query_rate = queryrate.make_query_rate()
         self.domain_links = domainlinks.make_domain_links(
             name, domain, random.Random().random
         )
