--- a/packages/soak/ibisring_soak/tests/test_relayed.py
+++ b/packages/soak/ibisring_soak/tests/test_relayed.py
@@ -17,6 +17,9 @@
 # Streams at a time, and their events: about a second's.
 STREAMS = 12
 SHORT_STREAM = 60
+# For which sound engines fall silent, and before which event.
+PAUSE_SECONDS = 1.3
+PAUSED_EVENT = 10
 
 
 @pytest.fixture(scope='module')
@@ -151,6 +154,39 @@
     assert complete == whole
 
 
+@pytest.fixture
+def pausing(world):
+    """Have each stream pause once."""
+    for engine in world.site.engines.values():
+        engine.pauses = {PAUSED_EVENT: PAUSE_SECONDS}
+    yield
+    for engine in world.site.engines.values():
+        engine.pauses = {}
+
+
+@pytest.mark.parametrize('is_ending', [False, True])
+@pytest.mark.parametrize('path', ['/stream/x', '/single/x'])
+def test_streams_by_another_router_outlive_pauses(
+    world, pausing, path, is_ending
+):
+    """Guards against a router that ends what another one still carries."""
+    cut(world, 1)
+    names = [f'p{path[1:3]}{is_ending:d}-{n}' for n in range(STREAMS)]
+    port = world.routers[0].process.caller_port
+    with concurrent.futures.ThreadPoolExecutor(STREAMS) as pool:
+        calls = [pool.submit(fetch, port, path, name) for name in names]
+        running.wait_for(
+            lambda: {run[0] for run in world.site.preempted} >= set(names),
+            'not all pause',
+        )
+        if is_ending:
+            carrier(world, names[0]).send_signal(signal.SIGTERM)
+        replies = [call.result() for call in calls]
+    words = [f'word-{n}' for n in range(1, SHORT_STREAM + 1)]
+    assert all(reply.complete for reply in replies)
+    assert all(reply.event_data() == words for reply in replies)
+
+
 def fetch(port, path, name):
     """Request a stream that ends within the time to shut down."""
     headers = running.headers(name, SHORT_STREAM)
