A status query that is put off is no loss

Cause: a query that queryrate puts off had the reply NOT_SENT, which counts as a loss where slow engines are not told from lost ones (slow_detection=fixed).

Change: a reply of its own, NOT_DUE, which is unknown in both modes.

Measured: the new test fails in 1 of 2 cases (fixed) with NOT_SENT, and passes in both now. No deployment sets the mode; with the default, adaptive, what follows from the two replies is the same.

--- a/packages/gateway/ibisring_gateway/stalls.py
+++ b/packages/gateway/ibisring_gateway/stalls.py
@@ -629,8 +629,14 @@
 
 
 def _is_any_unknown(replies):
-    unknown = statusqueries.Reply.UNDECIDED, statusqueries.Reply.NOT_SENT
-    return any(reply in unknown for reply in replies.values())
+    return any(reply in _UNKNOWN for reply in replies.values())
+
+
+_UNKNOWN = (
+    statusqueries.Reply.UNDECIDED,
+    statusqueries.Reply.NOT_SENT,
+    statusqueries.Reply.NOT_DUE,
+)
 
 
 def make_stall_handler(view, engines, selector, watcher, metrics):
--- a/packages/gateway/ibisring_gateway/statusqueries.py
+++ b/packages/gateway/ibisring_gateway/statusqueries.py
@@ -11,8 +11,10 @@
 
 
 class Reply(enum.Enum):
-    """What status queries showed; `NOT_SENT` if none was sent in time.
+    """What status queries showed.
 
+    `NOT_SENT` if no thread was free in time, `NOT_DUE` if the engine has been
+    asked as often as it may be without an answer (see `queryrate`).
     Where engines are judged, `NONE` is a proven loss, and `UNDECIDED` a
     silence that proves nothing.
     """
@@ -22,6 +24,7 @@
     NONE = 'none'
     UNDECIDED = 'undecided'
     NOT_SENT = 'not_sent'
+    NOT_DUE = 'not_due'
 
 
 class Purpose(enum.StrEnum):
@@ -81,9 +84,9 @@
         self.is_acknowledged = False
 
     def reject(self):
-        """End it without sending it."""
+        """End it without sending it: its engine may not be asked yet."""
         self.future = concurrent.futures.Future()
-        self.future.set_result(Reply.NOT_SENT)
+        self.future.set_result(Reply.NOT_DUE)
 
     @property
     def is_answered(self):
--- a/packages/gateway/ibisring_gateway/tests/test_askrates.py
+++ b/packages/gateway/ibisring_gateway/tests/test_askrates.py
@@ -54,3 +54,16 @@
     scenario.engines.dark -= {'h:1', 't:1', 'm2:1'}
     _ask_silent(scenario, 2.5 * routers / queryrate.FLEET_QUERIES_PER_SECOND)
     assert scenario.dead() == {'m'}
+
+
+@pytest.mark.parametrize('mode', [True, False])
+def test_engine_that_may_not_be_asked_yet_is_not_lost(mode):
+    """Guards against a query that was put off and counts as a loss."""
+    scenario = test_lossjudging.Scenario()
+    scenario.site.selector.event_times.is_adaptive = mode
+    scenario.view.query_rate.routers = 195
+    for _ in range(round(queryrate.BURST)):
+        scenario.view.query_rate.take('m', scenario.clock.now)
+    assert scenario.check() is None
+    assert 'm:1' not in scenario.engines.queried
+    assert not scenario.dead()
