--- a/packages/gateway/ibisring_gateway/tests/test_directory.py
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -2,10 +2,13 @@
 
 from ibisring_gateway import directory
 from ibisring_gateway import ports
+from ibisring_gateway import storefollowing
 from ibisring_gateway.tests import builders
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
+from ibisring_policy.gateway import polling
 from ibisring_policy.gateway import positions
+from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import routing
 import pytest
@@ -301,3 +304,43 @@
     view.clock.now += 2.3
     actor.on_tick(directory.Tick())
     assert set(view.snapshot.endpoints) == {'y'}
+
+
+def test_confirmation_by_a_router_that_started_hides_no_removal():
+    """Guards against removed endpoints that stay in use for good."""
+    started, started_view, _ = _make_directory()
+    behind, behind_view, _ = _make_directory()
+    _read_table(started, 1)
+    _read_table(behind, 1)
+    _read_endpoints(
+        behind, [build.endpoint('x'), build.endpoint('y')], position=5
+    )
+    # x is removed at 7; what is left last changed at 3.
+    source = ports.Page(9, [build.endpoint('y')], 3)
+    followers = storefollowing.make_followers(
+        polling.Fleet, lambda: storereaders.Role.READS, builders.Clock()
+    )
+    followers.add('endpoints', _WholeSource(source), False, started.on_read)
+    followers.members['endpoints'].read_once()
+    told = started_view.snapshot
+    behind.on_confirmed(
+        directory.Confirmed(1, 0, told.newest_version, told.position, 0.0)
+    )
+    known = behind_view.snapshot
+    assert known.position < 7 or set(known.endpoints) == {'y'}
+
+
+class _WholeSource(ports.Source):
+    """Answers each read of a table with one page."""
+
+    def __init__(self, page):
+        self.page = page
+
+    def read_all(self):
+        return self.page
+
+    def changes(self, position, wait):
+        return self.page
+
+    def cancel_call(self):
+        """Do nothing: no call hangs."""
