--- a/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
+++ b/packages/gateway/ibisring_gateway/tests/test_lossjudging.py
@@ -8,6 +8,7 @@
 from ibisring_gateway import gossipmessages
 from ibisring_gateway import ports
 from ibisring_gateway import selecting
+from ibisring_gateway import statusqueries
 from ibisring_gateway.tests import builders
 from ibisring_gateway.tests import slowload
 from ibisring_gateway.tests import test_selecting
@@ -79,7 +80,7 @@
         return until
 
 
-class _Scenario:
+class Scenario:
     """Engines `h`, `m` and `t` of a stream, spare `m2`, in virtual time."""
 
     def __init__(self):
@@ -144,7 +145,7 @@
 
 @pytest.fixture
 def scenario():
-    return _Scenario()
+    return Scenario()
 
 
 @pytest.mark.parametrize('seconds', [0.15, 0.5, 2.0])
@@ -398,14 +399,14 @@
         started = time.monotonic()
         replies = querier.check([ends[0], ends[1], ends[12]])
         assert time.monotonic() - started < 0.5
-        assert replies['x12'] is not enginestatus.Reply.NOT_SENT
+        assert replies['x12'] is not statusqueries.Reply.NOT_SENT
     finally:
         querier.stop()
 
 
 def test_loss_behind_a_refusal_is_told_and_probed():
     """Guards against a loss that this router alone knows, for 4 s."""
-    scenario = _Scenario()
+    scenario = Scenario()
     view = scenario.view
     selector = selecting.make_selector(view)
     selector.on_reported = scenario.querier.reasker.check_reports
@@ -434,7 +435,7 @@
     stall, is_many
 ):
     """Guards against losses told by a router whose machine is full."""
-    scenario = _Scenario()
+    scenario = Scenario()
     judge, now = scenario.querier.judge, scenario.clock.now
     scenario.view.health.begin_wait(now - stall)
     scenario.view.health.end_wait(now)
