--- a/packages/gateway/ibisring_gateway/reasking.py
+++ b/packages/gateway/ibisring_gateway/reasking.py
@@ -54,7 +54,8 @@
     pause : float
         Seconds until the next query.
     is_report : bool
-        Whether only another router has found it silent.
+        Whether it began without a query of this router's own: as another
+        one reported a loss, or to see a lost engine answer again.
     waiting_since : float or None
         Since when it has waited for its turn.
     """
--- a/packages/gateway/ibisring_gateway/tests/test_askrates.py
+++ b/packages/gateway/ibisring_gateway/tests/test_askrates.py
@@ -56,11 +56,11 @@
     assert scenario.dead() == {'m'}
 
 
-@pytest.mark.parametrize('mode', [True, False])
-def test_engine_that_may_not_be_asked_yet_is_not_lost(mode):
+@pytest.mark.parametrize('is_adaptive', [True, False])
+def test_engine_that_may_not_be_asked_yet_is_not_lost(is_adaptive):
     """Guards against a query that was put off and counts as a loss."""
     scenario = test_lossjudging.Scenario()
-    scenario.site.selector.event_times.is_adaptive = mode
+    scenario.site.selector.event_times.is_adaptive = is_adaptive
     scenario.view.query_rate.routers = 195
     for _ in range(round(queryrate.BURST)):
         scenario.view.query_rate.take('m', scenario.clock.now)
--- a/packages/gateway/ibisring_gateway/tests/test_directory.py
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -306,6 +306,22 @@
     assert set(view.snapshot.endpoints) == {'y'}
 
 
+class _WholeSource(ports.Source):
+    """Answers each read of a table with one page."""
+
+    def __init__(self, page):
+        self.page = page
+
+    def read_all(self):
+        return self.page
+
+    def changes(self, position, wait):
+        return self.page
+
+    def cancel_call(self):
+        """Do nothing: no call hangs."""
+
+
 def test_confirmation_by_a_router_that_started_hides_no_removal():
     """Guards against removed endpoints that stay in use for good."""
     started, started_view, _ = _make_directory()
@@ -328,19 +344,3 @@
     )
     known = behind_view.snapshot
     assert known.position < 7 or set(known.endpoints) == {'y'}
-
-
-class _WholeSource(ports.Source):
-    """Answers each read of a table with one page."""
-
-    def __init__(self, page):
-        self.page = page
-
-    def read_all(self):
-        return self.page
-
-    def changes(self, position, wait):
-        return self.page
-
-    def cancel_call(self):
-        """Do nothing: no call hangs."""
