--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -27,7 +27,7 @@
 CHUNK_END = b'0\r\n\r\n'
 ids = itertools.count(1)
 # Third byte of the loopback addresses, for runs side by side.
-NET = int(os.environ.get('RIG_NET', '0'))
+NET = int(os.environ.get('RIG_NET', random.randrange(8, 250)))
 
 
 def free_ports(host, count):
