Claims of what did not change begin with the sender's own first read

Cause: gossip told "newest change N, read up to M", and receivers took it for "nothing changed after N up to M". Of a whole read N was the newest row that is left; a removal leaves no row, so that a router which had missed it moved its position past it. The same held for a whole read that changed nothing, which kept the N of before.

Change: one type for the claim (policy storereads.StoreRead: since, version, last change), made by Follower.claim and accepted by Follower.accept only. It vouches for a table that is known at `since` or later; a whole read begins at its own position, spans that meet are joined. The last change is told apart, so that a start makes nobody catch up. The field of older releases is now the start of the claim, which is safe there. A router of an older release vouches for nothing here and is no reader for a new one, as it is for one of an earlier era.

--- a/packages/gateway/ibisring_gateway/directory.py
+++ b/packages/gateway/ibisring_gateway/directory.py
@@ -31,7 +31,8 @@
     """Result of a read; `whole` if the items are the complete table.
 
     `origin` names the store or a peer router; `position` (see `positions`) is
-    that of the items, `newest_version` that of the newest one, `age` the
+    that of the items, `newest_version` that of the newest one, which says
+    nothing of what was removed before a whole read; `age` is the
     seconds since the store was read, `waited` the seconds that the call took.
     `unconfirmed` names the endpoints whose entries were missing there, but may
     be written again.
@@ -47,14 +48,21 @@
     newest_version: int = 0
     unconfirmed: list[str] = []
 
+    @property
+    def seen_since(self):
+        """Position after which every change has been seen."""
+        if self.whole:
+            return self.position
+        return self.newest_version or self.position
+
 
 class Confirmed(msgspec.Struct):
     """Versions that a router which reads the store has confirmed as current.
 
     `table_version` is that of the routing table, `table_position` the
     position up to which the table was read; `newest_version` is the position
-    at which endpoints last changed, `position` the one up to which they were
-    read; `age` is the seconds since these reads.
+    after which every change of endpoints was seen, `position` the one up to
+    which they were read; `age` is the seconds since these reads.
     """
 
     table_version: int
@@ -211,8 +219,7 @@
         """
         now = self.view.clock()
         if self.presence.expire(self._ran_until(now)):
-            before = self.view.snapshot
-            self._publish(now, 'time', before.endpoints_read_at, before)
+            self._publish_again(now, 'time')
 
     def _ran_until(self, now):
         """Return the time without what this process has just stood still.
@@ -229,10 +236,7 @@
         if self.presence.update_holding(
             message.id, message.started, message.holding
         ):
-            before = self.view.snapshot
-            self._publish(
-                self.view.clock(), 'engine', before.endpoints_read_at, before
-            )
+            self._publish_again(self.view.clock(), 'engine')
 
     def on_leaving_report(self, message):
         """Stop using an endpoint that says that it leaves.
@@ -242,10 +246,7 @@
         """
         now = self.view.clock()
         if self.presence.report_leaving(message.id, message.started, now):
-            before = self.view.snapshot
-            self._publish(
-                now, message.origin, before.endpoints_read_at, before
-            )
+            self._publish_again(now, message.origin)
 
     def _apply_table(self, table, origin):
         """Put a table in force unless it is older than the current one.
@@ -310,12 +311,20 @@
         else:
             changed = self._apply_each(message.items, now)
         changed |= self.presence.expire(self._ran_until(now))
-        if not changed and self.view.snapshot.endpoints_known:
-            self._replace(
-                endpoints_read_at=now - message.age, position=message.position
+        read_at = now - message.age
+        if changed or not self.view.snapshot.endpoints_known:
+            self._publish(
+                now,
+                message.origin,
+                read_at,
+                message.position,
+                message.seen_since,
             )
             return
-        self._publish(now, message.origin, now - message.age, message)
+        self._replace(endpoints_read_at=read_at, position=message.position)
+        if message.whole:
+            # What came and went between two whole reads was not seen.
+            self._replace(newest_version=message.seen_since)
 
     def _is_next_era(self, message):
         snapshot = self.view.snapshot
@@ -333,7 +342,18 @@
                 changed |= self.presence.put(item, now)
         return changed
 
-    def _publish(self, now, origin, read_at, versions):
+    def _publish_again(self, now, origin):
+        """Put endpoints in force that changed without a read."""
+        known = self.view.snapshot
+        self._publish(
+            now,
+            origin,
+            known.endpoints_read_at,
+            known.position,
+            known.newest_version or known.position,
+        )
+
+    def _publish(self, now, origin, read_at, position, seen_since):
         """Put the usable endpoints in force as a new snapshot.
 
         Parameters
@@ -342,8 +362,10 @@
         origin : str
         read_at : float
             When the store was read.
-        versions : ReadResult or view.Snapshot
-            Provides the store versions.
+        position : int
+            Position up to which it was read.
+        seen_since : int
+            Position after which every change was seen.
         """
         before = self.view.snapshot
         usable = self.presence.usable()
@@ -354,8 +376,8 @@
             unconfirmed=frozenset(self.presence.unconfirmed),
             leaving=self.presence.leaving(),
             endpoints_read_at=read_at,
-            position=versions.position,
-            newest_version=versions.newest_version or versions.position,
+            position=position,
+            newest_version=seen_since,
             endpoints_known=True,
             known_since=before.known_since if before.endpoints_known else now,
         )
--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -160,7 +160,8 @@
         """Add the versions of table and endpoints that are in force.
 
         Those only read are left out: they may not be applied yet, and
-        receivers would take them for known.
+        receivers would take them for known.  Claims are of the store, whether
+        or not this router has applied what it read.
         """
         snapshot = self.view.snapshot
         read_at = min(snapshot.table_read_at, snapshot.endpoints_read_at)
@@ -174,6 +175,7 @@
         era_start = positions.make(message.endpoints_era, 0)
         newest = max(snapshot.newest_version, era_start)
         message.endpoints_version = positions.version(newest)
+        message.reads = self.peers.followers.claims()
 
     def _repeat_share(self):
         """Return the share of messages that repeat old suspects and limits.
--- a/packages/gateway/ibisring_gateway/gossipmessages.py
+++ b/packages/gateway/ibisring_gateway/gossipmessages.py
@@ -9,6 +9,7 @@
 from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import ratelimits
 from ibisring_policy.gateway import storereaders
+from ibisring_policy.gateway import storereads
 from ibisring_policy.gateway import suspects as suspects_module
 from ibisring_records import received
 
@@ -32,7 +33,9 @@
     unreachable : list of str
         Engines that the sender has recently found unreachable.
     endpoints_version : int
-        Store version of the last change of endpoints known to the sender.
+        Store version after which the sender has seen every change of
+        endpoints, as in force there.  An older release sends the newest row
+        instead, which says nothing of removals; it is for older releases only.
     table_version : int
         Version of the routing table in force at the sender.
     slowdowns : dict of str to float
@@ -95,6 +98,9 @@
         Demand for links between failure domains in bytes per second: pair of
         domains, of new requests, of streams that continue.  None of an older
         release, which does not report it.
+    reads : dict of str to storereads.StoreRead
+        What the sender knows of each table.  An older release sends none; it
+        vouches for nothing.
     """
 
     router: received.Identifier
@@ -150,6 +156,7 @@
         ]
         | None
     ) = None
+    reads: dict[received.Name, storereads.StoreRead] = {}
 
     @property
     def era(self):
--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -137,14 +137,14 @@
     def _note_newer(self, message, now):
         """Record that the sender knows more than this router, if it does."""
         snapshot = self.view.snapshot
-        is_behind = message.newest_endpoints > max(
-            snapshot.newest_version, snapshot.position
-        )
-        if is_behind or message.table_version > snapshot.version:
-            versions = {
-                TABLE: message.table_version,
-                ENDPOINTS: message.newest_endpoints,
-            }
+        known = max(snapshot.newest_version, snapshot.position)
+        newest = message.newest_endpoints
+        if ENDPOINTS in message.reads:
+            # Of a router that has read the whole table, the other field is
+            # where it began, which is no change.
+            newest = message.reads[ENDPOINTS].change_position
+        if newest > known or message.table_version > snapshot.version:
+            versions = {TABLE: message.table_version, ENDPOINTS: newest}
             self.peers.note_newer(message.router, now, versions)
 
     def _credible(self, unreachable):
@@ -226,10 +226,11 @@
 
         One that knows an earlier era only, or is of a release that knows of
         none, sends no changes that could be applied here: it is no reader.
+        Nor is one of a release that vouches for no table.
         """
         own_era = positions.era(self.view.snapshot.position)
         store_access = message.store_access
-        if message.endpoints_era < own_era:
+        if message.endpoints_era < own_era or not message.reads:
             store_access = storereaders.StoreAccess.UNSURE
         report = peerreports.PeerReport(
             name=message.router,
@@ -296,24 +297,26 @@
         if message.table_era < positions.era(snapshot.table_position):
             return
         followers = self.peers.followers
+        claim = message.reads.get(ENDPOINTS)
+        if claim is None:
+            return
         if message.table_version == snapshot.version:
             followers.confirm(TABLE, message.read_table)
-        if message.newest_endpoints <= followers.position(ENDPOINTS):
-            followers.confirm(ENDPOINTS, message.read_endpoints)
+        followers.accept(ENDPOINTS, claim)
         age = message.age_ms / gossipmessages.SECOND_MS
-        if self._is_confirmed(message, age):
+        if self._is_confirmed(message, claim, age):
             return
         self.tell_directory(
             directory.Confirmed(
                 message.table_version,
                 message.read_table,
-                message.newest_endpoints,
-                message.read_endpoints,
+                claim.start,
+                claim.position,
                 age,
             )
         )
 
-    def _is_confirmed(self, message, age):
+    def _is_confirmed(self, message, claim, age):
         """Return whether a confirmation would change next to nothing.
 
         In a large failure domain they come many times more often than the
@@ -325,7 +328,7 @@
         )
         return (
             message.read_table <= snapshot.table_position
-            and message.read_endpoints <= snapshot.position
+            and claim.position <= snapshot.position
             and known_age < age + CONFIRMATION_SECONDS
         )
 
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -419,7 +419,7 @@
                     age=state.table_age,
                 )
             )
-            self.followers.confirm(TABLE, table_position, True)
+            self.followers.record_state(TABLE, table_position)
         if position > self.view.snapshot.position:
             self.tell_directory(
                 directory_module.ReadResult(
@@ -431,7 +431,7 @@
                     unconfirmed=state.unconfirmed,
                 )
             )
-            self.followers.confirm(ENDPOINTS, position, True)
+            self.followers.record_state(ENDPOINTS, position)
 
 
 def _wanted_texts(versions):
--- a/packages/gateway/ibisring_gateway/storefollowing.py
+++ b/packages/gateway/ibisring_gateway/storefollowing.py
@@ -12,6 +12,7 @@
 from ibisring_policy.gateway import polling as polling_module
 from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import storereaders
+from ibisring_policy.gateway import storereads
 from ibisring_records import exceptions
 from ibisring_router import guards
 from ibisring_router import logs
@@ -42,8 +43,10 @@
     position : int or None
         Position in the store (see `positions`) up to which this router knows
         the table.
-    changed_by : int
-        Position after which nothing changed up to `position`.
+    since : int
+        Position after which this router has seen every change.
+    last_change : int
+        Position of the newest change that it knows of.
     has_gap : bool
         Whether changes after the last known position can't be read any more.
     """
@@ -56,7 +59,8 @@
         self.tell_directory = tell_directory
         self.clock = followers.clock
         self.position = None
-        self.changed_by = 0
+        self.since = 0
+        self.last_change = 0
         self.has_gap = False
         self.call_started_at = 0.0
         self.is_stopped = False
@@ -113,7 +117,7 @@
         """
         self.call_started_at = self.clock()
         wait = self.followers.start_call(self.name)
-        position, before = self.position, self.changed_by
+        position, before = self.position, self.since
         whole = position is None
         if whole:
             page = self.source.read_all()
@@ -146,15 +150,42 @@
         # Only now: changes that follow the page may reach the directory as
         # soon as its position is known, and the directory ignores a page that
         # comes after newer changes.
-        self.followers.record_read(self, page.position, whole or changed)
+        last_change = page.position if changed and not whole else newest
+        self.followers.record_read(
+            self, page.position, whole or changed, last_change
+        )
         return changed
 
-    def advance(self, position, changed):
-        """Record that this router knows the table up to a version."""
+    def advance(self, position, changed, last_change=0):
+        """Record that this router knows the table up to a position."""
         if changed:
-            self.changed_by = max(self.changed_by, position)
+            self.since = max(self.since, position)
+        self.last_change = max(self.last_change, last_change)
         self.position = max(self.position or 0, position)
 
+    def claim(self):
+        """Return the `storereads.StoreRead` to tell, None before a read."""
+        if self.position is None:
+            return None
+        return storereads.make_read(
+            self.since, self.position, self.last_change
+        )
+
+    def accept(self, claim):
+        """Record what another router claims, if it vouches for this table.
+
+        Returns
+        -------
+        bool
+        """
+        if self.position is None or not claim.vouches_for(self.position):
+            return False
+        if claim.position >= self.since:
+            # The spans meet, so that together they are one.
+            self.since = min(self.since, claim.start)
+        self.advance(claim.position, False, claim.change_position)
+        return True
+
 
 class Followers:
     """The followers of one router, with a shared view of the store's health.
@@ -242,10 +273,10 @@
                 return 0.0
             return wait
 
-    def record_read(self, follower, position, changed):
-        """Record up to which version a table was read."""
+    def record_read(self, follower, position, changed, last_change):
+        """Record up to which position a table was read."""
         with self.lock:
-            follower.advance(position, changed)
+            follower.advance(position, changed, last_change)
 
     def note_era(self, era):
         """Note an era of the store, as it or another router named it.
@@ -325,23 +356,44 @@
                 return False
             tell()
             if position > follower.position:
-                follower.advance(position, True)
+                follower.advance(position, True, position)
             return True
 
-    def confirm(self, name, position, changed=False):
-        """Record that this router knows a table up to a position.
+    def record_state(self, name, position):
+        """Record that a table was fetched from another router."""
+        follower = self.members[name]
+        with self.lock:
+            if follower.position is not None:
+                follower.advance(position, True)
 
-        Parameters
-        ----------
-        name : str
-        position : int
-        changed : bool
-            Whether something may have changed since the last position.
-        """
+    def confirm(self, name, position):
+        """Record that the table known here is the one at a position."""
         follower = self.members[name]
         with self.lock:
             if follower.position is not None:
-                follower.advance(position, changed)
+                follower.advance(position, False)
+
+    def claims(self):
+        """Return what to tell others of the tables.
+
+        Returns
+        -------
+        dict of str to storereads.StoreRead
+        """
+        with self.lock:
+            claims = {n: each.claim() for n, each in self.members.items()}
+        return {name: claim for name, claim in claims.items() if claim}
+
+    def accept(self, name, claim):
+        """Record what another router claims of a table.
+
+        Returns
+        -------
+        bool
+            Whether the claim vouches for the table as it is known here.
+        """
+        with self.lock:
+            return self.members[name].accept(claim)
 
     def position(self, name):
         """Return the position up to which a table is known."""
--- a/packages/gateway/ibisring_gateway/tests/schedules.py
+++ b/packages/gateway/ibisring_gateway/tests/schedules.py
@@ -22,6 +22,9 @@
 RESTORE = 'restore'
 TABLE = 'table'
 ENDPOINTS = 'endpoints'
+# A change that removes an endpoint, which all routers knew, from the table of
+# endpoints.
+REMOVAL = 'removal'
 # Seconds that a run continues after the last change or failure.
 SETTLE_SECONDS = 8.0
 
--- a/packages/gateway/ibisring_gateway/tests/test_directory.py
+++ b/packages/gateway/ibisring_gateway/tests/test_directory.py
@@ -344,3 +344,13 @@
     )
     known = behind_view.snapshot
     assert known.position < 7 or set(known.endpoints) == {'y'}
+
+
+def test_whole_read_without_a_change_vouches_for_nothing_before_it():
+    """Guards against hiding what came and went between two whole reads."""
+    actor, view, _ = _make_directory()
+    for position in (5, 9):
+        _read_endpoints(actor, [build.endpoint('x')], position=position)
+    assert (view.snapshot.newest_version, view.snapshot.position) == (9, 9)
+    _read_endpoints(actor, [], whole=False, position=12)
+    assert (view.snapshot.newest_version, view.snapshot.position) == (9, 12)
--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -18,6 +18,7 @@
 from ibisring_policy.gateway import polling
 from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import storereaders
+from ibisring_policy.gateway import storereads
 from ibisring_policy.gateway import suspects
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_records import exceptions
@@ -194,6 +195,14 @@
         'reads_store': True,
     }
     message = gossipmessages.Message('r1', {}, [], **{**values, **changes})
+    if 'reads' not in changes:
+        message.reads = {
+            peers.ENDPOINTS: storereads.make_read(
+                message.newest_endpoints,
+                message.read_endpoints,
+                message.newest_endpoints,
+            )
+        }
     receiver.receive(message, ('127.0.0.1', 9))
     return receiver, told
 
@@ -233,6 +242,35 @@
         assert neighbour.store_access is access
 
 
+def test_router_of_a_release_that_vouches_for_nothing_is_no_reader():
+    """Guards against relying on a claim that counts no removals."""
+    receiver, told = _receive(
+        _view_in_era(2), position=150, endpoints_era=2, table_era=2, reads={}
+    )
+    now = receiver.view.clock()
+    (neighbour,) = receiver.peers.peer_reports.neighbours(now)
+    assert neighbour.store_access is storereaders.StoreAccess.UNSURE
+    assert told == []
+
+
+def test_whole_read_of_another_router_is_no_newer_change():
+    """Guards against calls of all routers whenever one starts."""
+    started = storereads.make_read(
+        positions.make(2, 150), positions.make(2, 150), positions.make(2, 140)
+    )
+    for claim, newest in ((started, None), (None, 'r1')):
+        reads = {peers.ENDPOINTS: claim} if claim else {}
+        receiver, _ = _receive(
+            _view_in_era(2),
+            position=150,
+            endpoints_version=150,
+            endpoints_era=2,
+            table_era=2,
+            reads=reads,
+        )
+        assert receiver.peers.catchup.newest_peer == newest
+
+
 def test_later_era_of_another_router_is_noted():
     receiver, _ = _receive(_view_in_era(2), endpoints_era=3)
     assert receiver.peers.followers.era == 3
--- a/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
@@ -8,7 +8,9 @@
 from ibisring_gateway import storefollowing
 from ibisring_gateway.tests import builders
 from ibisring_policy.gateway import polling
+from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import storereaders
+from ibisring_policy.gateway import storereads
 from ibisring_records import exceptions
 import pytest
 
@@ -285,3 +287,30 @@
     monkeypatch.setattr(followers, 'delay', delay)
     follower.run()
     assert [type(each) for each in messages] == [directory.ReadResult]
+
+
+def _claim(since, position, last_change=0):
+    return storereads.make_read(since, position, last_change)
+
+
+def test_claims_are_accepted_from_where_they_begin():
+    """Guards against passing over what was removed before a claim begins."""
+    followers, _ = _followers()
+    endpoints = followers.members['endpoints']
+    assert not followers.accept('endpoints', _claim(0, 9))
+    endpoints.read_once()
+    assert endpoints.position == 7
+    assert not followers.accept('endpoints', _claim(8, 12))
+    assert endpoints.position == 7
+    assert followers.accept('endpoints', _claim(3, 12))
+    assert followers.claims()['endpoints'] == _claim(3, 12)
+
+
+def test_claims_of_a_later_era_are_not_accepted():
+    """Guards against taking a restored store for one that never changed."""
+    followers, _ = _followers()
+    endpoints = followers.members['endpoints']
+    endpoints.read_once()
+    era = positions.make(1, 0)
+    assert not followers.accept('endpoints', _claim(era, era + 3))
+    assert endpoints.position == 7
--- a/packages/gateway/ibisring_gateway/tests/virtualfleet.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualfleet.py
@@ -24,6 +24,7 @@
 from ibisring_web import calls
 
 ENDPOINTS = schedules.ENDPOINTS
+REMOVAL = schedules.REMOVAL
 TABLE = schedules.TABLE
 # Seconds that a datagram takes, and the share lost on lossy links.
 DATAGRAM_SECONDS = 0.002
@@ -101,6 +102,7 @@
         scheduler = fleet.scheduler
         self.host = f'10.0.0.{number + 1}'
         self.number = number
+        self.store = fleet.store
         self.is_up = True
         self.settings = settings_module.Settings(
             router_id=f'r{number}',
@@ -152,7 +154,7 @@
         self.gossip.rotation.rng = self.gossip.rng
         scheduler.spawn(self.settings.router_id, self._tick)
         self.scheduler = scheduler
-        self.last_versions = {TABLE: 0, ENDPOINTS: 0}
+        self.last_versions = {TABLE: 0, ENDPOINTS: 0, REMOVAL: 0}
 
     def _tick(self):
         while True:
@@ -167,12 +169,22 @@
     def versions(self):
         """Return the version of each source in force."""
         snapshot = self.view.snapshot
-        found = snapshot.endpoints.get('x')
+        found = snapshot.endpoints.get(virtualstore.WRITTEN_NAME)
         return {
             TABLE: snapshot.version,
             ENDPOINTS: found.started if found else 0,
+            REMOVAL: self._removal_known(),
         }
 
+    def _removal_known(self):
+        """Return the number of the last removal, 0 if it is not known."""
+        snapshot = self.view.snapshot
+        removals = self.store.acknowledged[REMOVAL]
+        is_known = virtualstore.REMOVED_NAME in snapshot.endpoints
+        if is_known or not removals or not snapshot.endpoints_known:
+            return 0
+        return removals[-1][1]
+
 
 class Fleet:
     """All routers, the store, and the check of the guarantees."""
--- a/packages/gateway/ibisring_gateway/tests/virtualstore.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualstore.py
@@ -10,7 +10,11 @@
 from ibisring_records import exceptions
 
 ENDPOINTS = schedules.ENDPOINTS
+REMOVAL = schedules.REMOVAL
 TABLE = schedules.TABLE
+# The endpoint that is removed, and that whose entry is written again.
+REMOVED_NAME = 'y'
+WRITTEN_NAME = 'x'
 # Seconds that an answer takes.
 ANSWER_SECONDS = 0.004
 # Seconds beyond its wait after which a call times out.
@@ -44,7 +48,13 @@
         """Return the item that was written."""
         if self.source == TABLE:
             return build.table(self.number)
-        return build.endpoint('x', started=self.number)
+        if self.source == REMOVAL:
+            return ports.Removed(REMOVED_NAME)
+        return build.endpoint(WRITTEN_NAME, started=self.number)
+
+    def is_of(self, table):
+        """Return whether the write was to a table."""
+        return (self.source == TABLE) == (table == TABLE)
 
 
 class _Call:
@@ -84,7 +94,7 @@
         self.rng = rng
         self.log = []
         self.waiting = []
-        self.acknowledged = {TABLE: [], ENDPOINTS: []}
+        self.acknowledged = {TABLE: [], ENDPOINTS: [], REMOVAL: []}
         self.calls = 0
         self.era = 1
         self.writes = 0
@@ -214,18 +224,29 @@
         if self.failure_kind(call.number) == 'old':
             limit = self.scheduler.now - STALE_SECONDS
             visible = [entry for entry in visible if entry.at <= limit]
-        entries = [entry for entry in visible if entry.source == call.source]
+        entries = [entry for entry in visible if entry.is_of(call.source)]
         if call.after is None:
-            entries = entries[-1:]
-        else:
-            after = positions.version(call.after)
-            entries = [entry for entry in entries if entry.version > after]
+            return self._whole_page(call.source, visible, entries)
+        after = positions.version(call.after)
+        entries = [entry for entry in entries if entry.version > after]
         return ports.Page(
             self._position(visible[-1].version if visible else 0),
             [entry.item() for entry in entries],
             self._position(entries[-1].version) if entries else 0,
         )
 
+    def _whole_page(self, source, visible, entries):
+        """Return the rows that are left, as of the newest version."""
+        written = [entry for entry in entries if entry.source != REMOVAL]
+        items = [entry.item() for entry in written[-1:]]
+        if source == ENDPOINTS and len(written) == len(entries):
+            items.append(build.endpoint(REMOVED_NAME))
+        return ports.Page(
+            self._position(visible[-1].version if visible else 0),
+            items,
+            self._position(written[-1].version) if written else 0,
+        )
+
     def _position(self, version):
         return positions.make(self.era, version)
 
--- a/packages/gateway/ibisring_gateway/view.py
+++ b/packages/gateway/ibisring_gateway/view.py
@@ -62,7 +62,7 @@
     position : int
         Position in the store (see `positions`) of the endpoints.
     newest_version : int
-        Position at which endpoints last changed.
+        Position after which this router has seen every change of endpoints.
     table_position : int
         Position up to which the table is known.
     store_lost_at : float or None
