Routers that are told go by the age of what they know

Cause: a router that relies on readers had no bound on the age of what it was told. It read the store itself only when a reader no longer counted, 2.5 s after its last datagram, plus the next check. A reader that lives, but is cut off from the store or slow, counted all the while.

Change: each claim carries the store's own clock at the read, so that its age counts every delay on the way and no clocks of machines are compared (storeclock). A router that is told reads the store itself, once and without waiting, when what it knows of a table is too old (freshness); the routers begin in a random order, and the first ones tell the others. A router whose own call was just answered counts among those that the store serves, so that lost readers don't make the whole domain call. All times follow from the shorter of drain_ms and config_ms; the latter comes as a variable of the deploy file.

test_storefollowing: a test assumed that a router relies on readers though it has heard nothing for three seconds; it now reads just before.

--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -12,9 +12,11 @@
 from ibisring_gateway import changes as changes_module
 from ibisring_gateway import gossipmessages
 from ibisring_gateway import gossipreceiving
+from ibisring_gateway import peers as peers_module
 from ibisring_policy.gateway import gossipschedule
 from ibisring_policy.gateway import positions
 from ibisring_policy.gateway import storereaders
+from ibisring_policy.gateway import storereads
 from ibisring_records import exceptions
 from ibisring_router import guards
 
@@ -64,6 +66,7 @@
         self.urgent_schedule = gossipschedule.make_send_schedule()
         self.rotation = gossipschedule.make_peer_rotation(self.rng)
         peers.followers.publish = self.send_changes
+        peers.followers.publish_read = self.send_claims
         self.stopped = threading.Event()
         self.wake = threading.Event()
         self.socket = sock
@@ -153,6 +156,7 @@
         message.store_access = own.store_access
         message.link = own.link
         message.reads_store = own.reads_store
+        message.is_told = self.peers.role() is storereaders.Role.TOLD
         message.store_status = self.view.store_status
         message.store_lost_ms = self._store_lost_ms(now)
 
@@ -311,11 +315,28 @@
         message.parts = []
         message.limits = {}
         message.changes = packed
+        name = peers_module.TABLE if is_table else peers_module.ENDPOINTS
+        message.reads[name] = storereads.make_read(
+            page.position, page.position, page.newest_version, page.read_ms
+        )
         try:
             self._send_to(local_rows, message)
         except OSError as error:
             LOG.debug('sending changes failed: %s', error)
 
+    def send_claims(self):
+        """Send what this router knows of the tables to those that are told."""
+        rows = self.peers.told_rows()
+        if not rows:
+            return
+        message = gossipmessages.Message(self.settings.router_id, {}, [])
+        message.reads = self.peers.followers.claims()
+        message.has_reads_only = True
+        try:
+            self._send_to(rows, message)
+        except OSError as error:
+            LOG.debug('sending claims failed: %s', error)
+
     def _store_lost_ms(self, now):
         lost_at = self.peers.followers.lost_at
         return (
--- a/packages/gateway/ibisring_gateway/gossipmessages.py
+++ b/packages/gateway/ibisring_gateway/gossipmessages.py
@@ -71,7 +71,7 @@
     link : float
         Speed of the link of the sender's VM in Mbit/s, 0 if unknown.
     reads_store : bool
-        Whether the sender calls the store.
+        Whether the sender calls the store, or has just done so.
     loads : dict of str to (int, int)
         Outstanding requests that endpoints reported to the sender, and
         milliseconds since.
@@ -101,6 +101,11 @@
     reads : dict of str to storereads.StoreRead
         What the sender knows of each table.  An older release sends none; it
         vouches for nothing.
+    is_told : bool
+        Whether the sender relies on others to read the store.
+    has_reads_only : bool
+        Whether all other fields are to be ignored.  Such a message is sent
+        to no router of an older release.
     """
 
     router: received.Identifier
@@ -157,6 +162,8 @@
         | None
     ) = None
     reads: dict[received.Name, storereads.StoreRead] = {}
+    is_told: bool = False
+    has_reads_only: bool = False
 
     @property
     def era(self):
--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -3,6 +3,7 @@
 __all__ = ['Receiver', 'make_receiver']
 
 import logging
+import math
 
 from ibisring_gateway import bottlenecks
 from ibisring_gateway import changes as changes_module
@@ -65,6 +66,9 @@
             Address of the sender.
         """
         now = self.view.clock()
+        if message.has_reads_only:
+            self._apply_claims(message)
+            return
         if message.era:
             self.peers.followers.note_era(message.era)
         self._apply_estimates(message, now)
@@ -77,8 +81,8 @@
         self._record_peer(message, f'{source[0]}:{source[1]}', now)
         if message.changes:
             self._apply_changes(message)
-        elif message.store_access is storereaders.StoreAccess.SERVED:
-            self._apply_confirmation(message)
+        if message.store_access is storereaders.StoreAccess.SERVED:
+            self._apply_claims(message)
         self.view.term = max(self.view.term, message.term)
         self._apply_holdings(message)
         self._note_newer(message, now)
@@ -248,6 +252,7 @@
                 message.active,
                 frozenset(message.cut_from),
             ),
+            is_told=message.is_told,
         )
         self.peers.receive_report(report, address, message.store_lost_ms)
         self.peers.peer_reports.receive_counts(
@@ -283,27 +288,40 @@
             name, changes, lambda: self.tell_directory(result)
         )
 
-    def _apply_confirmation(self, message):
-        """Record the versions of a sender that the store answers.
+    def _apply_claims(self, message):
+        """Record what a sender that the store answers knows of its tables.
 
-        Only routers of the same failure domain count, and no earlier eras:
-        what is current there says nothing of this one.
+        Claims of earlier eras don't count: what is current there says
+        nothing of this one.
         """
-        if not self.peers.is_local(message.router):
-            return
-        snapshot = self.view.snapshot
-        if message.endpoints_era < positions.era(snapshot.position):
-            return
-        if message.table_era < positions.era(snapshot.table_position):
-            return
         followers = self.peers.followers
+        for name in followers.members:
+            if name in message.reads:
+                followers.accept(name, message.reads[name])
+        self._confirm_table(message)
         claim = message.reads.get(ENDPOINTS)
-        if claim is None:
+        position = self.view.snapshot.position
+        if claim is not None and claim.era >= positions.era(position):
+            self._confirm_in_directory(message, claim)
+
+    def _confirm_table(self, message):
+        """Record that a sender has the table that is in force here.
+
+        It has that table up to the position that it read, whatever was
+        changed before this router last read it.
+        """
+        claim = message.reads.get(TABLE)
+        snapshot = self.view.snapshot
+        if claim is None or claim.era < positions.era(snapshot.table_position):
             return
-        if message.table_version == snapshot.version:
-            followers.confirm(TABLE, message.read_table)
-        followers.accept(ENDPOINTS, claim)
-        age = message.age_ms / gossipmessages.SECOND_MS
+        if message.table_version != snapshot.version:
+            return
+        if snapshot.version and claim.start <= message.read_table:
+            self.peers.followers.confirm(TABLE, claim)
+
+    def _confirm_in_directory(self, message, claim):
+        """Tell the directory how old the endpoints in force are at most."""
+        age = self._age(message, claim)
         if self._is_confirmed(message, claim, age):
             return
         self.tell_directory(
@@ -316,6 +334,16 @@
             )
         )
 
+    def _age(self, message, claim):
+        """Return the age of a claim in seconds.
+
+        By the sender's word where this router has no answer of the store.
+        """
+        age = self.peers.followers.age(claim.read_ms)
+        if math.isinf(age):
+            return message.age_ms / gossipmessages.SECOND_MS
+        return age
+
     def _is_confirmed(self, message, claim, age):
         """Return whether a confirmation would change next to nothing.
 
--- a/packages/gateway/ibisring_gateway/peers.py
+++ b/packages/gateway/ibisring_gateway/peers.py
@@ -231,11 +231,12 @@
         storereaders.Neighbour
         """
         is_lost = self.view.store_lost_at is not None
+        is_told = self.current_role is storereaders.Role.TOLD
         return storereaders.Neighbour(
             self.settings.router_id,
             self.followers.store_access(is_lost),
             self.settings.link,
-            self.current_role is not storereaders.Role.TOLD,
+            not is_told or self.followers.has_just_read(),
         )
 
     def role(self):
@@ -247,6 +248,17 @@
         """
         return self.current_role
 
+    def told_rows(self):
+        """Return the rows of routers that wait for what others read.
+
+        Returns
+        -------
+        list of ports.RouterRow
+        """
+        told = self.peer_reports.told_routers(self.view.clock())
+        rows = dict(self.rows)
+        return [rows[each.name] for each in told if each.name in rows]
+
     def _update_role(self, now):
         neighbours = self.peer_reports.neighbours(now)
         role = storereaders.choose_role(self.own_store_access(), neighbours)
--- a/packages/gateway/ibisring_gateway/ports.py
+++ b/packages/gateway/ibisring_gateway/ports.py
@@ -71,12 +71,14 @@
 
     Items are `routing.Endpoint`, `routing.RoutingTable` or `Removed`;
     `position` (see `positions`) is what was read up to, `newest_version` that
-    of the newest item, 0 if there is none.
+    of the newest item, 0 if there is none; `read_ms` is what the store's
+    clock showed at `position`, in milliseconds, 0 if it did not say.
     """
 
     position: int
     items: list
     newest_version: int = 0
+    read_ms: int = 0
 
 
 class Source(abc.ABC):
--- a/packages/gateway/ibisring_gateway/process.py
+++ b/packages/gateway/ibisring_gateway/process.py
@@ -36,6 +36,7 @@
 from ibisring_gateway import upstream
 from ibisring_gateway import view as view_module
 from ibisring_policy.gateway import descriptors
+from ibisring_policy.gateway import freshness
 from ibisring_policy.gateway import retrybudget
 from ibisring_policy.gateway import shutdown
 from ibisring_records import exceptions
@@ -98,7 +99,11 @@
         self._set_slow_detection()
         self._make_link_monitor()
         self.followers = storefollowing.make_followers(
-            self._polling_slot, self._role
+            self._polling_slot,
+            self._role,
+            limits=freshness.make_freshness(
+                settings.config_ms, settings.drain_ms
+            ),
         )
         self.signal_waiter = signalwaiting.make_signal_waiter(SIGNALS)
         self.servers = []
@@ -234,7 +239,12 @@
         )
         self._wait_until_ready()
         self._serve(self.caller_server)
-        logs.event(LOG, 'started', router=self.settings.router_id)
+        logs.event(
+            LOG,
+            'started',
+            router=self.settings.router_id,
+            known_within_s=self.followers.limits.bound,
+        )
 
     def _start_placer(self):
         self.placer = placing.Placer.start(
--- a/packages/gateway/ibisring_gateway/settings.py
+++ b/packages/gateway/ibisring_gateway/settings.py
@@ -2,11 +2,13 @@
 
 __all__ = ['Settings', 'load', 'check']
 
+import os
 import re
 
 import msgspec
 
 from ibisring_policy.gateway import descriptors
+from ibisring_policy.gateway import freshness
 from ibisring_records import exceptions
 
 ADDRESS = re.compile(r'^(\d{1,3}\.){3}\d{1,3}:\d{1,5}$')
@@ -18,6 +20,8 @@
     'rank_room': ('on', 'off'),
     'queueing': ('auto', 'on', 'off'),
 }
+# Settings that a variable of the process may give in place of the file.
+VARIABLES = {'config_ms': 'IBISRING_CONFIG_MS'}
 
 
 class Settings(msgspec.Struct, kw_only=True):
@@ -42,7 +46,10 @@
     link: float = 0.0
     # Longest time for which a draining endpoint still gets requests after it
     # announced that it leaves.
-    drain_ms: float = 2000.0
+    drain_ms: float = freshness.USUAL_BOUND_MS
+    # Time after which no request may be handled as only an older routing
+    # table allows.
+    config_ms: float = freshness.USUAL_BOUND_MS
     # Between the request to stop a process and killing it.
     grace_s: float = 8.0
     repeat_ratio: float = 0.2
@@ -69,9 +76,15 @@
     queueing: str = 'auto'
 
 
-def load(path):
+def load(path, variables=os.environ):
     """Read and validate a settings file.
 
+    Parameters
+    ----------
+    path : str
+    variables : dict of str to str
+        Of the process, see `VARIABLES`.
+
     Raises
     ------
     InvalidSetting
@@ -80,12 +93,23 @@
         with open(path, 'rb') as file:
             values = msgspec.json.decode(file.read(), type=dict)
         present = {k: v for k, v in values.items() if v is not None}
+        present.update(_read_variables(variables))
         settings = msgspec.convert(present, Settings)
     except (OSError, msgspec.MsgspecError) as error:
         raise exceptions.InvalidSetting(f'{path}: {error}') from error
     return check(settings)
 
 
+def _read_variables(variables):
+    """Return the settings that variables give, as JSON values."""
+    texts = {field: variables.get(n) for field, n in VARIABLES.items()}
+    return {
+        field: msgspec.json.decode(text.encode())
+        for field, text in texts.items()
+        if text
+    }
+
+
 def check(settings):
     """Reject invalid settings with an error that names the field.
 
--- a/packages/gateway/ibisring_gateway/storefollowing.py
+++ b/packages/gateway/ibisring_gateway/storefollowing.py
@@ -3,14 +3,17 @@
 __all__ = ['Follower', 'Followers', 'make_followers']
 
 import logging
+import math
 import random
 import threading
 import time
 
 from ibisring_gateway import directory as directory_module
 from ibisring_gateway import ports
+from ibisring_policy.gateway import freshness
 from ibisring_policy.gateway import polling as polling_module
 from ibisring_policy.gateway import positions
+from ibisring_policy.gateway import storeclock
 from ibisring_policy.gateway import storereaders
 from ibisring_policy.gateway import storereads
 from ibisring_records import exceptions
@@ -20,9 +23,10 @@
 LOG = logging.getLogger(__name__)
 # Seconds to pause after an unexpected exception.
 ERROR_PAUSE_SECONDS = 1.0
-# Seconds between checks whether a router that relies on the readers of its
-# failure domain must read the store itself.
+# Bounds on the seconds between checks whether a router that relies on others
+# must read the store itself.
 RECHECK_SECONDS = 0.5
+MIN_RECHECK_SECONDS = 0.01
 
 
 class Follower:
@@ -47,6 +51,13 @@
         Position after which this router has seen every change.
     last_change : int
         Position of the newest change that it knows of.
+    read_ms : int
+        What the store's clock showed when the table was as of `position`.
+    own_read_at : float
+        When this router's last call that was answered began.
+    draw : float
+        Place from 0 to 1 in the order in which routers that are told read
+        the table themselves once this is too long ago.
     has_gap : bool
         Whether changes after the last known position can't be read any more.
     """
@@ -61,6 +72,9 @@
         self.position = None
         self.since = 0
         self.last_change = 0
+        self.read_ms = 0
+        self.own_read_at = -math.inf
+        self.draw = 0.0
         self.has_gap = False
         self.call_started_at = 0.0
         self.is_stopped = False
@@ -132,6 +146,7 @@
             newest = page.position
             self.has_gap = False
         self.followers.note_era(positions.era(page.position))
+        self.followers.note_time(page.read_ms, self.call_started_at)
         self.followers.answered(self.name, changed)
         if changed and not whole:
             # Before it is applied here, as the change is encoded as a
@@ -152,23 +167,29 @@
         # comes after newer changes.
         last_change = page.position if changed and not whole else newest
         self.followers.record_read(
-            self, page.position, whole or changed, last_change
+            self, page.position, whole or changed, last_change, page.read_ms
         )
+        if not changed:
+            self.followers.publish_claims()
         return changed
 
-    def advance(self, position, changed, last_change=0):
+    def advance(self, position, changed, last_change=0, read_ms=0):
         """Record that this router knows the table up to a position."""
+        known = self.position or 0
         if changed:
             self.since = max(self.since, position)
         self.last_change = max(self.last_change, last_change)
-        self.position = max(self.position or 0, position)
+        self.position = max(known, position)
+        if position >= known and read_ms > self.read_ms:
+            self.read_ms = read_ms
+            self.draw = self.followers.polling.draw()
 
     def claim(self):
         """Return the `storereads.StoreRead` to tell, None before a read."""
         if self.position is None:
             return None
         return storereads.make_read(
-            self.since, self.position, self.last_change
+            self.since, self.position, self.last_change, self.read_ms
         )
 
     def accept(self, claim):
@@ -183,7 +204,8 @@
         if claim.position >= self.since:
             # The spans meet, so that together they are one.
             self.since = min(self.since, claim.start)
-        self.advance(claim.position, False, claim.change_position)
+        read_ms = self.followers.credible_time(claim.read_ms)
+        self.advance(claim.position, False, claim.change_position, read_ms)
         return True
 
 
@@ -197,12 +219,17 @@
     role : callable
         Returns the `storereaders.Role`.
     clock : callable
+    limits : freshness.Freshness
 
     Attributes
     ----------
     publish : callable
         Sends a page to the routers that rely on this one; takes the page,
         the version that it follows, and whether it is of routing tables.
+    publish_read : callable
+        Sends what this router knows of the tables to the routers that rely
+        on others.
+    store_clock : storeclock.StoreClock
     on_restore : callable
         Called when the store has come back from a copy.
     era : int or None
@@ -211,16 +238,19 @@
         Tables to read once although others read them.
     """
 
-    def __init__(self, fleet, role, clock=time.monotonic):
+    def __init__(self, fleet, role, clock, limits):
         self.fleet = fleet
         self.role = role
         self.clock = clock
+        self.limits = limits
+        self.store_clock = storeclock.make_store_clock()
         self.publish = _discard
+        self.publish_read = lambda: None
         self.on_restore = lambda: None
         self.era = None
         self.requested = set()
         self.members = {}
-        self.polling = polling_module.make_polling((), random.random)
+        self.polling = self._make_polling(random.random)
         self.lock = threading.Lock()
 
     def add(self, name, source, is_table, tell_directory):
@@ -228,8 +258,11 @@
         self.members[name] = Follower(
             name, source, is_table, self, tell_directory
         )
-        self.polling = polling_module.make_polling(
-            list(self.members), self.polling.draw
+        self.polling = self._make_polling(self.polling.draw)
+
+    def _make_polling(self, draw):
+        return polling_module.make_polling(
+            list(self.members), draw, self.limits.read_interval
         )
 
     def start(self):
@@ -254,29 +287,60 @@
         role = self.role()
         now = self.clock()
         with self.lock:
-            if self._relies_on_readers(name, role, now):
-                return RECHECK_SECONDS
-            return self.polling.delay(name, now)
+            if name in self.requested or not self._is_told(name, role, now):
+                return self.polling.delay(name, now)
+            left = self._seconds_left(name, now)
+            if left <= 0.0:
+                return 0.0
+            return min(RECHECK_SECONDS, max(MIN_RECHECK_SECONDS, left))
 
-    def _relies_on_readers(self, name, role, now):
-        if role is not storereaders.Role.TOLD or name in self.requested:
+    def _is_told(self, name, role, now):
+        """Whether this router relies on others for a table."""
+        if role is not storereaders.Role.TOLD:
             return False
         return self.polling.has_read(name) and self.polling.is_stable(now)
 
+    def _seconds_left(self, name, now):
+        """Return the time until what is known of a table is too old."""
+        follower = self.members[name]
+        told_age = self.store_clock.age(follower.read_ms, now)
+        age = min(told_age, now - follower.own_read_at)
+        return self.limits.seconds_left(age, follower.draw)
+
     def start_call(self, name):
         """Register the start of a call and return its long-poll seconds."""
         fleet = self.fleet()
+        role = self.role()
+        now = self.clock()
         with self.lock:
-            wait = self.polling.begin_call(name, self.clock(), fleet)
-            if name in self.requested:
-                self.requested.discard(name)
+            wait = self.polling.begin_call(name, now, fleet)
+            is_single = name in self.requested
+            self.requested.discard(name)
+            # What is too old must be known now; others go on reading.
+            if is_single or self._is_told(name, role, now):
                 return 0.0
             return wait
 
-    def record_read(self, follower, position, changed, last_change):
+    def record_read(self, follower, position, changed, last_change, read_ms):
         """Record up to which position a table was read."""
         with self.lock:
-            follower.advance(position, changed, last_change)
+            follower.own_read_at = follower.call_started_at
+            follower.advance(position, changed, last_change, read_ms)
+
+    def note_time(self, store_ms, began_at):
+        """Record the time of the store's clock in an answer."""
+        with self.lock:
+            self.store_clock.measured(store_ms, began_at, self.clock())
+
+    def credible_time(self, store_ms):
+        """Return a time of the store's clock, 0 if it is in the future."""
+        age = self.store_clock.age(store_ms, self.clock())
+        return 0 if math.isinf(age) else store_ms
+
+    def age(self, store_ms):
+        """Return the seconds since the store's clock showed a time."""
+        with self.lock:
+            return self.store_clock.age(store_ms, self.clock())
 
     def note_era(self, era):
         """Note an era of the store, as it or another router named it.
@@ -293,6 +357,10 @@
             if self.era is not None and era <= self.era:
                 return
             before, self.era = self.era, era
+            self.store_clock.reset()
+            for each in self.members.values():
+                each.read_ms = 0
+                each.own_read_at = -math.inf
             if before is None:
                 return
             to_cancel = self.polling.store_restored(self.clock())
@@ -331,6 +399,17 @@
         if is_stable and self.role() is storereaders.Role.READS:
             self.publish(page, before, is_table)
 
+    def publish_claims(self):
+        """Tell others that nothing has changed, after a read.
+
+        Also if this router relies on others and had to read the store: they
+        are about to.
+        """
+        with self.lock:
+            is_stable = self.polling.is_stable(self.clock())
+        if is_stable and self.role() is not storereaders.Role.ASKS:
+            self.publish_read()
+
     def apply_changes(self, name, changes, tell):
         """Apply a reader's changes; False if earlier ones are missing.
 
@@ -366,12 +445,13 @@
             if follower.position is not None:
                 follower.advance(position, True)
 
-    def confirm(self, name, position):
-        """Record that the table known here is the one at a position."""
+    def confirm(self, name, claim):
+        """Record that the table known here is the one that a claim is of."""
         follower = self.members[name]
         with self.lock:
             if follower.position is not None:
-                follower.advance(position, False)
+                read_ms = self.credible_time(claim.read_ms)
+                follower.advance(claim.position, False, read_ms=read_ms)
 
     def claims(self):
         """Return what to tell others of the tables.
@@ -399,6 +479,11 @@
         """Return the position up to which a table is known."""
         return self.members[name].position or 0
 
+    def has_just_read(self):
+        """Whether the store has lately answered a call of this router."""
+        since = self.clock() - storereaders.PEER_TIMEOUT_SECONDS
+        return any(e.own_read_at > since for e in self.members.values())
+
     def store_access(self, is_lost):
         """Return the `storereaders.StoreAccess` of this router.
 
@@ -467,6 +552,7 @@
     """Discard a page; the default of `Followers.publish`."""
 
 
-def make_followers(fleet, role, clock=time.monotonic):
+def make_followers(fleet, role, clock=time.monotonic, limits=None):
     """Make `Followers` without any; start them with ``start()``."""
-    return Followers(fleet, role, clock)
+    limits = limits or freshness.make_freshness(freshness.USUAL_BOUND_MS)
+    return Followers(fleet, role, clock, limits)
--- a/packages/gateway/ibisring_gateway/tests/schedules.py
+++ b/packages/gateway/ibisring_gateway/tests/schedules.py
@@ -20,6 +20,8 @@
 # At the end of this failure the store, which answered nobody, comes back from
 # a copy.
 RESTORE = 'restore'
+# All that a router sends, and the store's answers to it, arrive late.
+SLOW = 'slow'
 TABLE = 'table'
 ENDPOINTS = 'endpoints'
 # A change that removes an endpoint, which all routers knew, from the table of
--- a/packages/gateway/ibisring_gateway/tests/test_settings.py
+++ b/packages/gateway/ibisring_gateway/tests/test_settings.py
@@ -1,5 +1,6 @@
 """Tests of the settings of a gateway process."""
 
+import msgspec
 import pytest
 
 from ibisring_gateway import settings as settings_module
@@ -34,3 +35,15 @@
     settings_module.check(_settings(descriptors=lowest))
     with pytest.raises(exceptions.InvalidSetting, match='descriptors'):
         settings_module.check(_settings(descriptors=lowest - 1))
+
+
+def test_bound_on_changes_is_read_from_the_process_too(tmp_path):
+    """Guards against a bound beside the one that the platform sets."""
+    path = tmp_path / 'settings.json'
+    path.write_bytes(msgspec.json.encode(_settings()))
+    variables = {'IBISRING_CONFIG_MS': '1200'}
+    assert settings_module.load(path, {}).config_ms == 2000.0
+    assert settings_module.load(path, variables).config_ms == 1200.0
+    for text in ('soon', '-1', '{'):
+        with pytest.raises(exceptions.InvalidSetting):
+            settings_module.load(path, {'IBISRING_CONFIG_MS': text})
--- a/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
@@ -229,8 +229,9 @@
     for follower in followers.members.values():
         follower.read_once()
     followers.clock.now += polling.STABLE_AFTER_SECONDS
-    followers.role = _told_role
     table = followers.members['table']
+    table.read_once()
+    followers.role = _told_role
     assert followers.delay('table') > 0.0
     table.source.errors = [ports.HistoryExpired('too old')]
     table._follow()
@@ -314,3 +315,88 @@
     era = positions.make(1, 0)
     assert not followers.accept('endpoints', _claim(era, era + 3))
     assert endpoints.position == 7
+
+
+STORE_OFFSET_SECONDS = 500.0
+
+
+def _store_ms(followers):
+    """Return what the store's clock shows now."""
+    return int((followers.clock.now + STORE_OFFSET_SECONDS) * 1000.0)
+
+
+def _told_followers():
+    """Return followers that have just read, and rely on others from now on."""
+    followers, messages = _followers()
+    followers.clock.now += polling.STABLE_AFTER_SECONDS
+    for follower in followers.members.values():
+        follower.source.page = ports.Page(7, [], 0, _store_ms(followers))
+        follower.read_once()
+    followers.role = _told_role
+    followers.polling.draw = lambda: 1.0
+    return followers
+
+
+def test_router_that_is_told_nothing_reads_the_store_in_time():
+    """Guards against relying on readers that are lost, frozen or cut off."""
+    followers = _told_followers()
+    limits = followers.limits
+    table = followers.members['table']
+    followers.clock.now += limits.max_age - 0.01
+    assert followers.delay('table') > 0.0
+    followers.clock.now += 0.01 + limits.spread
+    assert followers.delay('table') == 0.0
+    assert followers.start_call('table') == 0.0
+    table.read_once()
+    assert table.source.calls == ['all', 0.0]
+    assert followers.delay('table') > 0.0
+
+
+def test_claims_count_from_when_the_store_was_read():
+    """Guards against messages of slow readers that seem to be new."""
+    followers = _told_followers()
+    limits = followers.limits
+    read_ms = _store_ms(followers)
+    followers.clock.now += limits.max_age + limits.spread
+    assert followers.delay('endpoints') == 0.0
+    old = storereads.make_read(7, 9, 7, read_ms)
+    assert followers.accept('endpoints', old)
+    assert followers.delay('endpoints') == 0.0
+    fresh = storereads.make_read(7, 9, 7, _store_ms(followers))
+    assert followers.accept('endpoints', fresh)
+    assert followers.delay('endpoints') > 0.0
+
+
+def test_time_that_the_store_has_not_had_yet_counts_for_nothing():
+    """Guards against an odd message after which no claim is too old."""
+    followers = _told_followers()
+    odd = storereads.make_read(7, 9, 7, 2**53)
+    assert followers.accept('endpoints', odd)
+    limits = followers.limits
+    followers.clock.now += limits.max_age + limits.spread
+    assert followers.delay('endpoints') == 0.0
+
+
+def test_store_that_tells_no_time_is_read_at_the_same_rate():
+    """Guards against calls without a pause to a store without a clock."""
+    followers = _told_followers()
+    table = followers.members['table']
+    for _ in range(3):
+        followers.clock.now += followers.limits.bound
+        table.source.page = ports.Page(7, [])
+        table.read_once()
+        assert followers.delay('table') > 0.0
+
+
+def test_claims_are_told_after_each_read_without_a_change():
+    """Guards against routers that hear nothing while nothing changes."""
+    followers = _told_followers()
+    told = []
+    followers.publish_read = lambda: told.append(followers.role())
+    table = followers.members['table']
+    for role in (_told_role, _reader_role):
+        followers.role = role
+        table.read_once()
+    table.source.page = ports.Page(9, ['changed'], 9)
+    table.read_once()
+    assert told == [storereaders.Role.TOLD, storereaders.Role.READS]
--- a/packages/gateway/ibisring_gateway/tests/virtualfleet.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualfleet.py
@@ -75,7 +75,7 @@
         message = gossipmessages.decode(data)
         source = self.router.host, self.router.settings.peer_port
         arrives_at = max(
-            scheduler.now + DATAGRAM_SECONDS,
+            scheduler.now + self.fleet.datagram_seconds(self.router),
             scheduler.frozen.get(other.settings.router_id, 0.0),
         )
         scheduler.call_at(arrives_at, lambda: other.receive(message, source))
@@ -232,6 +232,12 @@
         )
         return is_lossy and self.rng.random() < LOSSY_SHARE
 
+    def datagram_seconds(self, router):
+        """Return how long a router's datagrams take now."""
+        kinds = [each.kind for each in self._active_failures(router)]
+        is_slow = schedules.SLOW in kinds
+        return virtualstore.SLOW_SECONDS if is_slow else DATAGRAM_SECONDS
+
     def _active_failures(self, *routers):
         elapsed = self.scheduler.now - virtualtime.START
         for failure in self.schedule.failures:
--- a/packages/gateway/ibisring_gateway/tests/virtualstore.py
+++ b/packages/gateway/ibisring_gateway/tests/virtualstore.py
@@ -15,8 +15,13 @@
 # The endpoint that is removed, and that whose entry is written again.
 REMOVED_NAME = 'y'
 WRITTEN_NAME = 'x'
+# By how much the store's clock is ahead of the routers'.
+CLOCK_OFFSET_SECONDS = 5000.0
+MS_PER_SECOND = 1000.0
 # Seconds that an answer takes.
 ANSWER_SECONDS = 0.004
+# Seconds that answers to a slow router take, and its datagrams.
+SLOW_SECONDS = 0.5
 # Seconds beyond its wait after which a call times out.
 TIMEOUT_MARGIN_SECONDS = 0.6
 # Age in seconds of the state that a store serves during an 'old' failure.
@@ -115,6 +120,15 @@
                 return 'silent'
         return None
 
+    def _is_slow(self, number):
+        elapsed = self.scheduler.now - virtualtime.START
+        return any(
+            failure.kind == schedules.SLOW
+            and failure.affects(number)
+            and failure.at <= elapsed < failure.ends_at
+            for failure in self.failures
+        )
+
     def apply_failure(self, failure):
         """Apply the start of a failure to the waiting calls."""
         hit_calls = [c for c in self.waiting if failure.affects(c.number)]
@@ -213,7 +227,10 @@
         call.page = self._page(call)
         if call.page is None:
             call.error = ports.HistoryExpired('the store went back to a copy')
-        arrives_at = self.scheduler.now + ANSWER_SECONDS / 2
+        seconds = ANSWER_SECONDS / 2
+        if self._is_slow(call.number):
+            seconds = SLOW_SECONDS
+        arrives_at = self.scheduler.now + seconds
         self.scheduler.call_at(arrives_at, call.answered.set)
 
     def _page(self, call):
@@ -233,8 +250,13 @@
             self._position(visible[-1].version if visible else 0),
             [entry.item() for entry in entries],
             self._position(entries[-1].version) if entries else 0,
+            self._clock_ms(),
         )
 
+    def _clock_ms(self):
+        shown = self.scheduler.now + CLOCK_OFFSET_SECONDS
+        return int(shown * MS_PER_SECOND)
+
     def _whole_page(self, source, visible, entries):
         """Return the rows that are left, as of the newest version."""
         written = [entry for entry in entries if entry.source != REMOVAL]
@@ -245,6 +267,7 @@
             self._position(visible[-1].version if visible else 0),
             items,
             self._position(written[-1].version) if written else 0,
+            self._clock_ms(),
         )
 
     def _position(self, version):
--- a/packages/policy/ibisring_policy/gateway/peerreports.py
+++ b/packages/policy/ibisring_policy/gateway/peerreports.py
@@ -25,6 +25,9 @@
 COUNT_WARMUP_SECONDS = 2.0
 # How long a router's report of the store is used.
 STORE_STATUS_SECONDS = 2.5
+# How long a router of any domain is told what others read, after its last
+# message: in a large fleet a pair of far routers meets three times in this.
+TOLD_SECONDS = 60.0
 MS_PER_SECOND = 1000.0
 # Default for a domain without a reported number: report time and number.
 _NO_REPORT = (-math.inf, 0)
@@ -34,7 +37,7 @@
     """What another router last sent; `received_at` is in seconds.
 
     `neighbour` and `relay_state` are None for a release that does not send
-    them.
+    them; `is_told` says whether it relies on others to read the store.
     """
 
     name: str
@@ -43,6 +46,7 @@
     store_status: layerorders.StoreStatus
     neighbour: storereaders.Neighbour | None = None
     relay_state: relays.PeerState | None = None
+    is_told: bool = False
 
     @property
     def is_cut_off(self):
@@ -143,6 +147,18 @@
         recent = self.recent(now, within)
         return [each for each in recent if each.domain == self.domain]
 
+    def told_routers(self, now):
+        """Return the routers that wait for what others read of the store.
+
+        Those of other failure domains are among them.
+
+        Returns
+        -------
+        list of PeerReport
+        """
+        recent = self.recent(now, TOLD_SECONDS)
+        return [each for each in recent if each.is_told]
+
     def neighbours(self, now):
         """Return the routers of the own domain that may read the store.
 
--- a/packages/policy/ibisring_policy/gateway/polling.py
+++ b/packages/policy/ibisring_policy/gateway/polling.py
@@ -94,7 +94,7 @@
         self.next_try_at = -math.inf
         self.spread_at = 0.0
 
-    def wait_for_turn(self, now, fleet):
+    def wait_for_turn(self, now, fleet, interval):
         """Return the seconds until a call that begins now should end.
 
         Calls end by turns counted from `spread_at`, which is about the same
@@ -102,7 +102,7 @@
         by and by; counted from its own last call instead, the ends of several
         routers' calls would coincide for good, with gaps between them.
         """
-        step = min(CALL_INTERVAL_SECONDS, MAX_WAIT_SECONDS / fleet.callers)
+        step = min(interval, MAX_WAIT_SECONDS / fleet.callers)
         cycle = step * fleet.callers
         turn = self.spread_at + step * (fleet.rank + 1)
         wait = round((turn - now) % cycle, 6)
@@ -123,6 +123,9 @@
         Of the tables that are followed.
     draw : callable
         Gives random numbers from 0 to 1.
+    shared_interval : float
+        Time between the ends of the calls of a whole fleet, in seconds, where
+        some routers rely on those that call.
 
     Attributes
     ----------
@@ -144,7 +147,8 @@
     0.0
     """
 
-    def __init__(self, names, draw):
+    def __init__(self, names, draw, shared_interval=CALL_INTERVAL_SECONDS):
+        self.shared_interval = shared_interval
         self.tables = {name: _Table() for name in names}
         self.draw = draw
         self.next_try_at = -math.inf
@@ -216,7 +220,10 @@
         if table.needs_spread:
             table.spread_at = now
             table.needs_spread = False
-        return table.wait_for_turn(now, fleet)
+        interval = CALL_INTERVAL_SECONDS
+        if fleet.callers < fleet.running:
+            interval = min(interval, self.shared_interval)
+        return table.wait_for_turn(now, fleet, interval)
 
     def answered(self, name, now, changed):
         """Record an answer to a call.
@@ -349,6 +356,6 @@
     )
 
 
-def make_polling(names, draw):
+def make_polling(names, draw, shared_interval=CALL_INTERVAL_SECONDS):
     """Make a `Polling` of tables that have not been read."""
-    return Polling(names, draw)
+    return Polling(names, draw, shared_interval)
--- a/packages/policy/ibisring_policy/gateway/storereads.py
+++ b/packages/policy/ibisring_policy/gateway/storereads.py
@@ -28,6 +28,9 @@
         Version up to which the sender knows the table.
     last_change : int
         Newest change known to the sender.
+    read_ms : int
+        What the store's clock showed when the table was known to be as of
+        `version`, in milliseconds; 0 if the store did not say.
 
     Examples
     --------
@@ -42,6 +45,7 @@
     since: received.Version
     version: received.Version
     last_change: received.Version
+    read_ms: received.Count = 0
 
     @property
     def start(self):
@@ -67,14 +71,15 @@
         return self.change_position > position
 
 
-def make_read(since, position, last_change):
+def make_read(since, position, last_change, read_ms=0):
     """Make the claim of a router that follows a table.
 
     Parameters
     ----------
     since, position, last_change : int
         Positions (see `positions`).  Nothing may have changed in the present
-        era yet; the first two are then of the era before.
+        era; the first and the last are then of the era before.
+    read_ms : int
     """
     era = positions.era(position)
     era_start = positions.make(era, 0)
@@ -83,4 +88,5 @@
         positions.version(max(since, era_start)),
         positions.version(position),
         positions.version(max(last_change, era_start)),
+        read_ms,
     )
