Test heads that are cut at each byte, wherever answers are read

Reported by other operators: a server stopped in the middle of its answer's head and closed; clients got a 200 with an empty or short body, framed as whole.

Not so here: all answers are read by one parse (answerreading), which takes no head without its blank line. No product code changed.

Measured: all of them end as lost or with an error, none as whole.

--- a/packages/gateway/ibisring_gateway/tests/test_relaysending.py
+++ b/packages/gateway/ibisring_gateway/tests/test_relaysending.py
@@ -3,6 +3,7 @@
 import itertools
 import random
 import socket
+import struct
 import threading
 import time
 
@@ -65,11 +66,12 @@
 class _Router:
     """Another router, that writes given bytes before and after the body."""
 
-    def __init__(self, interim, answer, endless=()):
+    def __init__(self, interim, answer, endless=(), is_reset=False):
         self.listener = socket.create_server(('127.0.0.1', 0))
         self.interim = interim
         self.answer = answer
         self.endless = endless
+        self.is_reset = is_reset
         self.received = b''
         self.thread = threading.Thread(target=self._serve, daemon=True)
         self.thread.start()
@@ -87,6 +89,9 @@
         elif not self.endless:
             self.received += conn.recv(4096)
         self._write_endless(conn)
+        if self.is_reset:
+            linger = struct.pack('ii', 1, 0)
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, linger)
         conn.close()
 
     def _write_endless(self, conn):
@@ -391,6 +396,24 @@
     assert job.progress.may_have_run and job.relays_failed == {'r2'}
 
 
+@pytest.mark.parametrize('is_reset', [False, True])
+@pytest.mark.parametrize('name', answerkinds.CUT_HEADS)
+@pytest.mark.parametrize(
+    'kind', [routing.RequestKind.ONCE, routing.RequestKind.STREAM]
+)
+def test_answer_of_a_router_whose_head_is_cut_is_lost(
+    watcher, kind, name, is_reset
+):
+    """Guards against a short head that callers get as a whole answer."""
+    for data in answerkinds.CUT_HEADS[name]:
+        router = _Router(CONTINUE, _sign(data), is_reset=is_reset)
+        job, result = send(watcher, router, kind)
+        router.listener.close()
+        assert result is attempts.Result.LOST
+        assert not job.exchange.answers and not job.exchange.headers_sent
+        assert job.progress.may_have_run
+
+
 @pytest.mark.parametrize('name', answerkinds.SOUND)
 def test_unusual_answer_of_a_router_is_relayed(watcher, name):
     """Guards against a sound answer that is taken for a lost one.
--- a/packages/gateway/ibisring_gateway/tests/test_responsehead.py
+++ b/packages/gateway/ibisring_gateway/tests/test_responsehead.py
@@ -7,6 +7,7 @@
 from ibisring_gateway import upstream
 from ibisring_policy.gateway.tests import builders as build
 from ibisring_web.tests import answerkinds
+from ibisring_web.tests import answerservers
 
 HEAD = b'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n'
 CLOSED_AFTER = ['more-behind', 'close', '1.0']
@@ -54,6 +55,21 @@
     return _Endpoint(answer).receive()[1]
 
 
+@pytest.mark.parametrize('ending', answerservers.ENDINGS)
+@pytest.mark.parametrize('name', answerkinds.CUT_HEADS)
+def test_answer_of_an_endpoint_whose_head_is_cut_is_lost(name, ending):
+    """Guards against a short head that callers get as a whole answer."""
+    is_reset = answerservers.ENDINGS[ending]
+    for data in answerkinds.CUT_HEADS[name]:
+        with answerservers.running(data, is_reset) as address:
+            pool = upstream.make_connection_pool()
+            conn = pool.acquire(build.endpoint('x', address=address), True)
+            with pytest.raises(upstream.ConnectionFailed) as raised:
+                pool.send(conn, _Request, {}, 2.0)
+            assert raised.value.sent
+            conn.close()
+
+
 @pytest.mark.parametrize(
     'rest', [b'', b'0', b'00', b'0\r', b'0;a', b'1', b'000a\r\n12345']
 )
--- a/packages/router/ibisring_router/tests/test_endless_answers.py
+++ b/packages/router/ibisring_router/tests/test_endless_answers.py
@@ -1,4 +1,4 @@
-"""Tests of endpoints whose answers to attempts never end."""
+"""Tests of endpoints whose answers to attempts never end, or end early."""
 
 import socket
 import threading
@@ -15,6 +15,8 @@
 from ibisring_router import servicecalls
 from ibisring_web import answerreading
 from ibisring_web import calls
+from ibisring_web.tests import answerkinds
+from ibisring_web.tests import answerservers
 from ibisring_web.tests import endlessbytes
 import msgspec
 import pytest
@@ -173,3 +175,30 @@
         while time.monotonic() < end:
             assert next(chunks)
         chunks.close()
+
+
+@pytest.mark.parametrize('ending', answerservers.ENDINGS)
+@pytest.mark.parametrize('name', answerkinds.CUT_HEADS)
+def test_service_answer_whose_head_is_cut_is_of_unknown_outcome(name, ending):
+    """Guards against a short head that callers get as a whole answer."""
+    is_reset = answerservers.ENDINGS[ending]
+    for data in answerkinds.CUT_HEADS[name]:
+        with (
+            answerservers.running(data, is_reset) as address,
+            pytest.raises(exceptions.OutcomeUnknown),
+        ):
+            _call_service(address, seconds=SECONDS)
+
+
+@pytest.mark.parametrize('ending', answerservers.ENDINGS)
+@pytest.mark.parametrize('name', answerkinds.CUT_HEADS)
+def test_stream_whose_head_is_cut_has_failed(name, ending):
+    """Guards against a short head that callers get as an empty stream."""
+    is_reset = answerservers.ENDINGS[ending]
+    for data in answerkinds.CUT_HEADS[name]:
+        with (
+            answerservers.running(data, is_reset) as address,
+            pytest.raises(attempterrors.AttemptFailed) as raised,
+        ):
+            list(_generate(address))
+        assert raised.value.failure is retries.Failure.CUT
--- a/packages/web/ibisring_web/tests/answerkinds.py
+++ b/packages/web/ibisring_web/tests/answerkinds.py
@@ -3,7 +3,7 @@
 Each answer has the body `BODY`, at least for who reads it as it was meant.
 """
 
-__all__ = ['BODY', 'BROKEN', 'SOUND', 'plain']
+__all__ = ['BODY', 'BROKEN', 'CUT_HEADS', 'SOUND', 'plain']
 
 BODY = b'0123456789abcdef0123456789abcdef0123'
 _STATUS = b'HTTP/1.1 200 OK\r\n'
@@ -248,3 +248,32 @@
     'upgrade': plain(b'Connection: upgrade\r\nUpgrade: h2c\r\n'),
     'more-behind': plain() + b'HTTP/1.1 200 OK\r\n\r\n',
 }
+
+
+def _head_size(answer):
+    """Return the size of all heads of an answer with its body in one piece."""
+    return answer[: answer.index(BODY)].rindex(b'\r\n\r\n') + 4
+
+
+def _cut_heads(answer):
+    """Return the beginnings of an answer that end inside of its heads."""
+    return [answer[:size] for size in range(1, _head_size(answer))]
+
+
+# By framing, each beginning of an answer that is no whole head.
+CUT_HEADS = {
+    name: _cut_heads(SOUND[name])
+    for name in (
+        'plain',
+        'no-reason-no-blank',
+        '1.0',
+        'to-the-end',
+        'to-the-end-1.0',
+        'to-the-end-no-fields',
+        'chunked',
+        'extension',
+        'continue',
+        'interim-answers',
+        'close',
+    )
+}
--- a/packages/web/ibisring_web/tests/test_answerreading.py
+++ b/packages/web/ibisring_web/tests/test_answerreading.py
@@ -61,6 +61,26 @@
         _read(*_bytes_of(data))
 
 
+class _Reset(_Sent):
+    """Stands for a socket that is reset after the last piece."""
+
+    def read1(self, count):
+        if not self.pieces:
+            raise ConnectionResetError
+        return super().read1(count)
+
+
+@pytest.mark.parametrize('sent', [_Sent, _Reset])
+@pytest.mark.parametrize('name', answerkinds.CUT_HEADS)
+def test_head_that_is_cut_is_no_answer(name, sent):
+    """Guards against a short head that is read as an answer without a body."""
+    for data in answerkinds.CUT_HEADS[name]:
+        for pieces in ([data], _bytes_of(data)):
+            answer = answerreading.Answer(sent(*pieces), method='POST')
+            with pytest.raises((http.client.HTTPException, OSError)):
+                answer.begin()
+
+
 @pytest.mark.parametrize('name', answerkinds.SOUND)
 def test_sound_answer_is_read_whole(name):
     """Guards against an unusual answer that is refused."""
