--- a/packages/gateway/ibisring_gateway/gossip.py
+++ b/packages/gateway/ibisring_gateway/gossip.py
@@ -66,7 +66,7 @@
         self.urgent_schedule = gossipschedule.make_send_schedule()
         self.rotation = gossipschedule.make_peer_rotation(self.rng)
         peers.followers.publish = self.send_changes
-        peers.followers.publish_read = self.send_claims
+        peers.followers.tell_reads = self.send_reads
         self.stopped = threading.Event()
         self.wake = threading.Event()
         self.socket = sock
@@ -164,12 +164,11 @@
         """Add the versions of table and endpoints that are in force.
 
         Those only read are left out: they may not be applied yet, and
-        receivers would take them for known.  Claims are of the store, whether
+        receivers would take them for known.  Reads are of the store, whether
         or not this router has applied what it read.
         """
         snapshot = self.view.snapshot
-        read_at = min(snapshot.table_read_at, snapshot.endpoints_read_at)
-        message.age_ms = int((now - read_at) * gossipmessages.SECOND_MS)
+        message.age_ms = self._age_ms(now)
         message.table_version = snapshot.version
         message.table_era = positions.era(snapshot.table_position)
         message.table_position = positions.version(snapshot.table_position)
@@ -179,7 +178,13 @@
         era_start = positions.make(message.endpoints_era, 0)
         newest = max(snapshot.newest_version, era_start)
         message.endpoints_version = positions.version(newest)
-        message.reads = self.peers.followers.claims()
+        message.reads = self.peers.followers.known_reads()
+
+    def _age_ms(self, now):
+        """Return the milliseconds since the older of both tables was read."""
+        snapshot = self.view.snapshot
+        read_at = min(snapshot.table_read_at, snapshot.endpoints_read_at)
+        return int((now - read_at) * gossipmessages.SECOND_MS)
 
     def _repeat_share(self):
         """Return the share of messages that repeat old suspects and limits.
@@ -324,18 +329,19 @@
         except OSError as error:
             LOG.debug('sending changes failed: %s', error)
 
-    def send_claims(self):
+    def send_reads(self):
         """Send what this router knows of the tables to those that are told."""
         rows = self.peers.told_rows()
         if not rows:
             return
         message = gossipmessages.Message(self.settings.router_id, {}, [])
-        message.reads = self.peers.followers.claims()
+        message.reads = self.peers.followers.known_reads()
+        message.age_ms = self._age_ms(self.view.clock())
         message.has_reads_only = True
         try:
             self._send_to(rows, message)
         except OSError as error:
-            LOG.debug('sending claims failed: %s', error)
+            LOG.debug('sending reads failed: %s', error)
 
     def _store_lost_ms(self, now):
         lost_at = self.peers.followers.lost_at
--- a/packages/gateway/ibisring_gateway/gossipmessages.py
+++ b/packages/gateway/ibisring_gateway/gossipmessages.py
@@ -104,8 +104,8 @@
     is_told : bool
         Whether the sender relies on others to read the store.
     has_reads_only : bool
-        Whether all other fields are to be ignored.  Such a message is sent
-        to no router of an older release.
+        Whether all other fields but `age_ms` are to be ignored.  Such a
+        message is sent to no router of an older release.
     """
 
     router: received.Identifier
--- a/packages/gateway/ibisring_gateway/gossipreceiving.py
+++ b/packages/gateway/ibisring_gateway/gossipreceiving.py
@@ -67,7 +67,7 @@
         """
         now = self.view.clock()
         if message.has_reads_only:
-            self._apply_claims(message)
+            self._apply_reads(message)
             return
         if message.era:
             self.peers.followers.note_era(message.era)
@@ -82,7 +82,7 @@
         if message.changes:
             self._apply_changes(message)
         if message.store_access is storereaders.StoreAccess.SERVED:
-            self._apply_claims(message)
+            self._apply_reads(message)
         self.view.term = max(self.view.term, message.term)
         self._apply_holdings(message)
         self._note_newer(message, now)
@@ -288,10 +288,10 @@
             name, changes, lambda: self.tell_directory(result)
         )
 
-    def _apply_claims(self, message):
+    def _apply_reads(self, message):
         """Record what a sender that the store answers knows of its tables.
 
-        Claims of earlier eras don't count: what is current there says
+        Reads of earlier eras don't count: what is current there says
         nothing of this one.
         """
         followers = self.peers.followers
@@ -299,10 +299,10 @@
             if name in message.reads:
                 followers.accept(name, message.reads[name])
         self._confirm_table(message)
-        claim = message.reads.get(ENDPOINTS)
+        read = message.reads.get(ENDPOINTS)
         position = self.view.snapshot.position
-        if claim is not None and claim.era >= positions.era(position):
-            self._confirm_in_directory(message, claim)
+        if read is not None and read.era >= positions.era(position):
+            self._confirm_in_directory(message, read)
 
     def _confirm_table(self, message):
         """Record that a sender has the table that is in force here.
@@ -310,41 +310,41 @@
         It has that table up to the position that it read, whatever was
         changed before this router last read it.
         """
-        claim = message.reads.get(TABLE)
+        read = message.reads.get(TABLE)
         snapshot = self.view.snapshot
-        if claim is None or claim.era < positions.era(snapshot.table_position):
+        if read is None or read.era < positions.era(snapshot.table_position):
             return
         if message.table_version != snapshot.version:
             return
-        if snapshot.version and claim.start <= message.read_table:
-            self.peers.followers.confirm(TABLE, claim)
+        if snapshot.version and read.start <= message.read_table:
+            self.peers.followers.confirm(TABLE, read)
 
-    def _confirm_in_directory(self, message, claim):
+    def _confirm_in_directory(self, message, read):
         """Tell the directory how old the endpoints in force are at most."""
-        age = self._age(message, claim)
-        if self._is_confirmed(message, claim, age):
+        age = self._age(message, read)
+        if self._is_confirmed(message, read, age):
             return
         self.tell_directory(
             directory.Confirmed(
                 message.table_version,
                 message.read_table,
-                claim.start,
-                claim.position,
+                read.start,
+                read.position,
                 age,
             )
         )
 
-    def _age(self, message, claim):
-        """Return the age of a claim in seconds.
+    def _age(self, message, read):
+        """Return the age of a read in seconds.
 
         By the sender's word where this router has no answer of the store.
         """
-        age = self.peers.followers.age(claim.read_ms)
+        age = self.peers.followers.age(read.read_ms)
         if math.isinf(age):
             return message.age_ms / gossipmessages.SECOND_MS
         return age
 
-    def _is_confirmed(self, message, claim, age):
+    def _is_confirmed(self, message, read, age):
         """Return whether a confirmation would change next to nothing.
 
         In a large failure domain they come many times more often than the
@@ -356,7 +356,7 @@
         )
         return (
             message.read_table <= snapshot.table_position
-            and claim.position <= snapshot.position
+            and read.position <= snapshot.position
             and known_age < age + CONFIRMATION_SECONDS
         )
 
--- a/packages/gateway/ibisring_gateway/storefollowing.py
+++ b/packages/gateway/ibisring_gateway/storefollowing.py
@@ -170,7 +170,7 @@
             self, page.position, whole or changed, last_change, page.read_ms
         )
         if not changed:
-            self.followers.publish_claims()
+            self.followers.publish_reads()
         return changed
 
     def advance(self, position, changed, last_change=0, read_ms=0):
@@ -184,7 +184,7 @@
             self.read_ms = read_ms
             self.draw = self.followers.polling.draw()
 
-    def claim(self):
+    def known_read(self):
         """Return the `storereads.StoreRead` to tell, None before a read."""
         if self.position is None:
             return None
@@ -192,20 +192,20 @@
             self.since, self.position, self.last_change, self.read_ms
         )
 
-    def accept(self, claim):
-        """Record what another router claims, if it vouches for this table.
+    def accept(self, read):
+        """Record what another router has read, if it vouches for this table.
 
         Returns
         -------
         bool
         """
-        if self.position is None or not claim.vouches_for(self.position):
+        if self.position is None or not read.vouches_for(self.position):
             return False
-        if claim.position >= self.since:
+        if read.position >= self.since:
             # The spans meet, so that together they are one.
-            self.since = min(self.since, claim.start)
-        read_ms = self.followers.credible_time(claim.read_ms)
-        self.advance(claim.position, False, claim.change_position, read_ms)
+            self.since = min(self.since, read.start)
+        read_ms = self.followers.credible_time(read.read_ms)
+        self.advance(read.position, False, read.change_position, read_ms)
         return True
 
 
@@ -226,7 +226,7 @@
     publish : callable
         Sends a page to the routers that rely on this one; takes the page,
         the version that it follows, and whether it is of routing tables.
-    publish_read : callable
+    tell_reads : callable
         Sends what this router knows of the tables to the routers that rely
         on others.
     store_clock : storeclock.StoreClock
@@ -245,7 +245,7 @@
         self.limits = limits
         self.store_clock = storeclock.make_store_clock()
         self.publish = _discard
-        self.publish_read = lambda: None
+        self.tell_reads = lambda: None
         self.on_restore = lambda: None
         self.era = None
         self.requested = set()
@@ -399,7 +399,7 @@
         if is_stable and self.role() is storereaders.Role.READS:
             self.publish(page, before, is_table)
 
-    def publish_claims(self):
+    def publish_reads(self):
         """Tell others that nothing has changed, after a read.
 
         Also if this router relies on others and had to read the store: they
@@ -408,7 +408,7 @@
         with self.lock:
             is_stable = self.polling.is_stable(self.clock())
         if is_stable and self.role() is not storereaders.Role.ASKS:
-            self.publish_read()
+            self.tell_reads()
 
     def apply_changes(self, name, changes, tell):
         """Apply a reader's changes; False if earlier ones are missing.
@@ -445,15 +445,15 @@
             if follower.position is not None:
                 follower.advance(position, True)
 
-    def confirm(self, name, claim):
-        """Record that the table known here is the one that a claim is of."""
+    def confirm(self, name, read):
+        """Record that the table known here is the one that a read is of."""
         follower = self.members[name]
         with self.lock:
             if follower.position is not None:
-                read_ms = self.credible_time(claim.read_ms)
-                follower.advance(claim.position, False, read_ms=read_ms)
+                read_ms = self.credible_time(read.read_ms)
+                follower.advance(read.position, False, read_ms=read_ms)
 
-    def claims(self):
+    def known_reads(self):
         """Return what to tell others of the tables.
 
         Returns
@@ -461,19 +461,19 @@
         dict of str to storereads.StoreRead
         """
         with self.lock:
-            claims = {n: each.claim() for n, each in self.members.items()}
-        return {name: claim for name, claim in claims.items() if claim}
+            reads = {n: each.known_read() for n, each in self.members.items()}
+        return {name: read for name, read in reads.items() if read}
 
-    def accept(self, name, claim):
-        """Record what another router claims of a table.
+    def accept(self, name, read):
+        """Record what another router has read of a table.
 
         Returns
         -------
         bool
-            Whether the claim vouches for the table as it is known here.
+            Whether the read vouches for the table as it is known here.
         """
         with self.lock:
-            return self.members[name].accept(claim)
+            return self.members[name].accept(read)
 
     def position(self, name):
         """Return the position up to which a table is known."""
--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -243,7 +243,7 @@
 
 
 def test_router_of_a_release_that_vouches_for_nothing_is_no_reader():
-    """Guards against relying on a claim that counts no removals."""
+    """Guards against relying on a read that counts no removals."""
     receiver, told = _receive(
         _view_in_era(2), position=150, endpoints_era=2, table_era=2, reads={}
     )
@@ -258,8 +258,8 @@
     started = storereads.make_read(
         positions.make(2, 150), positions.make(2, 150), positions.make(2, 140)
     )
-    for claim, newest in ((started, None), (None, 'r1')):
-        reads = {peers.ENDPOINTS: claim} if claim else {}
+    for read, newest in ((started, None), (None, 'r1')):
+        reads = {peers.ENDPOINTS: read} if read else {}
         receiver, _ = _receive(
             _view_in_era(2),
             position=150,
--- a/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
@@ -290,30 +290,30 @@
     assert [type(each) for each in messages] == [directory.ReadResult]
 
 
-def _claim(since, position, last_change=0):
+def _read(since, position, last_change=0):
     return storereads.make_read(since, position, last_change)
 
 
-def test_claims_are_accepted_from_where_they_begin():
-    """Guards against passing over what was removed before a claim begins."""
+def test_reads_are_accepted_from_where_they_begin():
+    """Guards against passing over what was removed before a read begins."""
     followers, _ = _followers()
     endpoints = followers.members['endpoints']
-    assert not followers.accept('endpoints', _claim(0, 9))
+    assert not followers.accept('endpoints', _read(0, 9))
     endpoints.read_once()
     assert endpoints.position == 7
-    assert not followers.accept('endpoints', _claim(8, 12))
+    assert not followers.accept('endpoints', _read(8, 12))
     assert endpoints.position == 7
-    assert followers.accept('endpoints', _claim(3, 12))
-    assert followers.claims()['endpoints'] == _claim(3, 12)
+    assert followers.accept('endpoints', _read(3, 12))
+    assert followers.known_reads()['endpoints'] == _read(3, 12)
 
 
-def test_claims_of_a_later_era_are_not_accepted():
+def test_reads_of_a_later_era_are_not_accepted():
     """Guards against taking a restored store for one that never changed."""
     followers, _ = _followers()
     endpoints = followers.members['endpoints']
     endpoints.read_once()
     era = positions.make(1, 0)
-    assert not followers.accept('endpoints', _claim(era, era + 3))
+    assert not followers.accept('endpoints', _read(era, era + 3))
     assert endpoints.position == 7
 
 
@@ -352,7 +352,7 @@
     assert followers.delay('table') > 0.0
 
 
-def test_claims_count_from_when_the_store_was_read():
+def test_reads_count_from_when_the_store_was_read():
     """Guards against messages of slow readers that seem to be new."""
     followers = _told_followers()
     limits = followers.limits
@@ -368,7 +368,7 @@
 
 
 def test_time_that_the_store_has_not_had_yet_counts_for_nothing():
-    """Guards against an odd message after which no claim is too old."""
+    """Guards against an odd message after which no read is too old."""
     followers = _told_followers()
     odd = storereads.make_read(7, 9, 7, 2**53)
     assert followers.accept('endpoints', odd)
@@ -388,11 +388,11 @@
         assert followers.delay('table') > 0.0
 
 
-def test_claims_are_told_after_each_read_without_a_change():
+def test_reads_are_told_after_each_read_without_a_change():
     """Guards against routers that hear nothing while nothing changes."""
     followers = _told_followers()
     told = []
-    followers.publish_read = lambda: told.append(followers.role())
+    followers.tell_reads = lambda: told.append(followers.role())
     table = followers.members['table']
     for role in (_told_role, _reader_role):
         followers.role = role
--- a/packages/policy/ibisring_policy/gateway/storereads.py
+++ b/packages/policy/ibisring_policy/gateway/storereads.py
@@ -1,4 +1,4 @@
-"""What a router claims to know of a table of the store, as told to others.
+"""What a router knows of a table of the store by reads, as told to others.
 
 "The last change that I saw" and "from here on I saw every change" are two
 facts.  A router that has read a whole table knows the first from the rows
@@ -15,7 +15,7 @@
 
 
 class StoreRead(msgspec.Struct, array_like=True, frozen=True):
-    """Claim that a table did not change after `since`, up to `version`.
+    """Statement that a table did not change after `since`, up to `version`.
 
     Versions are the store's, in its era `era`.  Encoded as an array, so the
     order of the fields is the format.
@@ -72,7 +72,7 @@
 
 
 def make_read(since, position, last_change, read_ms=0):
-    """Make the claim of a router that follows a table.
+    """Make the statement of a router that follows a table.
 
     Parameters
     ----------
