--- a/packages/gateway/ibisring_gateway/storefollowing.py
+++ b/packages/gateway/ibisring_gateway/storefollowing.py
@@ -27,6 +27,7 @@
 # must read the store itself.
 RECHECK_SECONDS = 0.5
 MIN_RECHECK_SECONDS = 0.01
+MS_PER_SECOND = 1000.0
 
 
 class Follower:
@@ -302,10 +303,14 @@
 
     def _seconds_left(self, name, now):
         """Return the time until what is known of a table is too old."""
+        draw = self.members[name].draw
+        return self.limits.seconds_left(self._age(name, now), draw)
+
+    def _age(self, name, now):
+        """Return the age of what is known of a table."""
         follower = self.members[name]
         told_age = self.store_clock.age(follower.read_ms, now)
-        age = min(told_age, now - follower.own_read_at)
-        return self.limits.seconds_left(age, follower.draw)
+        return min(told_age, now - follower.own_read_at)
 
     def start_call(self, name):
         """Register the start of a call and return its long-poll seconds."""
@@ -314,12 +319,17 @@
         now = self.clock()
         with self.lock:
             wait = self.polling.begin_call(name, now, fleet)
-            is_single = name in self.requested
-            self.requested.discard(name)
-            # What is too old must be known now; others go on reading.
-            if is_single or self._is_told(name, role, now):
+            if name in self.requested:
+                self.requested.discard(name)
                 return 0.0
-            return wait
+            if not self._is_told(name, role, now):
+                return wait
+            age = self._age(name, now)
+        # What is too old must be known now; others go on reading.
+        logs.event(
+            LOG, 'known_too_old', source=name, age_ms=_milliseconds(age)
+        )
+        return 0.0
 
     def record_read(self, follower, position, changed, last_change, read_ms):
         """Record up to which position a table was read."""
@@ -548,6 +558,11 @@
             self.members[name].source.cancel_call()
 
 
+def _milliseconds(seconds):
+    """Return a time for a log line, None if it is not known."""
+    return None if math.isinf(seconds) else round(seconds * MS_PER_SECOND)
+
+
 def _discard(page, before, is_table):
     """Discard a page; the default of `Followers.publish`."""
 
