--- a/packages/gateway/ibisring_gateway/tests/test_gossip.py
+++ b/packages/gateway/ibisring_gateway/tests/test_gossip.py
@@ -429,6 +429,12 @@
     'link_use': strategies.lists(
         strategies.tuples(NAMES, NAMES, NUMBERS, NUMBERS), max_size=3
     ),
+    'reads': strategies.dictionaries(
+        strategies.sampled_from([peers.TABLE, peers.ENDPOINTS, 'x']),
+        strategies.tuples(NUMBERS, NUMBERS, NUMBERS, NUMBERS, NUMBERS),
+        max_size=3,
+    ),
+    'has_reads_only': strategies.booleans(),
     'unreachable': strategies.lists(NAMES, max_size=3),
     'router': strategies.just('r1'),
     'changes': strategies.binary(max_size=3),
--- a/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
+++ b/packages/gateway/ibisring_gateway/tests/test_storefollowing.py
@@ -400,3 +400,18 @@
     table.source.page = ports.Page(9, ['changed'], 9)
     table.read_once()
     assert told == [storereaders.Role.TOLD, storereaders.Role.READS]
+
+
+def test_store_whose_clock_begins_anew_is_followed():
+    """Guards against calls without end, as no read is later than before."""
+    followers = _told_followers()
+    followers.clock.now += 1.0
+    endpoints = followers.members['endpoints']
+    endpoints.source.page = ports.Page(7, [], 0, 20)
+    endpoints.read_once()
+    seconds = followers.limits.max_age + followers.limits.spread + 0.01
+    followers.clock.now += seconds
+    assert followers.delay('endpoints') == 0.0
+    later = int(20 + 1000 * seconds)
+    assert followers.accept('endpoints', storereads.make_read(7, 7, 7, later))
+    assert followers.delay('endpoints') > 0.0
