Name the new fields at the end of a message in the test of their order

A release reads fields by their place, so that the order is what it guards: it names all five now, and asks for more than before.

--- a/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
+++ b/packages/gateway/ibisring_gateway/tests/test_bottlenecks.py
@@ -393,7 +393,13 @@
 def test_new_fields_are_the_last_of_a_message():
     """Guards against a release that reads a field as another one."""
     fields = gossipmessages.Message.__struct_fields__
-    assert fields[-2:] == ('rank_use', 'link_use')
+    assert fields[-5:] == (
+        'rank_use',
+        'link_use',
+        'reads',
+        'is_told',
+        'has_reads_only',
+    )
 
 
 class _OlderMessage(msgspec.Struct, array_like=True):
